--- /dev/null
+++ b/libs/cli/src/cherryrudder/cli/__init__.py
@@ -0,0 +1,1 @@
+"""cherryrudder, the operators' command-line tool."""
--- /dev/null
+++ b/libs/daemon/src/cherryrudder/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""cherryrudderd, the router daemon in its three roles."""
--- /dev/null
+++ b/libs/fakes/src/cherryrudder/fakes/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-in engine, stand-in plain service and load tool."""
--- /dev/null
+++ b/libs/membership/src/cherryrudder/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Announcements, endpoint leases and dissemination of revisions."""
--- /dev/null
+++ b/libs/model/src/cherryrudder/model/__init__.py
@@ -0,0 +1,1 @@
+"""Ids, contracts, endpoints, settings and the lowest errors."""
--- /dev/null
+++ b/libs/model/src/cherryrudder/model/settings.py
@@ -0,0 +1,255 @@
+"""Settings of a daemon: INI files over the defaults, checked as a whole."""
+
+import configparser
+import ipaddress
+from importlib import resources
+from pathlib import Path
+from typing import NamedTuple
+
+from expression import Error, Ok, Result
+
+from .endpoints import Kind, Place
+from .errors import SettingsError
+
+ROLES = ("entry", "control", "sidecar")
+LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
+BOOLEANS = configparser.ConfigParser.BOOLEAN_STATES
+
+
+class ProcessSettings(NamedTuple):
+    role: str
+    vm: str
+    data_centre: str
+    region: str
+    stop_wait_s: float
+
+
+class ListenSettings(NamedTuple):
+    caller: str
+    internal: str
+    operator: str
+    frames: str
+
+
+class ControlSettings(NamedTuple):
+    addresses: tuple[str, ...]
+
+
+class KeySettings(NamedTuple):
+    internal_file: str
+    operator_file: str
+
+
+class LogSettings(NamedTuple):
+    level: str
+    format: str
+
+
+class StatsdSettings(NamedTuple):
+    address: str
+    prefix: str
+
+
+class QuorumSettings(NamedTuple):
+    data_folder: str
+    heartbeat_s: float
+    election_min_s: float
+    election_max_s: float
+    snapshot_entries: int
+
+
+class EntrySettings(NamedTuple):
+    max_body_bytes: int
+    max_queued: int
+    drain_s: float
+    stall_s: float
+
+
+class SidecarSettings(NamedTuple):
+    endpoint: str
+    kind: str
+    back_end: str
+    service: str
+    idempotent_methods: tuple[str, ...]
+    model: str
+    version: str
+    accelerator: str
+    first_layer: int
+    end_layer: int
+    model_layers: int
+    slots: int
+    tokens_per_s: float
+    checks_fence: bool
+    announce_s: float
+    lease_s: float
+
+
+class Settings(NamedTuple):
+    """All settings of one daemon."""
+
+    process: ProcessSettings
+    listen: ListenSettings
+    control: ControlSettings
+    keys: KeySettings
+    log: LogSettings
+    statsd: StatsdSettings
+    quorum: QuorumSettings
+    entry: EntrySettings
+    sidecar: SidecarSettings
+
+    @property
+    def place(self) -> Place:
+        """Return where the process runs."""
+        return Place(self.process.vm, self.process.data_centre, self.process.region)
+
+
+# What each role cannot do without, as section and key.
+NEEDED = {
+    "all": (
+        ("process", "vm"),
+        ("process", "data_centre"),
+        ("process", "region"),
+        ("listen", "internal"),
+        ("keys", "internal_file"),
+        ("keys", "operator_file"),
+    ),
+    "entry": (
+        ("listen", "caller"),
+        ("listen", "frames"),
+        ("control", "addresses"),
+    ),
+    "control": (
+        ("listen", "operator"),
+        ("quorum", "data_folder"),
+        ("control", "addresses"),
+    ),
+    "sidecar": (
+        ("sidecar", "endpoint"),
+        ("sidecar", "back_end"),
+        ("control", "addresses"),
+    ),
+}
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Return the IP and port of an IP:PORT text; raises ValueError."""
+    host, _, port = address.rpartition(":")
+    ipaddress.ip_address(host.strip("[]"))
+    number = int(port)
+    if not 0 < number < 65536:
+        raise ValueError(f"port {number} is out of range")
+    return host.strip("[]"), number
+
+
+def load_settings(path: str | Path) -> Result[Settings, SettingsError]:
+    """Return the checked settings of a file, or one error that names every fault."""
+    try:
+        text = Path(path).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        return Error(SettingsError([f"{path}: {error}"]))
+    return parse_settings(text)
+
+
+def parse_settings(text: str) -> Result[Settings, SettingsError]:
+    """Return the checked settings of an INI text."""
+    defaults = _read(_default_text())
+    try:
+        own = _read(text)
+    except configparser.Error as error:
+        return Error(SettingsError([str(error).replace("\n", " ")]))
+    faults = _unknown(own, defaults)
+    values = {name: dict(defaults[name]) for name in defaults.sections()}
+    for name in own.sections():
+        values.setdefault(name, {}).update(own[name])
+    sections = {}
+    for name, kind in Settings.__annotations__.items():
+        sections[name] = _section(name, kind, values[name], faults)
+    faults += _missing(values) + _wrong(values)
+    if faults:
+        return Error(SettingsError(faults))
+    return Ok(Settings(**sections))
+
+
+def _default_text():
+    return resources.files(__package__).joinpath("config_default.ini").read_text()
+
+
+def _read(text):
+    parser = configparser.ConfigParser(interpolation=None)
+    parser.read_string(text)
+    return parser
+
+
+def _unknown(own, defaults):
+    faults = []
+    for section in own.sections():
+        if section not in defaults:
+            faults.append(f"[{section}]: unknown section")
+            continue
+        for key in own[section]:
+            if key not in defaults[section]:
+                faults.append(f"[{section}] {key}: unknown setting")
+    return faults
+
+
+def _section(name, kind, values, faults):
+    read = {}
+    for key, wanted in kind.__annotations__.items():
+        try:
+            read[key] = _convert(values[key], wanted)
+        except ValueError as error:
+            faults.append(f"[{name}] {key}: {error}")
+            read[key] = None
+    return kind(**read)
+
+
+def _convert(text, wanted):
+    text = text.strip()
+    if wanted is bool:
+        if text.lower() not in BOOLEANS:
+            raise ValueError(f"{text!r} is not yes or no")
+        return BOOLEANS[text.lower()]
+    if wanted in (int, float):
+        number = wanted(text)
+        if not 0 <= number < float("inf"):
+            raise ValueError(f"{text!r} is out of range")
+        return number
+    if wanted is str:
+        return text
+    return tuple(part.strip() for part in text.split(",") if part.strip())
+
+
+def _missing(values):
+    role = values["process"]["role"]
+    if role not in ROLES:
+        return [f"[process] role: {role!r} is not one of {', '.join(ROLES)}"]
+    needed = NEEDED["all"] + NEEDED[role]
+    if role == "sidecar":
+        wants_frames = values["sidecar"]["kind"] == Kind.ENGINE
+        extra = ("listen", "frames") if wants_frames else ("sidecar", "service")
+        needed += (extra,)
+    return [
+        f"[{section}] {key}: a {role} needs a value"
+        for section, key in needed
+        if not values[section][key].strip()
+    ]
+
+
+def _wrong(values):
+    faults = []
+    addresses = [("listen", key, text) for key, text in values["listen"].items()]
+    addresses.append(("statsd", "address", values["statsd"]["address"]))
+    for text in values["control"]["addresses"].split(","):
+        addresses.append(("control", "addresses", text.strip()))
+    for section, key, text in addresses:
+        if not text:
+            continue
+        try:
+            split_address(text)
+        except ValueError as error:
+            faults.append(f"[{section}] {key}: {text!r} is not IP:PORT ({error})")
+    if values["log"]["level"] not in LEVELS:
+        faults.append(f"[log] level: not one of {', '.join(LEVELS)}")
+    if values["sidecar"]["kind"] not in (Kind.ENGINE, Kind.SERVICE):
+        faults.append("[sidecar] kind: not engine or service")
+    return faults
--- /dev/null
+++ b/libs/pipeline/src/cherryrudder/pipeline/__init__.py
@@ -0,0 +1,1 @@
+"""Layer plan, token steps, duplicate and gap refusal, resume."""
--- /dev/null
+++ b/libs/policy/src/cherryrudder/policy/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions under load: no I/O, no clock, no network."""
--- /dev/null
+++ b/libs/state/src/cherryrudder/state/__init__.py
@@ -0,0 +1,1 @@
+"""Deterministic state machine driven by the replicated log."""
--- /dev/null
+++ b/libs/wire/src/cherryrudder/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Typed messages, HTTP adapters, token-step frames and statsd."""
--- /dev/null
+++ b/test/test_imports.py
@@ -0,0 +1,44 @@
+"""Imports between the libraries point one way only."""
+
+import ast
+import unittest
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parent.parent
+CORES = {"policy", "quorum", "state", "membership", "pipeline"}
+MAY_IMPORT = {
+    "model": set(),
+    **{core: {"model"} for core in CORES},
+    "wire": {"model"},
+    "fakes": {"model", "wire"},
+    "cli": {"model", "wire"},
+    "daemon": {"model", "wire"} | CORES,
+}
+IO_MODULES = {"anyio", "asyncio", "httpx", "hypercorn", "socket", "threading", "time"}
+
+
+def imported(path):
+    """Yield the dotted names of the modules that a file imports."""
+    for node in ast.walk(ast.parse(path.read_text())):
+        if isinstance(node, ast.Import):
+            yield from (alias.name for alias in node.names)
+        elif isinstance(node, ast.ImportFrom) and node.level == 0:
+            yield node.module
+
+
+class ImportTest(unittest.TestCase):
+    def test_libraries_import_downwards_only(self):
+        for library, allowed in MAY_IMPORT.items():
+            for path in ROOT.glob(f"libs/{library}/src/**/*.py"):
+                for name in imported(path):
+                    parts = name.split(".")
+                    if parts[0] == "cherryrudder" and parts[1] != library:
+                        with self.subTest(path=path.name, imports=name):
+                            self.assertIn(parts[1], allowed)
+
+    def test_cores_do_no_io(self):
+        for library in CORES:
+            for path in ROOT.glob(f"libs/{library}/src/**/*.py"):
+                for name in imported(path):
+                    with self.subTest(path=path.name, imports=name):
+                        self.assertNotIn(name.split(".")[0], IO_MODULES)
