Carry the system's messages over HTTP and frame links

Links batch what waits, treat a peer that takes no bytes for 3 s as lost and ask for the internal key first. Conclusion: the roles can be joined.

--- /dev/null
+++ b/libs/daemon/src/cherryrudder/daemon/controlapi.py
@@ -0,0 +1,130 @@
+"""The control VMs' surface for the system's own processes."""
+
+from typing import NamedTuple
+
+from cherryrudder.membership import table as soft
+from cherryrudder.model.endpoints import Announcement
+from cherryrudder.model.errors import RequestError
+from cherryrudder.quorum import events
+from cherryrudder.state import machine
+from cherryrudder.state.commands import CloseClaim, OpenClaim, TakeFence
+from cherryrudder.wire.asgi import Request, Routes, json_reply
+
+from .clock import now_s
+from .errors import NoQuorum
+
+PROPOSE_S = 4.0
+MAX_WATCH_S = 30.0
+
+
+class Announce(NamedTuple):
+    """A sidecar's or entry's announcement and how long it holds."""
+
+    announcement: Announcement
+    lease_s: float
+
+
+def no_quorum(error: NoQuorum) -> RequestError:
+    """Return the answer of a control VM that cannot reach a majority."""
+    return RequestError(503, "no-quorum", str(error))
+
+
+def internal_routes(control) -> Routes:
+    """Return the routes between the system's processes."""
+    voter = control.voter
+
+    async def quorum(request: Request):
+        value = await request.json()
+        for message in value["messages"]:
+            voter.feed(events.Received(value["sender"], message))
+        return json_reply({})
+
+    async def propose(request):
+        value = await request.json()
+        answer = await voter.local_propose(value["payload"], PROPOSE_S)
+        if answer is None:
+            raise RequestError(503, "not-leader", "this control VM does not lead")
+        return json_reply({"answer": answer})
+
+    async def read_index(request):
+        index = await voter.read_index(now_s() + PROPOSE_S, forward=False)
+        if index is None:
+            raise RequestError(503, "not-leader", "this control VM does not lead")
+        return json_reply({"index": index})
+
+    async def voters(request):
+        value = await request.json(VoterChange)
+        try:
+            done = await voter.change_voters(value.action, value.voter, PROPOSE_S)
+        except NoQuorum as error:
+            raise no_quorum(error) from error
+        return json_reply({"done": done})
+
+    def command_route(kind):
+        async def run(request):
+            command = await request.json(kind)
+            payload = machine.encode_command(command)
+            try:
+                return json_reply(await voter.propose(payload, PROPOSE_S))
+            except NoQuorum as error:
+                raise no_quorum(error) from error
+
+        return run
+
+    async def find_claim(request):
+        query = request.query
+        try:
+            await voter.confirm(PROPOSE_S)
+        except NoQuorum as error:
+            raise no_quorum(error) from error
+        claim = machine.find_claim(
+            voter.state, query.get("customer", ""), query.get("key", "")
+        )
+        return json_reply({"claim": claim})
+
+    async def fence(request):
+        try:
+            await voter.confirm(PROPOSE_S)
+        except NoQuorum as error:
+            raise no_quorum(error) from error
+        endpoint = request.query.get("endpoint", "")
+        return json_reply({"fence": machine.fence_of(voter.state, endpoint)})
+
+    async def announce(request):
+        value = await request.json(Announce)
+        changed = soft.announce(
+            control.table, value.announcement, value.lease_s, now_s()
+        )
+        if changed:
+            control.watches.wake()
+        return json_reply({"fresh": control.watches.is_fresh()})
+
+    async def watch(request):
+        wait_s = min(MAX_WATCH_S, request.number("wait_s", 10.0))
+        fresh = request.query.get("fresh") == "1"
+        try:
+            answer = await control.watches.watch(request.query, wait_s, fresh)
+        except NoQuorum as error:
+            raise no_quorum(error) from error
+        return json_reply(answer)
+
+    return {
+        ("POST", "/v1/quorum"): quorum,
+        ("POST", "/v1/leader/propose"): propose,
+        ("POST", "/v1/leader/read-index"): read_index,
+        ("POST", "/v1/leader/voters"): voters,
+        ("POST", "/v1/claims/open"): command_route(OpenClaim),
+        ("POST", "/v1/claims/close"): command_route(CloseClaim),
+        ("GET", "/v1/claims"): find_claim,
+        ("POST", "/v1/fences"): command_route(TakeFence),
+        ("GET", "/v1/fences"): fence,
+        ("POST", "/v1/announce"): announce,
+        ("GET", "/v1/watch"): watch,
+    }
+
+
+class VoterChange(NamedTuple):
+    """A change of the voters, by one."""
+
+    action: str
+    voter: events.Voter
--- /dev/null
+++ b/libs/daemon/src/cherryrudder/daemon/controlrole.py
@@ -0,0 +1,70 @@
+"""The control role: the replicated log, the operators' surface and the soft table."""
+
+import anyio
+from loguru import logger
+
+from cherryrudder.membership import table as soft
+
+from . import controlapi, operatorapi
+from .clock import new_id, now_s
+from .process import Process, dump_routes, probe_routes
+from .voter import Voter
+from .watches import Watches
+
+EXPIRE_S = 0.2
+
+log = logger.bind(part="control")
+
+
+class Control:
+    """A control VM: its voter, the table of announced endpoints and the watches."""
+
+    def __init__(self, process: Process):
+        self.process = process
+        self.voter = Voter(process)
+        self.table = soft.Table(new_id())
+        self.watches = Watches(process, self.voter, self.table)
+
+
+async def run(process: Process) -> None:
+    """Serve as a control VM until a graceful shutdown."""
+    control = Control(process)
+    control.voter.start()
+    control.watches.start()
+    process.group.start_soon(_expire, control)
+    routes = (
+        controlapi.internal_routes(control)
+        | dump_routes(process, lambda: dump(control))
+        | probe_routes(control.watches.is_fresh)
+    )
+    process.listen(process.settings.listen.internal, routes, process.internal_key)
+    routes = operatorapi.operator_routes(control) | dump_routes(
+        process, lambda: dump(control)
+    )
+    process.listen(process.settings.listen.operator, routes, process.operator_key)
+    await process.leaving.wait()
+    # Watchers and announcers have other control VMs; nothing here is in flight for
+    # longer than one answer.
+    await anyio.sleep(0.2)
+    control.voter.disk.close()
+    process.stop()
+
+
+def dump(control: Control) -> dict:
+    """Return what the control VM knows."""
+    state = control.voter.state
+    return {
+        "quorum": control.voter.status(),
+        "revision": state.revision,
+        "claims": len(state.claims),
+        "endpoints": [a.endpoint for a in soft.live(control.table)],
+        "watchers": control.watches.count,
+        "confirmed_age_s": control.watches.confirmed_age_s(now_s()),
+    }
+
+
+async def _expire(control):
+    while True:
+        await anyio.sleep(EXPIRE_S)
+        if soft.expire(control.table, now_s()):
+            control.watches.wake()
--- /dev/null
+++ b/libs/wire/src/cherryrudder/wire/asgi.py
@@ -0,0 +1,209 @@
+"""A small ASGI surface: routes, typed replies, limits on bodies, JSON errors."""
+
+import hmac
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import aclosing
+from typing import NamedTuple
+from urllib.parse import parse_qsl
+
+import anyio
+import msgspec
+from loguru import logger
+
+from cherryrudder.model import jsoncodec
+from cherryrudder.model.errors import RequestError
+
+DEFAULT_MAX_BODY_BYTES = 16 * 1024 * 1024
+
+
+class Reply(NamedTuple):
+    """A whole answer; `headers` are pairs of text."""
+
+    status: int = 200
+    body: bytes = b""
+    headers: tuple[tuple[str, str], ...] = (("content-type", "application/json"),)
+
+
+class StreamReply(NamedTuple):
+    """An answer sent in parts as they come."""
+
+    chunks: AsyncIterator[bytes]
+    status: int = 200
+    headers: tuple[tuple[str, str], ...] = (("content-type", "text/event-stream"),)
+
+
+class Request:
+    """One HTTP request; the body is read on demand and limited."""
+
+    def __init__(self, scope, receive, max_body_bytes):
+        self.method = scope["method"]
+        self.path = scope["path"]
+        self.query_string = scope["query_string"].decode("latin-1")
+        self.headers = {
+            name.decode("latin-1").lower(): value.decode("latin-1")
+            for name, value in scope["headers"]
+        }
+        self._receive = receive
+        self._max_body_bytes = max_body_bytes
+
+    @property
+    def query(self) -> dict[str, str]:
+        """Return the query's parameters."""
+        return dict(parse_qsl(self.query_string))
+
+    def number(self, name: str, default: float) -> float:
+        """Return a numeric query parameter; raises RequestError."""
+        try:
+            return float(self.query.get(name, default))
+        except ValueError:
+            raise RequestError(400, "bad-number", "not a number", name) from None
+
+    def bearer(self) -> str:
+        """Return the bearer token, empty without one."""
+        scheme, _, token = self.headers.get("authorization", "").partition(" ")
+        return token.strip() if scheme.lower() == "bearer" else ""
+
+    async def body(self) -> bytes:
+        """Return the whole body; raises RequestError 413 past the limit."""
+        parts = []
+        size_bytes = 0
+        while True:
+            message = await self._receive()
+            if message["type"] == "http.disconnect":
+                raise RequestError(400, "disconnected", "the caller went away")
+            parts.append(message.get("body", b""))
+            size_bytes += len(parts[-1])
+            if size_bytes > self._max_body_bytes:
+                text = f"the body is over {self._max_body_bytes} bytes"
+                raise RequestError(413, "body-too-large", text)
+            if not message.get("more_body", False):
+                return b"".join(parts)
+
+    async def json(self, kind=dict):
+        """Return the body as a value of a type; raises RequestError 400."""
+        data = await self.body()
+        try:
+            return jsoncodec.decode(data, kind)
+        except msgspec.ValidationError as error:
+            raise RequestError(
+                400, "bad-field", str(error), _field(str(error))
+            ) from None
+        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            raise RequestError(400, "bad-json", str(error)) from None
+
+    async def disconnected(self) -> None:
+        """Wait until the caller goes away; read the body first."""
+        while (await self._receive())["type"] != "http.disconnect":
+            pass
+
+
+Handler = Callable[[Request], Awaitable[Reply | StreamReply]]
+Routes = dict[tuple[str, str], Handler]
+
+
+def json_reply(value, status=200, headers=()) -> Reply:
+    """Return an answer with the JSON of a value."""
+    kind = ("content-type", "application/json")
+    return Reply(status, jsoncodec.encode(value), (kind, *headers))
+
+
+def error_reply(error: RequestError, headers=()) -> Reply:
+    """Return the typed JSON of an error."""
+    body = {"code": error.code, "message": str(error)}
+    if error.field:
+        body["field"] = error.field
+    return json_reply({"error": body}, error.status, headers)
+
+
+def make_app(routes: Routes, key: str = "", max_body_bytes=DEFAULT_MAX_BODY_BYTES):
+    """Return an ASGI application; a route whose path ends in / takes all below it.
+
+    With a key, all but the balancer's probes ask for it as a bearer token.
+    """
+
+    async def app(scope, receive, send):
+        if scope["type"] == "lifespan":
+            return await _lifespan(receive, send)
+        if scope["type"] != "http":
+            return None
+        request = Request(scope, receive, max_body_bytes)
+        reply = await _answer(routes, key, request)
+        if isinstance(reply, StreamReply):
+            return await _send_stream(reply, request, send)
+        return await _send(reply, send)
+
+    return app
+
+
+async def _answer(routes, key, request):
+    try:
+        handler = _find(routes, request)
+        open_path = request.path in ("/livez", "/readyz")
+        if key and not open_path and not hmac.compare_digest(request.bearer(), key):
+            raise RequestError(401, "wrong-key", "the key is missing or wrong")
+        return await handler(request)
+    except RequestError as error:
+        return error_reply(error)
+    except Exception:
+        # A fault in one handler must not take the process with it; the caller gets a
+        # plain 500 and the log gets the traceback.
+        logger.bind(part="http").exception(
+            "{} {} failed.", request.method, request.path
+        )
+        return error_reply(RequestError(500, "internal", "an internal error"))
+
+
+def _find(routes, request):
+    path = request.path
+    known = False
+    while path:
+        for method in (request.method, "*"):
+            handler = routes.get((method, path))
+            if handler is not None:
+                return handler
+        known = known or any(at == path for _, at in routes)
+        path = path.rstrip("/").rpartition("/")[0] + "/" if path != "/" else ""
+    if known:
+        raise RequestError(405, "method-not-allowed", "the path takes other methods")
+    raise RequestError(404, "not-found", "there is no such path")
+
+
+async def _lifespan(receive, send):
+    while True:
+        message = await receive()
+        await send({"type": message["type"] + ".complete"})
+        if message["type"] == "lifespan.shutdown":
+            return
+
+
+def _start(reply):
+    headers = [(name.encode(), value.encode()) for name, value in reply.headers]
+    return {"type": "http.response.start", "status": reply.status, "headers": headers}
+
+
+async def _send(reply, send):
+    size = ("content-length", str(len(reply.body)))
+    await send(_start(reply._replace(headers=(*reply.headers, size))))
+    await send({"type": "http.response.body", "body": reply.body})
+
+
+async def _send_stream(reply, request, send):
+    async with anyio.create_task_group() as group, aclosing(reply.chunks) as chunks:
+
+        async def stop_when_gone():
+            # A caller that closes its connection cancels the whole stream, so that
+            # its work ends at the engines too.
+            await request.disconnected()
+            group.cancel_scope.cancel()
+
+        group.start_soon(stop_when_gone)
+        await send(_start(reply))
+        async for chunk in chunks:
+            await send({"type": "http.response.body", "body": chunk, "more_body": True})
+        await send({"type": "http.response.body", "body": b""})
+        group.cancel_scope.cancel()
+
+
+def _field(message):
+    _, _, path = message.partition("`$.")
+    return path.rstrip("`") or None
--- /dev/null
+++ b/libs/wire/src/cherryrudder/wire/links.py
@@ -0,0 +1,161 @@
+"""Persistent one-way links that carry frames between processes.
+
+Each process listens at one frame address and opens a link to each peer it sends to.
+Messages to one peer leave in order; what waits while a frame is being written leaves
+in the next frame, so batches grow with the load and a lone message waits for nothing.
+"""
+
+import hmac
+import socket
+from collections.abc import Callable, Sequence
+from typing import Any
+
+import anyio
+from anyio.abc import SocketListener, TaskGroup
+from loguru import logger
+
+from cherryrudder.model.settings import split_address
+
+from .errors import FrameError
+from .frames import FrameBuffer, FrameCodec, Hello, Ping
+
+CONNECT_S = 1.0
+# A peer that takes no byte for this long is treated as lost: a frozen process keeps
+# its TCP connection open, and its callers would wait for ever.
+WRITE_S = 3.0
+# Unsent messages to one peer; past it the peer is treated as lost, so that a peer
+# that stopped reading cannot fill this process's memory.
+MAX_WAITING = 20_000
+READ_BYTES = 256 * 1024
+BACKLOG = 1024
+
+log = logger.bind(part="links")
+
+
+class _Link:
+    def __init__(self):
+        self.waiting = []
+        self.wake = anyio.Event()
+
+
+class Links:
+    """The outgoing links of one process."""
+
+    def __init__(
+        self,
+        group: TaskGroup,
+        codec: FrameCodec,
+        key: str,
+        own_address: str,
+        on_down: Callable[[str], None],
+    ):
+        self._group = group
+        self._codec = codec
+        self._hello = Hello(key, own_address)
+        self._on_down = on_down
+        self._links: dict[str, _Link] = {}
+
+    def send(self, address: str, message: Any) -> None:
+        """Queue a message; a peer that cannot take it comes back through on_down."""
+        link = self._links.get(address)
+        if link is None:
+            link = self._links[address] = _Link()
+            self._group.start_soon(self._run, address, link)
+        link.waiting.append(message)
+        link.wake.set()
+        if len(link.waiting) > MAX_WAITING:
+            self._drop(address, link)
+
+    def peers(self) -> list[str]:
+        """Return the addresses that links are open to."""
+        return list(self._links)
+
+    def _drop(self, address, link):
+        if self._links.get(address) is link:
+            del self._links[address]
+            log.info("Link to {} is down.", address)
+            self._on_down(address)
+
+    async def _run(self, address, link):
+        try:
+            with anyio.fail_after(CONNECT_S):
+                host, port = split_address(address)
+                stream = await anyio.connect_tcp(host, port)
+            async with stream, anyio.create_task_group() as group:
+                group.start_soon(self._watch_end, stream, group.cancel_scope)
+                await self._write(address, link, stream)
+        except* (OSError, anyio.BrokenResourceError, anyio.ClosedResourceError):
+            pass
+        self._drop(address, link)
+
+    async def _watch_end(self, stream, scope):
+        # The peer never writes on this connection: anything but silence is its end.
+        try:
+            await stream.receive(1)
+        except (anyio.EndOfStream, anyio.BrokenResourceError):
+            pass
+        scope.cancel()
+
+    async def _write(self, address, link, stream):
+        messages = [self._hello]
+        while self._links.get(address) is link:
+            messages += link.waiting
+            link.waiting = []
+            with anyio.move_on_after(WRITE_S) as scope:
+                await stream.send(self._codec.encode(messages))
+            if scope.cancelled_caught:
+                raise anyio.BrokenResourceError
+            messages = []
+            if not link.waiting:
+                link.wake = anyio.Event()
+                await link.wake.wait()
+
+
+async def listen_frames(
+    address: str,
+    codec: FrameCodec,
+    key: str,
+    on_messages: Callable[[str, Sequence], None],
+    stopping: anyio.Event,
+) -> None:
+    """Accept links and hand each frame's messages on until `stopping` is set."""
+    host, port = split_address(address)
+    # Bound by hand: the library's own way resolves the host name on another thread.
+    server = socket.create_server((host, port), backlog=BACKLOG)
+    server.setblocking(False)
+    listener = await SocketListener.from_socket(server)
+
+    async def handle(stream):
+        async with stream:
+            try:
+                await _read(stream, codec, key, on_messages)
+            except FrameError as error:
+                log.warning("A link was refused: {}.", error)
+            except (anyio.EndOfStream, anyio.BrokenResourceError):
+                pass
+
+    async with listener, anyio.create_task_group() as group:
+        group.start_soon(listener.serve, handle)
+        await stopping.wait()
+        group.cancel_scope.cancel()
+
+
+async def _read(stream, codec, key, on_messages):
+    frames = FrameBuffer()
+    peer = None
+    while True:
+        for body in frames.feed(await stream.receive(READ_BYTES)):
+            messages = codec.decode(body)
+            if peer is None:
+                peer = _greet(messages, key)
+                messages = messages[1:]
+            messages = [m for m in messages if not isinstance(m, Ping)]
+            if messages:
+                on_messages(peer, messages)
+
+
+def _greet(messages, key):
+    hello = messages[0] if messages else None
+    if not isinstance(hello, Hello) or not hmac.compare_digest(hello.key, key):
+        raise FrameError("the first message is no greeting with the right key")
+    return hello.address
--- /dev/null
+++ b/libs/wire/src/cherryrudder/wire/logs.py
@@ -0,0 +1,26 @@
+"""Log lines by loguru: short sentences, each with its part's fixed prefix."""
+
+import sys
+
+from loguru import logger
+
+from cherryrudder.model.settings import LogSettings
+
+TEXT = (
+    "{time:YYYY-MM-DDTHH:mm:ss.SSS} {level: <7} {extra[part]}: {message}\n{exception}"
+)
+
+
+def set_up_logs(settings: LogSettings) -> None:
+    """Send log lines to standard error as text or JSON."""
+    logger.remove()
+    logger.configure(extra={"part": "daemon"})
+    as_json = settings.format == "json"
+    logger.add(
+        sys.stderr,
+        level=settings.level,
+        format="{message}" if as_json else TEXT,
+        serialize=as_json,
+        backtrace=False,
+        diagnose=False,
+    )
--- /dev/null
+++ b/libs/wire/src/cherryrudder/wire/server.py
@@ -0,0 +1,52 @@
+"""HTTP listeners, by hypercorn, on the process's one loop."""
+
+import asyncio
+
+import anyio
+from hypercorn.asyncio import serve as hypercorn_serve
+from hypercorn.config import Config
+
+from cherryrudder.model.settings import split_address
+
+# Long polls and idle pooled connections stay open this long.
+KEEP_ALIVE_S = 75.0
+# Work is drained before a listener is closed, so what is left are idle connections.
+CLOSE_WAIT_S = 1.0
+BACKLOG = 1024
+
+
+def listener_config(address: str) -> Config:
+    """Return hypercorn's settings for one listener."""
+    split_address(address)
+    config = Config()
+    config.bind = [address]
+    config.accesslog = None
+    config.errorlog = None
+    config.backlog = BACKLOG
+    config.keep_alive_timeout = KEEP_ALIVE_S
+    config.graceful_timeout = CLOSE_WAIT_S
+    config.shutdown_timeout = CLOSE_WAIT_S
+    config.include_server_header = False
+    config.include_date_header = False
+    return config
+
+
+async def serve(app, address: str, stopping: anyio.Event) -> None:
+    """Serve an ASGI application until `stopping` is set."""
+    await hypercorn_serve(
+        app, listener_config(address), shutdown_trigger=stopping.wait, mode="asgi"
+    )
+
+
+async def wait_listening(address: str, timeout_s: float) -> None:
+    """Wait until something accepts connections at an address; raises TimeoutError."""
+    host, port = split_address(address)
+    with anyio.fail_after(timeout_s):
+        while True:
+            try:
+                _, writer = await asyncio.open_connection(host, port)
+            except OSError:
+                await anyio.sleep(0.02)
+                continue
+            writer.close()
+            return
--- /dev/null
+++ b/libs/wire/test/test_links.py
@@ -0,0 +1,100 @@
+"""Tests of frame links over loopback."""
+
+import socket
+import unittest
+from typing import NamedTuple
+
+import anyio
+
+from cherryrudder.wire.errors import FrameError
+from cherryrudder.wire.frames import FrameBuffer, FrameCodec
+from cherryrudder.wire.links import Links, listen_frames
+
+
+class Note(NamedTuple):
+    number: int
+    words: tuple[str, ...]
+
+
+def free_address():
+    """Return a loopback address that was free a moment ago."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{probe.getsockname()[1]}"
+
+
+class CodecTest(unittest.TestCase):
+    def test_frames_cut_anywhere_come_back_whole(self):
+        codec = FrameCodec([Note])
+        notes = [Note(n, ("a", "b")) for n in range(3)]
+        data = codec.encode(notes[:2]) + codec.encode(notes[2:])
+        for cut in range(len(data)):
+            buffer = FrameBuffer()
+            bodies = buffer.feed(data[:cut]) + buffer.feed(data[cut:])
+            read = [note for body in bodies for note in codec.decode(body)]
+            self.assertEqual(read, notes)
+
+    def test_bytes_that_are_no_frame_are_refused(self):
+        with self.assertRaises(FrameError):
+            FrameCodec([Note]).decode(b"\xc1")
+        with self.assertRaises(FrameError):
+            FrameBuffer().feed(b"\xff" * 8)
+
+
+class LinksTest(unittest.TestCase):
+    def run_pair(self, sender_key, act):
+        """Run a listener and a sender; return what arrived and what went down."""
+        address = free_address()
+        codec = FrameCodec([Note])
+        got, down = [], []
+
+        async def main():
+            stopping = anyio.Event()
+            async with anyio.create_task_group() as group:
+                group.start_soon(
+                    listen_frames,
+                    address,
+                    codec,
+                    "key",
+                    lambda peer, messages: got.extend(messages),
+                    stopping,
+                )
+                await anyio.sleep(0)
+                links = Links(group, codec, sender_key, "127.0.0.1:1", down.append)
+                with anyio.fail_after(20):
+                    await act(links, address, got, down)
+                group.cancel_scope.cancel()
+
+        anyio.run(main)
+        return got, down
+
+    def test_messages_arrive_in_order(self):
+        async def act(links, address, got, down):
+            for number in range(500):
+                links.send(address, Note(number, ()))
+            while len(got) < 500:
+                await anyio.sleep(0.01)
+
+        got, _ = self.run_pair("key", act)
+        self.assertEqual([note.number for note in got], list(range(500)))
+
+    def test_a_sender_without_the_key_is_refused(self):
+        async def act(links, address, got, down):
+            links.send(address, Note(1, ()))
+            while not down:
+                await anyio.sleep(0.01)
+
+        got, down = self.run_pair("other", act)
+        self.assertEqual(got, [])
+        self.assertEqual(len(down), 1)
+
+    def test_an_address_where_nothing_listens_goes_down(self):
+        nowhere = free_address()
+
+        async def act(links, address, got, down):
+            links.send(nowhere, Note(1, ()))
+            while not down:
+                await anyio.sleep(0.01)
+
+        _, down = self.run_pair("key", act)
+        self.assertEqual(down, [nowhere])
