Sketch the daemon's roles around the cores

Cause: the cores need shells that own sockets, disks and clocks. The gate keeps a floor over the log's index, so its memory is bounded without a clock. Ruled out: remembering attempts by time, which a frozen process would get wrong. Not run yet: the cores are still being built; nothing is measured. Conclusion: to be joined as each core is green.

--- /dev/null
+++ b/libs/daemon/src/cherryrudder/daemon/controlcalls.py
@@ -0,0 +1,80 @@
+"""Calls to the control VMs: the first that answers serves, a follower asks the leader.
+
+Every command carries an id that makes it idempotent, so that trying the next control
+VM after a lost answer is safe.
+"""
+
+from typing import Any
+from urllib.parse import urlencode
+
+from cherryrudder.state.commands import (
+    Answer,
+    Claim,
+    ClaimAnswer,
+    CloseClaim,
+    OpenClaim,
+)
+from cherryrudder.wire.errors import StatusError, WireError
+
+from .clock import now_s
+from .errors import NoQuorum
+
+# Longer than an election, so that a call outlives the loss of the leader.
+CALL_S = 5.0
+TRY_S = 2.5
+HTTP_SERVER_FAULT = 500
+
+
+class Controls:
+    """The control VMs in the order in which they are to be asked."""
+
+    def __init__(self, process):
+        self.process = process
+        self.addresses = list(process.settings.control.addresses)
+
+    async def call(self, method, path, value, kind, timeout_s=CALL_S) -> Any:
+        """Return the answer of the first control VM that has one; raises NoQuorum."""
+        deadline_s = now_s() + timeout_s
+        while now_s() < deadline_s:
+            for address in list(self.addresses):
+                left_s = deadline_s - now_s()
+                if left_s <= 0:
+                    break
+                try:
+                    return await self.process.client.call(
+                        method,
+                        f"http://{address}{path}",
+                        value,
+                        kind,
+                        min(TRY_S, left_s),
+                    )
+                except StatusError as error:
+                    if error.status < HTTP_SERVER_FAULT:
+                        raise
+                except WireError:
+                    pass
+                # Ask the others first from now on: this one is away or isolated.
+                self.addresses.remove(address)
+                self.addresses.append(address)
+        raise NoQuorum("no control VM answered in time")
+
+    async def open_claim(self, command: OpenClaim) -> ClaimAnswer:
+        """Claim a call for one attempt."""
+        return await self.call("POST", "/v1/claims/open", command, ClaimAnswer)
+
+    async def close_claim(self, command: CloseClaim, timeout_s: float) -> Answer:
+        """Record an attempt's outcome."""
+        return await self.call("POST", "/v1/claims/close", command, Answer, timeout_s)
+
+    async def find_claim(self, customer: str, key: str) -> Claim | None:
+        """Return the claim on a customer's key."""
+        path = "/v1/claims?" + urlencode({"customer": customer, "key": key})
+        answer = await self.call("GET", path, None, dict[str, Claim | None])
+        return answer["claim"]
+
+
+async def read_fence(process, endpoint: str) -> int:
+    """Return the newest fencing number that was taken for an endpoint."""
+    path = "/v1/fences?" + urlencode({"endpoint": endpoint})
+    answer = await Controls(process).call("GET", path, None, dict[str, int])
+    return answer["fence"]
--- /dev/null
+++ b/libs/daemon/src/cherryrudder/daemon/dataplane.py
@@ -0,0 +1,154 @@
+"""The entry's side of the pipelines: each request's core, its links and its tokens."""
+
+from collections.abc import AsyncIterator, Callable
+
+import anyio
+from loguru import logger
+
+from cherryrudder.pipeline import request as driver
+from cherryrudder.pipeline.effects import Deliver, Fail, Finished, NeedStage, SendTo
+from cherryrudder.pipeline.messages import MESSAGES, Stage, Start
+from cherryrudder.wire.frames import FrameCodec
+from cherryrudder.wire.links import Links, listen_frames
+
+from .clock import now_s
+from .errors import DaemonError
+
+TICK_S = 0.1
+
+log = logger.bind(part="pipeline")
+
+
+class PipelineBroken(DaemonError):
+    """A request's chain could not be kept up; the text ends here."""
+
+
+class Flow:
+    """One request's pipeline as the caller's task sees it."""
+
+    def __init__(self, core, find_stage, ended):
+        self.core = core
+        self.find_stage = find_stage
+        self.ended = ended
+        self.waiting: list[str] = []
+        self.taken = 0
+        self.is_last = False
+        self.failure = ""
+        self.news = anyio.Event()
+        self.need: NeedStage | None = None
+
+
+class DataPlane:
+    """All pipelines of one entry."""
+
+    def __init__(self, process, stall_s: float):
+        self.process = process
+        self.timing = driver.Timing(stall_s=stall_s)
+        self.flows: dict[str, Flow] = {}
+        self.codec = FrameCodec(MESSAGES)
+        self.links = Links(
+            process.group,
+            self.codec,
+            process.internal_key,
+            process.settings.listen.frames,
+            self._link_down,
+        )
+
+    def start(self) -> None:
+        """Start listening for tokens and looking after stalled requests."""
+        self.process.group.start_soon(
+            listen_frames,
+            self.process.settings.listen.frames,
+            self.codec,
+            self.process.internal_key,
+            self._on_messages,
+            self.process.stopping,
+        )
+        self.process.group.start_soon(self._tick)
+
+    def begin(
+        self,
+        start: Start,
+        find_stage: Callable[[NeedStage], Stage | None],
+        ended: Callable[[driver.RequestCore], None],
+    ) -> Flow:
+        """Start a request; `ended` is called once, however it ends."""
+        flow = Flow(driver.RequestCore(start, self.timing), find_stage, ended)
+        self.flows[start.request] = flow
+        self._carry_out(flow, driver.begin(flow.core, now_s()))
+        return flow
+
+    async def tokens(self, flow: Flow) -> AsyncIterator[list[str]]:
+        """Yield the tokens as they come; raises PipelineBroken."""
+        while True:
+            if flow.waiting:
+                tokens, flow.waiting = flow.waiting, []
+                yield tokens
+                # Acknowledged only after the caller's socket took them, which is what
+                # holds the chain back behind a slow caller.
+                flow.taken += len(tokens)
+                self._carry_out(flow, driver.consumed(flow.core, flow.taken, now_s()))
+            elif flow.failure:
+                raise PipelineBroken(flow.failure)
+            elif flow.is_last:
+                return
+            else:
+                flow.news = anyio.Event()
+                await flow.news.wait()
+
+    def cancel(self, flow: Flow) -> None:
+        """Free every stage of a request that nobody waits for; harmless at its end."""
+        self._carry_out(flow, driver.cancel(flow.core, now_s()))
+
+    def _on_messages(self, peer, messages):
+        at_s = now_s()
+        for message in messages:
+            flow = self.flows.get(message.request)
+            if flow is not None:
+                self._carry_out(flow, driver.receive(flow.core, message, at_s))
+
+    def _link_down(self, address):
+        for flow in list(self.flows.values()):
+            self._carry_out(flow, driver.stage_lost(flow.core, address, now_s()))
+
+    async def _tick(self):
+        while True:
+            await anyio.sleep(TICK_S)
+            for flow in list(self.flows.values()):
+                if flow.need is not None:
+                    self._find_stage(flow, flow.need)
+                self._carry_out(flow, driver.tick(flow.core, now_s()))
+
+    def _carry_out(self, flow, effects):
+        for effect in effects:
+            match effect:
+                case SendTo():
+                    self.links.send(effect.address, effect.message)
+                case Deliver():
+                    flow.waiting += effect.tokens
+                    flow.is_last = flow.is_last or effect.last
+                    flow.news.set()
+                case NeedStage():
+                    self._find_stage(flow, effect)
+                case Fail():
+                    log.warning(
+                        "{} failed: {}.", flow.core.start.request, effect.message
+                    )
+                    flow.failure = effect.message
+                    flow.news.set()
+                case Finished():
+                    self._finish(flow)
+
+    def _find_stage(self, flow, need):
+        # No endpoint may be free at this moment: the next ticks ask again, until the
+        # core's own time limit ends the request.
+        flow.need = need
+        found = flow.find_stage(need)
+        if found is not None:
+            flow.need = None
+            self._carry_out(flow, driver.replace(flow.core, found, now_s()))
+
+    def _finish(self, flow):
+        if self.flows.pop(flow.core.start.request, None) is not None:
+            flow.need = None
+            flow.ended(flow.core)
--- /dev/null
+++ b/libs/daemon/src/cherryrudder/daemon/enginehost.py
@@ -0,0 +1,192 @@
+"""The sidecar beside an engine: its stage of each request's pipeline, and its fence."""
+
+from typing import Any, NamedTuple
+
+import anyio
+import anyio.lowlevel
+from loguru import logger
+
+from cherryrudder.pipeline import stage
+from cherryrudder.pipeline.effects import Compute, FreeKv, SendTo
+from cherryrudder.pipeline.messages import MESSAGES, NO_ROOM, Refused, Resume, Start
+from cherryrudder.wire.asgi import Routes
+from cherryrudder.wire.client import Client
+from cherryrudder.wire.errors import WireError
+from cherryrudder.wire.frames import FrameCodec
+from cherryrudder.wire.links import Links, listen_frames
+
+from .clock import now_s
+from .fenceguard import FenceGuard
+
+# The longest single step: a long prompt on a slow accelerator.
+STEP_S = 60.0
+FREE_S = 5.0
+TICK_S = 0.25
+
+log = logger.bind(part="stage")
+
+
+class StepOutput(NamedTuple):
+    """One request's part of an engine's answer."""
+
+    request: str
+    position: int
+    outputs: tuple[str, ...] = ()
+    error: str = ""
+
+
+class StepAnswer(NamedTuple):
+    """An engine's answer to a batch of steps."""
+
+    outputs: tuple[StepOutput, ...]
+
+
+class EngineHost:
+    """The stage cores' shell: frame links on one side, the engine on the other."""
+
+    def __init__(self, process):
+        self.process = process
+        self.back_end = process.settings.sidecar.back_end.rstrip("/")
+        self.core = stage.StageCore()
+        self.codec = FrameCodec(MESSAGES)
+        self.client = Client()
+        self.guard = FenceGuard(process, self.client, self.back_end)
+        self.links = Links(
+            process.group,
+            self.codec,
+            process.internal_key,
+            process.settings.listen.frames,
+            self._link_down,
+        )
+        self.leaving = False
+        self._computes: list[Compute] = []
+        self._wake = anyio.Event()
+        self._freeing: dict[str, anyio.Event] = {}
+
+    def start(self) -> None:
+        """Start listening for frames and feeding the engine."""
+        group = self.process.group
+        group.start_soon(
+            listen_frames,
+            self.process.settings.listen.frames,
+            self.codec,
+            self.process.internal_key,
+            self._on_messages,
+            self.process.stopping,
+        )
+        group.start_soon(self._feed_engine)
+        group.start_soon(self._tick)
+
+    def set_leaving(self, leaving: bool) -> None:
+        """Refuse new requests, or take them again."""
+        self.leaving = leaving
+
+    def in_flight(self) -> int:
+        """Return the number of requests that have a part here."""
+        return len(self.core.requests)
+
+    def dump(self) -> dict:
+        """Return what the stage holds."""
+        return {
+            "requests": sorted(self.core.requests),
+            "links": self.links.peers(),
+            "fence": self.guard.highest,
+        }
+
+    def routes(self) -> Routes:
+        """Return the routes for orders to the engine."""
+        return {("POST", "/v1/orders"): self.guard.order}
+
+    def _on_messages(self, peer, messages):
+        at_s = now_s()
+        for message in messages:
+            if self.leaving and self._is_new(message):
+                self._refuse(message)
+            else:
+                self._carry_out(stage.receive(self.core, message, at_s))
+
+    def _is_new(self, message):
+        start = message.start if isinstance(message, Resume) else message
+        return isinstance(start, Start) and start.request not in self.core.requests
+
+    def _refuse(self, message):
+        start = message.start if isinstance(message, Resume) else message
+        refused = Refused(start.request, start.generation, start.stage, NO_ROOM)
+        self.links.send(start.entry, refused)
+
+    def _link_down(self, address):
+        self._carry_out(stage.link_lost(self.core, address, now_s()))
+
+    def _carry_out(self, effects):
+        for effect in effects:
+            match effect:
+                case SendTo():
+                    self.links.send(effect.address, effect.message)
+                case Compute():
+                    self._computes.append(effect)
+                    self._wake.set()
+                case FreeKv():
+                    # A later compute of the same request waits for this, or the
+                    # engine would drop the KV that it has just built.
+                    self._freeing[effect.request] = anyio.Event()
+                    self.process.group.start_soon(self._free, effect.request)
+
+    async def _tick(self):
+        while True:
+            await anyio.sleep(TICK_S)
+            self._carry_out(stage.tick(self.core, now_s()))
+
+    async def _feed_engine(self):
+        while True:
+            await self._wake.wait()
+            # One turn of the loop lets steps that have already arrived share the call.
+            await anyio.lowlevel.checkpoint()
+            computes, self._computes = self._computes, []
+            self._wake = anyio.Event()
+            ready = [c for c in computes if c.request not in self._freeing]
+            if ready:
+                self.process.group.start_soon(self._compute, ready)
+            for compute in computes:
+                if compute.request in self._freeing:
+                    self.process.group.start_soon(self._compute_freed, compute)
+
+    async def _compute_freed(self, compute):
+        while compute.request in self._freeing:
+            await self._freeing[compute.request].wait()
+        await self._compute([compute])
+
+    async def _compute(self, computes):
+        url = f"{self.back_end}/v1/steps"
+        value = {"steps": [compute._asdict() for compute in computes]}
+        try:
+            answer = await self.client.call("POST", url, value, StepAnswer, STEP_S)
+        except WireError as error:
+            log.warning("The engine gave no answer: {}.", error)
+            outputs = [
+                StepOutput(c.request, c.position, (), str(error)) for c in computes
+            ]
+        else:
+            outputs = answer.outputs
+        for output in outputs:
+            self._computed(output)
+
+    def _computed(self, output):
+        if output.error:
+            act, result = stage.compute_failed, output.error
+        else:
+            act, result = stage.computed, output.outputs
+        self._carry_out(
+            act(self.core, output.request, output.position, result, now_s())
+        )
+
+    async def _free(self, request):
+        done = self._freeing[request]
+        url = f"{self.back_end}/v1/free"
+        value: dict[str, Any] = {"requests": [request]}
+        try:
+            await self.client.call("POST", url, value, timeout_s=FREE_S)
+        except WireError as error:
+            log.warning("The engine did not free {}: {}.", request, error)
+        if self._freeing.get(request) is done:
+            del self._freeing[request]
+        done.set()
--- a/libs/daemon/src/cherryrudder/daemon/gate.py
+++ b/libs/daemon/src/cherryrudder/daemon/gate.py
@@ -21,16 +21,22 @@
 KEPT_BYTES = 4 * 1024 * 1024
 
 
-class Run(NamedTuple):
-    """A claimed call as an entry sends it to the sidecar."""
+class Call(NamedTuple):
+    """A call as the service is to get it."""
 
-    claim: Claim
     method: str
     path: str
     body: str
     content_type: str = "application/json"
 
 
+class Run(NamedTuple):
+    """A claimed call as an entry sends it to the sidecar."""
+
+    claim: Claim
+    call: Call
+
+
 class Verdict(NamedTuple):
     """What becomes of a call.
 
@@ -79,6 +85,12 @@
     _keep(gate, claim, Verdict("replay", status, body))
 
 
+def never_sent(gate: Gate, claim: Claim) -> None:
+    """Bury a call whose connection to the service was refused."""
+    gate.running.discard(claim.attempt_id)
+    _keep(gate, claim, TOMBSTONE)
+
+
 def query(gate: Gate, claim: Claim) -> Verdict:
     """Tell what became of a claim; one that has not started by now never will.
 
