Add the state machine that the log drives

Contracts and settings change by compare-and-set, and every change id keeps its first answer, so a resend after a lost answer cannot apply twice. Claims bind one attempt to one sidecar incarnation; only a recorded not-run makes room for another attempt.

The versioned records and ConfigDelta stand in model.revisions: state makes them and membership takes them, and neither may import the other.

--- /dev/null
+++ b/libs/state/src/cherryrudder/state/changes.py
@@ -0,0 +1,51 @@
+"""Operators' changes by id: a resend gets the first answer and changes nothing."""
+
+import hashlib
+from collections.abc import Callable
+
+from .checks import check_ids
+from .commands import Answer
+from .records import KeptAnswer, State
+
+# An operator or a deployment script resends within minutes; a week also covers a
+# job that is started again after a weekend. A resend that comes later still cannot
+# apply twice: contracts and settings answer conflict by version, stops by their id.
+CHANGE_RETENTION_S = 7 * 24 * 3600.0
+# 260 contracts changed five times a day make 9,100 in a week.
+MAX_KEPT_CHANGES = 10_000
+
+
+def answer_once(
+    state: State, change_id: str, body: bytes, decide: Callable[[], Answer]
+) -> Answer:
+    """Decide a change the first time and repeat that answer ever after."""
+    if fault := check_ids(change_id=change_id):
+        return Answer("invalid", fault, revision=state.revision)
+    digest = hashlib.sha256(body).hexdigest()[:32]
+    kept = state.changes.get(change_id)
+    if kept is None:
+        answer = decide()
+        state.changes[change_id] = KeptAnswer(digest, answer, state.now_s)
+        _drop_oldest(state)
+        return answer
+    if kept.digest != digest:
+        message = f"change id {change_id} was already used for another change"
+        return Answer("reused", message, revision=state.revision)
+    return kept.answer
+
+
+def expire_changes(state: State) -> None:
+    """Drop the answers that are past their retention."""
+    limit_s = state.now_s - CHANGE_RETENTION_S
+    old = []
+    for change_id, kept in state.changes.items():
+        if kept.at_s > limit_s:
+            break
+        old.append(change_id)
+    for change_id in old:
+        del state.changes[change_id]
+
+
+def _drop_oldest(state):
+    while len(state.changes) > MAX_KEPT_CHANGES:
+        del state.changes[next(iter(state.changes))]
--- /dev/null
+++ b/libs/state/src/cherryrudder/state/claims.py
@@ -0,0 +1,150 @@
+"""Claims: at most one attempt at a time may run a non-idempotent call.
+
+An attempt is bound to one incarnation of one sidecar. Only a recorded `not-run`, for
+which that sidecar put a tombstone on the attempt, makes room for another attempt.
+"""
+
+from cherryrudder.model.outcomes import Outcome
+
+from .checks import check_ids, check_lengths
+from .commands import Answer, Claim, ClaimAnswer, CloseClaim, OpenClaim
+from .records import HeldClaim, State
+
+# A client that lost its answer resends within minutes, and a batch job that is
+# started again within the day. A resend after this time finds no claim and would
+# run: the promise holds for resends within a day of the claim's last change.
+CLAIM_RETENTION_S = 24 * 3600.0
+# Bounds the memory and the snapshot of a voter. Dropping the oldest claims at the
+# bound would let a resend run twice, so a new claim is refused instead: "full".
+MAX_CLAIMS = 100_000
+# A receipt or confirmation takes hundreds of characters.
+MAX_BODY_CHARS = 64 * 1024
+# A caller that meets not-run this often in a day has a fault of its own.
+MAX_ATTEMPTS = 64
+
+
+def open_claim(state: State, command: OpenClaim) -> ClaimAnswer | Answer:
+    """Grant the call to this attempt, or tell what became of an earlier one."""
+    if fault := _check(command):
+        return Answer("invalid", fault, revision=state.revision)
+    wanted = Claim(**command._asdict())
+    held = state.claims.get((command.customer, command.key))
+    if held is None:
+        return _grant_first(state, wanted)
+    if held.claim.body_sha256 != command.body_sha256:
+        return ClaimAnswer("body-differs", held.claim)
+    # The answer to the first grant was lost. Granting the same attempt to the same
+    # incarnation again is safe, since the sidecar runs an attempt id once; the same
+    # id with another sidecar is no resend and could run twice, so it is not granted.
+    if held.claim == wanted:
+        return ClaimAnswer("granted", held.claim)
+    if _may_retry(held, command.attempt_id):
+        _put(state, wanted, (*held.spent, held.claim.attempt_id))
+        return ClaimAnswer("granted", wanted)
+    return ClaimAnswer("exists", held.claim)
+
+
+def close_claim(state: State, command: CloseClaim) -> Answer:
+    """Record an attempt's outcome; what was recorded first stays.
+
+    `unknown` alone may still become `done`: that adds what was learned late and
+    contradicts nothing that a caller was told.
+    """
+    if fault := _check_outcome(command):
+        return Answer("invalid", fault, revision=state.revision)
+    held = state.claims.get((command.customer, command.key))
+    if held is None:
+        return Answer("unknown", "no such claim", revision=state.revision)
+    claim = held.claim
+    if claim.attempt_id != command.attempt_id:
+        message = f"the claim belongs to attempt {claim.attempt_id}"
+        return Answer("conflict", message, revision=state.revision)
+    closed = claim._replace(
+        outcome=command.outcome, status=command.status, body=command.body
+    )
+    if closed == claim:
+        return Answer("ok", "", revision=state.revision)
+    # A late not-run over done would let another attempt run the call again; a late
+    # done over not-run would belie an answer that the caller may already have.
+    learned = claim.outcome == Outcome.UNKNOWN and command.outcome == Outcome.DONE
+    if claim.outcome and not learned:
+        message = f"the outcome is already recorded: {claim.outcome}"
+        return Answer("conflict", message, revision=state.revision)
+    _put(state, closed, held.spent)
+    return Answer("ok", "", revision=state.revision)
+
+
+def find_claim(state: State, customer: str, key: str) -> Claim | None:
+    """Return the claim on a customer's key, if there is one."""
+    held = state.claims.get((customer, key))
+    return held.claim if held else None
+
+
+def expire_claims(state: State) -> None:
+    """Drop the claims that are past their retention."""
+    limit_s = state.now_s - CLAIM_RETENTION_S
+    old = []
+    for place, held in state.claims.items():
+        if held.touched_s > limit_s:
+            break
+        old.append(place)
+    for place in old:
+        del state.claims[place]
+        _count(state, place[0], -1)
+
+
+def _grant_first(state, wanted):
+    # One customer may fill the table only down to as much room as it holds itself
+    # (a dynamic threshold): a flood of keys leaves half of the table to others.
+    room = MAX_CLAIMS - len(state.claims)
+    if state.claims_held.get(wanted.customer, 0) >= room:
+        return ClaimAnswer("full", wanted)
+    _put(state, wanted, ())
+    _count(state, wanted.customer, 1)
+    return ClaimAnswer("granted", wanted)
+
+
+def _may_retry(held, attempt_id):
+    # The tombstone of a not-run attempt stands in one sidecar's memory only. Were its
+    # id granted again, a delayed packet could run what the caller was told had not.
+    if held.claim.outcome != Outcome.NOT_RUN:
+        return False
+    if attempt_id == held.claim.attempt_id or attempt_id in held.spent:
+        return False
+    return len(held.spent) + 1 < MAX_ATTEMPTS
+
+
+def _put(state, claim, spent):
+    place = (claim.customer, claim.key)
+    state.claims.pop(place, None)
+    state.claims[place] = HeldClaim(claim, state.now_s, spent)
+
+
+def _count(state, customer, change):
+    held = state.claims_held.get(customer, 0) + change
+    state.claims_held[customer] = held
+    if not held:
+        del state.claims_held[customer]
+
+
+def _check(command):
+    fault = check_ids(
+        customer=command.customer,
+        key=command.key,
+        body_sha256=command.body_sha256,
+        attempt_id=command.attempt_id,
+    )
+    return fault or check_lengths(
+        service=command.service,
+        endpoint=command.endpoint,
+        incarnation=command.incarnation,
+        address=command.address,
+    )
+
+
+def _check_outcome(command):
+    if command.outcome not in tuple(Outcome):
+        return f"outcome: not one of {', '.join(Outcome)}"
+    if len(command.body) > MAX_BODY_CHARS:
+        return f"body: longer than {MAX_BODY_CHARS} characters"
+    return ""
--- /dev/null
+++ b/libs/state/src/cherryrudder/state/stops.py
@@ -0,0 +1,53 @@
+"""Planned stops: announced and cancelled by id; an id is used once."""
+
+from cherryrudder.model.endpoints import STOP_SCOPES
+from cherryrudder.model.revisions import VersionedStop
+
+from .checks import check_ids, check_lengths
+from .commands import AnnounceStop, Answer, CancelStop
+from .records import State
+
+# Cancelled ids are kept for readers that are behind and against late resends. A
+# reader further behind than this is given the whole configuration.
+MAX_CANCELLED = 1_000
+
+
+def announce_stop(state: State, index: int, command: AnnounceStop) -> Answer:
+    """Add a planned stop; the same stop again is no change."""
+    stop = command.stop
+    fault = check_ids(stop_id=stop.stop_id, target=stop.target)
+    fault = fault or check_lengths(reason=stop.reason)
+    if stop.scope not in STOP_SCOPES:
+        fault = f"scope: not one of {', '.join(STOP_SCOPES)}"
+    if fault:
+        return Answer("invalid", fault, revision=state.revision)
+    # A delayed announcement that came after its own cancellation would otherwise
+    # bring the stop back and drain VMs that the operator has released.
+    if stop.stop_id in state.cancelled:
+        message = f"stop {stop.stop_id} was cancelled; announce it under a new id"
+        return Answer("conflict", message, revision=state.revision)
+    held = state.stops.get(stop.stop_id)
+    if held and held.stop != stop:
+        message = f"stop {stop.stop_id} is already announced with other values"
+        return Answer("conflict", message, revision=held.revision)
+    if held:
+        return Answer("ok", "", revision=held.revision)
+    state.revision = index
+    state.stops[stop.stop_id] = VersionedStop(index, stop)
+    return Answer("ok", "", revision=index)
+
+
+def cancel_stop(state: State, index: int, command: CancelStop) -> Answer:
+    """Take a planned stop back."""
+    if command.stop_id in state.cancelled:
+        return Answer("ok", "", revision=state.cancelled[command.stop_id])
+    if command.stop_id not in state.stops:
+        message = f"no stop {command.stop_id} is announced"
+        return Answer("unknown", message, revision=state.revision)
+    state.revision = index
+    del state.stops[command.stop_id]
+    state.cancelled[command.stop_id] = index
+    while len(state.cancelled) > MAX_CANCELLED:
+        oldest = next(iter(state.cancelled))
+        state.cancelled_floor = state.cancelled.pop(oldest)
+    return Answer("ok", "", revision=index)
