--- /dev/null
+++ b/libs/membership/src/cherryrudder/membership/rendezvous.py
@@ -0,0 +1,15 @@
+"""Rendezvous hashing: each key ranks all names, and a lost name moves only its keys."""
+
+from collections.abc import Iterable
+
+import xxhash
+
+
+def rank(names: Iterable[str], key: str) -> list[str]:
+    """Return the names in the key's order, its first choice first."""
+    return sorted(names, key=lambda name: (_weight(name, key), name), reverse=True)
+
+
+def _weight(name, key):
+    # The key's own length keeps ("ab", "c") apart from ("a", "bc").
+    return xxhash.xxh64_intdigest(f"{len(key)}/{key}/{name}")
--- /dev/null
+++ b/libs/membership/src/cherryrudder/membership/subset.py
@@ -0,0 +1,36 @@
+"""Which control VMs a sidecar announces to, the same at each of its starts."""
+
+from collections.abc import Collection
+from typing import NamedTuple
+
+from .rendezvous import rank
+
+# One may be lost or frozen without an endpoint being lost with it; each further one
+# costs every sidecar another announcement every half second.
+ANNOUNCE_TO = 2
+
+
+class ControlVm(NamedTuple):
+    """A control VM that takes announcements."""
+
+    address: str
+    region: str
+
+
+def choose(
+    control_vms: Collection[ControlVm],
+    region: str,
+    endpoint: str,
+    failing: Collection[str] = (),
+    count: int = ANNOUNCE_TO,
+) -> list[str]:
+    """Return the addresses to announce to: own region first, then any other.
+
+    Pass the addresses that did not answer as `failing`: they come last, so that a
+    sidecar turns to another control VM and goes back once they answer again.
+    """
+    regions = {vm.address: vm.region for vm in control_vms}
+    ranked = rank(regions, endpoint)
+    # The sort is stable, so the rendezvous order decides within each group.
+    ranked.sort(key=lambda address: (address in failing, regions[address] != region))
+    return ranked[:count]
