--- /dev/null
+++ b/libs/fakes/src/cherryrudder/fakes/asgi.py
@@ -0,0 +1,137 @@
+"""Small ASGI helpers that the stand-in processes share."""
+
+import functools
+import signal
+from collections.abc import Awaitable, Callable
+from typing import NamedTuple
+from urllib.parse import parse_qs
+
+import anyio
+import msgspec
+from hypercorn.asyncio import serve
+from hypercorn.config import Config
+
+# A sidecar keeps its connections open for good, so one must not end after the
+# thousand requests that hypercorn allows by default.
+KEEP_ALIVE_REQUESTS = 10_000_000
+KEEP_ALIVE_S = 600
+BACKLOG = 1024
+# Calls that a fault never answers must not hold up the end of the process for long.
+STOP_WAIT_S = 3.0
+
+
+class Call(NamedTuple):
+    """One HTTP call as a handler sees it; `value` is the decoded JSON body."""
+
+    method: str
+    path: str
+    query: dict[str, list[str]]
+    headers: dict[str, str]
+    value: object
+
+
+class Reply(NamedTuple):
+    """A handler's answer, sent as JSON."""
+
+    status: int
+    value: object
+
+
+Handler = Callable[[Call], Awaitable[Reply]]
+
+
+async def read_body(receive) -> bytes | None:
+    """Return the whole body, or None if the client went away before its end."""
+    parts = []
+    while True:
+        message = await receive()
+        if message["type"] == "http.disconnect":
+            return None
+        parts.append(message.get("body", b""))
+        if not message.get("more_body", False):
+            return b"".join(parts)
+
+
+async def send_json(send, reply: Reply):
+    """Send a whole answer."""
+    body = msgspec.json.encode(reply.value)
+    headers = [
+        (b"content-type", b"application/json"),
+        (b"content-length", str(len(body)).encode()),
+    ]
+    start = {"type": "http.response.start", "status": reply.status, "headers": headers}
+    await send(start)
+    await send({"type": "http.response.body", "body": body})
+
+
+def make_app(handler: Handler, after_reply: Callable[[], None]):
+    """Return an ASGI app that gives each HTTP call to the handler.
+
+    `after_reply` runs when an answer has been sent; a process that is told to die
+    does so there, so that whoever told it has the answer.
+    """
+
+    async def app(scope, receive, send):
+        if scope["type"] != "http":
+            return
+        body = await read_body(receive)
+        if body is None:
+            return
+        reply = await _answer(handler, scope, body)
+        await send_json(send, reply)
+        after_reply()
+
+    return app
+
+
+async def _answer(handler, scope, body):
+    try:
+        value = msgspec.json.decode(body) if body else {}
+    except msgspec.DecodeError as error:
+        return Reply(400, {"error": str(error)})
+    headers = {name.decode(): text.decode("latin-1") for name, text in scope["headers"]}
+    query = parse_qs(scope["query_string"].decode())
+    call = Call(scope["method"], scope["path"], query, headers, value)
+    try:
+        return await handler(call)
+    except (msgspec.ValidationError, KeyError, ValueError) as error:
+        return Reply(400, {"error": str(error)})
+
+
+async def not_found(call: Call) -> Reply:
+    """Answer a call that no handler is for."""
+    return Reply(404, {"error": f"no {call.method} {call.path}"})
+
+
+def route(routes: dict[tuple[str, str], Handler], other: Handler = not_found):
+    """Return a handler that picks one by method and path, or else the other."""
+
+    async def handler(call):
+        return await routes.get((call.method, call.path), other)(call)
+
+    return handler
+
+
+async def serve_until_signal(app, address: str, background=None):
+    """Serve on IP:PORT until SIGTERM or SIGINT, next to a background function."""
+    config = Config()
+    config.bind = [address]
+    config.accesslog = None
+    config.loglevel = "WARNING"
+    config.backlog = BACKLOG
+    config.keep_alive_timeout = KEEP_ALIVE_S
+    config.keep_alive_max_requests = KEEP_ALIVE_REQUESTS
+    config.graceful_timeout = STOP_WAIT_S
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+
+        async def serve_then_stop():
+            stopped = functools.partial(anext, signals)
+            await serve(app, config, shutdown_trigger=stopped)
+            tasks.cancel_scope.cancel()
+
+        # Hypercorn cancels the task that it runs in when it stops; in the task of the
+        # group itself anyio would take that for a cancellation from outside.
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(serve_then_stop)
+            if background is not None:
+                tasks.start_soon(background)
--- a/libs/fakes/src/cherryrudder/fakes/fold.py
+++ b/libs/fakes/src/cherryrudder/fakes/fold.py
@@ -21,8 +21,8 @@
 
 def run_layer(model: str, layer: int, kv: str, value: str) -> tuple[str, str]:
     """Return a layer's output and its new KV state for one position."""
-    output = xxhash.xxh64_hexdigest(f"{model}/{layer}/{kv}/{value}")
-    return output, xxhash.xxh64_hexdigest(f"{kv}/{output}")
+    output = _digest(f"{model}/{layer}/{kv}/{value}")
+    return output, _digest(f"{kv}/{output}")
 
 
 def pick_token(value: str) -> str:
@@ -43,3 +43,8 @@
         tokens.append(pick_token(value))
         pending = tokens[-1:]
     return tokens
+
+
+def _digest(text):
+    # xxhash 4 takes bytes only.
+    return xxhash.xxh64_hexdigest(text.encode())
--- /dev/null
+++ b/libs/fakes/src/cherryrudder/fakes/ledger.py
@@ -0,0 +1,51 @@
+"""The ledger of an engine: every layer run, call and order, for tests to read."""
+
+from collections import Counter
+
+
+class Ledger:
+    """What an engine did; a position that was taken from the cache is `reused`."""
+
+    def __init__(self):
+        self.runs = Counter()
+        self.reused = Counter()
+        self.calls = []
+        self.orders = []
+
+
+def ran(ledger: Ledger, request: str, layer: int, position: int):
+    """Note that a layer computed a position of a request."""
+    ledger.runs[request, layer, position] += 1
+
+
+def reused(ledger: Ledger, request: str, layer: int, position: int):
+    """Note that the prefix cache stood in for computing a position."""
+    ledger.reused[request, layer, position] += 1
+
+
+def called(ledger: Ledger, call: str, requests: list[str], now_s: float):
+    """Note a call and the requests that it was for."""
+    ledger.calls.append({"call": call, "requests": requests, "at_s": now_s})
+
+
+def ordered(ledger: Ledger, order: dict, accepted: bool):
+    """Note an order and whether the engine took it."""
+    ledger.orders.append({**order, "accepted": accepted})
+
+
+def report(ledger: Ledger, request: str | None = None) -> dict:
+    """Return the ledger, or one request's part of it, as plain data."""
+    keys = sorted(ledger.runs.keys() | ledger.reused.keys())
+    runs = [
+        {
+            "request": name,
+            "layer": layer,
+            "position": position,
+            "times": ledger.runs[name, layer, position],
+            "reused": ledger.reused[name, layer, position],
+        }
+        for name, layer, position in keys
+        if request in (None, name)
+    ]
+    calls = [c for c in ledger.calls if request is None or request in c["requests"]]
+    return {"runs": runs, "calls": calls, "orders": list(ledger.orders)}
--- /dev/null
+++ b/libs/fakes/src/cherryrudder/fakes/service.py
@@ -0,0 +1,90 @@
+"""The stand-in plain service as a process: `python -m cherryrudder.fakes.service`."""
+
+import functools
+import os
+
+import anyio
+import defopt
+
+from .asgi import Reply, make_app, route, serve_until_signal
+from .faults import ServiceFaults, merge
+from .freeze import Freeze, set_freeze, thaw
+
+DIED = 70
+
+
+class Service:
+    """A service's filings, calls and faults."""
+
+    def __init__(self, name: str):
+        self.name = name
+        self.filings = []
+        self.calls = []
+        self.faults = ServiceFaults()
+        self.freeze = Freeze()
+
+
+def file(service: Service, text: str, key: str) -> dict:
+    """Stamp a receipt on a filing and enter it in the ledger."""
+    receipt = f"{service.name}-{len(service.filings) + 1}"
+    service.filings.append({"receipt": receipt, "text": text, "key": key})
+    return {"receipt": receipt, "text": text}
+
+
+async def answer(service: Service, call) -> Reply:
+    """Answer any call; a POST to a path that ends in /filings is a filing."""
+    await thaw(service.freeze)
+    faults = service.faults
+    key = call.headers.get("idempotency-key", "")
+    service.calls.append({"method": call.method, "path": call.path, "key": key})
+    if faults.delay_s:
+        await anyio.sleep(faults.delay_s)
+    if faults.fail > 0:
+        service.faults = service.faults._replace(fail=faults.fail - 1)
+        return Reply(500, {"error": "failed"})
+    reply = Reply(200, {"service": service.name, "path": call.path})
+    if call.method == "POST" and call.path.endswith("/filings"):
+        reply = Reply(200, file(service, call.value["text"], key))
+    # The filing stands in the ledger by now: this is a lost answer, not a lost call.
+    if service.faults.drop_answers > 0:
+        left = service.faults.drop_answers - 1
+        service.faults = service.faults._replace(drop_answers=left)
+        await anyio.sleep_forever()
+    await thaw(service.freeze)
+    return reply
+
+
+async def give_ledger(service: Service, call) -> Reply:
+    """Answer every filing and call."""
+    return Reply(200, {"filings": service.filings, "calls": service.calls})
+
+
+async def set_faults(service: Service, call) -> Reply:
+    """Change the faults named in the body; `freeze_s` counts from now."""
+    service.faults = merge(service.faults, call.value)
+    if "freeze_s" in call.value:
+        set_freeze(service.freeze, service.faults.freeze_s)
+    return Reply(200, service.faults._asdict())
+
+
+def service_app(service: Service):
+    """Return the service's ASGI app."""
+    routes = {
+        ("GET", "/ledger"): functools.partial(give_ledger, service),
+        ("POST", "/faults"): functools.partial(set_faults, service),
+    }
+    handler = route(routes, functools.partial(answer, service))
+    return make_app(handler, lambda: service.faults.die and os._exit(DIED))
+
+
+def main(*, listen: str, name: str = "filings"):
+    """Run a stand-in plain service until SIGTERM.
+
+    :param listen: IP:PORT to listen on
+    :param name: name that starts each receipt
+    """
+    anyio.run(serve_until_signal, service_app(Service(name)), listen)
+
+
+if __name__ == "__main__":
+    defopt.run(main)
