Hash bytes in the stand-in model's fold

xxhash 4.1.0, the pinned version, refuses text ("Strings must be encoded before hashing"), so every test that used the oracle ended in a TypeError. Encoding the same text gives the same digest that older versions gave for it; pinning an older xxhash was ruled out since the pin is shared. The pipeline's three first tests failed with that error before (0 passed, 3 failed) and pass after.

--- a/libs/fakes/src/cherryrudder/fakes/fold.py
+++ b/libs/fakes/src/cherryrudder/fakes/fold.py
@@ -21,8 +21,8 @@
 
 def run_layer(model: str, layer: int, kv: str, value: str) -> tuple[str, str]:
     """Return a layer's output and its new KV state for one position."""
-    output = xxhash.xxh64_hexdigest(f"{model}/{layer}/{kv}/{value}")
-    return output, xxhash.xxh64_hexdigest(f"{kv}/{output}")
+    output = xxhash.xxh64_hexdigest(f"{model}/{layer}/{kv}/{value}".encode())
+    return output, xxhash.xxh64_hexdigest(f"{kv}/{output}".encode())
 
 
 def pick_token(value: str) -> str:
