Add the pipeline's stages and entry, with resume

A chain of sidecars hands steps on directly; the entry keeps only the request's small record. Cause: a stage that dies takes its KV with it, and the caller's text must go on without a token missing or doubled. Each loss or stall begins a new generation: every stage answers what it holds, then sends on what its successor lacks, so only the lost range runs anew. Ruled out: an answer to Resume only after the compute in flight, which makes a long prefill look dead (Held now has a first answer, running); dropping the KV at once on an old-generation refusal, which can overtake a survivor's own Resume.

--- a/libs/pipeline/src/cherryrudder/pipeline/messages.py
+++ b/libs/pipeline/src/cherryrudder/pipeline/messages.py
@@ -6,6 +6,12 @@
 
 from typing import NamedTuple
 
+GAP = "gap"
+OLD_GENERATION = "old generation"
+NO_ROOM = "no room"
+# The entry is no stage; `Refused.stage` needs a number for it all the same.
+ENTRY_STAGE = -1
+
 
 class Stage(NamedTuple):
     """One endpoint's part of a plan; `end_layer` is exclusive."""
@@ -65,13 +71,17 @@
 
 
 class Held(NamedTuple):
-    """Stage to entry: it holds `next_position`; stage 0 adds tokens it has seen."""
+    """Stage to entry: it holds `next_position`; stage 0 adds tokens it has seen.
+
+    `running` marks a first answer while the engine computes; the final one follows.
+    """
 
     request: str
     generation: int
     stage: int
     next_position: int
     tokens: tuple[str, ...] = ()
+    running: bool = False
 
 
 class Continue(NamedTuple):
@@ -88,7 +98,10 @@
 
 
 class Refused(NamedTuple):
-    """Stage to sender: a gap, an old generation, an unknown request or no room."""
+    """Receiver to sender: a gap, an old generation or no room (see the codes above).
+
+    `stage` is the one that refuses, `next_position` the input it waits for.
+    """
 
     request: str
     generation: int
@@ -104,12 +117,17 @@
 
 
 class StageFailed(NamedTuple):
-    """Stage to entry: the engine behind a stage failed, or its next hop is gone."""
+    """Stage to entry: the engine behind `stage` failed.
+
+    With `link_only` a neighbour reports that its link to `stage` broke; the stage
+    itself may be well.
+    """
 
     request: str
     generation: int
     stage: int
     message: str
+    link_only: bool = False
 
 
 MESSAGES = (
--- /dev/null
+++ b/libs/pipeline/src/cherryrudder/pipeline/plan.py
@@ -0,0 +1,66 @@
+"""Chain endpoints whose layer ranges cover the model exactly once, in order."""
+
+from expression import Error, Ok, Result
+
+from cherryrudder.pipeline.errors import PlanError
+from cherryrudder.pipeline.messages import Stage
+
+
+def cover(announcements, model_layers: int) -> Result[tuple[Stage, ...], PlanError]:
+    """Return the shortest exact cover; among equals the earlier announcements win.
+
+    Each hop more costs every token a link's latency, hence the shortest.
+    """
+    usable = [a for a in announcements if is_usable(a, model_layers)]
+    best = {0: ()}
+    for layer in range(model_layers):
+        if layer in best:
+            _extend(best, layer, usable)
+    if model_layers > 0 and model_layers in best:
+        return Ok(tuple(stage_of(a) for a in best[model_layers]))
+    return Error(PlanError(_explain(best, usable, model_layers)))
+
+
+def is_usable(announcement, model_layers: int) -> bool:
+    """Tell whether an endpoint may take part in a new plan."""
+    return (
+        not announcement.leaving
+        and announcement.model_layers == model_layers
+        and 0 <= announcement.first_layer < announcement.end_layer <= model_layers
+    )
+
+
+def stage_of(announcement) -> Stage:
+    """Return an announced endpoint as a stage."""
+    return Stage(
+        announcement.endpoint,
+        announcement.incarnation,
+        announcement.frames_address,
+        announcement.first_layer,
+        announcement.end_layer,
+    )
+
+
+def _extend(best, layer, usable):
+    for announcement in usable:
+        if announcement.first_layer != layer:
+            continue
+        chain = best[layer] + (announcement,)
+        known = best.get(announcement.end_layer)
+        if known is None or len(chain) < len(known):
+            best[announcement.end_layer] = chain
+
+
+def _explain(best, usable, model_layers):
+    reached = max(best)
+    if reached >= model_layers:
+        return f"a model of {model_layers} layers cannot be planned"
+    holders = [a for a in usable if a.first_layer < reached < a.end_layer]
+    if holders:
+        names = ", ".join(
+            f"{a.endpoint} ({a.first_layer}-{a.end_layer})" for a in holders
+        )
+        return f"layer {reached} is held only by ranges that overlap others: {names}"
+    later = [a.first_layer for a in usable if a.first_layer > reached]
+    end = min(later, default=model_layers)
+    return f"no endpoint holds layers {reached} to {end} of {model_layers}"
--- /dev/null
+++ b/libs/pipeline/src/cherryrudder/pipeline/request.py
@@ -0,0 +1,367 @@
+"""The entry's part of the pipeline: one request over a chain of stages.
+
+The entry keeps the small record of the request (prompt, tokens, plan, generation);
+activations go from stage to stage and never through it. After a loss it asks every
+stage what it holds and tells each where to go on, so that only the lost range of
+layers is computed anew.
+"""
+
+from enum import StrEnum
+from typing import NamedTuple
+
+from cherryrudder.pipeline.effects import (
+    Deliver,
+    Fail,
+    Finished,
+    NeedStage,
+    SendTo,
+)
+from cherryrudder.pipeline.messages import (
+    ENTRY_STAGE,
+    GAP,
+    NO_ROOM,
+    Ack,
+    Continue,
+    Free,
+    Held,
+    Refused,
+    Resume,
+    Stage,
+    StageFailed,
+    Start,
+    Token,
+)
+
+
+class Timing(NamedTuple):
+    """How long the entry waits before it takes a stage for lost."""
+
+    # Well above one step of a loaded chain (some 0.1 s), and still the smaller part
+    # of a recovery that also has to find a stage and rebuild its KV.
+    stall_s: float = 2.0
+    # A living sidecar answers `Resume` from memory; two round trips and a retransmit
+    # between regions fit.
+    answer_s: float = 1.0
+    # The longest compute of one step: a long prompt on a slow accelerator.
+    compute_s: float = 30.0
+    # Past this no endpoint will turn up in time for the caller.
+    replace_s: float = 30.0
+
+
+# Each loss or stall takes one generation. More than this in one request means that
+# the chain cannot be kept up, and an honest failure serves the caller better.
+MAX_GENERATIONS = 32
+# Rounds in a row that bring no token: a replay after two losses takes three.
+MAX_IDLE_ROUNDS = 8
+
+
+class Phase(StrEnum):
+    """What the entry is waiting for."""
+
+    RUNNING = "running"
+    ASKING = "asking"
+    REPLACING = "replacing"
+    ENDED = "ended"
+
+
+class Hole(NamedTuple):
+    """Layers that no stage of the plan holds; `end_layer` is exclusive."""
+
+    first_layer: int
+    end_layer: int
+
+
+class RequestCore:
+    """One request at its entry; `start` is the message for stage 0."""
+
+    def __init__(self, start: Start, timing: Timing | None = None):
+        self.start = start
+        self.timing = timing or Timing()
+        self.phase = Phase.RUNNING
+        self.stages = list(start.stages)
+        # The plan that the stages of the present generation know; messages name
+        # stages by their place in it, also while one of them is being replaced.
+        self.plan = start.stages
+        self.generation = start.generation
+        self.tokens = []
+        self.consumed = 0
+        self.holes: list[Hole] = []
+        self.excluded: list[str] = []
+        self.held: dict[int, Held] = {}
+        self.idle_rounds = 0
+        # When the present wait began, whatever the phase.
+        self.since_s = 0.0
+
+
+def begin(core: RequestCore, now_s: float) -> list:
+    """Send the plan to each stage; stage 0 starts the prompt."""
+    core.since_s = now_s
+    if not core.start.prompt or core.start.max_tokens < 1:
+        return _fail(core, "a request needs a prompt and at least one token to make")
+    # Stage 0 comes last: the others then mostly know the plan before its first step.
+    return [
+        SendTo(stage.address, _start_for(core, index))
+        for index, stage in reversed(list(enumerate(core.stages)))
+    ]
+
+
+def receive(core: RequestCore, message, now_s: float) -> list:
+    """Take a message from a stage and return the effects."""
+    if core.phase == Phase.ENDED or message.generation != core.generation:
+        # A stage that was frozen or cut off still speaks for an old generation. Its
+        # tokens may differ from those of the stage that took its place.
+        return []
+    handler = HANDLERS.get(type(message))
+    return handler(core, message, now_s) if handler else []
+
+
+def consumed(core: RequestCore, count: int, now_s: float) -> list:
+    """Note that the caller has taken `count` tokens in all."""
+    if core.phase == Phase.ENDED or count <= core.consumed:
+        return []
+    if core.phase == Phase.RUNNING:
+        core.since_s = now_s
+    core.consumed = count
+    return _ack(core)
+
+
+def stage_lost(core: RequestCore, name: str, now_s: float) -> list:
+    """Give up the stage with an endpoint name or address and ask for another."""
+    if core.phase == Phase.ENDED:
+        return []
+    lost = [s for s in core.stages if name in (s.endpoint, s.address)]
+    return _lose(core, lost, now_s)
+
+
+def replace(core: RequestCore, stage: Stage, now_s: float) -> list:
+    """Put a stage into a hole; it may hold the hole's first part only."""
+    if core.phase != Phase.REPLACING:
+        return []
+    hole = _fitting_hole(core, stage)
+    if hole is None:
+        return _fail(
+            core,
+            f"endpoint {stage.endpoint} holds layers {stage.first_layer} to "
+            f"{stage.end_layer}, which fit no part of the plan that is missing",
+        )
+    core.holes.remove(hole)
+    core.stages.append(stage)
+    core.stages.sort(key=lambda s: s.first_layer)
+    core.since_s = now_s
+    if stage.end_layer < hole.end_layer:
+        rest = Hole(stage.end_layer, hole.end_layer)
+        core.holes.append(rest)
+        return [_need(core, rest)]
+    return [] if core.holes else _ask(core, now_s)
+
+
+def no_stage(core: RequestCore, now_s: float) -> list:
+    """End the request since no endpoint can take the lost range."""
+    if core.phase != Phase.REPLACING:
+        return []
+    hole = core.holes[0]
+    return _fail(core, f"no endpoint for layers {hole.first_layer} to {hole.end_layer}")
+
+
+def cancel(core: RequestCore, now_s: float) -> list:
+    """Free every stage; the caller went away."""
+    if core.phase == Phase.ENDED:
+        return []
+    return _end(core)
+
+
+def tick(core: RequestCore, now_s: float) -> list:
+    """Act on time that has passed; call it a few times a second."""
+    waited_s = now_s - core.since_s
+    if core.phase == Phase.RUNNING and _expects_token(core):
+        return _ask(core, now_s) if waited_s >= core.timing.stall_s else []
+    if core.phase == Phase.ASKING:
+        silent = [s for i, s in enumerate(core.plan) if _is_silent(core, i, waited_s)]
+        return _lose(core, silent, now_s)
+    if core.phase == Phase.REPLACING and waited_s >= core.timing.replace_s:
+        return no_stage(core, now_s)
+    return []
+
+
+def _is_silent(core, index, waited_s):
+    held = core.held.get(index)
+    if held is None:
+        return waited_s >= core.timing.answer_s
+    return held.running and waited_s >= core.timing.compute_s
+
+
+def _expects_token(core):
+    """Tell whether the chain owes a token, and isn't stopped by the caller's window."""
+    return len(core.tokens) - core.consumed < core.start.window
+
+
+def _token(core, token, now_s):
+    if token.index > len(core.tokens):
+        position = len(core.start.prompt) + len(core.tokens)
+        refused = Refused(token.request, core.generation, ENTRY_STAGE, GAP, position)
+        return [SendTo(core.plan[-1].address, refused)]
+    return _take_tokens(core, token.tokens[len(core.tokens) - token.index :], now_s)
+
+
+def _take_tokens(core, fresh, now_s):
+    if not fresh:
+        return []
+    core.tokens.extend(fresh)
+    core.idle_rounds = 0
+    if core.phase == Phase.RUNNING:
+        core.since_s = now_s
+    last = len(core.tokens) >= core.start.max_tokens
+    deliver = [Deliver(tuple(fresh), last)]
+    return deliver + _end(core) if last else deliver
+
+
+def _held(core, held, now_s):
+    known = core.held.get(held.stage)
+    settled = known is not None and not known.running
+    if core.phase != Phase.ASKING or settled:
+        return []
+    core.held[held.stage] = held
+    answers = core.held.values()
+    if len(answers) < len(core.stages) or any(h.running for h in answers):
+        return []
+    return _go_on(core, now_s)
+
+
+def _stage_failed(core, failed, now_s):
+    if not failed.link_only:
+        return _lose(core, [core.plan[failed.stage]], now_s)
+    # Only a link between two stages broke. Frames may be lost with it; the round
+    # finds out which stage still answers and has the rest sent again.
+    return _ask(core, now_s) if core.phase == Phase.RUNNING else []
+
+
+def _refused(core, refused, now_s):
+    if refused.code == NO_ROOM:
+        return _lose(core, [core.plan[refused.stage]], now_s)
+    return _ask(core, now_s) if core.phase == Phase.RUNNING else []
+
+
+HANDLERS = {
+    Token: _token,
+    Held: _held,
+    StageFailed: _stage_failed,
+    Refused: _refused,
+}
+
+
+def _lose(core, lost, now_s):
+    """Take stages out of the plan and ask for others."""
+    lost = [stage for stage in lost if stage in core.stages]
+    if not lost:
+        return []
+    core.phase = Phase.REPLACING
+    core.since_s = now_s
+    effects = []
+    for stage in lost:
+        core.stages.remove(stage)
+        core.excluded.append(stage.endpoint)
+        core.holes.append(Hole(stage.first_layer, stage.end_layer))
+        # If it is only frozen or cut off, it lets go of the KV when it is back.
+        effects.append(SendTo(stage.address, Free(core.start.request)))
+    # A stage that is lost while another is sought changes what is excluded, so the
+    # whole need is told again.
+    return effects + [_need(core, hole) for hole in core.holes]
+
+
+def _need(core, hole):
+    return NeedStage(hole.first_layer, hole.end_layer, tuple(core.excluded))
+
+
+def _fitting_hole(core, stage):
+    for hole in core.holes:
+        if stage.first_layer == hole.first_layer < stage.end_layer <= hole.end_layer:
+            return hole
+    return None
+
+
+def _ask(core, now_s):
+    """Begin a new generation and ask each stage what it holds."""
+    core.idle_rounds += 1
+    if core.idle_rounds > MAX_IDLE_ROUNDS or core.generation >= MAX_GENERATIONS:
+        return _fail(core, "the chain of stages could not be kept up")
+    core.phase = Phase.ASKING
+    core.since_s = now_s
+    core.generation += 1
+    core.plan = tuple(core.stages)
+    core.held = {}
+    return [
+        SendTo(stage.address, Resume(_start_for(core, index)))
+        for index, stage in enumerate(core.stages)
+    ]
+
+
+def _go_on(core, now_s):
+    """Tell each stage where to go on, now that all have answered."""
+    effects = _take_tokens(core, core.held[0].tokens[len(core.tokens) :], now_s)
+    if core.phase == Phase.ENDED:
+        return effects
+    ahead = _stages_ahead(core)
+    if ahead:
+        freed = [
+            SendTo(core.stages[index].address, Free(core.start.request))
+            for index in ahead
+        ]
+        return effects + freed + _ask(core, now_s)
+    core.phase = Phase.RUNNING
+    core.since_s = now_s
+    effects += [
+        SendTo(stage.address, _continue_for(core, index))
+        for index, stage in enumerate(core.stages)
+    ]
+    return effects + _ack(core)
+
+
+def _stages_ahead(core):
+    """Return the stages that ran a token which nobody knows any more.
+
+    The last stage and stage 0 are lost together, and a stage between has run a token
+    that never reached the entry. A new last stage may choose another one, and the
+    text would silently rest on a token that isn't in it; so that stage starts over.
+    """
+    prompt = len(core.start.prompt)
+    last = core.held[len(core.stages) - 1].next_position
+    known = prompt + max(len(core.tokens), last - prompt + 1)
+    return [i for i, held in core.held.items() if held.next_position > known]
+
+
+def _continue_for(core, index):
+    start = core.start
+    request, generation = start.request, core.generation
+    if index == len(core.stages) - 1:
+        send_from = len(start.prompt) + len(core.tokens) - 1
+    else:
+        send_from = core.held[index + 1].next_position
+    if index > 0:
+        return Continue(request, generation, send_from)
+    position = core.held[0].next_position
+    inputs = (start.prompt + tuple(core.tokens))[position:]
+    return Continue(request, generation, send_from, position, inputs)
+
+
+def _start_for(core, index):
+    return core.start._replace(
+        generation=core.generation, stages=core.plan, stage=index
+    )
+
+
+def _ack(core):
+    # While stages are sought or asked, the last one may be new and not know the
+    # request; the count goes out after `Continue`.
+    if core.phase != Phase.RUNNING or not core.consumed:
+        return []
+    return [SendTo(core.stages[-1].address, Ack(core.start.request, core.consumed))]
+
+
+def _fail(core, message):
+    return [Fail(message), *_end(core)]
+
+
+def _end(core):
+    core.phase = Phase.ENDED
+    free = Free(core.start.request)
+    return [SendTo(stage.address, free) for stage in core.stages] + [Finished()]
--- /dev/null
+++ b/libs/pipeline/src/cherryrudder/pipeline/stagerequest.py
@@ -0,0 +1,139 @@
+"""One request as one stage holds it: what is computed, kept, waiting and sent.
+
+Position `p` of the chain is the prompt's token `p`, or token `p - len(prompt)` of the
+answer; the last stage's output at `p` is the token that becomes position `p + 1`.
+"""
+
+from cherryrudder.pipeline.messages import Held, Start, Step, Token
+
+
+class StageRequest:
+    """The state of a request at a stage."""
+
+    def __init__(self, start: Start, now_s: float):
+        self.start = start
+        # Outputs by position. Kept to the end of the request, because a successor
+        # that dies loses its KV from position 0 on and is rebuilt from these.
+        self.outputs = []
+        # Stage 0 only: the accepted input of each position, run or not.
+        self.inputs = []
+        self.waiting = []
+        self.running = 0
+        # The next position to send on; None from `Resume` until `Continue`.
+        self.send_next = first_sent(start)
+        # Last stage only: the next token to feed back, and what the caller took.
+        self.feed_next = 0
+        self.acked = 0
+        self.owes_held = False
+        self.previous_hops = {}
+        self.orphaned_s = None
+        self.touched_s = now_s
+
+    @property
+    def expected(self) -> int:
+        """The position of the next input that is accepted."""
+        return len(self.outputs) + self.running + len(self.waiting)
+
+
+def is_last(start: Start) -> bool:
+    """Tell whether a stage is the last of its plan."""
+    return start.stage == len(start.stages) - 1
+
+
+def previous_hop(start: Start) -> str:
+    """Return the address that a stage's steps come from."""
+    return start.stages[start.stage - 1].address
+
+
+def first_sent(start: Start) -> int:
+    """Return the first position whose output leaves a stage."""
+    return len(start.prompt) - 1 if is_last(start) else 0
+
+
+def adopt(request: StageRequest, start: Start):
+    """Take a newer generation's plan; the outputs computed so far stay valid."""
+    old = request.start
+    request.previous_hops[old.generation] = previous_hop(old)
+    request.start = start
+    request.waiting.clear()
+    request.send_next = None
+
+
+def accept(request: StageRequest, position: int, values) -> bool:
+    """Queue the inputs not seen yet; False for a gap before them."""
+    seen = request.expected - position
+    if seen < 0:
+        return False
+    fresh = values[seen:]
+    if request.start.stage == 0 and fresh:
+        request.inputs[request.expected :] = fresh
+    request.waiting.extend(fresh)
+    return True
+
+
+def held(request: StageRequest) -> Held:
+    """Return the answer to `Resume`."""
+    start = request.start
+    tokens = request.inputs[len(start.prompt) :] if start.stage == 0 else ()
+    return Held(
+        start.request,
+        start.generation,
+        start.stage,
+        len(request.outputs),
+        tuple(tokens),
+        request.running > 0,
+    )
+
+
+def take_step(request: StageRequest) -> Step | None:
+    """Return the outputs that the next stage lacks as one step."""
+    values = _take_unsent(request)
+    if not values:
+        return None
+    start = request.start
+    position = len(request.outputs) - len(values)
+    return Step(start.request, start.generation, position, values)
+
+
+def take_tokens(request: StageRequest) -> Token | None:
+    """Return the tokens that the entry lacks."""
+    values = _take_unsent(request)
+    if not values:
+        return None
+    start = request.start
+    end = _token_count(request)
+    last = end >= start.max_tokens
+    return Token(start.request, start.generation, end - len(values), values, last)
+
+
+def take_feedback(request: StageRequest) -> Step | None:
+    """Return the tokens that stage 0 lacks and the caller's window lets through.
+
+    Without the window a caller that reads slowly lets the whole answer pile up at the
+    entry. Withholding the input of the next round stops the whole chain, and only
+    for this request.
+    """
+    if request.send_next is None:
+        return None
+    start = request.start
+    # The closing token is nobody's input.
+    end = min(_token_count(request), start.max_tokens - 1, request.acked + start.window)
+    first = request.feed_next
+    if end <= first:
+        return None
+    request.feed_next = end
+    offset = len(start.prompt) - 1
+    values = tuple(request.outputs[offset + first : offset + end])
+    return Step(start.request, start.generation, len(start.prompt) + first, values)
+
+
+def _take_unsent(request):
+    first = request.send_next
+    if first is None or first >= len(request.outputs):
+        return ()
+    request.send_next = len(request.outputs)
+    return tuple(request.outputs[first:])
+
+
+def _token_count(request):
+    return len(request.outputs) - len(request.start.prompt) + 1
