Join entry, sidecar and control into whole paths

Cause: the thin path. The entry answers completions (whole or as events) and service calls; claims go through the log before a byte is sent, a resend asks the sidecar and never runs the call itself. Ruled out: closing an open claim from a local clock (a frozen entry could still send). The claim carries the log's index for the gate's floor. Not run yet as processes; nothing is measured. Conclusion: run next, with the quorum.

--- /dev/null
+++ b/libs/daemon/src/cherryrudder/daemon/__main__.py
@@ -0,0 +1,5 @@
+"""Run the daemon as `python -m cherryrudder.daemon`."""
+
+from .main import main
+
+main()
--- a/libs/daemon/src/cherryrudder/daemon/announcer.py
+++ b/libs/daemon/src/cherryrudder/daemon/announcer.py
@@ -1,16 +1,19 @@
-"""Keeps a process announced: to two control VMs, with a short lease, at once on news."""
+"""Keeps a process announced to two control VMs, with a short lease, at once on news."""
 
 import anyio
 from loguru import logger
 
-from cherryrudder.membership.subset import choose_controls
+from cherryrudder.membership.subset import ControlVm, choose
 from cherryrudder.model.endpoints import Announcement
 from cherryrudder.wire.errors import WireError
 
+from .clock import now_s
 from .controlapi import Announce
 
 # A post that takes longer has failed as far as the lease is concerned.
 POST_S = 1.0
+# A control VM that did not answer is tried again after this.
+RETRY_S = 5.0
 
 log = logger.bind(part="announce")
 
@@ -24,38 +27,40 @@
         self.every_s = every_s
         self.lease_s = lease_s
         self._news = anyio.Event()
+        self._failed: dict[str, float] = {}
 
     def start(self) -> None:
-        """Start one task per control VM that is announced to."""
-        controls = choose_controls(
-            self.process.settings.control.addresses, self.announcement.endpoint
-        )
-        for address in controls:
-            self.process.group.start_soon(self._renew, address)
+        """Start renewing."""
+        self.process.group.start_soon(self._renew)
 
     def change(self, **fields) -> None:
         """Change the announcement and send it at once."""
         self.announcement = self.announcement._replace(**fields)
         self._news.set()
-        self._news = anyio.Event()
-
-    def leave(self) -> None:
-        """Announce that the endpoint takes no new work."""
-        self.change(leaving=True)
 
-    async def _renew(self, address):
-        url = f"http://{address}/v1/announce"
+    async def _renew(self):
+        vms = [ControlVm(a, "") for a in self.process.settings.control.addresses]
         while True:
-            news = self._news
+            self._news = anyio.Event()
             # A later sequence wins, so that a renewal which was delayed on its way
             # cannot undo the announcement that the endpoint is leaving.
             self.announcement = self.announcement._replace(
                 sequence=self.announcement.sequence + 1
             )
-            value = Announce(self.announcement, self.lease_s)
-            try:
-                await self.process.client.call("POST", url, value, timeout_s=POST_S)
-            except WireError as error:
-                log.debug("No announcement to {}: {}.", address, error)
+            failing = [
+                a for a, at_s in self._failed.items() if at_s > now_s() - RETRY_S
+            ]
+            for address in choose(vms, "", self.announcement.endpoint, failing):
+                self.process.group.start_soon(self._post, address, self.announcement)
             with anyio.move_on_after(self.every_s):
-                await news.wait()
+                await self._news.wait()
+
+    async def _post(self, address, announcement):
+        url = f"http://{address}/v1/announce"
+        value = Announce(announcement, self.lease_s)
+        try:
+            await self.process.client.call("POST", url, value, timeout_s=POST_S)
+            self._failed.pop(address, None)
+        except WireError as error:
+            log.debug("No announcement to {}: {}.", address, error)
+            self._failed[address] = now_s()
--- /dev/null
+++ b/libs/daemon/src/cherryrudder/daemon/completions.py
@@ -0,0 +1,227 @@
+"""`POST /v1/completions`: one request through a chain of engines."""
+
+from collections.abc import AsyncIterator
+from typing import NamedTuple
+
+import anyio
+from loguru import logger
+
+from cherryrudder.model import jsoncodec
+from cherryrudder.model.errors import RequestError
+from cherryrudder.model.outcomes import Outcome
+from cherryrudder.pipeline.messages import Start
+from cherryrudder.policy.admission import Offer
+from cherryrudder.wire.asgi import Request, StreamReply, json_reply
+
+from .callers import OUTCOME, Caller, fail, identify, refuse
+from .clock import new_id, now_s
+from .dataplane import PipelineBroken
+from .frontdoor import TurnedAway
+
+# Tokens that a chain may be ahead of its caller: some seconds at 33 ms a token, so
+# that a brief pause of the caller's network leaves the accelerators busy.
+WINDOW_TOKENS = 64
+DONE_EVENT = b"data: [DONE]\n\n"
+
+log = logger.bind(part="completions")
+
+
+class Completion(NamedTuple):
+    """The body of a completion request."""
+
+    model: str
+    prompt: str
+    max_tokens: int = 16
+    stream: bool = False
+    priority: int = 0
+
+
+class Late(Exception):
+    """The caller's deadline has passed while the answer was being made."""
+
+
+class Completions:
+    """The completions of one entry."""
+
+    def __init__(self, entry):
+        self.entry = entry
+        self.in_flight = 0
+
+    async def handle(self, request: Request):
+        """Answer one request, whole or as a stream of events."""
+        caller = identify(request, self.entry.contracts, now_s())
+        body = await request.json(Completion)
+        check(body, caller)
+        if self.entry.is_closed:
+            return refuse(self.entry.closed_refusal())
+        self.in_flight += 1
+        try:
+            flow = await self._start(request, body, caller)
+        except TurnedAway as error:
+            self.in_flight -= 1
+            self.entry.process.metrics.incr(f"refused.{error.refusal.code}")
+            return refuse(error.refusal)
+        except BaseException:
+            self.in_flight -= 1
+            raise
+        chunks = self._tokens(flow, caller)
+        if body.stream:
+            events = self._events(flow, body, chunks)
+            return StreamReply(events, headers=_stream_headers())
+        return await self._whole(flow, body, chunks)
+
+    async def _start(self, request, body, caller):
+        prompt = tuple(body.prompt.split())
+        offer = Offer(
+            request_id=new_id(),
+            customer=caller.contract.customer,
+            model=body.model,
+            prompt_tokens=len(prompt),
+            max_tokens=body.max_tokens,
+            priority=body.priority,
+            deadline_s=caller.deadline_s,
+        )
+        place = self.entry.fleet.chain_placer(offer, prompt)
+        placed = await _while_connected(request, self.entry.door.enter(offer, place))
+        start = Start(
+            request=offer.request_id,
+            generation=1,
+            entry=self.entry.process.settings.listen.frames,
+            stages=placed.stages,
+            stage=0,
+            model=body.model,
+            prompt=prompt,
+            max_tokens=min(body.max_tokens, caller.contract.max_tokens),
+            window=WINDOW_TOKENS,
+            priority=body.priority,
+        )
+
+        def ended(core):
+            used_tokens = len(prompt) + len(core.tokens)
+            placed.release(len(core.tokens))
+            self.entry.door.settle(offer.request_id, used_tokens)
+
+        return self.entry.plane.begin(start, placed.find_stage, ended)
+
+    async def _tokens(self, flow, caller) -> AsyncIterator[list[str]]:
+        """Yield tokens until the end, the deadline, or the caller's going away."""
+        plane = self.entry.plane
+        tokens = plane.tokens(flow)
+        try:
+            while True:
+                with anyio.move_on_after(caller.deadline_s - now_s()) as scope:
+                    try:
+                        chunk = await anext(tokens)
+                    except StopAsyncIteration:
+                        return
+                if scope.cancelled_caught:
+                    raise Late
+                yield chunk
+        finally:
+            # Frees the engines when the caller has gone; at the end it does nothing.
+            plane.cancel(flow)
+            self.in_flight -= 1
+
+    async def _whole(self, flow, body, chunks):
+        tokens = []
+        try:
+            async for chunk in chunks:
+                tokens += chunk
+        except Late:
+            return fail(504, "deadline", "the deadline has passed", Outcome.UNKNOWN)
+        except PipelineBroken as error:
+            return fail(502, "pipeline-broken", str(error), Outcome.UNKNOWN)
+        finally:
+            await chunks.aclose()
+        choice = {"text": " ".join(tokens), "index": 0, "finish_reason": "length"}
+        count = len(flow.core.start.prompt)
+        usage = {
+            "prompt_tokens": count,
+            "completion_tokens": len(tokens),
+            "total_tokens": count + len(tokens),
+        }
+        answer = {
+            "id": flow.core.start.request,
+            "object": "text_completion",
+            "model": body.model,
+            "choices": [choice],
+            "usage": usage,
+        }
+        return json_reply(answer, headers=((OUTCOME, Outcome.DONE),))
+
+    async def _events(self, flow, body, chunks):
+        request_id = flow.core.start.request
+        is_first = True
+        try:
+            async for chunk in chunks:
+                text = " ".join(chunk) if is_first else " " + " ".join(chunk)
+                is_first = False
+                yield _event(request_id, body.model, text, None)
+            yield _event(request_id, body.model, "", "length")
+            yield DONE_EVENT
+        except Late:
+            yield _error_event("deadline", "the deadline has passed")
+        except PipelineBroken as error:
+            # A stream cut short must never look like one that ended.
+            yield _error_event("pipeline-broken", str(error))
+        finally:
+            await chunks.aclose()
+
+
+def check(body: Completion, caller: Caller) -> None:
+    """Check a request against its contract; raises RequestError."""
+    contract = caller.contract
+    if body.model not in contract.models:
+        message = f"the contract has no model {body.model!r}"
+        raise RequestError(404, "unknown-model", message, "model")
+    if not body.prompt.strip():
+        raise RequestError(400, "bad-field", "the prompt is empty", "prompt")
+    if not 0 < body.max_tokens <= contract.max_tokens:
+        message = f"not between 1 and {contract.max_tokens}"
+        raise RequestError(400, "bad-field", message, "max_tokens")
+    if not 0 <= body.priority < contract.priorities:
+        message = f"not between 0 and {contract.priorities - 1}"
+        raise RequestError(400, "bad-field", message, "priority")
+
+
+async def _while_connected(request, entering):
+    """Return what entering gives; a caller that goes away gives its turn up."""
+    result = []
+    failure = []
+
+    async def enter():
+        try:
+            result.append(await entering)
+        except TurnedAway as error:
+            failure.append(error)
+        group.cancel_scope.cancel()
+
+    async with anyio.create_task_group() as group:
+        group.start_soon(enter)
+        await request.disconnected()
+        group.cancel_scope.cancel()
+    if failure:
+        raise failure[0]
+    if not result:
+        raise RequestError(400, "disconnected", "the caller went away")
+    return result[0]
+
+
+def _stream_headers():
+    return (
+        ("content-type", "text/event-stream"),
+        ("cache-control", "no-store"),
+        # The stream's last event tells the outcome; this one tells that it began.
+        (OUTCOME, Outcome.DONE),
+    )
+
+
+def _event(request_id, model, text, finish_reason):
+    choice = {"text": text, "index": 0, "finish_reason": finish_reason}
+    value = {"id": request_id, "object": "text_completion", "model": model}
+    return b"data: " + jsoncodec.encode(value | {"choices": [choice]}) + b"\n\n"
+
+
+def _error_event(code, message):
+    value = {"error": {"code": code, "message": message}, "outcome": Outcome.UNKNOWN}
+    return b"event: error\ndata: " + jsoncodec.encode(value) + b"\n\n"
--- a/libs/daemon/src/cherryrudder/daemon/controlapi.py
+++ b/libs/daemon/src/cherryrudder/daemon/controlapi.py
@@ -92,12 +92,13 @@
 
     async def announce(request):
         value = await request.json(Announce)
-        changed = soft.announce(
+        version = control.table.version
+        announced = soft.announce(
             control.table, value.announcement, value.lease_s, now_s()
         )
-        if changed:
+        if control.table.version != version:
             control.watches.wake()
-        return json_reply({"fresh": control.watches.is_fresh()})
+        return json_reply(announced)
 
     async def watch(request):
         wait_s = min(MAX_WATCH_S, request.number("wait_s", 10.0))
--- a/libs/daemon/src/cherryrudder/daemon/controlrole.py
+++ b/libs/daemon/src/cherryrudder/daemon/controlrole.py
@@ -4,6 +4,7 @@
 from loguru import logger
 
 from cherryrudder.membership import table as soft
+from cherryrudder.quorum.events import HandOver
 
 from . import controlapi, operatorapi
 from .clock import new_id, now_s
@@ -12,6 +13,7 @@
 from .watches import Watches
 
 EXPIRE_S = 0.2
+HAND_OVER_S = 0.5
 
 log = logger.bind(part="control")
 
@@ -44,8 +46,9 @@
     process.listen(process.settings.listen.operator, routes, process.operator_key)
     await process.leaving.wait()
     # Watchers and announcers have other control VMs; nothing here is in flight for
-    # longer than one answer.
-    await anyio.sleep(0.2)
+    # longer than one answer. A leader hands over first, which saves an election.
+    control.voter.feed(HandOver())
+    await anyio.sleep(HAND_OVER_S)
     control.voter.disk.close()
     process.stop()
 
--- /dev/null
+++ b/libs/daemon/src/cherryrudder/daemon/entryrole.py
@@ -0,0 +1,154 @@
+"""The entry role: callers' connections, admission, placement and streams."""
+
+import anyio
+from loguru import logger
+
+from cherryrudder.model.endpoints import Announcement, Kind
+from cherryrudder.model.outcomes import Refusal
+from cherryrudder.policy import admission
+
+from .announcer import Announcer
+from .clock import now_s
+from .completions import Completions
+from .controlcalls import Controls
+from .dataplane import DataPlane
+from .fleet import FleetView
+from .follower import Follower
+from .frontdoor import FrontDoor
+from .process import Process, dump_routes, probe_routes
+from .services import Services
+
+# How often endpoints whose lease ran out at a silent control VM are looked for.
+REFRESH_S = 0.5
+DRAIN_CHECK_S = 0.05
+# A caller that is refused by an entry which is leaving reaches another one at once.
+CLOSED_RETRY_S = 1.0
+
+log = logger.bind(part="entry")
+
+
+class Entry:
+    """One entry VM's process."""
+
+    def __init__(self, process: Process):
+        settings = process.settings.entry
+        self.process = process
+        self.contracts = {}
+        self.is_closed = True
+        self.fleet = FleetView()
+        self.controls = Controls(process)
+        self.door = FrontDoor(process, settings.max_queued)
+        self.plane = DataPlane(process, settings.stall_s)
+        self.follower = Follower(process, self.on_change)
+        self.completions = Completions(self)
+        self.services = Services(self)
+        self.announcer = Announcer(
+            process,
+            first_announcement(process),
+            process.settings.sidecar.announce_s,
+            process.settings.sidecar.lease_s,
+        )
+
+    def on_change(self) -> None:
+        """Put what the follower has seen in force."""
+        config = self.follower.config
+        held = [held.contract for held in config.contracts.values()]
+        self.contracts = {contract.key_sha256: contract for contract in held}
+        for contract in held:
+            admission.set_contract(self.door.admission, contract, 1.0, now_s())
+        self.refresh()
+
+    def refresh(self) -> None:
+        """Take the endpoints that are live now."""
+        stops = [held.stop for held in self.follower.config.stops.values()]
+        self.fleet.update(self.follower.endpoints(), stops)
+        self.door.release()
+
+    def is_ready(self) -> bool:
+        """Tell whether the balancer may send callers here."""
+        return not self.is_closed and not self.process.leaving.is_set()
+
+    def in_flight(self) -> int:
+        """Return the number of requests that have not ended."""
+        return self.completions.in_flight + self.services.in_flight
+
+    def closed_refusal(self) -> Refusal:
+        """Return the answer of an entry that takes no requests."""
+        message = "this entry takes no requests now; another one does"
+        return Refusal(503, "entry-closed", message, CLOSED_RETRY_S)
+
+
+def first_announcement(process: Process) -> Announcement:
+    """Return the announcement by which entries know of one another."""
+    return Announcement(
+        endpoint=f"entry/{process.settings.listen.internal}",
+        kind=Kind.ENTRY,
+        incarnation=process.incarnation,
+        sequence=0,
+        place=process.settings.place,
+        address=process.settings.listen.internal,
+        frames_address=process.settings.listen.frames,
+    )
+
+
+async def run(process: Process) -> None:
+    """Serve callers until a graceful shutdown."""
+    entry = Entry(process)
+    listen = process.settings.listen
+    routes = {
+        ("POST", "/v1/completions"): entry.completions.handle,
+        ("*", "/services/"): entry.services.handle,
+    }
+    max_body_bytes = process.settings.entry.max_body_bytes
+    process.listen(
+        listen.caller,
+        routes | probe_routes(entry.is_ready),
+        max_body_bytes=max_body_bytes,
+    )
+    internal = dump_routes(process, lambda: dump(entry)) | probe_routes(entry.is_ready)
+    process.listen(listen.internal, internal, process.internal_key)
+    entry.plane.start()
+    entry.door.start()
+    entry.follower.start()
+    process.group.start_soon(refresh_often, entry)
+    await entry.follower.ready.wait()
+    entry.is_closed = False
+    entry.announcer.start()
+    log.info("Ready at revision {}.", entry.follower.config.revision)
+    await process.leaving.wait()
+    await leave(entry)
+    process.stop()
+
+
+async def refresh_often(entry: Entry) -> None:
+    """Look for endpoints that left without a message."""
+    while True:
+        await anyio.sleep(REFRESH_S)
+        entry.refresh()
+
+
+async def leave(entry: Entry) -> None:
+    """Let the balancer turn away, then finish what is in flight."""
+    entry.announcer.change(leaving=True)
+    settings = entry.process.settings
+    # The balancer sends here until its next probe fails; these callers are served.
+    await anyio.sleep(settings.entry.drain_s)
+    entry.is_closed = True
+    with anyio.move_on_after(settings.process.stop_wait_s) as scope:
+        while entry.in_flight():
+            await anyio.sleep(DRAIN_CHECK_S)
+    if scope.cancelled_caught:
+        log.error("Stopped with {} in flight.", entry.in_flight())
+
+
+def dump(entry: Entry) -> dict:
+    """Return what the entry knows."""
+    return {
+        "ready": entry.is_ready(),
+        "revision": entry.follower.config.revision,
+        "contracts": sorted(entry.follower.config.contracts),
+        "endpoints": entry.fleet.dump(),
+        "in_flight": entry.in_flight(),
+        "pipelines": sorted(entry.plane.flows),
+        "admission": admission.dump(entry.door.admission),
+    }
--- a/libs/daemon/src/cherryrudder/daemon/follower.py
+++ b/libs/daemon/src/cherryrudder/daemon/follower.py
@@ -2,19 +2,23 @@
 
 from collections.abc import Callable
 from typing import NamedTuple
+from urllib.parse import urlencode
 
 import anyio
 from loguru import logger
 
-from cherryrudder.membership import config as followed
-from cherryrudder.membership import reader as endpoints
+from cherryrudder.membership import config as followed, reader as endpoints
+from cherryrudder.membership.config import Taken
 from cherryrudder.membership.table import TableDelta
-from cherryrudder.state.deltas import ConfigDelta
+from cherryrudder.model.revisions import ConfigDelta
 from cherryrudder.wire.errors import WireError
 
 from .clock import now_s
 
-POLL_S = 10.0
+# An entry tells a silent control VM by three missed answers (see membership.reader).
+TABLE_POLL_S = 1.0
+# Without the table an answer is only needed on a change.
+CONFIG_POLL_S = 10.0
 # A poll that has not come back this long after its due time is taken for lost.
 GRACE_S = 2.0
 RETRY_S = 0.2
@@ -51,36 +55,49 @@
         """Tell whether a fresh configuration has been read since the start."""
         return self.ready.is_set()
 
+    def endpoints(self):
+        """Return the announcements of the endpoints that count as live now."""
+        return endpoints.endpoints(self.reader, now_s())
+
     async def _follow(self, address):
         # The first answer must be confirmed by a majority after it was asked for:
         # otherwise a process that restarts 500 changes behind could be ready with an
         # old configuration that an isolated control VM still holds.
         fresh = True
-        revision = 0
-        epoch, version = "", 0
         while True:
-            url = (
-                f"http://{address}/v1/watch?revision={revision}&epoch={epoch}"
-                f"&version={version}&wait_s={POLL_S}&fresh={int(fresh)}"
-                f"&table={int(self.with_table)}"
-            )
             try:
-                answer = await self.process.client.call(
-                    "GET", url, None, WatchAnswer, timeout_s=POLL_S + GRACE_S
-                )
+                answer = await self._ask(address, fresh)
             except WireError as error:
                 log.debug("No news from {}: {}.", address, error)
                 await anyio.sleep(RETRY_S)
                 continue
+            self._take(address, answer, fresh)
             fresh = False
-            revision = answer.config.revision
-            if answer.table is not None:
-                epoch, version = answer.table.epoch, answer.table.version
-            self._take(address, answer)
 
-    def _take(self, address, answer):
-        followed.take(self.config, answer.config)
+    async def _ask(self, address, fresh):
+        poll_s = TABLE_POLL_S if self.with_table else CONFIG_POLL_S
+        epoch, version = endpoints.position(self.reader, address)
+        query = {
+            "revision": self.config.revision,
+            "epoch": epoch,
+            "version": version,
+            "wait_s": poll_s,
+            "fresh": int(fresh),
+            "table": int(self.with_table),
+        }
+        url = f"http://{address}/v1/watch?{urlencode(query)}"
+        timeout_s = poll_s + GRACE_S
+        return await self.process.client.call(
+            "GET", url, None, WatchAnswer, timeout_s=timeout_s
+        )
+
+    def _take(self, address, answer, fresh):
+        changed = followed.take(self.config, answer.config) == Taken.TAKEN
         if answer.table is not None:
             endpoints.merge(self.reader, address, answer.table, now_s())
-        self.ready.set()
-        self.on_change()
+            changed = True
+        confirmed_revision = answer.config.revision if fresh else None
+        if followed.is_ready(self.config, confirmed_revision):
+            self.ready.set()
+        if changed:
+            self.on_change()
--- a/libs/daemon/src/cherryrudder/daemon/gate.py
+++ b/libs/daemon/src/cherryrudder/daemon/gate.py
@@ -19,6 +19,8 @@
 KEPT_ATTEMPTS = 4096
 # Answers are replayed from here only until the log has them; this bounds their memory.
 KEPT_BYTES = 4 * 1024 * 1024
+# Status of a call to which the service gave no answer.
+NO_ANSWER = 0
 
 
 class Call(NamedTuple):
@@ -105,6 +107,11 @@
     return TOMBSTONE
 
 
+def is_known(gate: Gate, claim: Claim) -> bool:
+    """Tell whether a query would be answered without burying the claim."""
+    return _known(gate, claim) is not None or claim.index <= gate.floor
+
+
 def _known(gate, claim):
     # A claim names one incarnation of the sidecar. A restarted one has forgotten what
     # it ran, so it neither runs nor judges a claim made for an earlier incarnation.
--- a/libs/daemon/src/cherryrudder/daemon/servicehost.py
+++ b/libs/daemon/src/cherryrudder/daemon/servicehost.py
@@ -1,4 +1,4 @@
-"""The sidecar beside a plain service: passes calls on, the claimed ones at most once."""
+"""The sidecar beside a plain service: passes calls on, claimed ones at most once."""
 
 import anyio
 from loguru import logger
@@ -10,12 +10,13 @@
 from cherryrudder.wire.errors import WireError
 
 from . import gate
-from .gate import Call, Gate, Run, Verdict
+from .gate import NO_ANSWER, Call, Gate, Run, Verdict
 
 # A service that does not answer for this long is given up; its call's outcome is
 # unknown from then on.
 CALL_S = 30.0
-NO_ANSWER = 0
+# A granted run arrives within a round trip; far more than that, and still at once.
+PATIENCE_S = 0.3
 
 log = logger.bind(part="service")
 
@@ -78,8 +79,16 @@
 
     async def _query(self, request: Request):
         claim = await request.json(Claim)
+        await self._await_run(claim)
         return json_reply(await self._settled(claim, gate.query(self.gate, claim)))
 
+    async def _await_run(self, claim):
+        # The entry that holds the claim may be about to send its run. Two entries that
+        # each bury the other's attempt at once would never get the call done.
+        with anyio.move_on_after(PATIENCE_S):
+            while not gate.is_known(self.gate, claim):
+                await anyio.sleep(PATIENCE_S / 10)
+
     async def _settled(self, claim, verdict):
         if verdict.action == "wait":
             await self._finished[claim.attempt_id].wait()
--- a/libs/daemon/src/cherryrudder/daemon/sidecarrole.py
+++ b/libs/daemon/src/cherryrudder/daemon/sidecarrole.py
@@ -33,8 +33,8 @@
         """Leave, or come back, as the planned stops say."""
         announcement = self.announcer.announcement
         leaving = self.process.leaving.is_set() or any(
-            stops_endpoint(stop, announcement)
-            for stop in self.follower.config.stops.values()
+            stops_endpoint(held.stop, announcement)
+            for held in self.follower.config.stops.values()
         )
         if leaving != announcement.leaving:
             log.info("{} takes new work: {}.", announcement.endpoint, not leaving)
--- a/libs/daemon/src/cherryrudder/daemon/voter.py
+++ b/libs/daemon/src/cherryrudder/daemon/voter.py
@@ -16,6 +16,7 @@
 from cherryrudder.quorum.core import Timing
 from cherryrudder.quorum.files import open_disk
 from cherryrudder.state import machine
+from cherryrudder.state.commands import Clock
 from cherryrudder.wire.errors import StatusError, WireError
 
 from .clock import new_id, now_s, wall_s
@@ -52,12 +53,9 @@
         me = events.Voter(
             identity.vm, identity.disk_id, process.settings.listen.internal
         )
-        snapshot = self.disk.saved.snapshot
-        if snapshot is not None:
-            self.state = machine.restore(snapshot.data)
         rng = random.Random(process.incarnation)
         self.node = core.open_node(me, self.disk.saved, timing, rng, now_s())
-        self.applied_index = snapshot.index if snapshot is not None else 0
+        self.applied_index = 0
         self.applied = anyio.Event()
         self._effects = deque()
         self._wake = anyio.Event()
@@ -195,7 +193,7 @@
     async def _put_time(self):
         while True:
             await anyio.sleep(CLOCK_S)
-            payload = machine.encode_command(machine.commands.Clock(wall_s()))
+            payload = machine.encode_command(Clock(wall_s()))
             self.feed(events.Propose("clock", payload))
 
     async def _carry_out(self):
--- /dev/null
+++ b/libs/fakes/src/cherryrudder/fakes/deployment.py
@@ -0,0 +1,322 @@
+"""A whole deployment of real processes on loopback, for the demo, tests and benches.
+
+Each process gets a settings file of its own in one folder. Only processes that were
+started here are ever signalled, by their pid.
+"""
+
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from pathlib import Path
+from typing import NamedTuple
+
+import httpx
+
+from cherryrudder.model.contractfiles import format_contract
+from cherryrudder.model.contracts import Contract
+
+INTERNAL_KEY = "internal-key"
+OPERATOR_KEY = "operator-key"
+START_S = 60.0
+POLL_S = 0.05
+
+
+class EngineSpec(NamedTuple):
+    """A stand-in engine with its sidecar; `end_layer` is exclusive."""
+
+    name: str
+    first_layer: int
+    end_layer: int
+    model_layers: int = 12
+    model: str = "briefing"
+    tokens_per_s: float = 200.0
+    slots: int = 16
+    data_centre: str = "dc-1"
+    accelerator: str = "a"
+    checks_fence: bool = False
+
+
+class ServiceSpec(NamedTuple):
+    """A stand-in plain service with its sidecar."""
+
+    name: str
+    service: str = "slots"
+    slots: int = 16
+    data_centre: str = "dc-1"
+
+
+class Node:
+    """One process of the deployment."""
+
+    def __init__(self, name, command, log_path, addresses):
+        self.name = name
+        self.command = command
+        self.log_path = log_path
+        self.addresses = addresses
+        self.process = None
+
+    def start(self) -> None:
+        """Start the process; its output goes to its log file."""
+        with open(self.log_path, "ab") as log:
+            self.process = subprocess.Popen(
+                self.command, stdout=log, stderr=subprocess.STDOUT
+            )
+
+    def signal(self, number) -> None:
+        """Send a signal, unless the process has ended."""
+        if self.process is not None and self.process.poll() is None:
+            os.kill(self.process.pid, number)
+
+    def kill(self) -> None:
+        """End the process at once."""
+        self.signal(signal.SIGKILL)
+        if self.process is not None:
+            self.process.wait()
+
+    def freeze(self) -> None:
+        """Stop the process from running, without ending it."""
+        self.signal(signal.SIGSTOP)
+
+    def thaw(self) -> None:
+        """Let a frozen process run again."""
+        self.signal(signal.SIGCONT)
+
+    def stop(self, timeout_s: float = 30.0) -> int:
+        """Ask for a graceful shutdown and return the exit code."""
+        self.signal(signal.SIGTERM)
+        return self.process.wait(timeout_s)
+
+
+class Deployment:
+    """Control VMs, entries, engines and services, and how to reach them."""
+
+    def __init__(self, folder, controls=3, entries=2, engines=(), services=()):
+        self.folder = Path(folder)
+        self.folder.mkdir(parents=True, exist_ok=True)
+        (self.folder / "internal.key").write_text(INTERNAL_KEY)
+        (self.folder / "operator.key").write_text(OPERATOR_KEY)
+        self.nodes: dict[str, Node] = {}
+        self.http = httpx.Client(trust_env=False, timeout=10.0)
+        control_ports = [free_port() for _ in range(controls)]
+        self.control_addresses = [f"127.0.0.1:{port}" for port in control_ports]
+        self.controls = [self._control(i) for i in range(controls)]
+        self.entries = [self._entry(i) for i in range(entries)]
+        self.engines = [self._engine(spec) for spec in engines]
+        self.services = [self._service(spec) for spec in services]
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *_):
+        self.close()
+
+    def start(self) -> None:
+        """Create the voters' disks, start everything and wait until it serves."""
+        founders = [
+            f"{node.name}={address}"
+            for node, address in zip(self.controls, self.control_addresses, strict=True)
+        ]
+        makers = [
+            subprocess.Popen(
+                [*node.command, "--init", *founders], stdout=subprocess.DEVNULL
+            )
+            for node in self.controls
+        ]
+        for maker in makers:
+            if maker.wait():
+                raise RuntimeError("a voter's disk could not be created")
+        for node in self.nodes.values():
+            node.start()
+        for node in self.entries:
+            self.wait_ready(node)
+
+    def close(self) -> None:
+        """End every process that was started here."""
+        for node in self.nodes.values():
+            node.thaw()
+            node.kill()
+        self.http.close()
+
+    def wait_ready(self, node: Node, timeout_s: float = START_S) -> None:
+        """Wait until a process says that it is ready."""
+        url = f"http://{node.addresses['internal']}/readyz"
+        wait_for(lambda: self._status(url) == 200, timeout_s, f"{node.name} ready")
+
+    def wait_endpoints(self, count: int, timeout_s: float = START_S) -> None:
+        """Wait until every entry knows a number of endpoints."""
+        for entry in self.entries:
+            wait_for(
+                lambda entry=entry: len(self.dump(entry)["endpoints"]) >= count,
+                timeout_s,
+                f"{entry.name} knows {count} endpoints",
+            )
+
+    def dump(self, node: Node) -> dict:
+        """Return a process's dump."""
+        headers = {"authorization": f"Bearer {INTERNAL_KEY}"}
+        url = f"http://{node.addresses['internal']}/v1/dump"
+        return self.http.get(url, headers=headers).raise_for_status().json()
+
+    def change(self, value: dict, control: int = 0) -> httpx.Response:
+        """Send an operator's change to one control VM."""
+        headers = {"authorization": f"Bearer {OPERATOR_KEY}"}
+        address = self.controls[control].addresses["operator"]
+        return self.http.post(
+            f"http://{address}/v1/changes", json=value, headers=headers
+        )
+
+    def put_contract(self, contract: Contract, version: int = 0) -> httpx.Response:
+        """Create or change a contract through the first control VM."""
+        value = contract._asdict()
+        change = {"kind": "put-contract", "change_id": f"{contract.customer}-{version}"}
+        return self.change(change | {"expected_version": version, "contract": value})
+
+    def write_contracts(self, contracts) -> Path:
+        """Write contract files for the command-line tool and return their folder."""
+        folder = self.folder / "contracts"
+        folder.mkdir(exist_ok=True)
+        for contract in contracts:
+            path = folder / f"{contract.customer}.ini"
+            path.write_text(format_contract(contract))
+        return folder
+
+    def back_end(self, name: str) -> str:
+        """Return the base address of a stand-in engine or service."""
+        return f"http://{self.nodes[name].addresses['listen']}"
+
+    def _status(self, url):
+        try:
+            return self.http.get(url).status_code
+        except httpx.HTTPError:
+            return 0
+
+    def _control(self, index):
+        listen = {"internal": self.control_addresses[index], "operator": free_address()}
+        quorum = {"data_folder": self.folder / f"control-{index}.data"}
+        place = f"dc-{index % 3 + 1}"
+        return self._daemon(f"control-{index}", "control", listen, place, quorum=quorum)
+
+    def _entry(self, index):
+        listen = {
+            "caller": free_address(),
+            "internal": free_address(),
+            "frames": free_address(),
+        }
+        entry = {"drain_s": 0.5}
+        place = f"dc-{index % 3 + 1}"
+        return self._daemon(f"entry-{index}", "entry", listen, place, entry=entry)
+
+    def _engine(self, spec: EngineSpec):
+        back_end = self._stand_in(
+            f"{spec.name}.engine",
+            "engine",
+            model=spec.model,
+            first_layer=spec.first_layer,
+            end_layer=spec.end_layer,
+            model_layers=spec.model_layers,
+            tokens_per_s=spec.tokens_per_s,
+            checks_fence="yes" if spec.checks_fence else "no",
+        )
+        sidecar = {
+            "endpoint": spec.name,
+            "kind": "engine",
+            "back_end": f"http://{back_end}",
+            "model": spec.model,
+            "first_layer": spec.first_layer,
+            "end_layer": spec.end_layer,
+            "model_layers": spec.model_layers,
+            "slots": spec.slots,
+            "tokens_per_s": spec.tokens_per_s,
+            "accelerator": spec.accelerator,
+            "checks_fence": "yes" if spec.checks_fence else "no",
+        }
+        listen = {"internal": free_address(), "frames": free_address()}
+        return self._daemon(
+            spec.name, "sidecar", listen, spec.data_centre, sidecar=sidecar
+        )
+
+    def _service(self, spec: ServiceSpec):
+        back_end = self._stand_in(f"{spec.name}.service", "service")
+        sidecar = {
+            "endpoint": spec.name,
+            "kind": "service",
+            "back_end": f"http://{back_end}",
+            "service": spec.service,
+            "slots": spec.slots,
+        }
+        listen = {"internal": free_address()}
+        return self._daemon(
+            spec.name, "sidecar", listen, spec.data_centre, sidecar=sidecar
+        )
+
+    def _stand_in(self, name, module, **options):
+        address = free_address()
+        command = [sys.executable, "-m", f"cherryrudder.fakes.{module}"]
+        command += ["--listen", address]
+        for option, value in options.items():
+            command += [f"--{option.replace('_', '-')}", str(value)]
+        self._node(name, command, {"listen": address})
+        return address
+
+    def _daemon(self, name, role, listen, data_centre, **sections):
+        process = {
+            "role": role,
+            "vm": name,
+            "data_centre": data_centre,
+            "region": "region-1",
+        }
+        keys = {
+            "internal_file": self.folder / "internal.key",
+            "operator_file": self.folder / "operator.key",
+        }
+        control = {"addresses": ", ".join(self.control_addresses)}
+        sections = {
+            "process": process,
+            "listen": listen,
+            "keys": keys,
+            "control": control,
+            **sections,
+        }
+        path = self.folder / f"{name}.ini"
+        path.write_text(format_ini(sections))
+        command = [sys.executable, "-m", "cherryrudder.daemon", "--config", str(path)]
+        return self._node(name, command, listen)
+
+    def _node(self, name, command, addresses):
+        node = Node(name, command, self.folder / f"{name}.log", addresses)
+        self.nodes[name] = node
+        return node
+
+
+def format_ini(sections: dict) -> str:
+    """Return the text of a settings file."""
+    lines = []
+    for section, values in sections.items():
+        lines.append(f"[{section}]")
+        lines += [f"{key} = {value}" for key, value in values.items()]
+    return "\n".join(lines) + "\n"
+
+
+def free_port() -> int:
+    """Return a loopback port that was free a moment ago."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+def free_address() -> str:
+    """Return a loopback address that was free a moment ago."""
+    return f"127.0.0.1:{free_port()}"
+
+
+def wait_for(condition, timeout_s: float, what: str) -> float:
+    """Wait until a condition holds and return the seconds; raises TimeoutError."""
+    started_s = time.monotonic()
+    while not condition():
+        if time.monotonic() - started_s > timeout_s:
+            raise TimeoutError(f"{what}: not within {timeout_s} s")
+        time.sleep(POLL_S)
+    return time.monotonic() - started_s
--- a/libs/state/src/cherryrudder/state/claims.py
+++ b/libs/state/src/cherryrudder/state/claims.py
@@ -23,11 +23,11 @@
 MAX_ATTEMPTS = 64
 
 
-def open_claim(state: State, command: OpenClaim) -> ClaimAnswer | Answer:
+def open_claim(state: State, index: int, command: OpenClaim) -> ClaimAnswer | Answer:
     """Grant the call to this attempt, or tell what became of an earlier one."""
     if fault := _check(command):
         return Answer("invalid", fault, revision=state.revision)
-    wanted = Claim(**command._asdict())
+    wanted = Claim(**command._asdict(), index=index)
     held = state.claims.get((command.customer, command.key))
     if held is None:
         return _grant_first(state, wanted)
@@ -36,7 +36,7 @@
     # The answer to the first grant was lost. Granting the same attempt to the same
     # incarnation again is safe, since the sidecar runs an attempt id once; the same
     # id with another sidecar is no resend and could run twice, so it is not granted.
-    if held.claim == wanted:
+    if held.claim._replace(index=index) == wanted:
         return ClaimAnswer("granted", held.claim)
     if _may_retry(held, command.attempt_id):
         _put(state, wanted, (*held.spent, held.claim.attempt_id))
--- a/libs/state/src/cherryrudder/state/commands.py
+++ b/libs/state/src/cherryrudder/state/commands.py
@@ -88,7 +88,10 @@
 
 
 class Claim(NamedTuple):
-    """A claim as the state holds it; `outcome` is empty while the call is open."""
+    """A claim as the state holds it; `outcome` is empty while the call is open.
+
+    `index` is the log's at which the attempt was granted; the sidecar's gate needs it.
+    """
 
     customer: str
     key: str
@@ -101,6 +104,7 @@
     outcome: str = ""
     status: int = 0
     body: str = ""
+    index: int = 0
 
 
 class ClaimAnswer(NamedTuple):
--- a/libs/state/src/cherryrudder/state/machine.py
+++ b/libs/state/src/cherryrudder/state/machine.py
@@ -62,7 +62,7 @@
     PutSetting: put_setting,
 }
 OTHERS = {
-    OpenClaim: lambda state, index, command: open_claim(state, command),
+    OpenClaim: open_claim,
     CloseClaim: lambda state, index, command: close_claim(state, command),
     TakeFence: take_fence,
     Clock: lambda state, index, command: advance(state, command),
