Add admission: limits, cost, fair queue and refusal

Each contract's limits follow from the contract and the entry's share of it. Requests wait in one lane per customer and model under start-time fair queueing on estimated tokens, settled at the end. The wait is estimated from what runs and how long it runs (Little's law); a rate measured over a window was ruled out, since it needs a backlog before it says anything and is blind during the first long requests. Requests past their longest wait are refused at once with turns to come back, and queued ones are looked at again every quarter of a second.

--- /dev/null
+++ b/libs/policy/src/cherryrudder/policy/admission.py
@@ -0,0 +1,387 @@
+"""Admission of requests at one entry: limits, queue and refusal joined.
+
+`offer` takes a request in, queues it or refuses it; `release` starts what waits when
+there is room, and gives up what cannot be served in time. Call `release` after each
+queued offer, each finished request, each change of credits, and some ten times a second
+besides; the rest follows from it.
+
+Load pattern: all of those that `limits`, `fairqueue` and `refusal` answer, together.
+Without one place that joins them: a request is counted by one and forgotten by another
+when it is cancelled, given up or fails to be placed, and the counts drift apart.
+"""
+
+import heapq
+import math
+from typing import NamedTuple
+
+from cherryrudder.model.contracts import Contract
+from cherryrudder.model.outcomes import Refusal
+
+from . import cost, fairqueue, limits, refusal, waits
+from .fairqueue import Ahead, FairQueue, Waiting
+from .limits import Limits, Share
+from .refusal import Drain, Turns
+
+# Waits of queued requests are looked at again this often, which costs one pass over
+# the queue; a caller learns of a lost endpoint this much later at the most.
+REVIEW_S = 0.25
+# A queued request is given up when its wait is clearly too long. Without the margin
+# the estimate's noise would throw out requests that were just let in.
+REVIEW_MARGIN = 1.25
+
+
+class Offer(NamedTuple):
+    """A request that asks to be let in; priority 0 is the most urgent."""
+
+    request_id: str
+    customer: str
+    model: str
+    prompt_tokens: int
+    max_tokens: int
+    priority: int
+    deadline_s: float
+
+
+class Admitted(NamedTuple):
+    """The request has started: place it now, or call `put_back`."""
+
+    cost_tokens: float
+
+
+class Queued(NamedTuple):
+    """The request waits; `release` tells when it starts or is given up."""
+
+    wait_s: float
+
+
+class Started(NamedTuple):
+    """A queued request that `can_place` has placed."""
+
+    request_id: str
+    waited_s: float
+
+
+class GaveUp(NamedTuple):
+    """A queued request that is given up; it did not run."""
+
+    request_id: str
+    refusal: Refusal
+
+
+class Running(NamedTuple):
+    """A started request; kept until it is settled."""
+
+    offer: Offer
+    cost: cost.Estimate
+    arrived_s: float
+    started_s: float
+    is_cancelled: bool = False
+
+
+class Admission:
+    """All admission state of one entry."""
+
+    def __init__(self, max_queued):
+        self.queue = FairQueue(max_queued)
+        self.costs = cost.CostModel()
+        self.limits: dict[str, Limits] = {}
+        self.drains: dict[str, Drain] = {}
+        self.turns = Turns()
+        self.offers: dict[str, tuple[Offer, cost.Estimate]] = {}
+        self.running: dict[str, Running] = {}
+        self.given_up: list[GaveUp] = []
+        self.reviewed_s = 0.0
+
+
+def set_contract(admission, contract: Contract, share: float | Share, now_s) -> None:
+    """Put a contract in force, with this entry's share of it.
+
+    A retired contract refuses new work; what was let in before runs to its end.
+    """
+    if not isinstance(share, Share):
+        share = limits.share_of(contract, share)
+    known = admission.limits.get(contract.customer)
+    if known is None:
+        admission.limits[contract.customer] = Limits(contract, share, now_s)
+    else:
+        limits.set_share(known, contract, share, now_s)
+    fairqueue.set_weight(admission.queue, contract.customer, contract.tokens_per_s)
+    if contract.retired:
+        cost.forget_customer(admission.costs, contract.customer)
+
+
+def offer(admission: Admission, asked: Offer, now_s) -> Admitted | Queued | Refusal:
+    """Let a request in, queue it, or refuse it at once."""
+    own = admission.limits.get(asked.customer)
+    if own is None or own.contract.retired:
+        return refusal.no_contract(asked.customer)
+    if asked.deadline_s <= now_s:
+        return refusal.too_late()
+    max_tokens = min(asked.max_tokens, own.contract.max_tokens)
+    estimated = cost.estimate(
+        admission.costs, asked.customer, asked.model, asked.prompt_tokens, max_tokens
+    )
+    limits.note_offer(own, estimated.cost_tokens, now_s)
+    if _may_start(admission, asked, own, estimated, now_s):
+        _start(admission, asked, estimated, now_s, now_s)
+        return Admitted(estimated.cost_tokens)
+    return _enqueue(admission, asked, own, estimated, now_s, now_s)
+
+
+def put_back(admission: Admission, request_id: str, now_s) -> Queued | Refusal:
+    """Queue a started request that found no place; it keeps its time of arrival."""
+    running = admission.running.pop(request_id)
+    own = admission.limits[running.offer.customer]
+    limits.refund(own, running.cost.cost_tokens, now_s)
+    drain = admission.drains[running.offer.model]
+    drain.running_tokens -= running.cost.cost_tokens
+    refusal.note_blocked(drain, now_s)
+    tokens = running.cost.cost_tokens
+    fairqueue.settle_tag(admission.queue, running.offer.customer, -tokens)
+    asked, estimated = running.offer, running.cost
+    return _enqueue(admission, asked, own, estimated, running.arrived_s, now_s)
+
+
+def release(admission: Admission, now_s, can_place) -> list[Started | GaveUp]:
+    """Start what there is room for, give up what cannot be served in time.
+
+    `can_place(request_id) -> bool` places a request, or tells that its model has no
+    room now.
+    """
+    results = admission.given_up
+    admission.given_up = []
+    for request in fairqueue.take_expired(admission.queue, now_s):
+        results.append(_give_up(admission, request, now_s))
+    results += _start_waiting(admission, now_s, can_place)
+    if now_s - admission.reviewed_s >= REVIEW_S:
+        admission.reviewed_s = now_s
+        results += _review(admission, now_s)
+    return results
+
+
+def settle(admission: Admission, request_id, used_tokens: float, now_s) -> None:
+    """End a started request with the tokens that it used, prompt and answer."""
+    running = admission.running.pop(request_id, None)
+    if running is None:
+        return
+    customer = running.offer.customer
+    tokens = running.cost.cost_tokens
+    limits.finish(admission.limits[customer], tokens, used_tokens, now_s)
+    fairqueue.settle_tag(admission.queue, customer, used_tokens - tokens)
+    drain = admission.drains[running.offer.model]
+    refusal.note_finish(drain, tokens, now_s - running.started_s, now_s)
+    # A cancelled request was cut short, so its length says nothing about others'.
+    if not running.is_cancelled:
+        answer = max(0.0, used_tokens - running.offer.prompt_tokens)
+        cost.learn(admission.costs, running.cost.key, answer)
+
+
+def cancel(admission: Admission, request_id: str, now_s) -> bool:
+    """Cancel a request; tell whether it still waited, and so has certainly not run.
+
+    One that runs still has to be settled with what it used.
+    """
+    if request_id in admission.offers:
+        fairqueue.remove(admission.queue, request_id)
+        del admission.offers[request_id]
+        return True
+    running = admission.running.get(request_id)
+    if running is not None:
+        admission.running[request_id] = running._replace(is_cancelled=True)
+    return False
+
+
+def demand(admission: Admission, customer: str, now_s) -> Share:
+    """Return the share of its contract that a customer's load here asks for."""
+    flow = admission.queue.flows[customer]
+    waiting = sum(flow.counts.values())
+    tokens = sum(flow.tokens.values())
+    return limits.demand_of(admission.limits[customer], waiting, tokens, now_s)
+
+
+def dump(admission: Admission) -> dict:
+    """Return the state as plain data."""
+    customers = {}
+    for name, own in admission.limits.items():
+        flow = admission.queue.flows[name]
+        customers[name] = {
+            "share": own.share._asdict(),
+            "retired": own.contract.retired,
+            "running": own.running,
+            "queued": sum(flow.counts.values()),
+            "queued_tokens": sum(flow.tokens.values()),
+            "token_level": own.tokens.level,
+        }
+    models = {
+        name: {
+            "running_tokens": drain.running_tokens,
+            "hold_s": refusal.hold_s(drain),
+            "queued": admission.queue.model_counts.get(name, 0),
+        }
+        for name, drain in admission.drains.items()
+    }
+    queued = len(admission.queue.waiting)
+    return {"queued": queued, "customers": customers, "models": models}
+
+
+def _may_start(admission, asked, own, estimated, now_s):
+    # With anyone waiting for the model the fair order decides, in `release`.
+    if asked.model in admission.queue.model_counts:
+        return False
+    if asked.customer in admission.queue.active:
+        return False
+    return limits.is_within(own, estimated.cost_tokens, now_s)
+
+
+def _start(admission, asked, estimated, arrived_s, now_s):
+    tokens = estimated.cost_tokens
+    limits.charge(admission.limits[asked.customer], tokens, now_s)
+    fairqueue.charge_start(admission.queue, asked.customer, tokens)
+    refusal.note_start(_drain(admission, asked.model), tokens, now_s)
+    running = Running(asked, estimated, arrived_s, now_s)
+    admission.running[asked.request_id] = running
+
+
+def _enqueue(admission, asked, own, estimated, arrived_s, now_s):
+    contract, tokens = own.contract, estimated.cost_tokens
+    request = Waiting(
+        asked.request_id,
+        asked.customer,
+        asked.model,
+        tokens,
+        arrived_s + waits.allowance_s(contract, asked.priority, tokens),
+        fairqueue.next_sequence(admission.queue),
+        arrived_s,
+        min(asked.deadline_s, arrived_s + contract.max_wait_s),
+    )
+    wait = _wait(admission, request, now_s)
+    budget_s = waits.budget_s(contract, request, asked.deadline_s, now_s)
+    if wait.total_s > budget_s:
+        is_own = wait.limit_s >= wait.platform_s
+        return _refuse(admission, request, is_own, wait.total_s - budget_s, now_s)
+    if not _make_room(admission, request, now_s):
+        return _refuse(admission, request, False, 0.0, now_s)
+    fairqueue.push(admission.queue, request)
+    admission.offers[asked.request_id] = (asked, estimated)
+    return Queued(wait.total_s)
+
+
+def _wait(admission, request, now_s):
+    ahead = fairqueue.own_ahead(admission.queue, request)
+    return _wait_behind(admission, request, ahead, now_s)
+
+
+def _wait_behind(admission, request, ahead, now_s):
+    own = admission.limits[request.customer]
+    drain = _drain(admission, request.model)
+    return waits.expected_wait(admission.queue, own, drain, request, ahead, now_s)
+
+
+def _refuse(admission, request, is_own, over_s, now_s):
+    tokens = request.cost_tokens
+    if is_own:
+        turn_s = limits.turn_s(admission.limits[request.customer], tokens)
+        key = (request.customer, "")
+    else:
+        rate = refusal.drain_rate(_drain(admission, request.model), now_s)
+        turn_s = tokens / rate if rate else math.inf
+        key = ("", request.model)
+    retry_s = refusal.retry_after_s(admission.turns, key, over_s, turn_s, now_s)
+    answer = refusal.own_limit if is_own else refusal.platform_full
+    return answer(retry_s)
+
+
+def _make_room(admission, request, now_s):
+    if len(admission.queue.waiting) < admission.queue.max_queued:
+        return True
+    # A full queue gives up the last request of whoever fills it. Refusing the newcomer
+    # would let one flooding customer shut all others out.
+    victim = fairqueue.last_of_longest(admission.queue)
+    if victim is None or victim.customer == request.customer:
+        return False
+    fairqueue.remove(admission.queue, victim.request_id)
+    admission.given_up.append(_give_up(admission, victim, now_s))
+    return True
+
+
+def _give_up(admission, request, now_s):
+    """Return the final answer of a request that has left the queue unserved."""
+    del admission.offers[request.request_id]
+    own = admission.limits[request.customer]
+    is_own = not limits.is_within(own, request.cost_tokens, now_s)
+    wait = _wait(admission, request, now_s)
+    over_s = max(0.0, wait.total_s - own.contract.max_wait_s)
+    answer = _refuse(admission, request, is_own, over_s, now_s)
+    return GaveUp(request.request_id, answer)
+
+
+def _start_waiting(admission, now_s, can_place):
+    queue = admission.queue
+    started, blocked = [], set()
+    order = [(queue.flows[name].start_tag, name) for name in queue.active]
+    heapq.heapify(order)
+    while order and len(blocked) < len(queue.model_counts):
+        _, customer = heapq.heappop(order)
+        request = fairqueue.head(queue, customer, blocked)
+        if request is None:
+            continue
+        flow = queue.flows[customer]
+        own = admission.limits[customer]
+        flow.is_limited = not limits.is_within(own, request.cost_tokens, now_s)
+        if flow.is_limited:
+            continue
+        if can_place(request.request_id):
+            started.append(_start_queued(admission, request, now_s))
+        else:
+            blocked.add(request.model)
+            refusal.note_blocked(_drain(admission, request.model), now_s)
+        if customer in queue.active:
+            heapq.heappush(order, (flow.start_tag, customer))
+    return started
+
+
+def _start_queued(admission, request, now_s):
+    asked, estimated = admission.offers.pop(request.request_id)
+    _start(admission, asked, estimated, request.arrived_s, now_s)
+    fairqueue.remove(admission.queue, request.request_id)
+    return Started(request.request_id, now_s - request.arrived_s)
+
+
+def _review(admission, now_s):
+    given_up = []
+    for customer in list(admission.queue.active):
+        given_up += _review_customer(admission, customer, now_s)
+    return given_up
+
+
+def _review_customer(admission, customer, now_s):
+    requests = fairqueue.in_order(admission.queue, customer)
+    tokens = sum(request.cost_tokens for request in requests)
+    model_tokens = dict(admission.queue.flows[customer].tokens)
+    in_time = set()
+    given_up = []
+    # From the end: giving one up shortens no wait but those behind it, and the first
+    # of a model that will be served in time ends the search for that model.
+    for count in range(len(requests) - 1, -1, -1):
+        request = requests[count]
+        tokens -= request.cost_tokens
+        model_tokens[request.model] -= request.cost_tokens
+        if request.model in in_time:
+            continue
+        ahead = Ahead(count, tokens, model_tokens[request.model])
+        wait = _wait_behind(admission, request, ahead, now_s)
+        if wait.total_s <= (request.expires_s - now_s) * REVIEW_MARGIN:
+            in_time.add(request.model)
+            if len(in_time) == len(model_tokens):
+                break
+            continue
+        fairqueue.remove(admission.queue, request.request_id)
+        given_up.append(_give_up(admission, request, now_s))
+    return given_up
+
+
+def _drain(admission, model):
+    drain = admission.drains.get(model)
+    if drain is None:
+        drain = admission.drains[model] = Drain()
+    return drain
--- /dev/null
+++ b/libs/policy/src/cherryrudder/policy/fairqueue.py
@@ -0,0 +1,230 @@
+"""The queue of an entry: bounded, weighted fair by customer, ordered within a customer.
+
+Load pattern: one customer floods the platform with fifty times its share while nine
+others keep to theirs; within a customer, long jobs come among short ones and urgent
+requests among a batch.
+Without it: first come, first served gives the flooding customer its part of the
+arrivals instead of its part of the contracts, and a short request waits for every long
+one that came before it.
+
+Fairness is start-time fair queueing on estimated tokens, settled to the true count
+at the end; a customer's weight is its contract's token rate. The queue is one lane per
+customer and model, so that a model without a free engine holds up no other model.
+
+Within a customer, requests are ordered by arrival time plus an allowance. Less urgent
+and longer requests get a larger one; because it is bounded, each request is overtaken
+only by those that arrive within its allowance, and none starves.
+"""
+
+import heapq
+import math
+from typing import NamedTuple
+
+
+class Waiting(NamedTuple):
+    """A request that waits; `order_s` places it within its customer's lane."""
+
+    request_id: str
+    customer: str
+    model: str
+    cost_tokens: float
+    order_s: float
+    sequence: int
+    arrived_s: float
+    expires_s: float
+
+
+class Ahead(NamedTuple):
+    """What goes before a request: of all its customer's, and those of its model."""
+
+    count: int
+    tokens: float
+    model_tokens: float
+
+
+class Flow:
+    """One customer's part of the queue."""
+
+    def __init__(self, weight):
+        self.weight = weight
+        self.start_tag = 0.0
+        # The customer waits for its own limit and not for the platform.
+        self.is_limited = False
+        self.lanes: dict[str, list] = {}
+        self.counts: dict[str, int] = {}
+        self.tokens: dict[str, float] = {}
+
+
+class FairQueue:
+    """All requests that wait at one entry."""
+
+    def __init__(self, max_queued):
+        self.max_queued = max_queued
+        self.waiting: dict[str, Waiting] = {}
+        self.flows: dict[str, Flow] = {}
+        self.active: set[str] = set()
+        self.model_counts: dict[str, int] = {}
+        self.expiries: list[tuple[float, int, str]] = []
+        self.virtual = 0.0
+        self.sequence = 0
+
+
+def set_weight(queue: FairQueue, customer: str, weight: float) -> None:
+    """Add a customer, or change its weight."""
+    flow = queue.flows.get(customer)
+    if flow is None:
+        queue.flows[customer] = Flow(weight)
+        return
+    flow.weight = weight
+
+
+def next_sequence(queue: FairQueue) -> int:
+    """Return a number that orders equal requests by arrival."""
+    queue.sequence += 1
+    return queue.sequence
+
+
+def push(queue: FairQueue, request: Waiting) -> None:
+    """Add a request; the caller has made room for it."""
+    flow = queue.flows[request.customer]
+    if request.customer not in queue.active:
+        # An idle customer saves up no turns: without this one that was quiet all night
+        # would hold the platform alone until it had used them up.
+        flow.start_tag = max(flow.start_tag, queue.virtual)
+        queue.active.add(request.customer)
+    model = request.model
+    entry = (request.order_s, request.sequence, request.request_id)
+    heapq.heappush(flow.lanes.setdefault(model, []), entry)
+    flow.counts[model] = flow.counts.get(model, 0) + 1
+    flow.tokens[model] = flow.tokens.get(model, 0.0) + request.cost_tokens
+    queue.model_counts[model] = queue.model_counts.get(model, 0) + 1
+    queue.waiting[request.request_id] = request
+    expiry = (request.expires_s, request.sequence, request.request_id)
+    heapq.heappush(queue.expiries, expiry)
+
+
+def remove(queue: FairQueue, request_id: str) -> Waiting | None:
+    """Take a request out; its heap entries are skipped when they come up."""
+    request = queue.waiting.pop(request_id, None)
+    if request is None:
+        return None
+    flow = queue.flows[request.customer]
+    model = request.model
+    flow.counts[model] -= 1
+    flow.tokens[model] -= request.cost_tokens
+    queue.model_counts[model] -= 1
+    if not queue.model_counts[model]:
+        del queue.model_counts[model]
+    if not flow.counts[model]:
+        del flow.lanes[model], flow.counts[model], flow.tokens[model]
+    if not flow.counts:
+        queue.active.discard(request.customer)
+        flow.is_limited = False
+    return request
+
+
+def head(queue: FairQueue, customer: str, blocked: set[str]) -> Waiting | None:
+    """Return the customer's first request for a model that is not blocked."""
+    flow = queue.flows[customer]
+    best = None
+    for model, lane in flow.lanes.items():
+        if model in blocked:
+            continue
+        while _is_stale(queue, lane[0]):
+            heapq.heappop(lane)
+        if best is None or lane[0] < best:
+            best = lane[0]
+    return queue.waiting[best[2]] if best else None
+
+
+def charge_start(queue: FairQueue, customer: str, cost_tokens: float) -> None:
+    """Move a customer's tag on for a request that starts."""
+    flow = queue.flows[customer]
+    if flow.is_limited or customer not in queue.active:
+        # Time spent behind its own limit earns a customer no turns either.
+        flow.start_tag = max(flow.start_tag, queue.virtual)
+        flow.is_limited = False
+    queue.virtual = max(queue.virtual, flow.start_tag)
+    flow.start_tag += cost_tokens / flow.weight
+
+
+def settle_tag(queue: FairQueue, customer: str, difference_tokens: float) -> None:
+    """Charge (or, below zero, give back) what the estimate missed."""
+    flow = queue.flows.get(customer)
+    if flow is not None:
+        flow.start_tag += difference_tokens / flow.weight
+
+
+def take_expired(queue: FairQueue, now_s: float) -> list[Waiting]:
+    """Take out every request whose time is over."""
+    expired = []
+    while queue.expiries and queue.expiries[0][0] <= now_s:
+        entry = heapq.heappop(queue.expiries)
+        if not _is_stale(queue, entry):
+            expired.append(remove(queue, entry[2]))
+    return expired
+
+
+def in_order(queue: FairQueue, customer: str) -> list[Waiting]:
+    """Return a customer's requests in the order in which they will start."""
+    lanes = queue.flows[customer].lanes.values()
+    entries = sorted(entry for lane in lanes for entry in lane)
+    return [queue.waiting[entry[2]] for entry in entries if not _is_stale(queue, entry)]
+
+
+def own_ahead(queue: FairQueue, request: Waiting) -> Ahead:
+    """Return what goes before a request of its own customer's."""
+    count, tokens, model_tokens = 0, 0.0, 0.0
+    for model, lane in queue.flows[request.customer].lanes.items():
+        for entry in lane:
+            if entry[0] > request.order_s or _is_stale(queue, entry):
+                continue
+            cost_tokens = queue.waiting[entry[2]].cost_tokens
+            count += 1
+            tokens += cost_tokens
+            if model == request.model:
+                model_tokens += cost_tokens
+    return Ahead(count, tokens, model_tokens)
+
+
+def tokens_ahead(queue: FairQueue, customer, model, own_tokens: float) -> float:
+    """Return the tokens that start before a request with `own_tokens` before it.
+
+    By start-time fair queueing these are the customer's own, and of each other customer
+    what its tag lets through before the tag that this request will have.
+    """
+    flow = queue.flows[customer]
+    tag = flow.start_tag
+    if customer not in queue.active:
+        tag = max(tag, queue.virtual)
+    finish_tag = tag + own_tokens / flow.weight
+    ahead = own_tokens
+    for name in queue.active:
+        other = queue.flows[name]
+        tokens = other.tokens.get(model)
+        if not tokens or name == customer or other.is_limited:
+            continue
+        share = (finish_tag - other.start_tag) * other.weight
+        ahead += max(0.0, min(tokens, share))
+    return ahead
+
+
+def last_of_longest(queue: FairQueue) -> Waiting | None:
+    """Return the last request of the customer with the most tokens for its weight."""
+    longest, most = None, -math.inf
+    for name in queue.active:
+        flow = queue.flows[name]
+        backlog = sum(flow.tokens.values()) / flow.weight
+        if backlog > most:
+            longest, most = name, backlog
+    if longest is None:
+        return None
+    flow = queue.flows[longest]
+    model = max(flow.tokens, key=flow.tokens.get)
+    live = [entry for entry in flow.lanes[model] if not _is_stale(queue, entry)]
+    return queue.waiting[max(live)[2]]
+
+
+def _is_stale(queue, entry):
+    request = queue.waiting.get(entry[2])
+    return request is None or request.sequence != entry[1]
--- /dev/null
+++ b/libs/policy/src/cherryrudder/policy/refusal.py
@@ -0,0 +1,149 @@
+"""Estimate how long a request would wait, and refuse it honestly if that is too long.
+
+Load pattern: two to five times the platform's capacity for ten minutes, then back.
+Without it: the queue grows until every request in it is answered after its caller has
+gone, so goodput falls to nothing, and it stays so after the overload for as long as
+the queue takes to drain. Callers that are told no time to come back, or all the same
+time, return together and keep the overload alive.
+
+The drain rate is what runs divided by how long it runs (Little's law), in the
+estimated tokens in which the queue is counted too, so that an error of the estimate
+cancels. It is measured here and not taken from the engines' load reports, which lag.
+"""
+
+import math
+from typing import NamedTuple
+
+from cherryrudder.model.outcomes import Refusal
+
+# Each finished request keeps this part of the older mean: about fifty requests, enough
+# to smooth long and short ones and few enough to follow a lost endpoint in seconds.
+KEEP_PART = 0.98
+# A model that can start nothing while nothing of it runs is taken for unserved after
+# this time: longer than a lost report or a restarted sidecar's next announcement.
+UNSERVED_S = 1.0
+# What a caller is told when nothing drains at all and no estimate can be made: the time
+# in which a lost endpoint is noticed and replaced.
+UNKNOWN_RETRY_S = 5.0
+# Nobody is sent away for longer: past a minute the estimate says nothing.
+MAX_RETRY_AFTER_S = 60.0
+# A refusal always asks for some pause, the least that a caller's timer keeps.
+MIN_RETRY_AFTER_S = 0.1
+
+
+class Drain:
+    """How fast the running work of one model makes room."""
+
+    def __init__(self):
+        self.running_tokens = 0.0
+        self.quiet_since_s = 0.0
+        self.blocked_since_s: float | None = None
+        self.finished_tokens = 0.0
+        self.finished_token_s = 0.0
+
+
+class Wait(NamedTuple):
+    """The expected wait behind the customer's own limits and behind the platform."""
+
+    limit_s: float
+    platform_s: float
+
+    @property
+    def total_s(self) -> float:
+        """Return the longer one; both pass at the same time."""
+        return max(self.limit_s, self.platform_s)
+
+
+def note_start(drain: Drain, cost_tokens: float, now_s: float) -> None:
+    """Count a request that starts."""
+    if drain.running_tokens <= 0:
+        drain.quiet_since_s = now_s
+    drain.running_tokens += cost_tokens
+    drain.blocked_since_s = None
+
+
+def note_finish(drain: Drain, cost_tokens, duration_s: float, now_s: float) -> None:
+    """Count a request that ran `duration_s` and has ended."""
+    drain.running_tokens = max(0.0, drain.running_tokens - cost_tokens)
+    drain.quiet_since_s = now_s
+    drain.finished_tokens = drain.finished_tokens * KEEP_PART + cost_tokens
+    weighted = cost_tokens * duration_s
+    drain.finished_token_s = drain.finished_token_s * KEEP_PART + weighted
+
+
+def note_blocked(drain: Drain, now_s: float) -> None:
+    """Note that no endpoint takes the model's next request."""
+    if drain.blocked_since_s is None:
+        drain.blocked_since_s = now_s
+
+
+def hold_s(drain: Drain) -> float:
+    """Return how long requests run, by tokens; 0 if none has finished yet."""
+    if not drain.finished_tokens:
+        return 0.0
+    return drain.finished_token_s / drain.finished_tokens
+
+
+def drain_rate(drain: Drain, now_s: float) -> float | None:
+    """Return the tokens per second that make room, or None when it isn't known."""
+    if drain.running_tokens <= 0:
+        blocked_s = drain.blocked_since_s
+        is_unserved = blocked_s is not None and now_s - blocked_s >= UNSERVED_S
+        return 0.0 if is_unserved else None
+    # The time since the last finish bounds the rate from above. Without it, frozen
+    # engines would keep the rate of before and callers would wait for nothing.
+    lasted_s = max(hold_s(drain), now_s - drain.quiet_since_s)
+    return drain.running_tokens / lasted_s if lasted_s > 0 else None
+
+
+def platform_wait_s(drain: Drain, ahead_tokens: float, now_s: float) -> float:
+    """Return the wait behind that many tokens; 0 while the rate isn't known."""
+    rate = drain_rate(drain, now_s)
+    if rate is None:
+        return 0.0
+    return ahead_tokens / rate if rate > 0 else math.inf
+
+
+class Turns:
+    """When the callers that were sent away last were told to come back."""
+
+    def __init__(self):
+        self.next_s: dict[tuple[str, str], float] = {}
+
+
+def retry_after_s(turns: Turns, key, over_s: float, turn_s: float, now_s) -> float:
+    """Return when to come back: once the wait has fallen by `over_s`, one by one.
+
+    `turn_s` is the time in which the limit makes room for one such request. Callers
+    that are refused together get turns one after the other; if all were told the same
+    time they would come back as one burst, and all but the first be refused again.
+    """
+    if math.isinf(over_s) or math.isinf(turn_s):
+        return UNKNOWN_RETRY_S
+    turn = max(now_s + over_s, turns.next_s.get(key, 0.0))
+    turns.next_s[key] = min(turn + turn_s, now_s + MAX_RETRY_AFTER_S)
+    return min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, turn - now_s))
+
+
+def own_limit(retry_s: float) -> Refusal:
+    """Return the refusal of a request past its customer's own limit."""
+    message = "The contract's limit is used up; the request did not run."
+    return Refusal(429, "own-limit", message, retry_s)
+
+
+def platform_full(retry_s: float) -> Refusal:
+    """Return the refusal of a request for which the platform has no room in time."""
+    message = "The platform has no room in time; the request did not run."
+    return Refusal(503, "platform-full", message, retry_s)
+
+
+def no_contract(customer: str) -> Refusal:
+    """Return the refusal of a customer whose contract is retired or unknown."""
+    message = f"There is no contract in force for {customer}; the request did not run."
+    return Refusal(403, "no-contract", message, 0.0)
+
+
+def too_late() -> Refusal:
+    """Return the refusal of a request whose deadline has passed."""
+    message = "The deadline has passed before the request could start; it did not run."
+    return Refusal(504, "deadline", message, 0.0)
--- /dev/null
+++ b/libs/policy/test/test_admission.py
@@ -0,0 +1,111 @@
+import unittest
+
+from builders import a_contract, an_admission, an_offer
+
+from cherryrudder.model.outcomes import Refusal
+from cherryrudder.policy import admission as adm
+from cherryrudder.policy.admission import Admitted, GaveUp, Queued, Started
+
+
+def yes(request_id):
+    return True
+
+
+def no(request_id):
+    return False
+
+
+class AdmissionTest(unittest.TestCase):
+    def fill(self, admission, count, now_s=0.0, **changes):
+        return [
+            adm.offer(admission, an_offer(f"r{now_s}-{n}", **changes), now_s)
+            for n in range(count)
+        ]
+
+    def test_admits_up_to_the_concurrency_then_queues_then_starts(self):
+        admission = an_admission()
+        answers = self.fill(admission, 9)
+        self.assertTrue(all(isinstance(a, Admitted) for a in answers[:8]))
+        self.assertIsInstance(answers[8], Queued)
+        self.assertEqual(adm.release(admission, 1.0, yes), [])
+        adm.settle(admission, "r0.0-0", 80, 1.0)
+        started = adm.release(admission, 1.0, yes)
+        self.assertEqual(started, [Started("r0.0-8", 1.0)])
+
+    def test_own_limit_is_refused_with_turns_to_come_back(self):
+        admission = an_admission()
+        answers = self.fill(admission, 200)
+        refused = [a for a in answers if isinstance(a, Refusal)]
+        self.assertEqual({a.status for a in refused}, {429})
+        times = [a.retry_after_s for a in refused]
+        self.assertEqual(times, sorted(times))
+        self.assertGreater(times[-1], times[0] + 5)
+
+    def test_retired_contract_refuses_new_work_and_finishes_old(self):
+        admission = an_admission()
+        self.fill(admission, 9)
+        adm.set_contract(admission, a_contract(retired=True), 1.0, 1.0)
+        self.assertEqual(adm.offer(admission, an_offer("new"), 1.0).status, 403)
+        adm.settle(admission, "r0.0-0", 80, 1.0)
+        self.assertEqual(len(adm.release(admission, 1.0, yes)), 1)
+
+    def test_put_back_keeps_its_turn_and_leaves_no_charge(self):
+        admission = an_admission()
+        self.assertIsInstance(adm.offer(admission, an_offer("a"), 0.0), Admitted)
+        self.assertIsInstance(adm.put_back(admission, "a", 0.0), Queued)
+        own = admission.limits["petra"]
+        self.assertEqual((own.running, own.tokens.level), (0, own.tokens.depth))
+        self.assertEqual(adm.release(admission, 0.5, yes), [Started("a", 0.5)])
+
+    def test_expired_request_leaves_at_once_and_never_starts(self):
+        admission = an_admission()
+        adm.offer(admission, an_offer("a"), 0.0)
+        adm.put_back(admission, "a", 0.0)
+        adm.offer(admission, an_offer("b", deadline_s=0.5), 0.0)
+        (gone,) = adm.release(admission, 0.5, no)
+        self.assertEqual((gone.request_id, gone.refusal.status), ("b", 503))
+
+    def test_hopeless_request_is_given_up_before_its_deadline(self):
+        """Engines freeze while requests wait.
+
+        The caller sees a 503 after about a second, not at the end of its longest wait.
+        All slots are taken, nothing finishes any more, and the estimated wait grows
+        past the time that the request has left.
+        """
+        admission = an_admission(a_contract(max_wait_s=8.0))
+        self.fill(admission, 4)
+        adm.offer(admission, an_offer("late"), 0.0)
+        adm.put_back(admission, "late", 0.0)
+        for n in range(4):
+            adm.settle(admission, f"r0.0-{n}", 100, 0.1)
+        results = [adm.release(admission, n / 10, no) for n in range(1, 30)]
+        gone = [result for tick in results for result in tick]
+        self.assertEqual([g.request_id for g in gone], ["late"])
+        self.assertIsInstance(gone[0], GaveUp)
+
+    def test_full_queue_gives_up_the_flooding_customers_last(self):
+        contracts = [a_contract(name, requests_per_s=1e6) for name in ("hot", "calm")]
+        admission = an_admission(*contracts, max_queued=5)
+        self.fill(admission, 8, customer="hot", max_tokens=10)
+        self.fill(admission, 5, 0.1, customer="hot", max_tokens=10)
+        answer = adm.offer(admission, an_offer("c", "calm", max_tokens=10), 0.2)
+        self.assertNotIsInstance(answer, Refusal)
+        (gone,) = [r for r in adm.release(admission, 0.2, no) if isinstance(r, GaveUp)]
+        self.assertEqual(gone.request_id, "r0.1-4")
+
+    def test_cancel_tells_whether_it_has_run(self):
+        admission = an_admission()
+        self.fill(admission, 9)
+        self.assertTrue(adm.cancel(admission, "r0.0-8", 0.1))
+        self.assertFalse(adm.cancel(admission, "r0.0-0", 0.1))
+        adm.settle(admission, "r0.0-0", 60, 0.2)
+        self.assertEqual(admission.costs.answer_tokens, {})
+        self.assertEqual(adm.dump(admission)["customers"]["petra"]["running"], 7)
+
+    def test_a_model_without_room_holds_up_no_other(self):
+        admission = an_admission()
+        adm.offer(admission, an_offer("a"), 0.0)
+        adm.put_back(admission, "a", 0.0)
+        adm.offer(admission, an_offer("b", model="other"), 0.1)
+        results = adm.release(admission, 0.1, lambda request_id: request_id == "b")
+        self.assertEqual(results, [Started("b", 0.0)])
