--- a/libs/daemon/src/cherryrudder/daemon/watches.py
+++ b/libs/daemon/src/cherryrudder/daemon/watches.py
@@ -16,6 +16,7 @@
 CONFIRM_EVERY_S = 0.5
 # Two missed rounds and the time of one: an isolated VM stops answering within this.
 CONFIRMED_FOR_S = 1.5
+FRESH_S = 2.0
 
 log = logger.bind(part="watch")
 
@@ -57,7 +58,18 @@
         version = int(query.get("version", 0))
         with_table = query.get("table", "1") == "1"
         if fresh:
-            await self.voter.confirm(wait_s)
+            # A process that starts waits for this answer: it comes without news too.
+            await self.voter.confirm(FRESH_S)
+        else:
+            await self._wait_news(revision, epoch, version, with_table, wait_s)
+        if not fresh and not self.is_fresh():
+            raise NoQuorum("this control VM cannot confirm its log")
+        answer = {"config": machine.delta(self.voter.state, revision), "table": None}
+        if with_table:
+            answer["table"] = soft.delta_since(self.table, epoch, version)
+        return answer
+
+    async def _wait_news(self, revision, epoch, version, with_table, wait_s):
         self.count += 1
         try:
             with anyio.move_on_after(wait_s):
@@ -65,12 +77,6 @@
                     await self._changed.wait()
         finally:
             self.count -= 1
-        if not self.is_fresh():
-            raise NoQuorum("this control VM cannot confirm its log")
-        answer = {"config": machine.delta(self.voter.state, revision), "table": None}
-        if with_table:
-            answer["table"] = soft.delta_since(self.table, epoch, version)
-        return answer
 
     def _has_news(self, revision, epoch, version, with_table):
         if self.voter.state.revision > revision:
