Add the replicated log's core and its disk files

The control VMs had no store of their own. This is Raft with pre-vote, check-quorum and read index as a core without I/O, and one folder of checksummed, synced files. A voter is a VM with its disk: messages carry both and the disk they are for, so a wiped VM has no vote under its old name.

--- a/libs/quorum/src/cherryrudder/quorum/events.py
+++ b/libs/quorum/src/cherryrudder/quorum/events.py
@@ -73,6 +73,10 @@
     data: str
 
 
+class HandOver(NamedTuple):
+    """This VM is about to stop: a leader asks its best follower to take over."""
+
+
 # Effects.
 
 
@@ -137,6 +141,8 @@
     term: int
     voters: tuple[Voter, ...]
     data: str
+    learners: tuple[Voter, ...] = ()
+    cluster: str = ""
 
 
 class RestoreSnapshot(NamedTuple):
--- /dev/null
+++ b/libs/quorum/src/cherryrudder/quorum/filesystem.py
@@ -0,0 +1,68 @@
+"""The few file operations that the disk files need, so that tests can fake a disk."""
+
+import fcntl
+import os
+from collections.abc import Callable
+from typing import NamedTuple
+
+
+class FileSystem(NamedTuple):
+    """Plain functions; each raises OSError. Files are known by a descriptor."""
+
+    make_folder: Callable[[str], None]
+    list_folder: Callable[[str], list[str]]
+    sync_folder: Callable[[str], None]
+    open: Callable[[str], int]
+    lock: Callable[[int], None]
+    read: Callable[[int], bytes]
+    write: Callable[[int, int, bytes], None]
+    truncate: Callable[[int, int], None]
+    sync: Callable[[int], None]
+    close: Callable[[int], None]
+    rename: Callable[[str, str], None]
+
+
+def real_filesystem() -> FileSystem:
+    """Return the operating system's own file operations; they block."""
+    return FileSystem(
+        make_folder=lambda path: os.makedirs(path, exist_ok=True),
+        list_folder=lambda path: sorted(os.listdir(path)),
+        sync_folder=_sync_folder,
+        open=lambda path: os.open(path, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600),
+        lock=lambda fd: fcntl.flock(fd, fcntl.LOCK_EX | fcntl.LOCK_NB),
+        read=_read,
+        write=_write,
+        truncate=os.ftruncate,
+        sync=os.fsync,
+        close=os.close,
+        rename=os.replace,
+    )
+
+
+def _sync_folder(path):
+    fd = os.open(path, os.O_RDONLY | os.O_DIRECTORY | os.O_CLOEXEC)
+    try:
+        os.fsync(fd)
+    finally:
+        os.close(fd)
+
+
+def _read(fd):
+    size = os.fstat(fd).st_size
+    chunks = []
+    offset = 0
+    while offset < size:
+        chunk = os.pread(fd, size - offset, offset)
+        if not chunk:
+            break
+        chunks.append(chunk)
+        offset += len(chunk)
+    return b"".join(chunks)
+
+
+def _write(fd, offset, data):
+    view = memoryview(data)
+    while view:
+        count = os.pwrite(fd, view, offset)
+        view = view[count:]
+        offset += count
--- /dev/null
+++ b/libs/quorum/src/cherryrudder/quorum/logfile.py
@@ -0,0 +1,156 @@
+"""The log file: a header, then one record with term, vote and entries per write.
+
+Term and vote share the file with the entries, so that one fsync covers both, and a
+write takes effect as a whole or not at all.
+"""
+
+import struct
+from typing import NamedTuple
+
+import msgspec
+
+from .errors import DiskError
+from .events import Entry, Persist
+from .filesystem import FileSystem
+from .log import Log
+from .records import encode_record, scan
+from .wholefiles import read_bytes, write_whole
+
+LOG = "log"
+SYNCED = "synced"
+MARK = struct.Struct(">QQ")
+
+
+class Header(NamedTuple):
+    """The first record; entries follow `base_index`. Each new file counts up."""
+
+    generation: int
+    base_index: int
+    base_term: int
+
+
+class Record(NamedTuple):
+    """One write; entries from `truncate_from` on are dropped first."""
+
+    term: int
+    voted_for: str
+    truncate_from: int | None
+    entries: tuple[Entry, ...]
+
+
+class Contents(NamedTuple):
+    """What a log file holds."""
+
+    generation: int
+    term: int
+    voted_for: str
+    log: Log
+
+
+class LogFile:
+    """An open log file; writes go to its end."""
+
+    def __init__(self, fs: FileSystem, folder: str, generation: int, end: int):
+        self.generation = generation
+        self._fs = fs
+        self._end = end
+        self._fd = fs.open(f"{folder}/{LOG}")
+        self._mark_fd = fs.open(f"{folder}/{SYNCED}")
+
+    def append(self, effect: Persist) -> None:
+        """Write and sync one record; raises OSError."""
+        record = Record(
+            effect.term, effect.voted_for, effect.truncate_from, effect.entries
+        )
+        data = encode_record(msgspec.json.encode(record))
+        self._fs.write(self._fd, self._end, data)
+        self._fs.sync(self._fd)
+        self._end += len(data)
+        self._mark()
+
+    def cut(self) -> None:
+        """Drop what follows the last intact record; raises OSError."""
+        self._fs.truncate(self._fd, self._end)
+        self._fs.sync(self._fd)
+
+    def close(self) -> None:
+        """Close the files."""
+        self._fs.close(self._fd)
+        self._fs.close(self._mark_fd)
+
+    def _mark(self):
+        """Note how far the file is synced.
+
+        Without it, damage to the last record would look like a torn tail, and an
+        accepted entry would be cut off. The note needs no sync: one that is lost or
+        old only makes the check weaker, and it never claims too much.
+        """
+        mark = encode_record(MARK.pack(self.generation, self._end))
+        self._fs.write(self._mark_fd, 0, mark)
+
+
+def create(
+    fs: FileSystem, folder: str, generation: int, term: int, voted_for: str, log: Log
+) -> LogFile:
+    """Replace the log file by one with these contents; raises OSError."""
+    header = Header(generation, log.base_index, log.base_term)
+    entries = log.slice(log.base_index + 1, log.last_index + 1)
+    record = Record(term, voted_for, None, entries)
+    payloads = [msgspec.json.encode(header), msgspec.json.encode(record)]
+    size = write_whole(fs, folder, LOG, payloads)
+    return LogFile(fs, folder, generation, size)
+
+
+def load(fs: FileSystem, folder: str) -> tuple[LogFile, Contents]:
+    """Open the log file and cut a torn tail; raises OSError and DiskError."""
+    path = f"{folder}/{LOG}"
+    data = read_bytes(fs, path)
+    found = scan(data)
+    if found.intact_after is not None:
+        raise DiskError(
+            f"{path}: damaged at offset {found.end}, before an intact record at "
+            f"{found.intact_after}; restore the file or replace this disk"
+        )
+    contents = _replay(path, found.payloads)
+    synced = _synced_bytes(fs, folder, contents.generation)
+    if found.end < synced:
+        raise DiskError(
+            f"{path}: damaged at offset {found.end}, though synced up to {synced}; "
+            "restore the file or replace this disk"
+        )
+    file = LogFile(fs, folder, contents.generation, found.end)
+    if found.end < len(data):
+        file.cut()
+    return file, contents
+
+
+def apply_record(log: Log, record: Record | Persist) -> None:
+    """Change a log as a write says; raises ValueError if it leaves a gap."""
+    if record.truncate_from is not None:
+        first = max(record.truncate_from, log.base_index + 1)
+        log.truncate(first)
+    for entry in record.entries:
+        log.append(entry)
+
+
+def _replay(path, payloads):
+    # The file was renamed into place with these two, so no crash explains a lack.
+    if len(payloads) < 2:
+        raise DiskError(f"{path}: damaged at offset 0")
+    try:
+        header = msgspec.json.decode(payloads[0], type=Header)
+        log = Log(header.base_index, header.base_term)
+        for payload in payloads[1:]:
+            record = msgspec.json.decode(payload, type=Record)
+            apply_record(log, record)
+    except (msgspec.MsgspecError, ValueError) as error:
+        raise DiskError(f"{path}: intact records that make no log: {error}") from error
+    return Contents(header.generation, record.term, record.voted_for, log)
+
+
+def _synced_bytes(fs, folder, generation):
+    found = scan(read_bytes(fs, f"{folder}/{SYNCED}"))
+    if not found.payloads or len(found.payloads[0]) != MARK.size:
+        return 0
+    marked_generation, synced_bytes = MARK.unpack(found.payloads[0])
+    return synced_bytes if marked_generation == generation else 0
--- /dev/null
+++ b/libs/quorum/src/cherryrudder/quorum/reads.py
@@ -0,0 +1,57 @@
+"""Reads that see every change accepted before they came (read index).
+
+A leader that was cut off doesn't know that others accept changes meanwhile. So each
+read waits for a round of heartbeats that began after it came and that a majority
+answered. No clock is trusted: a lease would be, and a frozen VM's clock jumps.
+"""
+
+from . import voters
+from .events import ReadIndex, ReadReady, Rejected
+from .node import LEADER, Node, Read, emit, leader_address
+
+
+def on_read_index(node: Node, event: ReadIndex) -> None:
+    """Queue a read for the next round."""
+    if node.role != LEADER:
+        emit(node, Rejected(event.read_id, leader_address(node), True))
+        return
+    node.reads.append(Read(event.read_id, node.round + 1, None))
+
+
+def needs_round(node: Node) -> bool:
+    """Tell whether a read waits for a round while none is under way."""
+    waits = any(read.round > node.round for read in node.reads)
+    return waits and _confirmed_round(node) == node.round
+
+
+def answer(node: Node) -> None:
+    """Answer the reads whose round is confirmed."""
+    if node.role != LEADER or not node.reads:
+        return
+    # Until an entry of its own term is committed, a new leader doesn't know how far
+    # the one before it has committed.
+    if node.log.term_at(node.commit) != node.term:
+        return
+    confirmed = _confirmed_round(node)
+    reads = [
+        read._replace(index=node.commit) if read.index is None else read
+        for read in node.reads
+    ]
+    node.reads = []
+    for read in reads:
+        if read.round <= confirmed and read.index <= node.applied:
+            emit(node, ReadReady(read.read_id, read.index))
+        else:
+            node.reads.append(read)
+
+
+def _confirmed_round(node):
+    rounds = [_round(node, voter) for voter in node.voter_set.voters]
+    return voters.majority_value(rounds, node.voter_set)
+
+
+def _round(node, voter):
+    if voter.disk_id == node.me.disk_id:
+        return node.round
+    peer = node.peers.get(voter.disk_id)
+    return peer.round if peer else 0
--- /dev/null
+++ b/libs/quorum/test/builders.py
@@ -0,0 +1,394 @@
+"""A disk that loses what wasn't synced, and voters joined by a lossy network."""
+
+import itertools
+import json
+import random
+
+from cherryrudder.quorum import events as ev
+from cherryrudder.quorum.core import handle, open_node, status
+from cherryrudder.quorum.files import init_disk, join_disk, open_disk
+from cherryrudder.quorum.filesystem import FileSystem
+from cherryrudder.quorum.saved import Timing
+
+FOLDER = "data"
+TIMING = Timing(0.05, 0.3, 0.6, 40)
+TICK_S = 0.025
+
+
+class PowerCut(Exception):
+    """The fake disk has reached the operation at which it fails."""
+
+
+class FakeFile:
+    """Bytes as a process sees them, and the writes since the last sync."""
+
+    def __init__(self):
+        self.data = bytearray()
+        self.synced = b""
+        self.pending = []
+
+    def write(self, offset, data):
+        self.data[offset : offset + len(data)] = data
+        self.pending.append((offset, bytes(data)))
+
+    def truncate(self, size):
+        del self.data[size:]
+        self.pending.append((size, None))
+
+    def sync(self):
+        self.synced = bytes(self.data)
+        self.pending = []
+
+    def crash(self, rng):
+        """Keep any of the unsynced writes, the last kept one perhaps torn."""
+        self.data = bytearray(self.synced)
+        kept = [write for write in self.pending if rng.random() < 0.5]
+        for number, (offset, data) in enumerate(kept):
+            if data is None:
+                del self.data[offset:]
+                continue
+            if number == len(kept) - 1 and rng.random() < 0.5:
+                data = data[: rng.randrange(len(data) + 1)]
+            gap = offset - len(self.data)
+            self.data += bytes(max(0, gap))
+            self.data[offset : offset + len(data)] = data
+        self.sync()
+
+
+class FakeDisk:
+    """One folder; a rename lasts only once the folder is synced."""
+
+    def __init__(self):
+        self.names = {}
+        self.durable = {}
+        self.handles = {}
+        self.locked = set()
+        self.numbers = itertools.count()
+        self.operations = 0
+        self.cut_at = None
+
+    def filesystem(self):
+        return FileSystem(
+            make_folder=lambda path: None,
+            list_folder=lambda path: sorted(self.names),
+            sync_folder=self._sync_folder,
+            open=self._open,
+            lock=self._lock,
+            read=lambda fd: bytes(self.handles[fd].data),
+            write=self._write,
+            truncate=lambda fd, size: self._do(self.handles[fd].truncate, size),
+            sync=lambda fd: self._do(self.handles[fd].sync),
+            close=self._close,
+            rename=self._rename,
+        )
+
+    def crash(self, rng):
+        """Lose power: unsynced writes and renames each last or don't."""
+        for name in set(self.names) | set(self.durable):
+            if rng.random() < 0.5 or self.names.get(name) is None:
+                self._revert(name)
+        files = {id(file): file for file in self.names.values()}
+        for file in files.values():
+            file.crash(rng)
+        self.durable = dict(self.names)
+        self.handles.clear()
+        self.locked.clear()
+        self.cut_at = None
+
+    def _revert(self, name):
+        if name in self.durable:
+            self.names[name] = self.durable[name]
+        else:
+            self.names.pop(name, None)
+
+    def _do(self, operation, *arguments):
+        self.operations += 1
+        if self.cut_at is not None and self.operations >= self.cut_at:
+            raise PowerCut
+        return operation(*arguments)
+
+    def _write(self, fd, offset, data):
+        try:
+            self._do(self.handles[fd].write, offset, data)
+        except PowerCut:
+            # Part of it was on its way; `crash` decides how much arrives.
+            self.handles[fd].write(offset, data)
+            raise
+
+    def _open(self, path):
+        name = path.rpartition("/")[2]
+        fd = next(self.numbers)
+        self.handles[fd] = self.names.setdefault(name, FakeFile())
+        return fd
+
+    def _close(self, fd):
+        self.locked.discard(fd)
+        del self.handles[fd]
+
+    def _lock(self, fd):
+        if self.locked:
+            raise OSError("locked")
+        self.locked.add(fd)
+
+    def _rename(self, old, new):
+        self._do(self._move, old.rpartition("/")[2], new.rpartition("/")[2])
+
+    def _move(self, old, new):
+        self.names[new] = self.names.pop(old)
+
+    def _sync_folder(self, path):
+        self._do(self._sync_names)
+
+    def _sync_names(self):
+        self.durable = dict(self.names)
+
+
+def voters_of(names):
+    """Return a first voter set with one disk per VM."""
+    return tuple(ev.Voter(vm, f"disk-{vm}", f"10.0.0.{n}:1") for n, vm in names)
+
+
+def make_voters(count):
+    """Return the voters a, b, c and so on."""
+    return voters_of(list(enumerate("abcdefg"[:count])))
+
+
+class Member:
+    """One VM: its disk, its core while it runs, and the state that it applied."""
+
+    def __init__(self, vm, disk):
+        self.vm = vm
+        self.fake = disk
+        self.disk = None
+        self.node = None
+        self.state = []
+
+
+class Cluster:
+    """Voters on fake disks, and the oracle that watches what they promise."""
+
+    def __init__(self, count=3, seed=1, timing=TIMING):
+        self.rng = random.Random(seed)
+        self.timing = timing
+        self.now_s = 0.0
+        self.network = []
+        self.cut = set()
+        self.frozen = set()
+        self.members = {}
+        self.numbers = itertools.count(1)
+        # The oracle.
+        self.committed = {}
+        self.leaders = {}
+        self.accepted = {}
+        self.rejected = {}
+        self.proposed = {}
+        self.reads = {}
+        self.ready = {}
+        voters = make_voters(count)
+        for voter in voters:
+            fake = FakeDisk()
+            fs = fake.filesystem()
+            init_disk(FOLDER, voter.vm, voter.address, voters, fs)
+            self.members[voter.vm] = Member(voter.vm, fake)
+            self.start(voter.vm)
+
+    # Faults.
+
+    def start(self, vm):
+        """Start a VM's process on what its disk holds; power may fail meanwhile."""
+        member = self.members[vm]
+        try:
+            disk = open_disk(FOLDER, vm, member.fake.filesystem())
+        except PowerCut:
+            self.crash(vm)
+            return
+        if disk.is_error():
+            raise disk.error
+        member.disk = disk.ok
+        saved = member.disk.saved
+        me = ev.Voter(vm, saved.identity.disk_id, saved.identity.address)
+        rng = random.Random(self.rng.random())
+        member.state = []
+        member.node = open_node(me, saved, self.timing, rng, self.now_s)
+
+    def crash(self, vm):
+        """Cut a VM's power."""
+        member = self.members[vm]
+        member.node = None
+        member.fake.crash(self.rng)
+        self.frozen.discard(vm)
+
+    def wipe(self, vm):
+        """Give a VM that has stopped an empty disk, to join as a learner."""
+        member = self.members[vm]
+        member.fake = FakeDisk()
+        identity = join_disk(FOLDER, vm, f"new-{vm}:1", member.fake.filesystem()).ok
+        self.start(vm)
+        return ev.Voter(vm, identity.disk_id, identity.address)
+
+    # Events.
+
+    def feed(self, vm, event):
+        """Give a VM one event and carry out the effects."""
+        member = self.members[vm]
+        if member.node is None or vm in self.frozen:
+            return
+        pending = [event]
+        try:
+            while pending and member.node is not None:
+                effects = handle(member.node, pending.pop(0), self.now_s)
+                for effect in effects:
+                    pending += self._carry_out(member, effect)
+                self._watch(member)
+        except PowerCut:
+            self.crash(vm)
+
+    def propose(self, vm):
+        """Propose a command of its own name, and return that."""
+        name = f"p{next(self.numbers)}"
+        self.proposed[name] = vm
+        self.feed(vm, ev.Propose(name, name))
+        return name
+
+    def read(self, vm):
+        """Ask for a read, and note what it must see."""
+        name = f"r{next(self.numbers)}"
+        self.reads[name] = max(self.accepted.values(), default=0)
+        self.feed(vm, ev.ReadIndex(name))
+        return name
+
+    def change(self, action, voter):
+        """Ask the leader to change the voter set, and return the proposal's name."""
+        name = f"c{next(self.numbers)}"
+        self.feed(self.leader(), ev.ChangeVoters(name, action, voter))
+        return name
+
+    def run(self, wait_s, loss=0.0, doubled=0.0):
+        """Let time pass, with messages lost, doubled and in any order."""
+        end_s = self.now_s + wait_s
+        while self.now_s < end_s:
+            self.now_s += TICK_S
+            for vm in self.members:
+                self.feed(vm, ev.Tick())
+            self.deliver(loss, doubled)
+
+    def deliver(self, loss=0.0, doubled=0.0):
+        """Deliver what is on the network, and what comes of it, for a few hops."""
+        for _ in range(4):
+            batch, self.network = self.network, []
+            if loss or doubled:
+                self.rng.shuffle(batch)
+            for sender, send in batch:
+                if send.vm in self.frozen:
+                    self.network.append((sender, send))
+                    continue
+                if self.rng.random() < loss:
+                    continue
+                if self.rng.random() < doubled:
+                    self.network.append((sender, send))
+                self.pass_on(sender, send)
+
+    def pass_on(self, sender, send):
+        """Give one message to the VM that it is for, through JSON."""
+        if send.vm not in self.members or {sender, send.vm} & self.cut:
+            return
+        message = json.loads(json.dumps(send.message))
+        self.feed(send.vm, ev.Received(sender, message))
+
+    # Questions.
+
+    def leader(self):
+        """Return the VM that leads in the latest term, or None."""
+        running = [m for m in self.members.values() if m.node is not None]
+        leading = [m for m in running if m.node.role == "leader"]
+        if not leading:
+            return None
+        return max(leading, key=lambda member: member.node.term).vm
+
+    def settle(self, wait_s=5.0):
+        """Run until a leader that can reach a majority has committed something new."""
+        end_s = self.now_s + wait_s
+        while self.now_s < end_s:
+            self.run(0.5)
+            leader = self.leader()
+            if leader is None or leader in self.cut or leader in self.frozen:
+                continue
+            name = self.propose(leader)
+            self.run(0.5)
+            if name in self.accepted:
+                return leader
+        raise AssertionError("no leader commits anything")
+
+    def status(self, vm):
+        return status(self.members[vm].node)
+
+    def fill(self, count):
+        """Accept a number of commands, and return their names."""
+        names = []
+        while len(names) < count:
+            names.append(self.propose(self.leader()))
+            if len(names) % 20 == 0:
+                self.run(0.1)
+        self.run(0.3)
+        return names
+
+    def check(self):
+        """Fail unless every accepted command is in the leader's state."""
+        state = self.members[self.leader()].state
+        lost = set(self.accepted) - {payload for _, payload in state}
+        commands = {name for name in lost if name.startswith("p")}
+        assert not commands, f"accepted, then lost: {sorted(commands)}"
+
+    # Effects.
+
+    def _carry_out(self, member, effect):
+        match effect:
+            case ev.Send():
+                self.network.append((member.vm, effect))
+            case ev.Persist():
+                member.disk.persist(effect)
+                return [ev.Persisted(effect.write_id)]
+            case ev.SaveSnapshot():
+                member.disk.save_snapshot(effect)
+                return [ev.Persisted(effect.write_id)]
+            case ev.Apply():
+                self._apply(member, effect.entries)
+            case ev.RestoreSnapshot():
+                member.state = [tuple(pair) for pair in json.loads(effect.data)]
+                self._check_prefix(member)
+            case ev.WantSnapshot():
+                index = member.node.applied
+                return [ev.Snapshotted(index, json.dumps(member.state))]
+            case ev.Proposed():
+                self.accepted[effect.proposal_id] = effect.index
+            case ev.Rejected():
+                self.rejected[effect.proposal_id] = effect.certain
+            case ev.ReadReady():
+                self._read(member, effect)
+        return []
+
+    def _apply(self, member, entries):
+        for entry in entries:
+            first = self.committed.setdefault(entry.index, entry)
+            assert first == entry, f"{member.vm} applied {entry}, another {first}"
+            if entry.kind == "command":
+                assert self.rejected.get(entry.payload) is not True, entry
+                member.state.append((entry.index, entry.payload))
+        self._check_prefix(member)
+
+    def _check_prefix(self, member):
+        for index, payload in member.state[-50:]:
+            assert self.committed[index].payload == payload
+
+    def _read(self, member, effect):
+        floor = self.reads[effect.read_id]
+        assert effect.index >= floor, f"{effect} misses accepted entry {floor}"
+        assert member.node.applied >= effect.index
+        self.ready[effect.read_id] = effect.index
+
+    def _watch(self, member):
+        if member.node.role != "leader":
+            return
+        key = member.node.term
+        first = self.leaders.setdefault(key, member.vm)
+        assert first == member.vm, f"{first} and {member.vm} lead in term {key}"
