Carry the log between control VMs over frame links

Cause: a change took 30 to 50 ms although an fsync takes 0.1 ms. A profile showed that httpcore tries to import sniffio, which was not installed, in each request (half of its processor time), and each change took four HTTP calls in a row. Ruled out: the disk (fsync median 0.11 ms) and Nagle's algorithm (asyncio turns it off).

--- a/libs/daemon/src/cherryrudder/daemon/controlapi.py
+++ b/libs/daemon/src/cherryrudder/daemon/controlapi.py
@@ -8,7 +8,7 @@
 from cherryrudder.quorum import events
 from cherryrudder.state import machine
 from cherryrudder.state.commands import CloseClaim, OpenClaim, TakeFence
-from cherryrudder.wire.asgi import Request, Routes, json_reply
+from cherryrudder.wire.asgi import Routes, json_reply
 
 from .clock import now_s
 from .errors import NoQuorum
@@ -33,33 +33,6 @@
     """Return the routes between the system's processes."""
     voter = control.voter
 
-    async def quorum(request: Request):
-        value = await request.json()
-        for message in value["messages"]:
-            voter.feed(events.Received(value["sender"], message))
-        return json_reply({})
-
-    async def propose(request):
-        value = await request.json()
-        answer = await voter.local_propose(value["payload"], PROPOSE_S)
-        if answer is None:
-            raise RequestError(503, "not-leader", "this control VM does not lead")
-        return json_reply({"answer": answer})
-
-    async def read_index(request):
-        index = await voter.read_index(now_s() + PROPOSE_S, forward=False)
-        if index is None:
-            raise RequestError(503, "not-leader", "this control VM does not lead")
-        return json_reply({"index": index})
-
-    async def voters(request):
-        value = await request.json(VoterChange)
-        try:
-            done = await voter.change_voters(value.action, value.voter, PROPOSE_S)
-        except NoQuorum as error:
-            raise no_quorum(error) from error
-        return json_reply({"done": done})
-
     def command_route(kind):
         async def run(request):
             command = await request.json(kind)
@@ -110,10 +83,6 @@
         return json_reply(answer)
 
     return {
-        ("POST", "/v1/quorum"): quorum,
-        ("POST", "/v1/leader/propose"): propose,
-        ("POST", "/v1/leader/read-index"): read_index,
-        ("POST", "/v1/leader/voters"): voters,
         ("POST", "/v1/claims/open"): command_route(OpenClaim),
         ("POST", "/v1/claims/close"): command_route(CloseClaim),
         ("GET", "/v1/claims"): find_claim,
--- /dev/null
+++ b/libs/daemon/src/cherryrudder/daemon/peers.py
@@ -0,0 +1,118 @@
+"""The control VMs' links to one another: the log's messages and calls to the leader.
+
+They go over frame links and not HTTP: a change takes four such messages in a row, and
+each HTTP call costs some milliseconds of two processes (docs/design/state.md).
+"""
+
+from collections.abc import Awaitable, Callable
+from typing import Any, NamedTuple
+
+import anyio
+import msgspec
+from loguru import logger
+
+from cherryrudder.model import jsoncodec
+from cherryrudder.wire.frames import FrameCodec
+from cherryrudder.wire.links import Links, listen_frames
+
+from .clock import new_id, now_s
+
+log = logger.bind(part="peers")
+
+
+class QuorumMessage(NamedTuple):
+    """A message of the log's core, as a voter sends it to another."""
+
+    sender: str
+    message: dict
+
+
+class LeaderCall(NamedTuple):
+    """A call to the VM that leads; `reply_to` is the caller's frame address."""
+
+    call_id: str
+    reply_to: str
+    kind: str
+    value: str
+
+
+class LeaderReply(NamedTuple):
+    """The answer to a call; `value` is JSON, null when the VM does not lead."""
+
+    call_id: str
+    value: str
+
+
+class Peers:
+    """The links of one control VM."""
+
+    def __init__(
+        self,
+        process,
+        on_message: Callable[[str, dict], None],
+        on_call: Callable[[str, Any], Awaitable[Any]],
+    ):
+        self.process = process
+        self.address = process.settings.listen.frames
+        self.codec = FrameCodec([QuorumMessage, LeaderCall, LeaderReply])
+        self.links = Links(
+            process.group,
+            self.codec,
+            process.internal_key,
+            self.address,
+            lambda address: None,
+        )
+        self._on_message = on_message
+        self._on_call = on_call
+        self._waiting: dict[str, list] = {}
+
+    def start(self) -> None:
+        """Start listening for the other control VMs."""
+        self.process.group.start_soon(
+            listen_frames,
+            self.address,
+            self.codec,
+            self.process.internal_key,
+            self._on_frames,
+            self.process.stopping,
+        )
+
+    def send(self, address: str, message: dict) -> None:
+        """Send a message of the log's core; it may be lost."""
+        sender = self.process.settings.process.vm
+        self.links.send(address, QuorumMessage(sender, message))
+
+    async def call(self, address: str, kind: str, value, deadline_s: float) -> Any:
+        """Return the leader's answer, or None when there was none in time."""
+        call_id = new_id()
+        slot = self._waiting[call_id] = [None, anyio.Event()]
+        text = jsoncodec.encode(value).decode()
+        self.links.send(address, LeaderCall(call_id, self.address, kind, text))
+        try:
+            with anyio.move_on_after(max(0.0, deadline_s - now_s())):
+                await slot[1].wait()
+            return slot[0]
+        finally:
+            del self._waiting[call_id]
+
+    def _on_frames(self, peer, messages):
+        for message in messages:
+            match message:
+                case QuorumMessage():
+                    self._on_message(message.sender, message.message)
+                case LeaderCall():
+                    self.process.group.start_soon(self._answer, message)
+                case LeaderReply():
+                    slot = self._waiting.get(message.call_id)
+                    if slot is not None:
+                        slot[0] = jsoncodec.decode(message.value)
+                        slot[1].set()
+
+    async def _answer(self, call):
+        try:
+            value = await self._on_call(call.kind, jsoncodec.decode(call.value))
+        except (msgspec.DecodeError, KeyError) as error:
+            log.warning("A call of kind {} was refused: {}.", call.kind, error)
+            value = None
+        text = jsoncodec.encode(value).decode()
+        self.links.send(call.reply_to, LeaderReply(call.call_id, text))
--- a/libs/daemon/src/cherryrudder/daemon/voter.py
+++ b/libs/daemon/src/cherryrudder/daemon/voter.py
@@ -12,22 +12,25 @@
 import anyio.lowlevel
 from loguru import logger
 
+from cherryrudder.model import jsoncodec
 from cherryrudder.quorum import core, events
 from cherryrudder.quorum.core import Timing
 from cherryrudder.quorum.files import open_disk
 from cherryrudder.state import machine
 from cherryrudder.state.commands import Clock
-from cherryrudder.wire.errors import StatusError, WireError
 
 from .clock import new_id, now_s, wall_s
 from .errors import NoQuorum, StartError
+from .peers import Peers
 
 # The leader puts the time of day into the log this often; retention needs no better.
 CLOCK_S = 10.0
-# A peer that is away must not fill memory: the log is sent again when it is back.
-MAX_OUTBOX = 256
-SEND_TIMEOUT_S = 1.0
+# One try at a leader; a new one is elected in about a second.
+TRY_S = 1.5
 RETRY_S = 0.05
+# Answers to proposals that nobody here waits for, kept in case of a late waiter.
+KEPT_ANSWERS = 4096
+NO_QUORUM = "no majority of the control VMs answered in time"
 
 log = logger.bind(part="voter")
 
@@ -43,30 +46,19 @@
         self.process = process
         self.disk = result.ok
         self.state = machine.new_state()
-        timing = Timing(
-            quorum.heartbeat_s,
-            quorum.election_min_s,
-            quorum.election_max_s,
-            quorum.snapshot_entries,
-        )
-        identity = self.disk.saved.identity
-        me = events.Voter(
-            identity.vm, identity.disk_id, process.settings.listen.internal
-        )
-        rng = random.Random(process.incarnation)
-        self.node = core.open_node(me, self.disk.saved, timing, rng, now_s())
         self.applied_index = 0
         self.applied = anyio.Event()
+        self.peers = Peers(process, self._on_message, self._on_call)
+        self.node = open_core(process, self.disk)
+        self._heartbeat_s = quorum.heartbeat_s
         self._effects = deque()
         self._wake = anyio.Event()
         self._answers: dict[int, Any] = {}
         self._waiting: dict[str, Any] = {}
-        self._outbox: dict[str, deque] = {}
-        self._outbox_wake: dict[str, anyio.Event] = {}
-        self._heartbeat_s = quorum.heartbeat_s
 
     def start(self) -> None:
         """Start the tasks that drive the core."""
+        self.peers.start()
         self.process.group.start_soon(self._carry_out)
         self.process.group.start_soon(self._tick)
         self.process.group.start_soon(self._put_time)
@@ -88,76 +80,58 @@
         """
         deadline_s = now_s() + timeout_s
         while now_s() < deadline_s:
-            result = await self._ask(
-                lambda name: events.Propose(name, payload), deadline_s
-            )
-            if isinstance(result, events.Proposed):
-                return self._answers.pop(result.index, None)
-            if result is not None and result.leader_address:
-                answer = await self._forward(
-                    result.leader_address, "propose", {"payload": payload}, deadline_s
-                )
-                if answer is not None:
-                    return answer["answer"]
+            answer = await self._at_leader("propose", payload, deadline_s)
+            if answer is not None:
+                return answer
             await anyio.sleep(RETRY_S)
-        raise NoQuorum("no majority of the control VMs answered in time")
+        raise NoQuorum(NO_QUORUM)
 
     async def confirm(self, timeout_s: float) -> int:
         """Wait until the state here is as fresh as the call; raises NoQuorum."""
         deadline_s = now_s() + timeout_s
         while now_s() < deadline_s:
-            index = await self.read_index(deadline_s)
+            index = await self._at_leader("read-index", "", deadline_s)
             if index is not None:
                 await self._wait_applied(index, deadline_s)
                 return self.applied_index
             await anyio.sleep(RETRY_S)
-        raise NoQuorum("no majority of the control VMs answered in time")
-
-    async def read_index(self, deadline_s: float, forward: bool = True) -> int | None:
-        """Return an index that a fresh read must be at, by the leader's word."""
-        result = await self._ask(events.ReadIndex, deadline_s)
-        if isinstance(result, events.ReadReady):
-            return result.index
-        if forward and result is not None and result.leader_address:
-            answer = await self._forward(
-                result.leader_address, "read-index", {}, deadline_s
-            )
-            return None if answer is None else answer["index"]
-        return None
+        raise NoQuorum(NO_QUORUM)
 
-    async def change_voters(self, action, voter, timeout_s) -> bool:
+    async def change_voters(self, action, voter, timeout_s: float) -> bool:
         """Change the voters by one; false when the leader refused; raises NoQuorum."""
-        deadline_s = now_s() + timeout_s
-        result = await self._ask(
-            lambda name: events.ChangeVoters(name, action, voter), deadline_s
-        )
-        if isinstance(result, events.Proposed):
-            return True
-        if result is None:
+        value = {"action": action, "voter": voter}
+        done = await self._at_leader("voters", value, now_s() + timeout_s)
+        if done is None:
             raise NoQuorum("the change of voters was not confirmed in time")
-        if result.leader_address:
-            value = {"action": action, "voter": voter}
-            answer = await self._forward(
-                result.leader_address, "voters", value, deadline_s
-            )
-            if answer is None:
-                raise NoQuorum("the leader did not confirm the change of voters")
-            return answer["done"]
-        return False
-
-    async def local_propose(self, payload, timeout_s):
-        """Commit a command if this VM leads; returns None when it does not."""
-        result = await self._ask(
-            lambda name: events.Propose(name, payload), now_s() + timeout_s
-        )
-        if isinstance(result, events.Proposed):
-            return self._answers.pop(result.index, None)
+        return done
+
+    async def _at_leader(self, kind, value, deadline_s):
+        """Return the answer of this VM if it leads, or of the one that it knows."""
+        deadline_s = min(deadline_s, now_s() + TRY_S)
+        answer = await self._here(kind, value, deadline_s)
+        address = core.status(self.node)["leader_address"]
+        if answer is None and address not in ("", self.peers.address):
+            answer = await self.peers.call(address, kind, value, deadline_s)
+        return answer
+
+    async def _here(self, kind, value, deadline_s):
+        """Return the answer if this VM leads, else None."""
+        make_event = event_maker(kind, value)
+        if make_event is None:
+            return None
+        result = await self._ask(make_event, deadline_s)
+        match result:
+            case events.Proposed():
+                return self._answers.pop(result.index, True)
+            case events.ReadReady():
+                return result.index
+            case events.Rejected() if kind == "voters" and not result.leader_address:
+                return False
         return None
 
     async def _ask(self, make_event, deadline_s):
         name = new_id()
-        slot = [None, anyio.Event()]
-        self._waiting[name] = slot
+        slot = self._waiting[name] = [None, anyio.Event()]
         try:
             self.feed(make_event(name))
             with anyio.move_on_after(max(0.0, deadline_s - now_s())):
@@ -166,17 +140,11 @@
         finally:
             del self._waiting[name]
 
-    async def _forward(self, address, path, value, deadline_s):
-        if address == self.process.settings.listen.internal:
-            return None
-        timeout_s = max(0.05, min(2.0, deadline_s - now_s()))
-        url = f"http://{address}/v1/leader/{path}"
-        try:
-            return await self.process.client.call(
-                "POST", url, value, dict, timeout_s=timeout_s
-            )
-        except (WireError, StatusError):
-            return None
+    async def _on_call(self, kind, value):
+        return await self._here(kind, value, now_s() + TRY_S)
+
+    def _on_message(self, sender, message):
+        self.feed(events.Received(sender, message))
 
     async def _wait_applied(self, index, deadline_s):
         while self.applied_index < index:
@@ -206,9 +174,10 @@
     async def _do(self, effect):
         match effect:
             case events.Send():
-                self._send(effect)
+                self.peers.send(effect.address, effect.message)
             case events.Persist():
-                # Requests that are ready join this fsync's successor as one group.
+                # Requests that are ready share the next fsync as one group, and what
+                # was sent before this effect leaves while the disk works.
                 await anyio.lowlevel.checkpoint()
                 self.disk.persist(effect)
                 self.feed(events.Persisted(effect.write_id))
@@ -235,9 +204,7 @@
                 if self._waiting:
                     self._answers[entry.index] = answer
         self._moved_to(entries[-1].index)
-        # Answers to others' proposals are never fetched; drop them in the order of
-        # the log, long after any local caller has taken its own.
-        while len(self._answers) > 4096:
+        while len(self._answers) > KEPT_ANSWERS:
             del self._answers[next(iter(self._answers))]
 
     def _moved_to(self, index):
@@ -251,28 +218,29 @@
             slot[0] = effect
             slot[1].set()
 
-    def _send(self, effect):
-        if effect.address not in self._outbox:
-            self._outbox[effect.address] = deque(maxlen=MAX_OUTBOX)
-            self._outbox_wake[effect.address] = anyio.Event()
-            self.process.group.start_soon(self._sender, effect.address)
-        self._outbox[effect.address].append(effect.message)
-        self._outbox_wake[effect.address].set()
-
-    async def _sender(self, address):
-        outbox = self._outbox[address]
-        url = f"http://{address}/v1/quorum"
-        sender = self.process.settings.process.vm
-        while True:
-            await self._outbox_wake[address].wait()
-            self._outbox_wake[address] = anyio.Event()
-            messages = list(outbox)
-            outbox.clear()
-            value = {"sender": sender, "messages": messages}
-            try:
-                await self.process.client.call(
-                    "POST", url, value, timeout_s=SEND_TIMEOUT_S
-                )
-            except WireError:
-                # The core sends again with its next heartbeat whatever was lost.
-                await anyio.sleep(self._heartbeat_s)
+
+def event_maker(kind: str, value):
+    """Return a function from a name to the core's event, None for an unknown kind."""
+    if kind == "propose":
+        return lambda name: events.Propose(name, value)
+    if kind == "read-index":
+        return events.ReadIndex
+    if kind == "voters":
+        voter = jsoncodec.convert(jsoncodec.plain(value["voter"]), events.Voter)
+        return lambda name: events.ChangeVoters(name, value["action"], voter)
+    return None
+
+
+def open_core(process, disk):
+    """Return the log's core as the disk left it."""
+    quorum = process.settings.quorum
+    timing = Timing(
+        quorum.heartbeat_s,
+        quorum.election_min_s,
+        quorum.election_max_s,
+        quorum.snapshot_entries,
+    )
+    identity = disk.saved.identity
+    me = events.Voter(identity.vm, identity.disk_id, process.settings.listen.frames)
+    rng = random.Random(process.incarnation)
+    return core.open_node(me, disk.saved, timing, rng, now_s())
--- a/libs/daemon/src/cherryrudder/daemon/voterdisk.py
+++ b/libs/daemon/src/cherryrudder/daemon/voterdisk.py
@@ -21,9 +21,9 @@
         voters = tuple(_founder(text) for text in founders)
         if vm not in {voter.vm for voter in voters}:
             raise StartError(f"the founding voters do not name this VM, {vm}")
-        result = init_disk(folder, vm, settings.listen.internal, voters)
+        result = init_disk(folder, vm, settings.listen.frames, voters)
     else:
-        result = join_disk(folder, vm, settings.listen.internal)
+        result = join_disk(folder, vm, settings.listen.frames)
     if result.is_error():
         raise StartError(str(result.error))
     identity = result.ok
--- a/libs/fakes/src/cherryrudder/fakes/deployment.py
+++ b/libs/fakes/src/cherryrudder/fakes/deployment.py
@@ -115,10 +115,7 @@
 
     def start(self) -> None:
         """Create the voters' disks, start everything and wait until it serves."""
-        founders = [
-            f"{node.name}={address}"
-            for node, address in zip(self.controls, self.control_addresses, strict=True)
-        ]
+        founders = [f"{node.name}={node.addresses['frames']}" for node in self.controls]
         makers = [
             subprocess.Popen(
                 [*node.command, "--init", *founders], stdout=subprocess.DEVNULL
@@ -194,7 +191,11 @@
             return 0
 
     def _control(self, index):
-        listen = {"internal": self.control_addresses[index], "operator": free_address()}
+        listen = {
+            "internal": self.control_addresses[index],
+            "operator": free_address(),
+            "frames": free_address(),
+        }
         quorum = {"data_folder": self.folder / f"control-{index}.data"}
         place = f"dc-{index % 3 + 1}"
         return self._daemon(f"control-{index}", "control", listen, place, quorum=quorum)
--- a/libs/model/src/cherryrudder/model/settings.py
+++ b/libs/model/src/cherryrudder/model/settings.py
@@ -120,6 +120,7 @@
     ),
     "control": (
         ("listen", "operator"),
+        ("listen", "frames"),
         ("quorum", "data_folder"),
         ("control", "addresses"),
     ),
--- a/libs/wire/src/cherryrudder/wire/client.py
+++ b/libs/wire/src/cherryrudder/wire/client.py
@@ -1,4 +1,8 @@
-"""HTTP calls to other processes, by httpx; its errors become `WireError`."""
+"""HTTP calls to other processes, by httpx; its errors become `WireError`.
+
+httpcore looks for sniffio in each request, and a failed import searches every folder
+of the path again: without sniffio installed a call cost twice the processor time.
+"""
 
 from collections.abc import AsyncIterator
 from typing import Any
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -178,7 +178,7 @@
 def count_steps(deployment, name):
     """Return how many layer runs a stand-in engine has in its ledger."""
     url = deployment.back_end(f"{name}.engine") + "/v1/ledger"
-    return len(json.dumps(deployment.http.get(url).json().get("layers", [])))
+    return len(deployment.http.get(url).json()["runs"])
 
 
 def main():
