Give the stand-in engine its cache, orders, KV transfer and faults

It listens on a bound socket and prints its address, so a test can ask for port 0; finding a free port first and handing it over was ruled out, since another process may take it. A handler that never answers waits for its caller to go away; sleeping for ever was tried and made each stop last 3 s and end in a traceback.

--- a/libs/fakes/src/cherryrudder/fakes/asgi.py
+++ b/libs/fakes/src/cherryrudder/fakes/asgi.py
@@ -2,6 +2,7 @@
 
 import functools
 import signal
+import socket
 from collections.abc import Awaitable, Callable
 from typing import NamedTuple
 from urllib.parse import parse_qs
@@ -21,13 +22,13 @@
 
 
 class Call(NamedTuple):
-    """One HTTP call as a handler sees it; `value` is the decoded JSON body."""
+    """One HTTP call as a handler sees it."""
 
     method: str
     path: str
     query: dict[str, list[str]]
     headers: dict[str, str]
-    value: object
+    body: bytes
 
 
 class Reply(NamedTuple):
@@ -37,7 +38,19 @@
     value: object
 
 
-Handler = Callable[[Call], Awaitable[Reply]]
+# A handler that gives None never answers: its caller waits until it gives up.
+Handler = Callable[[Call], Awaitable[Reply | None]]
+
+
+def json_object(call: Call) -> dict:
+    """Return the JSON object of a call's body; raises ValueError if it is none."""
+    try:
+        value = msgspec.json.decode(call.body)
+    except msgspec.DecodeError as error:
+        raise ValueError(str(error)) from error
+    if not isinstance(value, dict):
+        raise ValueError("the body must be a JSON object")
+    return value
 
 
 async def read_body(receive) -> bytes | None:
@@ -78,23 +91,29 @@
         if body is None:
             return
         reply = await _answer(handler, scope, body)
+        if reply is None:
+            await _wait_for_disconnect(receive)
+            return
         await send_json(send, reply)
         after_reply()
 
     return app
 
 
+async def _wait_for_disconnect(receive):
+    while (await receive())["type"] != "http.disconnect":
+        pass
+
+
 async def _answer(handler, scope, body):
-    try:
-        value = msgspec.json.decode(body) if body else {}
-    except msgspec.DecodeError as error:
-        return Reply(400, {"error": str(error)})
     headers = {name.decode(): text.decode("latin-1") for name, text in scope["headers"]}
     query = parse_qs(scope["query_string"].decode())
-    call = Call(scope["method"], scope["path"], query, headers, value)
+    call = Call(scope["method"], scope["path"], query, headers, body)
     try:
         return await handler(call)
-    except (msgspec.ValidationError, KeyError, ValueError) as error:
+    except KeyError as error:
+        return Reply(400, {"error": f"missing {error}"})
+    except ValueError as error:
         return Reply(400, {"error": str(error)})
 
 
@@ -113,9 +132,12 @@
 
 
 async def serve_until_signal(app, address: str, background=None):
-    """Serve on IP:PORT until SIGTERM or SIGINT, next to a background function."""
+    """Serve on IP:PORT until SIGTERM or SIGINT, next to a background function.
+
+    Port 0 takes a free port; the first line of output tells which.
+    """
     config = Config()
-    config.bind = [address]
+    config.bind = [f"fd://{_bound_socket(address)}"]
     config.accesslog = None
     config.loglevel = "WARNING"
     config.backlog = BACKLOG
@@ -135,3 +157,12 @@
             tasks.start_soon(serve_then_stop)
             if background is not None:
                 tasks.start_soon(background)
+
+
+def _bound_socket(address):
+    host, _, port = address.rpartition(":")
+    listener = socket.create_server((host, int(port)), backlog=BACKLOG)
+    bound_host, bound_port = listener.getsockname()
+    # Whoever started the process with port 0, or waits for it, reads this line.
+    print(f"listening on {bound_host}:{bound_port}", flush=True)
+    return listener.detach()
--- /dev/null
+++ b/libs/fakes/src/cherryrudder/fakes/events.py
@@ -0,0 +1,50 @@
+"""Numbered cache events, published late and with gaps, as real engines do."""
+
+import random
+from collections import deque
+from typing import NamedTuple
+
+# Enough for the longest run of the tests; a reader that falls further behind sees a
+# gap, which it has to cope with anyway.
+KEPT_EVENTS = 10_000
+
+
+class Event(NamedTuple):
+    """A block that came into the cache (`stored`) or left it (`evicted`)."""
+
+    number: int
+    kind: str
+    prefix: str
+
+
+class EventLog:
+    """The events of one engine; a share of them is lost and leaves a gap."""
+
+    def __init__(self, lag_s: float, lost_share: float, rng: random.Random):
+        self.lag_s = lag_s
+        self.lost_share = lost_share
+        self.rng = rng
+        self.last_number = 0
+        self.visible_s = 0.0
+        self.events = deque(maxlen=KEPT_EVENTS)
+
+
+def publish(log: EventLog, kind: str, prefix: str, now_s: float):
+    """Number an event; it can be read after the lag, or never."""
+    log.last_number += 1
+    lag_s = log.lag_s * log.rng.uniform(0.5, 1.5)
+    # An event is never read before an older one: engines number what they send in
+    # order, and only the delay varies.
+    log.visible_s = max(log.visible_s, now_s + lag_s)
+    if log.rng.random() >= log.lost_share:
+        event = Event(log.last_number, kind, prefix)
+        log.events.append((log.visible_s, event))
+
+
+def read_since(log: EventLog, number: int, now_s: float) -> list[Event]:
+    """Return the events after a number that have come out by now."""
+    return [
+        event
+        for visible_s, event in log.events
+        if event.number > number and visible_s <= now_s
+    ]
--- a/libs/fakes/src/cherryrudder/fakes/faults.py
+++ b/libs/fakes/src/cherryrudder/fakes/faults.py
@@ -2,8 +2,6 @@
 
 from typing import NamedTuple
 
-import msgspec
-
 
 class EngineFaults(NamedTuple):
     """Faults of an engine; a call to /v1/faults sets the fields it names.
@@ -31,15 +29,3 @@
     freeze_s: float = 0.0
     die: bool = False
     drop_answers: int = 0
-
-
-def merge(faults, changes: dict):
-    """Return the faults with the named fields changed.
-
-    Raises ValueError for an unknown field or a value of another type.
-    """
-    unknown = set(changes) - set(faults._fields)
-    if unknown:
-        raise ValueError(f"unknown fault {', '.join(sorted(unknown))}")
-    fields = faults._asdict() | changes
-    return msgspec.convert(list(fields.values()), type(faults))
--- /dev/null
+++ b/libs/fakes/src/cherryrudder/fakes/kv.py
@@ -0,0 +1,54 @@
+"""Export and import of one request's KV."""
+
+from typing import TypedDict
+
+from expression import Error, Ok, Result
+
+from .core import Engine, Sequence
+from .errors import KvRefused
+
+
+class LayerKv(TypedDict):
+    """The KV of an engine's layers; layer numbers are text, as JSON keys are."""
+
+    model: str
+    version: str
+    layers: dict[str, str]
+
+
+class Export(TypedDict):
+    """One request's KV as another engine can take it."""
+
+    request: str
+    next_position: int
+    kv: LayerKv
+
+
+def export_kv(engine: Engine, name: str) -> Result[Export, KvRefused]:
+    """Return a request's KV after the positions that are computed by now."""
+    sequence = engine.sequences.get(name)
+    if sequence is None:
+        return Error(KvRefused("unknown request"))
+    layers = range(engine.layers.first, engine.layers.end)
+    held = {str(layer): kv for layer, kv in zip(layers, sequence.kv, strict=True)}
+    loaded = engine.loaded
+    kv = LayerKv(model=loaded.model, version=loaded.version, layers=held)
+    return Ok(Export(request=name, next_position=sequence.next_position, kv=kv))
+
+
+def import_kv(engine: Engine, export: Export) -> Result[int, KvRefused]:
+    """Take a request's KV in place of what is held; return its next position.
+
+    The export may hold more layers than this engine, but none of its own may lack.
+    """
+    kv, name = export["kv"], export["request"]
+    if (kv["model"], kv["version"]) != engine.loaded[:2]:
+        return Error(KvRefused("model"))
+    layers = [str(n) for n in range(engine.layers.first, engine.layers.end)]
+    if not kv["layers"].keys() >= set(layers):
+        return Error(KvRefused("layers missing"))
+    if any(job.request == name for job in engine.jobs.values()):
+        return Error(KvRefused("request is running"))
+    values = [kv["layers"][layer] for layer in layers]
+    engine.sequences[name] = Sequence(values, export["next_position"], None)
+    return Ok(export["next_position"])
--- /dev/null
+++ b/libs/fakes/src/cherryrudder/fakes/orders.py
@@ -0,0 +1,69 @@
+"""Orders to an engine, and the fencing number that guards them on some engines."""
+
+from typing import NamedTuple
+
+from expression import Error, Ok, Result
+
+from .errors import OrderRefused
+
+
+class Order(NamedTuple):
+    """An order; which of the other fields count depends on `order`."""
+
+    fence: int = -1
+    order: str = ""
+    model: str = ""
+    version: str = ""
+    adapter: str = ""
+    role: str = ""
+
+
+class Loaded(NamedTuple):
+    """What an engine has loaded, and its role."""
+
+    model: str
+    version: str
+    adapters: tuple[str, ...] = ()
+    role: str = "both"
+
+
+class Gate:
+    """The highest fencing number seen; an engine that does not check ignores it."""
+
+    def __init__(self, checks_fence: bool):
+        self.checks_fence = checks_fence
+        self.highest = 0
+
+
+NEEDED_FIELD = {
+    "load-model": "model",
+    "load-version": "version",
+    "load-adapter": "adapter",
+    "role": "role",
+}
+
+
+def follow(gate: Gate, loaded: Loaded, order: Order) -> Result[Loaded, OrderRefused]:
+    """Return what is loaded after an order, or why it is refused."""
+    field = NEEDED_FIELD.get(order.order)
+    if field is None or not getattr(order, field):
+        return Error(OrderRefused(f"bad order {order.order!r}"))
+    # An order that was held up on its way would otherwise undo a newer one: the
+    # engine would go back to an old model while the system believes in the new one.
+    # A number below the highest is that case; the same number is a resend.
+    if gate.checks_fence and order.fence < gate.highest:
+        return Error(OrderRefused("old fence"))
+    gate.highest = max(gate.highest, order.fence)
+    return Ok(_carry_out(loaded, order))
+
+
+def _carry_out(loaded, order):
+    if order.order == "load-model":
+        version = order.version or loaded.version
+        return Loaded(order.model, version, (), loaded.role)
+    if order.order == "load-version":
+        return loaded._replace(version=order.version, adapters=())
+    if order.order == "role":
+        return loaded._replace(role=order.role)
+    adapters = dict.fromkeys((*loaded.adapters, order.adapter))
+    return loaded._replace(adapters=tuple(adapters))
--- a/libs/fakes/src/cherryrudder/fakes/service.py
+++ b/libs/fakes/src/cherryrudder/fakes/service.py
@@ -6,8 +6,9 @@
 import anyio
 import defopt
 
-from .asgi import Reply, make_app, route, serve_until_signal
-from .faults import ServiceFaults, merge
+from .asgi import Call, Reply, json_object, make_app, route, serve_until_signal
+from .faults import ServiceFaults
+from .fields import merge
 from .freeze import Freeze, set_freeze, thaw
 
 DIED = 70
@@ -31,7 +32,7 @@
     return {"receipt": receipt, "text": text}
 
 
-async def answer(service: Service, call) -> Reply:
+async def answer(service: Service, call: Call) -> Reply | None:
     """Answer any call; a POST to a path that ends in /filings is a filing."""
     await thaw(service.freeze)
     faults = service.faults
@@ -44,25 +45,26 @@
         return Reply(500, {"error": "failed"})
     reply = Reply(200, {"service": service.name, "path": call.path})
     if call.method == "POST" and call.path.endswith("/filings"):
-        reply = Reply(200, file(service, call.value["text"], key))
+        reply = Reply(200, file(service, json_object(call)["text"], key))
     # The filing stands in the ledger by now: this is a lost answer, not a lost call.
     if service.faults.drop_answers > 0:
         left = service.faults.drop_answers - 1
         service.faults = service.faults._replace(drop_answers=left)
-        await anyio.sleep_forever()
+        return None
     await thaw(service.freeze)
     return reply
 
 
-async def give_ledger(service: Service, call) -> Reply:
+async def give_ledger(service: Service, call: Call) -> Reply:
     """Answer every filing and call."""
     return Reply(200, {"filings": service.filings, "calls": service.calls})
 
 
-async def set_faults(service: Service, call) -> Reply:
+async def set_faults(service: Service, call: Call) -> Reply:
     """Change the faults named in the body; `freeze_s` counts from now."""
-    service.faults = merge(service.faults, call.value)
-    if "freeze_s" in call.value:
+    changes = json_object(call)
+    service.faults = merge(service.faults, changes)
+    if "freeze_s" in changes:
         set_freeze(service.freeze, service.faults.freeze_s)
     return Reply(200, service.faults._asdict())
 
--- /dev/null
+++ b/libs/fakes/test/builders.py
@@ -0,0 +1,89 @@
+"""Builders of test data for the stand-ins' tests."""
+
+import os
+import random
+import subprocess
+import sys
+
+from cherryrudder.fakes import core, fold
+from cherryrudder.fakes.batching import Job, Limits
+from cherryrudder.fakes.core import Engine, Range
+from cherryrudder.fakes.events import EventLog
+from cherryrudder.fakes.orders import Loaded
+
+MODEL = "briefing"
+STOP_TIMEOUT_S = 20
+
+
+def a_job(number, inputs=1, priority=0, request=None):
+    """Return a job of a request of its own."""
+    name = request or f"r{number}"
+    return Job(number, name, 0, ["a"] * inputs, priority)
+
+
+def an_engine(first=0, end=4, total=4, kv_tokens=1000, max_batch=4, prefill_tokens=8):
+    """Return an engine whose cache events are neither late nor lost."""
+    limits = Limits(100.0, max_batch, prefill_tokens)
+    events = EventLog(0.0, 0.0, random.Random(1))
+    layers = Range(first, end, total)
+    return Engine(Loaded(MODEL, "1"), layers, limits, kv_tokens, events)
+
+
+def a_step(request, position, inputs, priority=0):
+    """Return a step of the model that every engine here holds."""
+    return core.Step(
+        request=request,
+        model=MODEL,
+        position=position,
+        inputs=inputs,
+        priority=priority,
+    )
+
+
+def run_to_end(engine, now_s=0.0):
+    """Run batch steps until no job is left."""
+    while core.begin_batch(engine):
+        core.finish_batch(engine, now_s)
+
+
+def ask(engine, request, position, inputs):
+    """Return the outputs of one step that is run at once."""
+    job = core.submit(engine, a_step(request, position, inputs), 0.0).ok
+    run_to_end(engine)
+    return job.outputs
+
+
+class NaiveEngine:
+    """One request's layers run at once, one position after the other, no cache."""
+
+    def __init__(self, layers):
+        self.layers = layers
+        self.kv = {}
+
+    def run(self, request, inputs):
+        kv = self.kv.setdefault(request, [fold.EMPTY_KV] * self.layers)
+        outputs = []
+        for value in inputs:
+            for layer in range(self.layers):
+                value, kv[layer] = fold.run_layer(MODEL, layer, kv[layer], value)
+            outputs.append(fold.pick_token(value))
+        return outputs
+
+
+def start_process(module, *options):
+    """Start a stand-in on a free port; return the process and its base address."""
+    command = [sys.executable, "-m", f"cherryrudder.fakes.{module}"]
+    command += ["--listen", "127.0.0.1:0", *options]
+    process = subprocess.Popen(
+        command, stdout=subprocess.PIPE, text=True, env=os.environ
+    )
+    address = process.stdout.readline().split()[-1]
+    return process, f"http://{address}"
+
+
+def stop_process(process):
+    """End a process gracefully and return its exit code."""
+    process.terminate()
+    code = process.wait(STOP_TIMEOUT_S)
+    process.stdout.close()
+    return code
