Add the load and measuring tool

Measuring the whole path needs a caller that judges as callers do: an answer counts only if it is whole and its text is the model's. A closed loop was ruled out, since it eases off just when the system is full. Times count from the planned arrival, and texts are checked after the run, so that hashing takes no time from it.

Not run yet against real entries.

--- /dev/null
+++ b/libs/fakes/src/cherryrudder/fakes/load_stats.py
@@ -0,0 +1,125 @@
+"""The figures of a load run, out of its samples."""
+
+from collections import Counter
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from hdrh.histogram import HdrHistogram
+
+from .samples import Result, Sample
+
+MICROSECONDS = 1_000_000
+LONGEST_US = 3600 * MICROSECONDS
+DIGITS = 3
+
+
+class Percentiles(NamedTuple):
+    """Points of a distribution of times."""
+
+    p50_s: float
+    p95_s: float
+    p99_s: float
+    max_s: float
+
+
+class Figures(NamedTuple):
+    """What one customer, or all of them, received.
+
+    Goodput counts the tokens of whole and right answers only.
+    """
+
+    customer: str
+    sent: int
+    results: dict[str, int]
+    statuses: dict[int, int]
+    first_token: Percentiles
+    between_tokens: Percentiles
+    total: Percentiles
+    goodput_tokens_per_s: float
+    goodput_requests_per_s: float
+    retry_after: Percentiles
+
+
+class Report(NamedTuple):
+    """A whole load run; Jain's index is over goodput per weight."""
+
+    customers: list[Figures]
+    together: Figures
+    jain: float
+    elapsed_s: float
+    # How far the tool itself fell behind its plan; above some milliseconds the
+    # figures tell of the tool and not of the system.
+    late_start_s: float
+
+
+def percentiles(times_s: Iterable[float]) -> Percentiles:
+    """Return points of a distribution, to three digits."""
+    histogram = HdrHistogram(1, LONGEST_US, DIGITS)
+    for time_s in times_s:
+        histogram.record_value(min(LONGEST_US, max(1, round(time_s * MICROSECONDS))))
+    if not histogram.get_total_count():
+        return Percentiles(0.0, 0.0, 0.0, 0.0)
+    points = (histogram.get_value_at_percentile(point) for point in (50, 95, 99, 100))
+    return Percentiles(*(point / MICROSECONDS for point in points))
+
+
+def jain_index(shares: list[float]) -> float:
+    """Return Jain's index: 1 if all shares are equal, 1/n if one has everything."""
+    squares = sum(share * share for share in shares)
+    return sum(shares) ** 2 / (len(shares) * squares) if squares else 1.0
+
+
+def figures(name: str, samples: list[Sample], elapsed_s: float) -> Figures:
+    """Return the figures of some samples."""
+    done = [sample for sample in samples if sample.result == Result.DONE]
+    refused = [s.retry_after_s for s in samples if s.retry_after_s]
+    tokens = sum(len(sample.text.split()) for sample in done)
+    gaps_s = (gap_s for sample in done for gap_s in sample.token_gaps_s)
+    return Figures(
+        name,
+        len(samples),
+        dict(Counter(str(sample.result) for sample in samples)),
+        dict(Counter(sample.status for sample in samples)),
+        percentiles(sample.first_token_s for sample in done),
+        percentiles(gaps_s),
+        percentiles(sample.total_s for sample in done),
+        tokens / elapsed_s,
+        len(done) / elapsed_s,
+        percentiles(refused),
+    )
+
+
+def summarize(samples: list[Sample], elapsed_s: float, late_start_s: float) -> Report:
+    """Return the report of a run that took so long."""
+    by_customer = {}
+    for sample in samples:
+        by_customer.setdefault(sample.arrival.customer, []).append(sample)
+    customers, shares = [], []
+    for customer, own in sorted(by_customer.items()):
+        customers.append(figures(customer.name, own, elapsed_s))
+        shares.append(customers[-1].goodput_tokens_per_s / customer.weight)
+    together = figures("all", samples, elapsed_s)
+    return Report(customers, together, jain_index(shares), elapsed_s, late_start_s)
+
+
+def format_report(report: Report) -> str:
+    """Return the report as a table for people."""
+    heads = ("customer", "sent", "done", "not-run", "unknown", "bad", "tokens/s")
+    heads += ("ttft p50", "p99", "tbt p50", "p99", "retry-after")
+    lines = [f"{heads[0]:14}" + "".join(f"{head:>12}" for head in heads[1:])]
+    lines += [_row(row) for row in (*report.customers, report.together)]
+    lines.append(
+        f"Jain's index {report.jain:.3f}, {report.elapsed_s:.1f} s, "
+        f"latest start {report.late_start_s * 1000:.1f} ms after plan"
+    )
+    return "\n".join(lines)
+
+
+def _row(row):
+    counts = [row.results.get(name, 0) for name in ("done", "not-run", "unknown")]
+    cells = [row.sent, *counts, row.sent - sum(counts)]
+    cells.append(f"{row.goodput_tokens_per_s:.1f}")
+    for times in (row.first_token, row.between_tokens):
+        cells += [f"{times.p50_s * 1000:.1f} ms", f"{times.p99_s * 1000:.1f} ms"]
+    cells.append(f"{row.retry_after.p50_s:.2f} s")
+    return f"{row.customer:14}" + "".join(f"{cell:>12}" for cell in cells)
--- /dev/null
+++ b/libs/fakes/src/cherryrudder/fakes/sse.py
@@ -0,0 +1,44 @@
+"""Server-sent events as a caller reads them off a stream."""
+
+from collections.abc import Iterable, Iterator
+from typing import NamedTuple
+
+
+class ServerEvent(NamedTuple):
+    """One event; `kind` is `message` unless the stream names another."""
+
+    kind: str
+    data: str
+
+
+class EventParser:
+    """The lines of an event that is not complete yet."""
+
+    def __init__(self):
+        self.kind = "message"
+        self.data = []
+
+
+def feed(parser: EventParser, line: str) -> ServerEvent | None:
+    """Take one line without its end; return the event that it completes, if any."""
+    if line:
+        name, _, value = line.partition(":")
+        value = value.removeprefix(" ")
+        if name == "event":
+            parser.kind = value
+        elif name == "data":
+            parser.data.append(value)
+        return None
+    if not parser.data:
+        return None
+    event = ServerEvent(parser.kind, "\n".join(parser.data))
+    parser.kind, parser.data = "message", []
+    return event
+
+
+def parse(lines: Iterable[str]) -> Iterator[ServerEvent]:
+    """Yield the events of complete lines."""
+    parser = EventParser()
+    for line in lines:
+        if event := feed(parser, line):
+            yield event
--- a/libs/fakes/test/builders.py
+++ b/libs/fakes/test/builders.py
@@ -1,10 +1,13 @@
 """Builders of test data for the stand-ins' tests."""
 
+import json
 import os
 import random
 import subprocess
 import sys
 
+import httpx
+
 from cherryrudder.fakes import core, fold
 from cherryrudder.fakes.batching import Job, Limits
 from cherryrudder.fakes.core import Engine, Range
@@ -87,3 +90,47 @@
     code = process.wait(STOP_TIMEOUT_S)
     process.stdout.close()
     return code
+
+
+class FakeEntry:
+    """An entry for the load tool: answers whole, refuses, cuts or garbles."""
+
+    def __init__(self, layers, behaviours):
+        self.layers = layers
+        self.behaviours = behaviours
+        self.bodies = []
+        self.keys = set()
+
+    def answer(self, request):
+        body = json.loads(request.content)
+        self.bodies.append(body)
+        self.keys.add(request.headers.get("idempotency-key"))
+        key = request.headers["authorization"].removeprefix("Bearer ")
+        return getattr(self, self.behaviours[key])(body)
+
+    def refuse(self, body):
+        headers = {"Cherryrudder-Outcome": "not-run", "Retry-After": "2"}
+        return httpx.Response(429, headers=headers, json={})
+
+    def whole(self, body, lost=0, end="data: [DONE]\n\n"):
+        headers = {"Cherryrudder-Outcome": "done"}
+        if "text" in body:
+            return httpx.Response(200, headers=headers, json=body)
+        texts = fold.generate(MODEL, self.layers, body["prompt"], body["max_tokens"])
+        texts = texts[: len(texts) - lost]
+        if not body["stream"]:
+            answer = {"choices": [{"text": " ".join(texts)}]}
+            return httpx.Response(200, headers=headers, json=answer)
+        choices = [{"choices": [{"text": f" {text}", "index": 0}]} for text in texts]
+        lines = [f"data: {json.dumps(choice)}\n\n" for choice in choices]
+        return httpx.Response(200, headers=headers, text="".join(lines) + end)
+
+    def garble(self, body):
+        return self.whole(body, lost=1)
+
+    def cut(self, body):
+        return self.whole(body, lost=1, end="")
+
+    def fail(self, body):
+        error = 'event: error\ndata: {"error": {}, "outcome": "unknown"}\n\n'
+        return self.whole(body, lost=1, end=error)
