--- a/libs/daemon/src/cherryrudder/daemon/completions.py
+++ b/libs/daemon/src/cherryrudder/daemon/completions.py
@@ -157,7 +157,9 @@
                 text = " ".join(chunk) if is_first else " " + " ".join(chunk)
                 is_first = False
                 yield _event(request_id, body.model, text, None)
-            yield _event(request_id, body.model, "", "length")
+            # A stream tells its outcome at its end: its head is sent before anyone
+            # can know.
+            yield _event(request_id, body.model, "", "length", Outcome.DONE)
             yield DONE_EVENT
         except Late:
             yield _error_event("deadline", "the deadline has passed")
@@ -211,15 +213,16 @@
     return (
         ("content-type", "text/event-stream"),
         ("cache-control", "no-store"),
-        # The stream's last event tells the outcome; this one tells that it began.
-        (OUTCOME, Outcome.DONE),
     )
 
 
-def _event(request_id, model, text, finish_reason):
+def _event(request_id, model, text, finish_reason, outcome=None):
     choice = {"text": text, "index": 0, "finish_reason": finish_reason}
     value = {"id": request_id, "object": "text_completion", "model": model}
-    return b"data: " + jsoncodec.encode(value | {"choices": [choice]}) + b"\n\n"
+    value["choices"] = [choice]
+    if outcome is not None:
+        value["outcome"] = outcome
+    return b"data: " + jsoncodec.encode(value) + b"\n\n"
 
 
 def _error_event(code, message):
