Test the state machine against naive versions and simple oracles

The oracle of the first is what the sidecars really ran; that of the second is two dicts.

Seen failing on the naive versions first, which stay as differential partners: claims by key alone ran a call twice (two runs of one key) and told not-run of an attempt that then ran; last-writer-wins answered ok where the oracle says conflict, and answered a resend anew. The first draft of the contract machine failed on the real one too: it told a resend from a first answer by object identity, which a kept answer shares. The comparison is by change id now and asserts the same.

--- /dev/null
+++ b/libs/state/test/test_claims.py
@@ -0,0 +1,155 @@
+"""Tests of claims: at most one attempt of a non-idempotent call runs."""
+
+import unittest
+from unittest import mock
+
+from builders import SETTINGS, UNSHRUNK, NaiveVoter, Sidecars, Voter, a_close, an_open
+from hypothesis import stateful, strategies as st
+
+from cherryrudder.state import claims
+from cherryrudder.state.machine import find_claim
+
+pick = st.integers(0, 1000)
+
+
+class ClaimMachine(stateful.RuleBasedStateMachine):
+    """Entries that open, resend, time out and give up; packets late and doubled."""
+
+    make_voter = Voter
+
+    def __init__(self):
+        super().__init__()
+        self.voter = self.make_voter()
+        self.sidecars = Sidecars()
+        self.granted = []
+        self.sent = []
+        self.told_not_run = set()
+
+    def propose(self, command):
+        self.sent.append(command)
+        answer = self.voter.apply(command)
+        if answer.code == "granted":
+            self.granted.append(answer.claim)
+
+    @stateful.rule(key=st.sampled_from("xy"), attempt=st.integers(0, 4), endpoint=pick)
+    def open(self, key, attempt, endpoint):
+        self.propose(an_open(f"{key}{attempt}", key, f"desk-{endpoint % 2}"))
+
+    @stateful.precondition(lambda self: self.sent)
+    @stateful.rule(which=pick)
+    def resend(self, which):
+        self.propose(self.sent[which % len(self.sent)])
+
+    @stateful.precondition(lambda self: self.granted)
+    @stateful.rule(which=pick)
+    def deliver(self, which):
+        self.sidecars.run(self.granted[which % len(self.granted)])
+
+    @stateful.precondition(lambda self: self.granted)
+    @stateful.rule(which=pick, sees_sidecar=st.booleans())
+    def give_up(self, which, sees_sidecar):
+        claim = self.granted[which % len(self.granted)]
+        outcome = "unknown"
+        if sees_sidecar:
+            outcome = "not-run" if self.sidecars.refuse(claim) else "done"
+        self.propose(a_close(outcome, claim.attempt_id, claim.key))
+        if outcome == "not-run":
+            self.told_not_run.add(claim.attempt_id)
+
+    @stateful.rule()
+    def restart(self):
+        self.voter.restart()
+
+    @stateful.invariant()
+    def each_call_ran_once_at_most(self):
+        runs = self.sidecars.runs
+        assert len(runs) == len(set(runs)), runs
+
+    @stateful.invariant()
+    def not_run_was_true(self):
+        assert not self.told_not_run & {attempt for _, attempt in self.sidecars.ran}
+
+
+class NaiveClaimMachine(ClaimMachine):
+    make_voter = NaiveVoter
+
+
+class ClaimTest(unittest.TestCase):
+    def setUp(self):
+        self.voter = Voter()
+
+    def held(self):
+        return find_claim(self.voter.state, "petra-tours", "k1")
+
+    def test_each_call_runs_once_at_most(self):
+        """A filing is stamped once, or the caller is told truly that it was not.
+
+        Entries open claims, lose answers, resend, and give up with or without a
+        tombstone; grants and outcomes arrive late and twice; voters restart. Only the
+        attempt id in the log tells a late packet from the current attempt's.
+        """
+        stateful.run_state_machine_as_test(ClaimMachine, settings=SETTINGS)
+
+    def test_claims_without_attempt_ids_run_a_call_twice(self):
+        """A second coach comes to the hotel.
+
+        Attempt 1 is given up, attempt 2 is granted and runs, then attempt 1's doubled
+        not-run arrives. It closes a claim known by key alone, and attempt 3 runs too.
+        """
+        with self.assertRaises(AssertionError):
+            stateful.run_state_machine_as_test(NaiveClaimMachine, settings=UNSHRUNK)
+
+    def test_a_lost_grant_is_given_again_to_the_same_incarnation_only(self):
+        """The entry lost the answer to its claim and proposes it again.
+
+        It must go on with its own attempt. The same attempt id for another sidecar
+        would pass both gates, since each sidecar remembers its own attempts alone.
+        """
+        self.voter.apply(an_open())
+        self.assertEqual(self.voter.apply(an_open()).code, "granted")
+        for change in ({"endpoint": "desk-2"}, {"incarnation": "2-b"}):
+            answer = self.voter.apply(an_open(**change))
+            self.assertEqual((answer.code, answer.claim.endpoint), ("exists", "desk-1"))
+        answer = self.voter.apply(an_open("a2", body_sha256="other"))
+        self.assertEqual(answer.code, "body-differs")
+
+    def test_a_spent_attempt_is_never_granted_again(self):
+        self.voter.apply(an_open("a1"))
+        for attempt, following in (("a1", "a2"), ("a2", "a3")):
+            self.voter.apply(a_close("not-run", attempt))
+            self.assertEqual(self.voter.apply(an_open("a1")).code, "exists")
+            self.assertEqual(self.voter.apply(an_open(following)).code, "granted")
+
+    def test_the_first_outcome_stays_but_unknown_may_become_done(self):
+        for first in ("done", "not-run", "unknown"):
+            for second in ("done", "not-run", "unknown"):
+                with self.subTest(first=first, second=second):
+                    self.voter = Voter()
+                    self.voter.apply(an_open())
+                    self.voter.apply(a_close(first, body="first"))
+                    answer = self.voter.apply(a_close(second, body="second"))
+                    learned = (first, second) == ("unknown", "done")
+                    self.assertEqual(answer.code, "ok" if learned else "conflict")
+                    self.assertEqual(self.held().body, "second" if learned else "first")
+
+    def test_the_result_is_kept_for_a_day_of_the_logs_time(self):
+        self.voter.apply(an_open())
+        self.voter.apply(a_close("done", body="receipt 7"))
+        self.voter.pass_time(claims.CLAIM_RETENTION_S - 1)
+        self.assertEqual(self.held().body, "receipt 7")
+        self.voter.pass_time(2)
+        self.assertIsNone(self.held())
+        self.assertEqual(self.voter.state.claims_held, {})
+
+    def test_a_flood_of_keys_leaves_half_of_the_table_to_others(self):
+        """A partner floods the platform with new keys.
+
+        Its claims stop at half of the table and are refused, not run; the claims of
+        other customers are still granted and none of those held is dropped.
+        """
+        with mock.patch.object(claims, "MAX_CLAIMS", 10):
+            codes = [self.voter.apply(an_open(key=f"k{n}")).code for n in range(8)]
+            self.assertEqual(codes, ["granted"] * 5 + ["full"] * 3)
+            other = an_open(customer="casa-norte")
+            self.assertEqual(self.voter.apply(other).code, "granted")
+        self.assertEqual(self.voter.apply(an_open("a2", key="k0")).code, "exists")
--- /dev/null
+++ b/libs/state/test/test_clock.py
@@ -0,0 +1,52 @@
+"""Tests of the log's time and of what leaves the state by it."""
+
+import unittest
+from unittest import mock
+
+from builders import Voter, a_contract, an_open
+
+from cherryrudder.state import changes
+from cherryrudder.state.commands import Clock, PutContract
+
+
+class ClockTest(unittest.TestCase):
+    def setUp(self):
+        self.voter = Voter()
+
+    def tick(self, *readings_s):
+        for now_s in readings_s:
+            self.voter.apply(Clock(now_s))
+        return self.voter.state.now_s
+
+    def test_time_never_goes_back_and_goes_on_after_a_fast_leader(self):
+        """A leader whose clock is years ahead gives way to one whose clock is right.
+
+        Time has moved one step too far. It then goes on with the right clock, rather
+        than stand still for years while claims pile up.
+        """
+        self.assertEqual(self.tick(1000.0, 1030.0), 30.0)
+        self.assertEqual(self.tick(9e8), 90.0)
+        self.assertEqual(self.tick(1060.0), 90.0)
+        self.assertEqual(self.tick(1090.0), 120.0)
+
+    def test_a_wrong_clock_drops_no_claim(self):
+        """A leader with a clock a week ahead takes over; a client resends its filing.
+
+        Had the claim left by that clock, the resend would file it a second time.
+        """
+        self.voter.apply(an_open())
+        self.tick(1000.0, 1000.0 + 7 * 24 * 3600)
+        self.assertEqual(self.voter.apply(an_open("a2")).code, "exists")
+
+    def test_a_late_resend_of_a_change_conflicts_even_after_its_answer_left(self):
+        command = PutContract("c1", 0, a_contract())
+        self.voter.apply(command)
+        self.voter.pass_time(changes.CHANGE_RETENTION_S + 1)
+        self.assertEqual(self.voter.state.changes, {})
+        self.assertEqual(self.voter.apply(command).code, "conflict")
+
+    def test_kept_answers_are_bounded(self):
+        with mock.patch.object(changes, "MAX_KEPT_CHANGES", 3):
+            for number in range(5):
+                self.voter.apply(PutContract(f"c{number}", number, a_contract()))
+        self.assertEqual(list(self.voter.state.changes), ["c2", "c3", "c4"])
--- /dev/null
+++ b/libs/state/test/test_contracts.py
@@ -0,0 +1,101 @@
+"""Tests of contracts under racing operators, resends and restarts."""
+
+import unittest
+
+from builders import SETTINGS, UNSHRUNK, NaiveVoter, Voter, a_contract, puts
+from hypothesis import stateful, strategies as st
+
+from cherryrudder.state.commands import PutContract
+from cherryrudder.state.machine import list_contracts
+
+
+class ContractMachine(stateful.RuleBasedStateMachine):
+    """Operators who race with equal versions and resend; the oracle is two dicts."""
+
+    make_voter = Voter
+
+    def __init__(self):
+        super().__init__()
+        self.voter = self.make_voter()
+        self.versions = {}
+        self.first = {}
+
+    @stateful.rule(command=puts)
+    def put(self, command):
+        answer = self.voter.apply(command)
+        if command.change_id in self.first:
+            sent, first = self.first[command.change_id]
+            assert answer == first if sent == command else answer.code == "reused"
+            return
+        self.first[command.change_id] = (command, answer)
+        customer = command.contract.customer
+        version = self.versions.get(customer, 0)
+        if command.expected_version == version:
+            self.versions[customer] = version = version + 1
+            assert (answer.code, answer.version) == ("ok", version)
+        else:
+            code = "conflict" if version else "unknown"
+            assert (answer.code, answer.version) == (code, version)
+
+    @stateful.precondition(lambda self: self.first)
+    @stateful.rule(which=st.integers(0, 100))
+    def resend(self, which):
+        sent = [command for command, _ in self.first.values()]
+        self.put(sent[which % len(sent)])
+
+    @stateful.rule()
+    def restart(self):
+        self.voter.restart()
+
+    def teardown(self):
+        if isinstance(self.voter, Voter):
+            held = list_contracts(self.voter.state)
+            versions = {item.contract.customer: item.version for item in held}
+            assert versions == self.versions
+
+
+class NaiveContractMachine(ContractMachine):
+    make_voter = NaiveVoter
+
+
+class ContractTest(unittest.TestCase):
+    def setUp(self):
+        self.voter = Voter()
+
+    def put(self, change_id, version, **changes):
+        command = PutContract(change_id, version, a_contract(**changes))
+        return self.voter.apply(command)
+
+    def test_races_and_resends_end_as_the_first_answers_said(self):
+        """Operators race on equal versions and resend what got no answer.
+
+        Of two with the same version one wins and the other is told the conflict and
+        the version in force. Each change id keeps its first answer, over restarts
+        too; otherwise a resend would undo what another operator changed meanwhile.
+        """
+        stateful.run_state_machine_as_test(ContractMachine, settings=SETTINGS)
+
+    def test_last_writer_wins_undoes_a_change(self):
+        """The naive version takes the second writer's contract and says ok to both."""
+        with self.assertRaises(AssertionError):
+            stateful.run_state_machine_as_test(NaiveContractMachine, settings=UNSHRUNK)
+
+    def test_a_retired_contract_stays_and_is_not_created_anew(self):
+        self.put("c1", 0)
+        self.put("c2", 1, retired=True)
+        self.assertTrue(list_contracts(self.voter.state)[0].contract.retired)
+        self.assertEqual(self.put("c3", 0).code, "conflict")
+        self.assertEqual(self.put("c4", 2).version, 3)
+
+    def test_two_contracts_never_share_a_key(self):
+        self.put("c1", 0)
+        same = {"customer": "b", "key_sha256": a_contract().key_sha256}
+        self.assertEqual(self.put("c2", 0, **same).code, "invalid")
+        self.put("c3", 1, retired=True)
+        self.assertEqual(self.put("c4", 0, **same).code, "ok")
+        self.assertEqual(self.put("c5", 2).code, "invalid")
+
+    def test_a_number_that_would_overflow_is_refused(self):
+        answer = self.put("c1", 0, concurrent_requests=10**400)
+        self.assertEqual(answer.code, "invalid")
+        self.assertIn("concurrent_requests", answer.message)
