--- /dev/null
+++ b/libs/policy/src/cherryrudder/policy/shareholder.py
@@ -0,0 +1,85 @@
+"""The entry's side of a customer's share: what it may use now, and when to ask.
+
+Load pattern: the allocator dies, moves or can't be reached while callers keep coming.
+Without it: an entry that goes on with its last lease uses a part that has been given to
+another, and the sum passes the bound; one that stops refuses callers for whom the
+contract has room.
+"""
+
+from .limits import Share
+from .shares import NOTHING, RENEW_PART, Grant
+
+
+class ShareHolder:
+    """One customer's share at one entry."""
+
+    def __init__(self, entry, customer, lease_s, now_s):
+        self.entry = entry
+        self.customer = customer
+        self.lease_s = lease_s
+        self.started_s = now_s
+        self.floor = NOTHING
+        self.grant: Grant | None = None
+        self.asked_s = 0.0
+        self.expires_s = 0.0
+        self.cap: Share | None = None
+        self.cap_until_s = 0.0
+
+
+def set_floor(holder: ShareHolder, floor: Share) -> None:
+    """Set the floor by the contract and the entries that this one knows of."""
+    holder.floor = floor
+
+
+def current(holder: ShareHolder, now_s: float) -> Share:
+    """Return the share that may be used now."""
+    share = _uncapped(holder, now_s)
+    if holder.cap is not None and now_s < holder.cap_until_s:
+        share = Share(*map(min, share, holder.cap))
+    return share
+
+
+def take(holder: ShareHolder, grant: Grant, asked_s: float, now_s: float) -> None:
+    """Take in a grant that was asked for at `asked_s`.
+
+    Its lease is counted from then, so that it ends here before it does there.
+    """
+    last = holder.grant
+    if last is not None and last.allocator == grant.allocator:
+        if grant.number <= last.number:
+            return
+    elif last is not None and now_s < holder.expires_s:
+        # Another allocator may have lent this entry's floor until the old lease ends.
+        # Using the new grant in full before that would use the same part twice.
+        holder.cap = current(holder, now_s)
+        holder.cap_until_s = max(holder.cap_until_s, holder.expires_s)
+    holder.grant = grant
+    holder.asked_s = asked_s
+    holder.expires_s = asked_s + grant.lease_s
+
+
+def is_due(holder: ShareHolder, now_s: float) -> bool:
+    """Tell whether it is time to ask again."""
+    if holder.grant is None:
+        return True
+    return now_s >= holder.asked_s + RENEW_PART * holder.lease_s
+
+
+def received_from(holder: ShareHolder, allocator: str) -> int:
+    """Return the `received` of the next ask, should it go to this allocator."""
+    if holder.grant is None or holder.grant.allocator != allocator:
+        return 0
+    return holder.grant.number
+
+
+def _uncapped(holder, now_s):
+    # A process that has just started may be an entry that lent its floor before it
+    # died, by an allocator that it can no longer name. After one lease time the loan
+    # has ended; until then the entry is not ready and other entries serve.
+    if now_s < holder.started_s + holder.lease_s:
+        return NOTHING
+    if holder.grant is not None and now_s < holder.expires_s:
+        return holder.grant.share
+    if holder.grant is None:
+        return holder.floor
+    return Share(*map(min, holder.floor, holder.grant.floor))
--- a/libs/policy/test/builders.py
+++ b/libs/policy/test/builders.py
@@ -1,7 +1,12 @@
 """Builders of test data for the policy's tests."""
 
+import random
+
 from cherryrudder.model.contracts import Contract
+from cherryrudder.policy import shareholder, shares
 from cherryrudder.policy.admission import Admission, Offer, set_contract
+from cherryrudder.policy.limits import Share
+from cherryrudder.policy.shares import NOTHING
 
 
 def a_contract(customer="petra", **changes):
@@ -31,3 +36,73 @@
     for contract in contracts or (a_contract(),):
         set_contract(admission, contract, 1.0, 0.0)
     return admission
+
+
+class Entries:
+    """Entries that share one customer's bound, over answers that may be lost."""
+
+    lease_s = 2.0
+
+    def __init__(self, bound, count, seed):
+        self.bound = bound
+        self.rng = random.Random(seed)
+        self.names = [f"e{number}" for number in range(count)]
+        self.now_s = 0.0
+        self.starts = 0
+        self.allocators = [self.new_allocator(), self.new_allocator()]
+        self.uses = dict.fromkeys(self.names, 0)
+        self.demand = dict.fromkeys(self.names, NOTHING)
+        self.lost = dict.fromkeys(self.names, 0.0)
+        self.holders = {name: self.new_holder(name) for name in self.names}
+
+    def new_allocator(self):
+        self.starts += 1
+        allocator = shares.Allocator(f"a{self.starts}", self.lease_s, self.now_s)
+        shares.set_entries(allocator, self.names)
+        shares.set_bound(allocator, "petra", self.bound)
+        return allocator
+
+    def new_holder(self, name):
+        holder = shareholder.ShareHolder(name, "petra", self.lease_s, self.now_s)
+        floor = shares.floor_of(self.bound, self.names, name)
+        shareholder.set_floor(holder, floor)
+        return holder
+
+    def act(self, action, name, amount):
+        if action == "load":
+            load = 2 * amount
+            self.demand[name] = Share(*(int(part * load) for part in self.bound))
+        elif action == "lose":
+            self.lost[name] = amount
+        elif action == "restart":
+            self.holders[name] = self.new_holder(name)
+        elif action == "allocator":
+            self.allocators[0] = self.new_allocator()
+        else:
+            self.uses[name] = 1 - self.uses[name]
+
+    def run(self, duration_s):
+        end_s = self.now_s + duration_s
+        while self.now_s < end_s:
+            for name in self.names:
+                if shareholder.is_due(self.holders[name], self.now_s):
+                    self.ask(name)
+            self.now_s = round(self.now_s + 0.05, 6)
+
+    def ask(self, name):
+        holder, allocator = self.holders[name], self.allocators[self.uses[name]]
+        received = shareholder.received_from(holder, allocator.name)
+        if self.rng.random() < self.lost[name]:
+            return
+        grant = shares.ask(
+            allocator, name, "petra", self.demand[name], self.now_s, received
+        )
+        if self.rng.random() >= self.lost[name]:
+            shareholder.take(holder, grant, self.now_s, self.now_s)
+
+    def share(self, name):
+        return shareholder.current(self.holders[name], self.now_s)
+
+    def used(self):
+        parts = [self.share(name) for name in self.names]
+        return [sum(values) for values in zip(*parts, strict=True)]
