Share each contract's bound among the entries

Cause: every entry took each contract's whole bound, so a customer behind two entries got it twice. The live entry that ranks first for a customer leases its bound; an allocator is made anew each time the role moves, so that it lends nothing while leases of the one before may run. Ruled out: one allocator per process (a role that came back could lend twice). An entry that is gone keeps its floor for 10 s; a cut-off one may pass the bound by that floor after it: partial, and said so in the module.

--- a/libs/daemon/src/cherryrudder/daemon/entryrole.py
+++ b/libs/daemon/src/cherryrudder/daemon/entryrole.py
@@ -3,6 +3,7 @@
 import anyio
 from loguru import logger
 
+from cherryrudder.model.contracts import Contract
 from cherryrudder.model.endpoints import Announcement, Kind
 from cherryrudder.model.outcomes import Refusal
 from cherryrudder.policy import admission
@@ -17,6 +18,7 @@
 from .frontdoor import FrontDoor
 from .process import Process, dump_routes, probe_routes
 from .services import Services
+from .sharing import Sharing
 
 # How often endpoints whose lease ran out at a silent control VM are looked for.
 REFRESH_S = 0.5
@@ -42,26 +44,32 @@
         self.follower = Follower(process, self.on_change)
         self.completions = Completions(self)
         self.services = Services(self)
+        announcement = first_announcement(process)
+        self.sharing = Sharing(self, announcement.endpoint)
         self.announcer = Announcer(
             process,
-            first_announcement(process),
+            announcement,
             process.settings.sidecar.announce_s,
             process.settings.sidecar.lease_s,
         )
 
     def on_change(self) -> None:
         """Put what the follower has seen in force."""
-        config = self.follower.config
-        held = [held.contract for held in config.contracts.values()]
-        self.contracts = {contract.key_sha256: contract for contract in held}
-        for contract in held:
-            admission.set_contract(self.door.admission, contract, 1.0, now_s())
+        self.contracts = {c.key_sha256: c for c in self.held_contracts()}
         self.refresh()
 
+    def held_contracts(self) -> list[Contract]:
+        """Return every customer's contract, retired ones too."""
+        return [held.contract for held in self.follower.config.contracts.values()]
+
     def refresh(self) -> None:
         """Take the endpoints that are live now."""
         stops = [held.stop for held in self.follower.config.stops.values()]
-        self.fleet.update(self.follower.endpoints(), stops)
+        announcements = self.follower.endpoints()
+        self.fleet.update(announcements, stops)
+        entries = [a for a in announcements if a.kind == Kind.ENTRY]
+        self.sharing.see_entries(entries, now_s())
+        self.sharing.put_in_force(now_s())
         self.door.release()
 
     def is_ready(self) -> bool:
@@ -105,15 +113,20 @@
         routes | probe_routes(entry.is_ready),
         max_body_bytes=max_body_bytes,
     )
-    internal = dump_routes(process, lambda: dump(entry)) | probe_routes(entry.is_ready)
+    internal = entry.sharing.routes()
+    internal |= dump_routes(process, lambda: dump(entry)) | probe_routes(entry.is_ready)
     process.listen(listen.internal, internal, process.internal_key)
     entry.plane.start()
     entry.door.start()
     entry.follower.start()
     process.group.start_soon(refresh_often, entry)
     await entry.follower.ready.wait()
-    entry.is_closed = False
     entry.announcer.start()
+    entry.sharing.start()
+    # Other entries may still use what this one's earlier run has lent them.
+    while not entry.sharing.is_ready(now_s()):
+        await anyio.sleep(DRAIN_CHECK_S)
+    entry.is_closed = False
     log.info("Ready at revision {}.", entry.follower.config.revision)
     await process.leaving.wait()
     await leave(entry)
@@ -150,5 +163,6 @@
         "endpoints": entry.fleet.dump(),
         "in_flight": entry.in_flight(),
         "pipelines": sorted(entry.plane.flows),
+        "sharing": entry.sharing.dump(),
         "admission": admission.dump(entry.door.admission),
     }
