Prove filings at most once through real processes

Cause: the promise spans caller, entry, log, sidecar and service. Ten tests with real processes: twelve copies at once over two entries, a killed entry, a killed sidecar, a dead service, a dropped answer, a lost quorum, another body, no key, two customers. Ruled out on the way: faults of the product; the first runs failed since the tests did not wait for restarted processes, which Deployment.restart now does.

--- /dev/null
+++ b/libs/daemon/test/test_atmostonce.py
@@ -0,0 +1,183 @@
+"""Filings through real processes: at most once, and an honest answer, under failure."""
+
+import threading
+import unittest
+
+import httpx
+from builders import CUSTOMER, DeploymentTestCase, a_contract, services
+
+from cherryrudder.fakes.deployment import wait_for
+
+
+class FilingTest(DeploymentTestCase):
+    services = services(3)
+
+    def test_a_resend_through_another_entry_gets_the_first_answer(self):
+        first = self.file("k1", "one", entry=0)
+        second = self.file("k1", "one", entry=1)
+        self.assertEqual(first.status_code, 200, first.text)
+        self.assertEqual(first.headers["cherryrudder-outcome"], "done")
+        self.assertEqual(first.text, second.text)
+        self.assertEqual(self.filings("one"), 1)
+
+    def test_a_resend_with_another_body_is_refused(self):
+        self.file("k2", "two")
+        again = self.file("k2", "another two")
+        self.assertEqual(again.status_code, 422)
+        self.assertEqual(self.filings("another two"), 0)
+
+    def test_a_filing_without_a_key_is_refused_and_not_run(self):
+        answer = self.post("/services/slots/filings", json={"text": "keyless"})
+        self.assertEqual(answer.status_code, 400)
+        self.assertEqual(answer.json()["error"]["field"], "idempotency-key")
+        self.assertEqual(self.filings("keyless"), 0)
+
+    def test_many_resends_at_once_through_both_entries_run_once(self):
+        """A caller's library resends at once over both entries, twelve copies in all.
+
+        One copy's claim is granted; the others find it open and ask the sidecar.
+        Every copy gets an answer, and no answer may be false.
+        """
+        answers = []
+
+        def send(number):
+            answers.append(self.file("k3", "three", entry=number % 2))
+
+        threads = [threading.Thread(target=send, args=(n,)) for n in range(12)]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        self.assertEqual(self.filings("three"), 1)
+        done = [a for a in answers if a.headers["cherryrudder-outcome"] == "done"]
+        self.assertTrue(done)
+        self.assertEqual(len({a.text for a in done}), 1)
+
+    def test_a_service_that_drops_its_answer_leaves_an_unknown_outcome(self):
+        """The service files, then breaks the connection before its answer.
+
+        The sidecar cannot tell whether the call ran: the caller hears "unknown" at
+        once, never "not run", and a resend does not file a second time.
+        """
+        for spec in self.services:
+            self.fault(f"{spec.name}.service", drop_answers=9)
+        try:
+            answer = self.file("k4", "four")
+            again = self.file("k4", "four", entry=1)
+        finally:
+            for spec in self.services:
+                self.fault(f"{spec.name}.service", drop_answers=0)
+        self.assertEqual(answer.headers["cherryrudder-outcome"], "unknown")
+        self.assertEqual(again.headers["cherryrudder-outcome"], "unknown")
+        self.assertEqual(self.filings("four"), 1)
+
+    def test_a_dead_service_is_told_as_not_run_or_done_elsewhere(self):
+        """One service process is killed; its sidecar still takes calls.
+
+        Its connection is refused, so no byte was sent: the attempt is buried, closed
+        as not run, and another endpoint gets a new attempt.
+        """
+        self.deployment.nodes["filing-0.service"].kill()
+        try:
+            for number in range(6):
+                answer = self.file(f"k5-{number}", f"five {number}")
+                outcome = answer.headers["cherryrudder-outcome"]
+                self.assertEqual(outcome, "done", answer.text)
+        finally:
+            self.deployment.restart("filing-0.service")
+
+
+class LostPartTest(DeploymentTestCase):
+    services = services(1)
+    contracts = (a_contract(),)
+
+    def slow_filing(self, key, text, entry):
+        """Start a filing that takes two seconds at its service; return its thread."""
+        self.fault("filing-0.service", delay_s=2.0)
+        answers = []
+
+        def send():
+            try:
+                answers.append(self.file(key, text, entry=entry))
+            except httpx.HTTPError as error:
+                answers.append(error)
+
+        thread = threading.Thread(target=send)
+        thread.start()
+        sidecar = self.deployment.nodes["filing-0"]
+        wait_for(lambda: self.deployment.dump(sidecar)["in_flight"], 30, "running")
+        return thread, answers
+
+    def tearDown(self):
+        self.fault("filing-0.service", delay_s=0.0)
+
+    def test_an_entry_killed_in_the_middle_loses_no_answer(self):
+        """The entry that holds the claim dies while the service works.
+
+        The caller resends through the other entry, which finds the open claim, asks
+        the sidecar, waits for the running call and gives its answer.
+        """
+        thread, _ = self.slow_filing("k6", "six", entry=0)
+        self.deployment.entries[0].kill()
+        thread.join()
+        again = self.file("k6", "six", entry=1)
+        self.deployment.restart("entry-0")
+        self.assertEqual(again.headers["cherryrudder-outcome"], "done", again.text)
+        self.assertEqual(self.filings("six"), 1)
+
+    def test_a_sidecar_killed_in_the_middle_leaves_unknown_and_one_run(self):
+        """The sidecar dies while the service works, and starts anew.
+
+        Nobody can tell the outcome: "unknown" at once. The new incarnation refuses
+        the claim of the old one, so a resend never files again.
+        """
+        thread, answers = self.slow_filing("k7", "seven", entry=0)
+        sidecar = self.deployment.nodes["filing-0"]
+        sidecar.kill()
+        thread.join()
+        self.deployment.restart("filing-0")
+        again = self.file("k7", "seven", entry=1)
+        self.assertEqual(answers[0].headers["cherryrudder-outcome"], "unknown")
+        self.assertEqual(again.headers["cherryrudder-outcome"], "unknown")
+        self.assertLessEqual(self.filings("seven"), 1)
+
+    def test_without_a_quorum_a_filing_is_honestly_not_run(self):
+        """Two of three control VMs freeze, then thaw.
+
+        No claim can be committed, so the call is not sent: "not run" with a time to
+        come back. After the thaw the same key runs, once.
+        """
+        frozen = self.deployment.controls[:2]
+        for control in frozen:
+            control.freeze()
+        try:
+            answer = self.file("k8", "eight")
+        finally:
+            for control in frozen:
+                control.thaw()
+        self.assertEqual(answer.headers["cherryrudder-outcome"], "not-run")
+        self.assertIn("retry-after", answer.headers)
+        self.assertEqual(self.filings("eight"), 0)
+
+        def files():
+            answer = self.file("k8", "eight")
+            return answer.headers["cherryrudder-outcome"] == "done"
+
+        self.wait(files, "the quorum is back")
+        self.assertEqual(self.filings("eight"), 1)
+
+
+class OtherCustomerTest(DeploymentTestCase):
+    services = services(1)
+    contracts = (a_contract(), a_contract("ministry"))
+
+    def test_keys_of_two_customers_do_not_meet(self):
+        mine = self.file("same", "mine")
+        theirs = self.file("same", "theirs", customer="ministry")
+        self.assertEqual((mine.status_code, theirs.status_code), (200, 200))
+        self.assertNotEqual(CUSTOMER, "ministry")
+        self.assertEqual((self.filings("mine"), self.filings("theirs")), (1, 1))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/libs/fakes/src/cherryrudder/fakes/deployment.py
+++ b/libs/fakes/src/cherryrudder/fakes/deployment.py
@@ -142,6 +142,16 @@
         url = f"http://{node.addresses['internal']}/readyz"
         wait_for(lambda: self._status(url) == 200, timeout_s, f"{node.name} ready")
 
+    def restart(self, name: str) -> None:
+        """Start a process that has ended and wait until it answers."""
+        node = self.nodes[name]
+        node.start()
+        if "internal" in node.addresses:
+            self.wait_ready(node)
+        else:
+            url = f"{self.back_end(name)}/v1/ledger"
+            wait_for(lambda: self._status(url), START_S, f"{name} answers")
+
     def wait_endpoints(self, count: int, timeout_s: float = START_S) -> None:
         """Wait until every entry knows a number of endpoints."""
         for entry in self.entries:
