--- /dev/null
+++ b/libs/policy/src/cherryrudder/policy/affinity.py
@@ -0,0 +1,111 @@
+"""Which endpoints are likely to hold the KV cache of a prompt prefix.
+
+Load pattern: many requests share a few prompt prefixes, and one prefix takes more than
+half of the load.
+Without it: each endpoint computes each prefix anew. With affinity alone, the hot
+prefix's endpoint is overloaded while others idle; so affinity is bounded by load.
+
+A prefix is ranked over the endpoints by rendezvous hashing, so that every entry comes
+to the same ones without talking, and a lost endpoint moves only its own prefixes. Cache
+events from engines come late and with gaps, so they are hints on top: they are
+numbered, and a gap drops what was known of that engine's cache.
+"""
+
+from typing import NamedTuple
+
+import xxhash
+
+# Prefixes are ranked by hash slot, so that a ranking can be kept: 1024 slots over 40
+# engines put some 25 slots on each, an imbalance that the load bound smooths out.
+SLOTS = 1024
+# The first choice and the one that takes what is above its bound.
+RANKED = 2
+# An endpoint with more than this times the mean in flight is passed over. A quarter
+# above the mean is the usual choice for consistent hashing with bounded loads.
+LOAD_BOUND = 1.25
+# With less than this part of its slots in use an endpoint isn't overloaded, whatever
+# the mean; otherwise affinity would end at two requests when little is in flight.
+FREE_PART = 0.5
+# Prefixes remembered per endpoint; more than an engine's cache holds of long ones.
+MAX_PREFIXES = 2000
+
+
+class CacheEvent(NamedTuple):
+    """One change of an engine's prefix cache; a gap in the numbers is a lost one."""
+
+    number: int
+    prefix: str
+    is_stored: bool
+
+
+class CacheView:
+    """What the engines' events have told about their caches."""
+
+    def __init__(self):
+        self.numbers: dict[str, int] = {}
+        self.prefixes: dict[str, dict[str, None]] = {}
+        self.holders: dict[str, set[str]] = {}
+
+
+def slot_of(prefix: str) -> int:
+    """Return a prefix's hash slot."""
+    return xxhash.xxh3_64_intdigest(prefix.encode("utf-8", "replace")) % SLOTS
+
+
+def rank(endpoints, slot: int) -> tuple[str, ...]:
+    """Return the first choices for a slot by rendezvous hashing."""
+    hashed = xxhash.xxh3_64_intdigest
+    scored = [(hashed(name.encode(), slot), name) for name in endpoints]
+    return tuple(name for _, name in sorted(scored, reverse=True)[:RANKED])
+
+
+def load_bound(in_flight: int, endpoints: int, slots: int) -> float:
+    """Return the most that affinity may have in flight at an endpoint with slots.
+
+    `in_flight` is the sum over its group of so many endpoints.
+    """
+    mean = (in_flight + 1) / max(1, endpoints)
+    return max(1.0, LOAD_BOUND * mean, FREE_PART * slots)
+
+
+def apply_event(view: CacheView, endpoint: str, event: CacheEvent) -> None:
+    """Take in a cache event; a gap or a restart drops the endpoint's view."""
+    last = view.numbers.get(endpoint)
+    if last is not None and event.number <= last and event.number > 1:
+        return
+    if last is not None and event.number != last + 1:
+        # What was evicted in the gap is unknown: keeping the view would send requests
+        # to caches that have long dropped the prefix.
+        forget_endpoint(view, endpoint)
+    view.numbers[endpoint] = event.number
+    known = view.prefixes.setdefault(endpoint, {})
+    if not event.is_stored:
+        if event.prefix in known:
+            _drop(view, endpoint, event.prefix)
+        return
+    known.pop(event.prefix, None)
+    known[event.prefix] = None
+    view.holders.setdefault(event.prefix, set()).add(endpoint)
+    if len(known) > MAX_PREFIXES:
+        _drop(view, endpoint, next(iter(known)))
+
+
+def forget_endpoint(view: CacheView, endpoint: str) -> None:
+    """Drop all that is known of an endpoint's cache."""
+    for prefix in list(view.prefixes.get(endpoint, ())):
+        _drop(view, endpoint, prefix)
+    view.prefixes.pop(endpoint, None)
+    view.numbers.pop(endpoint, None)
+
+
+def holders_of(view: CacheView, prefix: str) -> set[str]:
+    """Return the endpoints that are believed to hold a prefix."""
+    return view.holders.get(prefix, set())
+
+
+def _drop(view, endpoint, prefix):
+    del view.prefixes[endpoint][prefix]
+    holders = view.holders[prefix]
+    holders.discard(endpoint)
+    if not holders:
+        del view.holders[prefix]
--- /dev/null
+++ b/libs/policy/src/cherryrudder/policy/credits.py
@@ -0,0 +1,89 @@
+"""Credits: how many requests each entry may have at an endpoint, told by its sidecar.
+
+Load pattern: several entries send to the same endpoints and learn of their load seconds
+late. Without it: all entries see the same endpoint idle and send to it at the same
+moment; the requests wait there, blindly, while other endpoints have room (a herd). With
+credits a request stays in the entry's queue until an endpoint has room for it (late
+binding), and a faster accelerator, which frees its slots sooner, earns more without
+being tuned.
+
+The sum of credits never passes the slots, but for requests under way while credits are
+taken back, which is one round trip's worth.
+"""
+
+from typing import NamedTuple
+
+# An entry that has not reported for so long holds only what it is running: two lost
+# reports at four a second are borne, and a dead entry's credits are back in a second.
+CREDIT_LEASE_S = 1.0
+
+
+class Credits(NamedTuple):
+    """How many requests an entry may have at an endpoint; larger numbers are newer."""
+
+    endpoint: str
+    number: int
+    count: int
+
+
+class Holding(NamedTuple):
+    """What an entry holds of an endpoint's slots."""
+
+    count: int
+    running: int
+    wanted: int
+    reported_s: float
+
+
+class Issuer:
+    """The credits that one endpoint's sidecar has given."""
+
+    def __init__(self, endpoint, slots):
+        self.endpoint = endpoint
+        self.slots = slots
+        self.is_leaving = False
+        self.number = 0
+        self.holdings: dict[str, Holding] = {}
+
+
+def report(issuer: Issuer, entry: str, running, wanted, now_s: float) -> Credits:
+    """Take an entry's report, what it runs here and wants besides; return its credits.
+
+    A leaving endpoint gives none, so that its last request is the last of those that
+    it has already.
+    """
+    _drop_lapsed(issuer, now_s)
+    issuer.holdings.pop(entry, None)
+    others = issuer.holdings.values()
+    taken = sum(max(other.count, other.running) for other in others)
+    free = max(0, issuer.slots - taken - running)
+    spare = 0 if issuer.is_leaving else _part(issuer, wanted, free, running)
+    count = running + spare
+    issuer.number += 1
+    issuer.holdings[entry] = Holding(count, running, wanted, now_s)
+    return Credits(issuer.endpoint, issuer.number, count)
+
+
+def _part(issuer, wanted, free, running):
+    """Return the part of the free slots for an entry that wants so many."""
+    others = issuer.holdings.values()
+    sharers = 1 + sum(other.wanted > 0 for other in others)
+    even = -(-issuer.slots // sharers)
+    # An entry that wants nothing now may still keep one, so that its next request
+    # starts without a round trip; but only if that leaves one for each other.
+    if wanted <= 0:
+        return min(1, max(0, free - len(issuer.holdings)))
+    # What others want too is split evenly; a lone one may take all.
+    most = wanted if sharers == 1 else max(0, min(wanted, even - running))
+    return min(free, most)
+
+
+def _drop_lapsed(issuer, now_s):
+    for entry, holding in list(issuer.holdings.items()):
+        if now_s - holding.reported_s < CREDIT_LEASE_S:
+            continue
+        if holding.running:
+            kept = holding._replace(count=holding.running, wanted=0)
+            issuer.holdings[entry] = kept
+        else:
+            del issuer.holdings[entry]
--- /dev/null
+++ b/libs/policy/src/cherryrudder/policy/ejection.py
@@ -0,0 +1,190 @@
+"""Ejection of endpoints that are slow, fail or don't answer, and probing them back.
+
+Load pattern: one endpoint is ten times slower than its like, or only for long answers;
+one accepts requests and never answers; one fails so fast that it always looks idle.
+Without it: in a round robin each of these takes its full part of the requests, and the
+one that fails fast takes more than its part wherever the idlest is chosen.
+
+An endpoint is compared with its own kind (same layers, same accelerator), because a
+slow accelerator is not a fault. Speeds are compared for short and long answers apart,
+so that one that is slow only for long answers is seen. Never more than a part of a kind
+is ejected: if most are slow, the cause is elsewhere, and ejecting them adds to it.
+"""
+
+from typing import NamedTuple
+
+# Three times the median: normal spread under continuous batching stays below two.
+SLOW_RATIO = 3.0
+# Fewer samples or peers say nothing about an endpoint.
+MIN_SAMPLES = 5
+MIN_PEERS = 3
+# Three in a row, or half of the recent ones.
+MAX_FAILURES = 3
+MAX_FAILURE_PART = 0.5
+# The most of a kind that may be ejected at once.
+EJECT_PART = 1 / 3
+# First and longest ejection; each one after the other doubles. Two seconds outlast a
+# restart, and after a minute a repaired endpoint is worth a probe.
+FIRST_EJECTION_S = 2.0
+LONGEST_EJECTION_S = 60.0
+# Good probes in a row before an endpoint gets its full part again.
+GOOD_PROBES = 3
+# Silence with work in flight is a fault past four times the longest gap that the kind
+# has shown, and never below a second, which lost packets and pauses can explain.
+SILENCE_RATIO = 4.0
+MIN_SILENCE_S = 1.0
+# Until a kind has answered at all: the longest time to a first answer that callers
+# bear.
+FIRST_SILENCE_S = 10.0
+# Answers from here on count as long; the price of a longer one is its decoding.
+LONG_TOKENS = 256
+# Each sample counts a fifth, so ten samples forget an old speed.
+LEARNING_PART = 0.2
+# A longest gap is forgotten over some two hundred signals.
+GAP_KEEP_PART = 0.99
+
+
+class Health:
+    """What one endpoint has shown."""
+
+    def __init__(self):
+        # Seconds per token, and samples, for short and for long answers.
+        self.token_s = [0.0, 0.0]
+        self.samples = [0, 0]
+        self.failures = 0
+        self.failure_part = 0.0
+        self.signal_s = 0.0
+        self.ejections = 0
+        self.ejected_until_s = 0.0
+        self.good_probes = GOOD_PROBES
+
+
+class KindHealth:
+    """What endpoints of one kind have shown together."""
+
+    def __init__(self):
+        self.median_s = [0.0, 0.0]
+        self.gap_s = 0.0
+
+
+class Peer(NamedTuple):
+    """One endpoint of a kind under review."""
+
+    endpoint: str
+    health: Health
+    in_flight: int
+
+
+def size_class(tokens: float) -> int:
+    """Return 0 for short answers and 1 for long ones."""
+    return int(tokens >= LONG_TOKENS)
+
+
+def is_ejected(health: Health, now_s: float) -> bool:
+    """Tell whether an endpoint gets no work now."""
+    return now_s < health.ejected_until_s
+
+
+def is_probing(health: Health) -> bool:
+    """Tell whether an endpoint gets one request at a time, to see if it has healed."""
+    return health.good_probes < GOOD_PROBES
+
+
+def note_signal(health: Health, kind: KindHealth, now_s: float) -> None:
+    """Note that an endpoint with work in flight has answered something."""
+    gap_s = min(now_s - health.signal_s, silence_s(kind))
+    kind.gap_s = max(gap_s, kind.gap_s * GAP_KEEP_PART)
+    health.signal_s = now_s
+
+
+def note_answer(health, kind, tokens: float, duration_s: float, now_s: float) -> None:
+    """Take in an answered request."""
+    size = size_class(tokens)
+    sample_s = duration_s / max(1.0, tokens)
+    part = LEARNING_PART if health.samples[size] else 1.0
+    health.token_s[size] += part * (sample_s - health.token_s[size])
+    health.samples[size] += 1
+    health.failures = 0
+    health.failure_part *= 1 - LEARNING_PART
+    if not is_probing(health):
+        return
+    median_s = kind.median_s[size]
+    if median_s and sample_s > SLOW_RATIO * median_s:
+        eject(health, now_s)
+        return
+    health.good_probes += 1
+    if not is_probing(health):
+        health.ejections = 0
+
+
+def note_failure(health: Health, now_s: float) -> None:
+    """Take in a failed request; a failed probe ejects again at once."""
+    health.failures += 1
+    health.failure_part += LEARNING_PART * (1 - health.failure_part)
+    if is_probing(health):
+        eject(health, now_s)
+
+
+def silence_s(kind: KindHealth) -> float:
+    """Return after how long a silence with work in flight is a fault."""
+    if not kind.gap_s:
+        return FIRST_SILENCE_S
+    return max(MIN_SILENCE_S, SILENCE_RATIO * kind.gap_s)
+
+
+def eject(health: Health, now_s: float) -> None:
+    """Give an endpoint no work for a time, then one request at a time."""
+    length_s = FIRST_EJECTION_S * 2**health.ejections
+    health.ejected_until_s = now_s + min(length_s, LONGEST_EJECTION_S)
+    health.ejections = min(health.ejections + 1, 8)
+    health.good_probes = 0
+    health.failures = 0
+    health.failure_part = 0.0
+    # What it showed before would condemn it again after it has healed.
+    health.samples = [0, 0]
+
+
+def review(kind: KindHealth, peers: list[Peer], now_s: float) -> list[str]:
+    """Eject the worst of a kind, within the cap; return those that were ejected."""
+    for size in (0, 1):
+        kind.median_s[size] = _median(peers, size) or kind.median_s[size]
+    room = int(len(peers) * EJECT_PART)
+    # With two endpoints one may go; the only one of its kind never does.
+    room = max(room, int(len(peers) > 1))
+    room -= sum(is_ejected(peer.health, now_s) for peer in peers)
+    faults = []
+    for peer in peers:
+        if not is_ejected(peer.health, now_s):
+            badness = _badness(peer, kind, now_s)
+            if badness > 0:
+                faults.append((badness, peer.endpoint, peer.health))
+    faults.sort(reverse=True, key=lambda fault: fault[:2])
+    worst = faults[: max(0, room)]
+    for _, _, health in worst:
+        eject(health, now_s)
+    return [endpoint for _, endpoint, _ in worst]
+
+
+def _badness(peer, kind, now_s):
+    """Return 0 for a sound endpoint; silent and failing ones come before slow ones."""
+    health = peer.health
+    if peer.in_flight and now_s - health.signal_s > silence_s(kind):
+        return 1e6
+    if health.failures >= MAX_FAILURES or health.failure_part > MAX_FAILURE_PART:
+        return 1e5
+    worst = 0.0
+    for size in (0, 1):
+        if health.samples[size] >= MIN_SAMPLES and kind.median_s[size]:
+            worst = max(worst, health.token_s[size] / kind.median_s[size])
+    return worst if worst > SLOW_RATIO else 0.0
+
+
+def _median(peers, size):
+    known = sorted(
+        peer.health.token_s[size]
+        for peer in peers
+        if peer.health.samples[size] >= MIN_SAMPLES
+    )
+    if len(known) < MIN_PEERS:
+        return 0.0
+    return known[(len(known) - 1) // 2]
--- /dev/null
+++ b/libs/policy/src/cherryrudder/policy/fleet.py
@@ -0,0 +1,350 @@
+"""The endpoints as one entry knows them: where they are, what they may take, how fast.
+
+Load pattern: a thousand endpoints announce themselves, some hundred requests a second
+each need a chain of them, and their load reports lag by seconds.
+Without it: each choice would scan every endpoint, and rest on what they reported some
+seconds ago. What the entry itself has sent is known at once, so work in flight, speeds
+and failures are counted here, and credits say what the others leave.
+
+Endpoints that can take a request are kept in one list for each layer range and data
+centre, so that a choice looks at a few of them whatever their number.
+"""
+
+import random
+from collections.abc import Iterable
+
+from cherryrudder.model.endpoints import Announcement, Kind, Place, Stop
+
+from . import affinity, credits, ejection, leaving
+from .ejection import Health, KindHealth, Peer
+from .links import Links
+
+# Each kind is looked at twice a second for slow and silent endpoints: a fraction of the
+# shortest silence that counts as a fault.
+REVIEW_S = 0.5
+
+
+class Member:
+    """One endpoint and what this entry knows of it."""
+
+    def __init__(self, announcement, group, now_s):
+        self.announcement = announcement
+        self.group = group
+        self.credits = announcement.slots
+        self.credits_number = 0
+        self.in_flight = 0
+        self.health = Health()
+        self.health.signal_s = now_s
+        self.is_listed = True
+        self.is_leaving = False
+
+
+class OpenList:
+    """Members that can take a request; adding, removing and sampling cost the same."""
+
+    def __init__(self):
+        self.members: list[Member] = []
+        self.positions: dict[str, int] = {}
+
+
+class Group:
+    """All endpoints that do the same: hold one layer range, or offer one service."""
+
+    def __init__(self, key, first_layer=0, end_layer=0):
+        self.key = key
+        self.first_layer = first_layer
+        self.end_layer = end_layer
+        self.members: dict[str, Member] = {}
+        self.open: dict[str, OpenList] = {}
+        self.in_flight = 0
+        # The ranking by prefix slot; emptied when an endpoint comes or goes.
+        self.ranked: dict[int, tuple[str, ...]] = {}
+
+
+class LayerMap:
+    """The groups of one model version, by the layer at which they start."""
+
+    def __init__(self):
+        self.layers = 0
+        self.starting: dict[int, list[Group]] = {}
+
+
+class KindReview:
+    """One kind of endpoint, and when it is looked at next."""
+
+    def __init__(self):
+        self.members: dict[str, Member] = {}
+        self.health = KindHealth()
+        self.due_s = 0.0
+
+
+class Fleet:
+    """All endpoints that an entry may send to; `home` is where the entry runs."""
+
+    def __init__(self, rng: random.Random, home: Place | None = None):
+        self.rng = rng
+        self.home = home
+        self.links = Links()
+        self.caches = affinity.CacheView()
+        self.members: dict[str, Member] = {}
+        self.groups: dict[tuple, Group] = {}
+        self.models: dict[tuple[str, str], LayerMap] = {}
+        self.kinds: dict[tuple, KindReview] = {}
+        self.stops: tuple[Stop, ...] = ()
+        self.review_due_s = 0.0
+
+
+def update(fleet: Fleet, announcements: Iterable[Announcement], now_s: float) -> None:
+    """Replace the endpoints by those that are announced now."""
+    seen = set()
+    for announcement in announcements:
+        if announcement.kind == Kind.ENTRY:
+            continue
+        seen.add(announcement.endpoint)
+        known = fleet.members.get(announcement.endpoint)
+        if known is None or known.announcement is not announcement:
+            _list(fleet, announcement, known, now_s)
+    for name in [name for name in fleet.members if name not in seen]:
+        _unlist(fleet, fleet.members[name], now_s)
+
+
+def set_stops(fleet: Fleet, stops: Iterable[Stop], now_s: float) -> None:
+    """Put the planned stops in force."""
+    fleet.stops = tuple(stops)
+    for member in fleet.members.values():
+        _set_leaving(fleet, member)
+        refresh(member, now_s)
+
+
+def set_credits(fleet: Fleet, given: credits.Credits, now_s: float) -> None:
+    """Take in an endpoint's credits; an older number than the last is ignored."""
+    member = fleet.members.get(given.endpoint)
+    if member is not None and given.number > member.credits_number:
+        member.credits_number = given.number
+        member.credits = given.count
+        refresh(member, now_s)
+
+
+def began(fleet: Fleet, endpoint: str, now_s: float) -> None:
+    """Count a request that is sent to an endpoint."""
+    member = fleet.members.get(endpoint)
+    if member is None:
+        return
+    if not member.in_flight:
+        member.health.signal_s = now_s
+    member.in_flight += 1
+    member.group.in_flight += 1
+    refresh(member, now_s)
+
+
+def progressed(fleet: Fleet, endpoint: str, now_s: float) -> None:
+    """Note that an endpoint has answered part of a request."""
+    member = fleet.members.get(endpoint)
+    if member is not None:
+        ejection.note_signal(member.health, _kind(fleet, member).health, now_s)
+
+
+def ended(fleet, endpoint: str, tokens, duration_s: float, now_s: float) -> None:
+    """Count a request that an endpoint has answered, with its own time for it."""
+    member = fleet.members.get(endpoint)
+    if member is None:
+        return
+    kind = _kind(fleet, member).health
+    ejection.note_signal(member.health, kind, now_s)
+    ejection.note_answer(member.health, kind, tokens, duration_s, now_s)
+    _take_off(fleet, member, now_s)
+
+
+def failed(fleet: Fleet, endpoint: str, now_s: float) -> None:
+    """Count a request that an endpoint has failed."""
+    member = fleet.members.get(endpoint)
+    if member is None:
+        return
+    ejection.note_failure(member.health, now_s)
+    member.health.signal_s = now_s
+    _take_off(fleet, member, now_s)
+
+
+def withdrawn(fleet: Fleet, endpoint: str, now_s: float) -> None:
+    """Count a request that was cancelled, or failed by no fault of this endpoint."""
+    member = fleet.members.get(endpoint)
+    if member is not None:
+        _take_off(fleet, member, now_s)
+
+
+def review(fleet: Fleet, now_s: float) -> list[str]:
+    """Eject slow, failing and silent endpoints; return those ejected now.
+
+    Their requests in flight are lost if they are silent: resume them elsewhere.
+    """
+    if now_s < fleet.review_due_s:
+        return []
+    fleet.review_due_s = now_s + REVIEW_S
+    ejected = []
+    for kind in fleet.kinds.values():
+        ejected += _review_kind(kind, now_s)
+    return ejected
+
+
+def refresh(member: Member, now_s: float) -> None:
+    """Put a member into its group's open list, or take it out."""
+    centre = member.announcement.place.data_centre
+    lists = member.group.open
+    is_open = free_slots(member, now_s) > 0
+    opened = lists.get(centre)
+    if opened is None:
+        if not is_open:
+            return
+        opened = lists[centre] = OpenList()
+    name = member.announcement.endpoint
+    if is_open and name not in opened.positions:
+        opened.positions[name] = len(opened.members)
+        opened.members.append(member)
+    elif not is_open and name in opened.positions:
+        _remove_open(opened, name)
+
+
+def free_slots(member: Member, now_s: float) -> int:
+    """Return how many requests an endpoint may be sent now."""
+    if not member.is_listed or member.is_leaving:
+        return 0
+    if ejection.is_ejected(member.health, now_s):
+        return 0
+    allowed = 1 if ejection.is_probing(member.health) else member.credits
+    return max(0, allowed - member.in_flight)
+
+
+def kind_health(fleet: Fleet, member: Member) -> KindHealth:
+    """Return what a member's kind has shown."""
+    return _kind(fleet, member).health
+
+
+def dump(fleet: Fleet, now_s: float) -> dict:
+    """Return the state as plain data."""
+    return {
+        name: {
+            "in_flight": member.in_flight,
+            "credits": member.credits,
+            "leaving": member.is_leaving,
+            "ejected": ejection.is_ejected(member.health, now_s),
+            "probing": ejection.is_probing(member.health),
+            "token_s": list(member.health.token_s),
+            "failure_part": member.health.failure_part,
+        }
+        for name, member in fleet.members.items()
+    }
+
+
+def _review_kind(kind, now_s):
+    peers = []
+    for name, member in kind.members.items():
+        peers.append(Peer(name, member.health, member.in_flight))
+    ejected = ejection.review(kind.health, peers, now_s)
+    for member in kind.members.values():
+        # Also the way back: an ejection that has run out opens the endpoint to a probe.
+        if ejection.is_probing(member.health):
+            refresh(member, now_s)
+    return ejected
+
+
+def _list(fleet, announcement, known, now_s):
+    if known is not None:
+        if known.announcement.incarnation != announcement.incarnation:
+            # Another process: what the one before it had in flight is lost.
+            _unlist(fleet, known, now_s)
+            fleet.members.pop(announcement.endpoint, None)
+            affinity.forget_endpoint(fleet.caches, announcement.endpoint)
+            known = None
+        elif _sort(known.announcement) != _sort(announcement):
+            _unlist(fleet, known, now_s)
+            fleet.members.pop(announcement.endpoint, None)
+            known = None
+    if known is None:
+        known = Member(announcement, _group(fleet, announcement), now_s)
+        fleet.members[announcement.endpoint] = known
+    elif not known.credits_number:
+        known.credits = announcement.slots
+    known.announcement = announcement
+    known.is_listed = True
+    if announcement.endpoint not in known.group.members:
+        known.group.members[announcement.endpoint] = known
+        known.group.in_flight += known.in_flight
+        known.group.ranked.clear()
+        _kind(fleet, known).members[announcement.endpoint] = known
+    _set_leaving(fleet, known)
+    refresh(known, now_s)
+
+
+def _unlist(fleet, member, now_s):
+    member.is_listed = False
+    refresh(member, now_s)
+    name = member.announcement.endpoint
+    if member.group.members.pop(name, None) is not None:
+        member.group.ranked.clear()
+        member.group.in_flight -= member.in_flight
+        _kind(fleet, member).members.pop(name, None)
+    if not member.in_flight:
+        fleet.members.pop(name, None)
+        affinity.forget_endpoint(fleet.caches, name)
+
+
+def _take_off(fleet, member, now_s):
+    if member.in_flight:
+        member.in_flight -= 1
+        if member.is_listed:
+            member.group.in_flight -= 1
+    if not member.is_listed and not member.in_flight:
+        fleet.members.pop(member.announcement.endpoint, None)
+        return
+    refresh(member, now_s)
+
+
+def _set_leaving(fleet, member):
+    member.is_leaving = leaving.is_leaving(member.announcement, fleet.stops)
+
+
+def _remove_open(opened, name):
+    position = opened.positions.pop(name)
+    last = opened.members.pop()
+    if position < len(opened.members):
+        opened.members[position] = last
+        opened.positions[last.announcement.endpoint] = position
+
+
+def group_key(announcement: Announcement) -> tuple:
+    """Return the key of the endpoints that do the same as this one."""
+    if announcement.kind == Kind.SERVICE:
+        return ("service", announcement.service)
+    return (
+        announcement.model,
+        announcement.version,
+        announcement.first_layer,
+        announcement.end_layer,
+    )
+
+
+def _sort(announcement):
+    return group_key(announcement), announcement.accelerator
+
+
+def _group(fleet, announcement):
+    key = group_key(announcement)
+    group = fleet.groups.get(key)
+    if group is not None:
+        return group
+    first, end = announcement.first_layer, announcement.end_layer
+    group = fleet.groups[key] = Group(key, first, end)
+    if announcement.kind == Kind.ENGINE:
+        model = (announcement.model, announcement.version)
+        layer_map = fleet.models.setdefault(model, LayerMap())
+        layer_map.layers = announcement.model_layers
+        layer_map.starting.setdefault(first, []).append(group)
+    return group
+
+
+def _kind(fleet, member):
+    key = (member.group.key, member.announcement.accelerator)
+    kind = fleet.kinds.get(key)
+    if kind is None:
+        kind = fleet.kinds[key] = KindReview()
+    return kind
--- /dev/null
+++ b/libs/policy/src/cherryrudder/policy/placement.py
@@ -0,0 +1,281 @@
+"""Where a request is sent: a chain of endpoints that holds every layer exactly once.
+
+Load pattern: accelerators of several speeds, joined by unequal links, under load that
+changes within seconds.
+Without it: a round robin gives the slowest accelerator as much as the fastest, so that
+every chain runs at the pace of the slowest, and it crosses slow links at random.
+
+Among endpoints with credits a chain is chosen by its expected time per token: its
+slowest stage, at its speed and with what this entry has in flight there, plus its
+links. Endpoints that likely hold the prompt's prefix count as faster, within a bound on
+their load. Of the open endpoints of each range and data centre only a few are drawn
+(power of k choices), so the cost hardly grows with their number, and entries that
+decide at the same moment don't all choose the same one.
+"""
+
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from cherryrudder.model.endpoints import Announcement, Place
+
+from . import affinity, ejection, links
+from .fleet import (
+    Fleet,
+    Group,
+    LayerMap,
+    Member,
+    began,
+    dump,
+    ended,
+    failed,
+    free_slots,
+    kind_health,
+    progressed,
+    review,
+    set_credits,
+    set_stops,
+    update,
+    withdrawn,
+)
+
+__all__ = [
+    "Chain",
+    "Fleet",
+    "Need",
+    "began",
+    "choose_chain",
+    "choose_service",
+    "choose_stage",
+    "dump",
+    "ended",
+    "failed",
+    "progressed",
+    "review",
+    "set_credits",
+    "set_stops",
+    "update",
+    "withdrawn",
+]
+
+# Up to so many open endpoints of a range and data centre are all looked at: the users'
+# forty engines in three data centres.
+SCANNED = 16
+# Of more than that so many are drawn. Two already avoid the worst choice; four find the
+# best of four kinds of accelerator in most draws.
+DRAWN = 4
+# Partial chains kept at each layer boundary; more than the data centres near the entry
+# have changed no choice in trials.
+BEAM = 3
+# A cached prefix saves its prefill, about this part of a short answer's time.
+PREFIX_SAVED_PART = 0.3
+# An endpoint that fails half of its requests counts as three times slower.
+FAILURE_WEIGHT = 4.0
+# An endpoint that announces no speed is taken for one of average speed.
+UNKNOWN_TOKEN_S = 0.02
+
+
+class Need(NamedTuple):
+    """What a request needs; `tokens` is its expected answer."""
+
+    model: str
+    version: str = ""
+    tokens: float = 0.0
+    prefix: str = ""
+    exclude: frozenset[str] = frozenset()
+
+
+class Chain(NamedTuple):
+    """The endpoints in the order of their layers, and the expected time in all."""
+
+    stages: tuple[Announcement, ...]
+    expected_s: float
+
+
+class Candidate(NamedTuple):
+    """An endpoint that may be the next stage."""
+
+    member: Member
+    cost_s: float
+
+
+class Partial(NamedTuple):
+    """The first stages of a chain."""
+
+    slowest_s: float
+    links_s: float
+    end: Place | None
+    members: tuple[Member, ...]
+
+    @property
+    def cost_s(self) -> float:
+        """Return the time per token."""
+        return self.slowest_s + self.links_s
+
+
+def choose_chain(fleet: Fleet, need: Need, now_s: float) -> Chain | None:
+    """Return the best chain that has credits, or None; an empty version is any one."""
+    best = None
+    for (model, version), layer_map in fleet.models.items():
+        if model != need.model or need.version not in ("", version):
+            continue
+        found = _best_chain(fleet, layer_map, need, now_s)
+        if found is not None and (best is None or found.cost_s < best.cost_s):
+            best = found
+    if best is None:
+        return None
+    stages = tuple(member.announcement for member in best.members)
+    return Chain(stages, best.cost_s * max(1.0, need.tokens))
+
+
+def choose_stage(
+    fleet: Fleet, need: Need, first_layer: int, end_layer: int, now_s: float
+) -> Announcement | None:
+    """Return an endpoint for a range that a chain has lost."""
+    key = (need.model, need.version, first_layer, end_layer)
+    return _best_of_group(fleet, fleet.groups.get(key), need, now_s)
+
+
+def choose_service(
+    fleet: Fleet, service: str, exclude: Iterable[str], now_s: float
+) -> Announcement | None:
+    """Return an endpoint of a plain service."""
+    need = Need(service, exclude=frozenset(exclude))
+    group = fleet.groups.get(("service", service))
+    return _best_of_group(fleet, group, need, now_s)
+
+
+def stage_cost_s(fleet: Fleet, member: Member, tokens: float) -> float:
+    """Return an endpoint's expected time per token with one request more."""
+    health = member.health
+    announcement = member.announcement
+    size = ejection.size_class(tokens)
+    token_s = health.token_s[size] if health.samples[size] else 0.0
+    token_s = token_s or kind_health(fleet, member).median_s[size]
+    if not token_s:
+        speed = announcement.tokens_per_s
+        token_s = announcement.slots / speed if speed > 0 else UNKNOWN_TOKEN_S
+    load = 1.0 + member.in_flight / max(1, announcement.slots)
+    return token_s * load * (1.0 + FAILURE_WEIGHT * health.failure_part)
+
+
+def _best_chain(fleet: Fleet, layer_map: LayerMap, need: Need, now_s):
+    beams = {0: [Partial(0.0, 0.0, fleet.home, ())]}
+    finished = []
+    while beams:
+        # Every range ends past its start, so the lowest boundary is complete.
+        boundary = min(beams)
+        partials = sorted(beams.pop(boundary), key=_cost)[:BEAM]
+        if boundary == layer_map.layers:
+            finished = partials
+            break
+        for group in layer_map.starting.get(boundary, ()):
+            candidates = _candidates(fleet, group, need, now_s)
+            grown = [
+                _append(fleet, partial, candidate)
+                for partial in partials
+                for candidate in candidates
+            ]
+            if grown:
+                beams.setdefault(group.end_layer, []).extend(grown)
+    if not finished:
+        return None
+    # The last stage hands its tokens to the entry: one more hop.
+    closed = [
+        partial._replace(
+            links_s=partial.links_s + links.hop_s(fleet.links, partial.end, fleet.home)
+        )
+        for partial in finished
+    ]
+    return min(closed, key=_cost)
+
+
+def _append(fleet, partial, candidate):
+    place = candidate.member.announcement.place
+    return Partial(
+        max(partial.slowest_s, candidate.cost_s),
+        partial.links_s + links.hop_s(fleet.links, partial.end, place),
+        place,
+        (*partial.members, candidate.member),
+    )
+
+
+def _cost(partial):
+    return partial.slowest_s + partial.links_s
+
+
+def _best_of_group(fleet, group, need, now_s):
+    if group is None:
+        return None
+    best, best_s = None, 0.0
+    for candidate in _candidates(fleet, group, need, now_s):
+        announcement = candidate.member.announcement
+        cost_s = candidate.cost_s + 2 * links.hop_s(
+            fleet.links, fleet.home, announcement.place
+        )
+        if best is None or cost_s < best_s:
+            best, best_s = announcement, cost_s
+    return best
+
+
+def _candidates(fleet: Fleet, group: Group, need: Need, now_s) -> list[Candidate]:
+    """Return the best of some open endpoints in each data centre, and the caching ones.
+
+    Within a data centre links cost the same, so its cheapest endpoint stands for it.
+    """
+    found = []
+    for opened in group.open.values():
+        best, best_s = None, 0.0
+        for member in _drawn(fleet, opened.members, need.exclude):
+            cost_s = stage_cost_s(fleet, member, need.tokens)
+            if best is None or cost_s < best_s:
+                best, best_s = member, cost_s
+        if best is not None:
+            found.append(Candidate(best, best_s))
+    if need.prefix:
+        found += _caching(fleet, group, need, now_s)
+    return found
+
+
+def _drawn(fleet, members, exclude):
+    count = len(members)
+    drawn = members
+    if count > SCANNED:
+        drawn = [members[int(fleet.rng.random() * count)] for _ in range(DRAWN)]
+    if not exclude:
+        return drawn
+    kept = [m for m in drawn if m.announcement.endpoint not in exclude]
+    if kept or count <= SCANNED:
+        return kept
+    # All that were drawn are excluded: only a full look can tell that none is left.
+    return [m for m in members if m.announcement.endpoint not in exclude]
+
+
+def _caching(fleet, group, need, now_s):
+    slot = affinity.slot_of(need.prefix)
+    ranked = group.ranked.get(slot)
+    if ranked is None:
+        ranked = group.ranked[slot] = affinity.rank(group.members, slot)
+    holders = affinity.holders_of(fleet.caches, need.prefix)
+    names = [name for name in holders if name in group.members]
+    for name in ranked:
+        # The second choice is for what is above the bound of the first: spread over
+        # both from the start, the prefix would be computed and kept twice.
+        if _takes(group, name, need, now_s):
+            names.append(name)
+            break
+    found = []
+    for name in dict.fromkeys(names):
+        if _takes(group, name, need, now_s):
+            member = group.members[name]
+            cost_s = stage_cost_s(fleet, member, need.tokens)
+            found.append(Candidate(member, cost_s * (1 - PREFIX_SAVED_PART)))
+    return found
+
+
+def _takes(group, name, need, now_s):
+    member = group.members[name]
+    if name in need.exclude or free_slots(member, now_s) <= 0:
+        return False
+    slots = member.announcement.slots
+    count = len(group.members)
+    return member.in_flight < affinity.load_bound(group.in_flight, count, slots)
--- /dev/null
+++ b/libs/policy/src/cherryrudder/policy/retries.py
@@ -0,0 +1,69 @@
+"""Whether a failed request may be sent again.
+
+Load pattern: endpoints fail under overload, and each failure is answered with another
+attempt. Without it: with three attempts each, the load triples just when the platform
+is full, and it stays so after the cause has gone (a retry storm). A call that may not
+be repeated would run twice.
+
+A request is sent again only if its call is idempotent or has certainly not run, if its
+deadline leaves time for it, and if the budget allows it.
+"""
+
+from enum import StrEnum
+from typing import NamedTuple
+
+# One retry per ten requests: the most by which retries can raise the load, and enough
+# for the loss of one endpoint in ten.
+EARNED_PER_REQUEST = 0.1
+# Saved-up retries, so that the requests in flight at a lost endpoint (some tens) can
+# all be sent again at once.
+MAX_SAVED = 50.0
+# A new process has something to spend before its first hundred requests.
+FIRST_SAVED = 10.0
+MAX_ATTEMPTS = 3
+
+
+class Verdict(StrEnum):
+    """Whether a request is sent again, and if not, why."""
+
+    RETRY = "retry"
+    MAY_HAVE_RUN = "may-have-run"
+    TOO_LATE = "too-late"
+    TOO_MANY = "too-many"
+    NO_BUDGET = "no-budget"
+
+
+class Attempt(NamedTuple):
+    """A failed attempt; `expected_s` is how long the next one would take."""
+
+    attempts: int
+    is_idempotent: bool
+    is_certain_not_run: bool
+    expected_s: float
+    deadline_s: float
+
+
+class RetryBudget:
+    """How many retries the requests so far have earned."""
+
+    def __init__(self):
+        self.saved = FIRST_SAVED
+
+
+def note_request(budget: RetryBudget) -> None:
+    """Earn a part of a retry for a first attempt."""
+    budget.saved = min(MAX_SAVED, budget.saved + EARNED_PER_REQUEST)
+
+
+def may_retry(budget: RetryBudget, attempt: Attempt, now_s: float) -> Verdict:
+    """Decide about a failed attempt, and spend from the budget if it is sent again."""
+    if not attempt.is_idempotent and not attempt.is_certain_not_run:
+        return Verdict.MAY_HAVE_RUN
+    if now_s + attempt.expected_s >= attempt.deadline_s:
+        return Verdict.TOO_LATE
+    if attempt.attempts >= MAX_ATTEMPTS:
+        return Verdict.TOO_MANY
+    if budget.saved < 1.0:
+        return Verdict.NO_BUDGET
+    budget.saved -= 1.0
+    return Verdict.RETRY
--- a/libs/policy/test/builders.py
+++ b/libs/policy/test/builders.py
@@ -3,8 +3,10 @@
 import random
 
 from cherryrudder.model.contracts import Contract
+from cherryrudder.model.endpoints import Announcement, Kind, Place
 from cherryrudder.policy import shareholder, shares
 from cherryrudder.policy.admission import Admission, Offer, set_contract
+from cherryrudder.policy.fleet import Fleet, update
 from cherryrudder.policy.limits import Share
 from cherryrudder.policy.shares import NOTHING
 
@@ -106,3 +108,32 @@
     def used(self):
         parts = [self.share(name) for name in self.names]
         return [sum(values) for values in zip(*parts, strict=True)]
+
+
+def an_engine(endpoint="g1", centre="amman-1", layers=(0, 8), **changes):
+    """Return an engine's announcement; its model has 8 layers."""
+    announcement = Announcement(
+        endpoint=endpoint,
+        kind=Kind.ENGINE,
+        incarnation="1",
+        sequence=1,
+        place=Place(f"vm-{endpoint}", centre, "jordan"),
+        address="127.0.0.1:7001",
+        model="briefing",
+        version="1",
+        accelerator="a100",
+        first_layer=layers[0],
+        end_layer=layers[1],
+        model_layers=8,
+        slots=4,
+        tokens_per_s=200.0,
+    )
+    return announcement._replace(**changes)
+
+
+def a_fleet(*announcements, seed=1):
+    """Return a fleet of these endpoints at time 0, its entry in amman-1."""
+    home = Place("vm-entry", "amman-1", "jordan")
+    fleet = Fleet(random.Random(seed), home)
+    update(fleet, announcements, 0.0)
+    return fleet
