--- /dev/null
+++ b/bench/policy_cost.py
@@ -0,0 +1,199 @@
+"""Measure what one decision costs, by number of endpoints and of customers.
+
+Run with the libraries on the path: `PYTHONPATH=... python bench/policy_cost.py`.
+Each figure is the median over rounds of the mean of a round, in µs of processor time.
+"""
+
+import random
+import statistics
+import time
+
+from cherryrudder.model.contracts import Contract
+from cherryrudder.model.endpoints import Announcement, Kind, Place
+from cherryrudder.policy import admission as adm, placement
+from cherryrudder.policy.fleet import Fleet
+from cherryrudder.policy.limits import Share
+from cherryrudder.policy.placement import Need
+from cherryrudder.policy.shares import Allocator, ask, set_bound, set_entries
+
+ENDPOINTS = (3, 43, 1100)
+CUSTOMERS = (10, 260)
+ROUNDS = 15
+CALLS = 200
+# The share of slots in use while choosing, as under a normal heavy load.
+BUSY_PART = 0.8
+
+
+def measure(call):
+    """Return the cost of a call in µs."""
+    rounds = []
+    for _ in range(ROUNDS):
+        start = time.process_time()
+        for _ in range(CALLS):
+            call()
+        rounds.append((time.process_time() - start) / CALLS * 1e6)
+    return statistics.median(rounds)
+
+
+def slope(sizes, costs):
+    """Return µs per further unit between the smallest and the largest size."""
+    return (costs[-1] - costs[0]) / (sizes[-1] - sizes[0])
+
+
+def a_fleet(count, stages):
+    """Return a busy fleet of so many engines, as chains of so many stages."""
+    rng = random.Random(1)
+    centres = ("a-1", "a-2", "a-3")
+    announcements = []
+    for number in range(count):
+        stage = number % stages
+        centre = centres[number // stages % len(centres)]
+        announcements.append(
+            Announcement(
+                endpoint=f"g{number}",
+                kind=Kind.ENGINE,
+                incarnation="1",
+                sequence=1,
+                place=Place(f"vm{number}", centre, "a"),
+                address="",
+                model="briefing",
+                version="1",
+                accelerator=("a100", "h100", "l40", "mi300")[number % 4],
+                first_layer=stage,
+                end_layer=stage + 1,
+                model_layers=stages,
+                slots=16,
+                tokens_per_s=rng.choice((200.0, 400.0, 800.0, 1600.0)),
+            )
+        )
+    fleet = Fleet(rng, Place("entry", "a-1", "a"))
+    placement.update(fleet, announcements, 0.0)
+    for number in range(count):
+        for _ in range(int(16 * BUSY_PART)):
+            placement.began(fleet, f"g{number}", 0.0)
+    return fleet
+
+
+def choice_cost(count, stages, prefixes):
+    """Return the cost of choosing a chain, with its begin and end."""
+    fleet = a_fleet(count, stages)
+    rng = random.Random(2)
+
+    def choose():
+        prefix = f"p{rng.randrange(prefixes)}" if prefixes else ""
+        chain = placement.choose_chain(fleet, Need("briefing", "1", 100, prefix), 1.0)
+        for stage in chain.stages:
+            placement.began(fleet, stage.endpoint, 1.0)
+        for stage in chain.stages:
+            placement.withdrawn(fleet, stage.endpoint, 1.0)
+
+    return measure(choose)
+
+
+def review_cost(count):
+    """Return the cost of one review of all endpoints."""
+    fleet = a_fleet(count, 1)
+    now = [1.0]
+
+    def review():
+        now[0] += 0.5
+        for member in fleet.members.values():
+            member.health.signal_s = now[0]
+        placement.review(fleet, now[0])
+
+    return measure(review)
+
+
+def an_admission(customers):
+    """Return an admission with so many contracts."""
+    admission = adm.Admission(100_000)
+    for number in range(customers):
+        name = f"c{number}"
+        contract = Contract(name, "", ("m",), (), 1e6, 1e6, 10_000, 5.0)
+        adm.set_contract(admission, contract, 1.0, 0.0)
+    return admission
+
+
+def admission_cost(customers, waiting_each):
+    """Return the cost of one request from offer to settlement.
+
+    With `waiting_each`, so many requests of each customer wait meanwhile.
+    """
+    admission = an_admission(customers)
+    count = [0]
+
+    def offer():
+        count[0] += 1
+        name = f"c{count[0] % customers}"
+        request_id = f"r{count[0]}"
+        asked = adm.Offer(request_id, name, "m", 50, 100, 0, 1e9)
+        return adm.offer(admission, asked, 1.0)
+
+    if waiting_each:
+        offer()
+        adm.put_back(admission, "r1", 1.0)
+        for _ in range(customers * waiting_each):
+            offer()
+    full = [False]
+
+    def place(request_id):
+        full[0] = not full[0]
+        return full[0]
+
+    def request():
+        result = offer()
+        if isinstance(result, adm.Admitted):
+            adm.settle(admission, f"r{count[0]}", 100, 1.0)
+            return
+        for started in adm.release(admission, 1.0, place):
+            adm.settle(admission, started.request_id, 100, 1.0)
+
+    return measure(request)
+
+
+def share_cost(entries):
+    """Return the cost of one renewal of one customer's share."""
+    allocator = Allocator("a", 2.0, -10.0)
+    names = [f"e{number}" for number in range(entries)]
+    set_entries(allocator, names)
+    set_bound(allocator, "c", Share(100.0, 1000.0, 100))
+    demand = Share(50.0, 500.0, 50)
+    last = dict.fromkeys(names, 0)
+    now = [0.0]
+
+    def renew():
+        now[0] += 0.5 / entries
+        name = names[round(now[0] * entries / 0.5) % entries]
+        last[name] = ask(allocator, name, "c", demand, now[0], last[name]).number
+
+    return measure(renew)
+
+
+def report(title, sizes, costs):
+    """Print one line of figures."""
+    figures = "  ".join(
+        f"{size}: {cost:.1f}" for size, cost in zip(sizes, costs, strict=True)
+    )
+    print(f"{title}: {figures}  slope {slope(sizes, costs):.4f}")
+
+
+def main():
+    print("µs by number of endpoints")
+    for stages in (1, 3):
+        for prefixes in (0, 5000):
+            costs = [choice_cost(count, stages, prefixes) for count in ENDPOINTS]
+            kind = "with prefix" if prefixes else "no prefix"
+            report(f"choose chain of {stages}, {kind}", ENDPOINTS, costs)
+    report("choose chain of 8", (43, 1100), [choice_cost(n, 8, 0) for n in (43, 1100)])
+    costs = [review_cost(count) for count in ENDPOINTS]
+    report("review, twice a second", ENDPOINTS, costs)
+    print("µs by number of customers")
+    for waiting in (0, 1, 10):
+        costs = [admission_cost(count, waiting) for count in CUSTOMERS]
+        report(f"request, {waiting} of each waiting", CUSTOMERS, costs)
+    print("µs by number of entries")
+    report("renew a share", (3, 15), [share_cost(count) for count in (3, 15)])
+
+
+if __name__ == "__main__":
+    main()
--- a/libs/policy/src/cherryrudder/policy/fleet.py
+++ b/libs/policy/src/cherryrudder/policy/fleet.py
@@ -22,14 +22,22 @@
 # Each kind is looked at twice a second for slow and silent endpoints: a fraction of the
 # shortest silence that counts as a fault.
 REVIEW_S = 0.5
+# An endpoint that fails half of its requests counts as three times slower.
+FAILURE_WEIGHT = 4.0
+# An endpoint that announces no speed is taken for one of average speed.
+UNKNOWN_TOKEN_S = 0.02
 
 
 class Member:
     """One endpoint and what this entry knows of it."""
 
-    def __init__(self, announcement, group, now_s):
+    def __init__(self, announcement, group, kind, now_s):
         self.announcement = announcement
         self.group = group
+        self.kind = kind
+        # Its expected seconds per token with one request more, for short and for long
+        # answers; kept up to date so that a choice only compares.
+        self.cost_s = (0.0, 0.0)
         self.credits = announcement.slots
         self.credits_number = 0
         self.in_flight = 0
@@ -70,12 +78,11 @@
 
 
 class KindReview:
-    """One kind of endpoint, and when it is looked at next."""
+    """The endpoints of one kind, which are compared with each other."""
 
     def __init__(self):
         self.members: dict[str, Member] = {}
         self.health = KindHealth()
-        self.due_s = 0.0
 
 
 class Fleet:
@@ -141,7 +148,7 @@
     """Note that an endpoint has answered part of a request."""
     member = fleet.members.get(endpoint)
     if member is not None:
-        ejection.note_signal(member.health, _kind(fleet, member).health, now_s)
+        ejection.note_signal(member.health, member.kind.health, now_s)
 
 
 def ended(fleet, endpoint: str, tokens, duration_s: float, now_s: float) -> None:
@@ -149,7 +156,7 @@
     member = fleet.members.get(endpoint)
     if member is None:
         return
-    kind = _kind(fleet, member).health
+    kind = member.kind.health
     ejection.note_signal(member.health, kind, now_s)
     ejection.note_answer(member.health, kind, tokens, duration_s, now_s)
     _take_off(fleet, member, now_s)
@@ -187,7 +194,8 @@
 
 
 def refresh(member: Member, now_s: float) -> None:
-    """Put a member into its group's open list, or take it out."""
+    """Bring a member's cost and its place in its group's open list up to date."""
+    member.cost_s = (_token_cost_s(member, 0), _token_cost_s(member, 1))
     centre = member.announcement.place.data_centre
     lists = member.group.open
     is_open = free_slots(member, now_s) > 0
@@ -214,11 +222,6 @@
     return max(0, allowed - member.in_flight)
 
 
-def kind_health(fleet: Fleet, member: Member) -> KindHealth:
-    """Return what a member's kind has shown."""
-    return _kind(fleet, member).health
-
-
 def dump(fleet: Fleet, now_s: float) -> dict:
     """Return the state as plain data."""
     return {
@@ -235,6 +238,17 @@
     }
 
 
+def _token_cost_s(member, size):
+    health, announcement = member.health, member.announcement
+    token_s = health.token_s[size] if health.samples[size] else 0.0
+    token_s = token_s or member.kind.health.median_s[size]
+    if not token_s:
+        speed = announcement.tokens_per_s
+        token_s = announcement.slots / speed if speed > 0 else UNKNOWN_TOKEN_S
+    load = 1.0 + member.in_flight / max(1, announcement.slots)
+    return token_s * load * (1.0 + FAILURE_WEIGHT * health.failure_part)
+
+
 def _review_kind(kind, now_s):
     peers = []
     for name, member in kind.members.items():
@@ -260,7 +274,8 @@
             fleet.members.pop(announcement.endpoint, None)
             known = None
     if known is None:
-        known = Member(announcement, _group(fleet, announcement), now_s)
+        group = _group(fleet, announcement)
+        known = Member(announcement, group, _kind(fleet, announcement), now_s)
         fleet.members[announcement.endpoint] = known
     elif not known.credits_number:
         known.credits = announcement.slots
@@ -270,7 +285,7 @@
         known.group.members[announcement.endpoint] = known
         known.group.in_flight += known.in_flight
         known.group.ranked.clear()
-        _kind(fleet, known).members[announcement.endpoint] = known
+        known.kind.members[announcement.endpoint] = known
     _set_leaving(fleet, known)
     refresh(known, now_s)
 
@@ -282,7 +297,7 @@
     if member.group.members.pop(name, None) is not None:
         member.group.ranked.clear()
         member.group.in_flight -= member.in_flight
-        _kind(fleet, member).members.pop(name, None)
+        member.kind.members.pop(name, None)
     if not member.in_flight:
         fleet.members.pop(name, None)
         affinity.forget_endpoint(fleet.caches, name)
@@ -342,8 +357,8 @@
     return group
 
 
-def _kind(fleet, member):
-    key = (member.group.key, member.announcement.accelerator)
+def _kind(fleet, announcement):
+    key = _sort(announcement)
     kind = fleet.kinds.get(key)
     if kind is None:
         kind = fleet.kinds[key] = KindReview()
--- a/libs/policy/src/cherryrudder/policy/placement.py
+++ b/libs/policy/src/cherryrudder/policy/placement.py
@@ -13,6 +13,7 @@
 decide at the same moment don't all choose the same one.
 """
 
+import math
 from collections.abc import Iterable
 from typing import NamedTuple
 
@@ -29,7 +30,6 @@
     ended,
     failed,
     free_slots,
-    kind_health,
     progressed,
     review,
     set_credits,
@@ -68,10 +68,6 @@
 BEAM = 3
 # A cached prefix saves its prefill, about this part of a short answer's time.
 PREFIX_SAVED_PART = 0.3
-# An endpoint that fails half of its requests counts as three times slower.
-FAILURE_WEIGHT = 4.0
-# An endpoint that announces no speed is taken for one of average speed.
-UNKNOWN_TOKEN_S = 0.02
 
 
 class Need(NamedTuple):
@@ -144,20 +140,6 @@
     return _best_of_group(fleet, group, need, now_s)
 
 
-def stage_cost_s(fleet: Fleet, member: Member, tokens: float) -> float:
-    """Return an endpoint's expected time per token with one request more."""
-    health = member.health
-    announcement = member.announcement
-    size = ejection.size_class(tokens)
-    token_s = health.token_s[size] if health.samples[size] else 0.0
-    token_s = token_s or kind_health(fleet, member).median_s[size]
-    if not token_s:
-        speed = announcement.tokens_per_s
-        token_s = announcement.slots / speed if speed > 0 else UNKNOWN_TOKEN_S
-    load = 1.0 + member.in_flight / max(1, announcement.slots)
-    return token_s * load * (1.0 + FAILURE_WEIGHT * health.failure_part)
-
-
 def _best_chain(fleet: Fleet, layer_map: LayerMap, need: Need, now_s):
     beams = {0: [Partial(0.0, 0.0, fleet.home, ())]}
     finished = []
@@ -172,8 +154,8 @@
             candidates = _candidates(fleet, group, need, now_s)
             grown = [
                 _append(fleet, partial, candidate)
-                for partial in partials
                 for candidate in candidates
+                for partial in partials
             ]
             if grown:
                 beams.setdefault(group.end_layer, []).extend(grown)
@@ -223,12 +205,12 @@
     Within a data centre links cost the same, so its cheapest endpoint stands for it.
     """
     found = []
+    size = ejection.size_class(need.tokens)
     for opened in group.open.values():
-        best, best_s = None, 0.0
+        best, best_s = None, math.inf
         for member in _drawn(fleet, opened.members, need.exclude):
-            cost_s = stage_cost_s(fleet, member, need.tokens)
-            if best is None or cost_s < best_s:
-                best, best_s = member, cost_s
+            if member.cost_s[size] < best_s:
+                best, best_s = member, member.cost_s[size]
         if best is not None:
             found.append(Candidate(best, best_s))
     if need.prefix:
@@ -267,7 +249,7 @@
     for name in dict.fromkeys(names):
         if _takes(group, name, need, now_s):
             member = group.members[name]
-            cost_s = stage_cost_s(fleet, member, need.tokens)
+            cost_s = member.cost_s[ejection.size_class(need.tokens)]
             found.append(Candidate(member, cost_s * (1 - PREFIX_SAVED_PART)))
     return found
 
--- a/libs/policy/src/cherryrudder/policy/shares.py
+++ b/libs/policy/src/cherryrudder/policy/shares.py
@@ -15,6 +15,7 @@
 gives it. `shareholder` is the entry's side.
 """
 
+import math
 from typing import NamedTuple
 
 from .limits import ROUNDING, Share
@@ -31,6 +32,7 @@
 NOTHING = Share(0.0, 0.0, 0)
 # A part of a slot would be lost when parts are rounded down to whole ones.
 SLOTS = Share._fields.index("concurrency")
+FIELDS = range(len(Share._fields))
 
 
 class Grant(NamedTuple):
@@ -61,6 +63,11 @@
         self.demand = NOTHING
         self.floor = NOTHING
         self.since_s = now_s
+        # The largest share that it may be using until `expires_s`, and when it goes
+        # back to its floor if it has missed the last answers.
+        self.held = NOTHING
+        self.expires_s = now_s
+        self.reverts_s = now_s
 
 
 class Allocator:
@@ -72,6 +79,7 @@
         self.started_s = now_s
         self.entries: tuple[str, ...] = ()
         self.bounds: dict[str, Share] = {}
+        self.floors: dict[str, dict[str, Share]] = {}
         self.parts: dict[str, dict[str, Part]] = {}
         self.number = 0
 
@@ -79,11 +87,14 @@
 def set_entries(allocator: Allocator, entries) -> None:
     """Replace the set of entries; take one out only when it serves no caller."""
     allocator.entries = tuple(sorted(entries))
+    for customer in allocator.bounds:
+        _set_floors(allocator, customer)
 
 
 def set_bound(allocator: Allocator, customer: str, bound: Share) -> None:
     """Put a contract's bound in force; older leases run out within one lease time."""
     allocator.bounds[customer] = bound
+    _set_floors(allocator, customer)
 
 
 def floor_of(bound: Share, entries, entry: str) -> Share:
@@ -112,7 +123,6 @@
     0 if its last one is another's or it has just started; `in_use` is how many
     requests it is running.
     """
-    bound = allocator.bounds.get(customer, NOTHING)
     parts = allocator.parts.setdefault(customer, {})
     part = parts.get(entry)
     if part is None:
@@ -124,11 +134,16 @@
         part.since_s = now_s
     part.leases = [lease for lease in part.leases if lease.number >= received]
     part.demand = demand
-    part.floor = floor_of(bound, allocator.entries, entry)
-    share, until_s = _decide(allocator, bound, parts, entry, now_s)
-    share = _keep_running(share, part, in_use, now_s)
+    part.floor = allocator.floors.get(customer, {}).get(entry, NOTHING)
+    _sum_up(part, now_s)
+    share, until_s = _decide(allocator, customer, parts, entry, now_s)
+    # Running requests aren't cut, so their slots can't be given to another entry: it
+    # would start its own, and the contract's concurrency be passed until these end.
+    kept = min(in_use, part.held.concurrency)
+    share = share._replace(concurrency=max(share.concurrency, kept))
     allocator.number += 1
     part.leases.append(Lease(allocator.number, share, until_s))
+    _sum_up(part, now_s)
     return Grant(
         allocator.name,
         entry,
@@ -154,101 +169,90 @@
 def outstanding(allocator: Allocator, customer: str, now_s: float) -> Share:
     """Return the sum of the largest lease that each entry may be using."""
     parts = allocator.parts.get(customer, {}).values()
-    return _sum(_largest(part, now_s) for part in parts)
+    live = [part.held for part in parts if part.expires_s > now_s]
+    return Share(*(sum(values) for values in zip(NOTHING, *live, strict=True)))
 
 
-def _decide(allocator, bound, parts, entry, now_s):
+def _decide(allocator, customer, parts, entry, now_s):
     """Return the share and the end of an entry's next lease."""
-    held, reserved = NOTHING, NOTHING
-    until_s = now_s + allocator.lease_s
-    askers = [entry]
-    for name in {*allocator.entries, *parts} - {entry}:
-        part = parts.get(name)
-        if part is None:
-            part = Part(now_s)
-        floor = _max(part.floor, floor_of(bound, allocator.entries, name))
-        lease = _largest(part, now_s)
-        if _lends(allocator, part, now_s):
-            askers.append(name)
-            held = _sum((held, lease))
-            if _exceeds(floor, lease):
-                until_s = min(until_s, _reverts_s(part))
-        else:
-            held = _sum((held, _max(lease, floor)))
-            reserved = _sum((reserved, _max(lease, floor)))
-    available = _less(bound, held)
-    floor = parts[entry].floor
+    bound = allocator.bounds.get(customer, NOTHING)
+    floors = allocator.floors.get(customer, {})
+    part = parts[entry]
+    lease_ends_s = until_s = now_s + allocator.lease_s
+    held = [0.0, 0.0, 0]
+    reserved = [0.0, 0.0, 0]
+    askers = [part]
+    for name in floors.keys() | parts.keys():
+        if name == entry:
+            continue
+        other = parts.get(name, NO_PART)
+        floor = floors.get(name, NOTHING)
+        if other.floor is not floor:
+            floor = Share(*map(max, floor, other.floor))
+        using = other.held if other.expires_s > now_s else NOTHING
+        lends = _lends(allocator, other, now_s)
+        if lends:
+            askers.append(other)
+            if _exceeds(floor, using):
+                until_s = min(until_s, other.reverts_s)
+        for field in FIELDS:
+            if lends:
+                held[field] += using[field]
+                continue
+            most = max(using[field], floor[field])
+            held[field] += most
+            reserved[field] += most
+    available = [max(0, bound[field] - held[field]) for field in FIELDS]
     # A new allocator doesn't know the leases of the one before it. Until those have
     # lapsed only floors are safe: two allocators would lend the same part twice.
     if now_s < allocator.started_s + allocator.lease_s:
-        return _min(floor, available), now_s + allocator.lease_s
-    share = _min(_fair(bound, reserved, parts, askers), available)
-    if not _exceeds(share, floor):
-        until_s = now_s + allocator.lease_s
-    return share, until_s
+        return Share(*map(min, part.floor, available)), lease_ends_s
+    fair = _fair(bound, reserved, askers)
+    share = Share(*map(min, fair, available))
+    return share, until_s if _exceeds(share, part.floor) else lease_ends_s
 
 
-def _fair(bound, reserved, parts, askers):
-    pool = _less(bound, reserved)
+def _fair(bound, reserved, askers):
     fair = []
-    for field in range(len(pool)):
-        demands = []
-        for name in askers:
-            least = 0.0 if field == SLOTS else IDLE_PART * parts[name].floor[field]
-            demands.append(max(least, parts[name].demand[field]))
-        fair.append(max_min(demands, pool[field])[0])
-    return Share(fair[0], fair[1], int(fair[2] + ROUNDING))
-
-
-def _keep_running(share, part, in_use, now_s):
-    # Running requests aren't cut, so their slots can't be given to another entry: it
-    # would start its own, and the contract's concurrency be passed until these end.
-    before = _largest(part, now_s).concurrency
-    return share._replace(concurrency=max(share.concurrency, min(in_use, before)))
+    for field in FIELDS:
+        idle = 0.0 if field == SLOTS else IDLE_PART
+        demands = [max(idle * one.floor[field], one.demand[field]) for one in askers]
+        fair.append(max_min(demands, bound[field] - reserved[field])[0])
+    return fair[0], fair[1], int(fair[2] + ROUNDING)
 
 
 def _lends(allocator, part, now_s):
     """Tell whether others may use what a part's lease leaves of its floor."""
-    if not part.leases:
+    if part.reverts_s - now_s < LEND_PART * allocator.lease_s:
         return False
     # An entry that came from another allocator may have lent its floor there, until
     # the lease that it held then has lapsed.
-    if now_s < part.since_s + allocator.lease_s:
-        return False
-    return _reverts_s(part) - now_s >= LEND_PART * allocator.lease_s
+    return now_s >= part.since_s + allocator.lease_s
 
 
-def _reverts_s(part):
-    """Return when an entry goes back to its floor, had it missed the last answers."""
-    return min(lease.expires_s for lease in part.leases)
+def _sum_up(part, now_s):
+    part.held, part.expires_s, part.reverts_s = NOTHING, now_s, now_s
+    if part.leases:
+        shares = [lease.share for lease in part.leases]
+        ends = [lease.expires_s for lease in part.leases]
+        part.held = Share(*map(max, NOTHING, *shares))
+        part.expires_s, part.reverts_s = max(ends), min(ends)
 
 
-def _largest(part, now_s):
-    share = NOTHING
-    for lease in part.leases:
-        if lease.expires_s > now_s:
-            share = _max(share, lease.share)
-    return share
+def _set_floors(allocator, customer):
+    bound = allocator.bounds[customer]
+    allocator.floors[customer] = {
+        name: floor_of(bound, allocator.entries, name) for name in allocator.entries
+    }
 
 
 def _exceeds(share, other):
-    return any(mine > its + ROUNDING for mine, its in zip(share, other, strict=True))
-
-
-def _sum(shares):
-    total = NOTHING
-    for share in shares:
-        total = Share(*(a + b for a, b in zip(total, share, strict=True)))
-    return total
-
-
-def _less(share, other):
-    return Share(*(max(0, a - b) for a, b in zip(share, other, strict=True)))
-
-
-def _min(share, other):
-    return Share(*map(min, share, other))
+    return (
+        share[0] > other[0] + ROUNDING
+        or share[1] > other[1] + ROUNDING
+        or share[2] > other[2]
+    )
 
 
-def _max(share, other):
-    return Share(*map(max, share, other))
+# Stands for an entry that has never asked.
+NO_PART = Part(-math.inf)
