Hand a stage's KV over on a planned stop

A stage that is to stop had only the default, to work on to the end of each request. Now the entry can have it relieved: the old stage ends its compute, exports, and the new one imports and goes on, so nothing runs again. If the export, the import or the old stage fails, the new one holds nothing and is rebuilt by replay. Ruled out: a time limit at the entry for that case, since the sidecar that waits knows better whether the KV is still to come.

--- a/libs/pipeline/src/cherryrudder/pipeline/effects.py
+++ b/libs/pipeline/src/cherryrudder/pipeline/effects.py
@@ -30,6 +30,19 @@
     request: str
 
 
+class ExportKv(NamedTuple):
+    """Export the engine's KV; answer with `handover.exported`, empty if it failed."""
+
+    request: str
+
+
+class ImportKv(NamedTuple):
+    """Import KV into the engine; answer with `handover.imported`."""
+
+    request: str
+    kv: str
+
+
 class Deliver(NamedTuple):
     """Give tokens to the caller; `last` closes the answer."""
 
--- a/libs/pipeline/src/cherryrudder/pipeline/messages.py
+++ b/libs/pipeline/src/cherryrudder/pipeline/messages.py
@@ -65,9 +65,13 @@
 
 
 class Resume(NamedTuple):
-    """Entry to each stage: adopt a generation and its plan, then answer `Held`."""
+    """Entry to each stage: adopt a generation and its plan, then answer `Held`.
+
+    With `awaits_kv` a new stage first waits for the KV of the one it relieves.
+    """
 
     start: Start
+    awaits_kv: bool = False
 
 
 class Held(NamedTuple):
@@ -112,6 +116,29 @@
     next_position: int = 0
 
 
+class HandOver(NamedTuple):
+    """Entry to a stage that is to stop: export the KV to the stage that relieves it."""
+
+    request: str
+    generation: int
+    address: str
+
+
+class KvMove(NamedTuple):
+    """Stage that stops to the one that relieves it; an empty `kv` says there is none.
+
+    `kv` is the engine's export as JSON text. The kept outputs go along, so that the
+    new stage can serve a successor's rebuild, and stage 0's inputs.
+    """
+
+    request: str
+    generation: int
+    kept_from: int
+    outputs: tuple[str, ...]
+    inputs: tuple[str, ...]
+    kv: str
+
+
 class Free(NamedTuple):
     """Entry to each stage: drop the request, finished or cancelled."""
 
@@ -143,4 +170,6 @@
     Refused,
     Free,
     StageFailed,
+    HandOver,
+    KvMove,
 )
--- a/libs/pipeline/src/cherryrudder/pipeline/request.py
+++ b/libs/pipeline/src/cherryrudder/pipeline/request.py
@@ -23,6 +23,7 @@
     NO_ROOM,
     Ack,
     Free,
+    HandOver,
     Held,
     Refused,
     Resume,
@@ -87,6 +88,9 @@
         self.consumed = 0
         self.holes: list[Hole] = []
         self.excluded: list[str] = []
+        # A planned stop: the stage to relieve, then the one that hands its KV over.
+        self.leaving: Stage | None = None
+        self.departing: Stage | None = None
         self.held: dict[int, Held] = {}
         self.idle_rounds = 0
         self.behind: resume.Behind | None = None
@@ -134,8 +138,26 @@
     return _lose(core, lost, now_s)
 
 
+def stage_leaving(core: RequestCore, name: str, now_s: float) -> list:
+    """Ask for a stage to relieve one that is to stop; until then it works on.
+
+    Give the answer before any other event. Without one, or while a resume is under
+    way (call again then), the stage works on to the request's end.
+    """
+    if core.phase != Phase.RUNNING or core.leaving:
+        return []
+    for stage in core.stages:
+        if name in (stage.endpoint, stage.address):
+            core.leaving = stage
+            exclude = (*core.excluded, stage.endpoint)
+            return [NeedStage(stage.first_layer, stage.end_layer, exclude)]
+    return []
+
+
 def replace(core: RequestCore, stage: Stage, now_s: float) -> list:
     """Put a stage into a hole; it may hold the hole's first part only."""
+    if core.phase == Phase.RUNNING and core.leaving:
+        return _hand_over(core, stage, now_s)
     if core.phase != Phase.REPLACING:
         return []
     hole = _fitting_hole(core, stage)
@@ -157,7 +179,11 @@
 
 
 def no_stage(core: RequestCore, now_s: float) -> list:
-    """End the request since no endpoint can take the lost range."""
+    """End the request since no endpoint can take the lost range.
+
+    A stage that is to stop and cannot be relieved works on to the request's end.
+    """
+    core.leaving = None
     if core.phase != Phase.REPLACING:
         return []
     hole = core.holes[0]
@@ -253,6 +279,7 @@
     core.phase = Phase.REPLACING
     core.since_s = now_s
     core.behind = None
+    core.leaving = None
     effects = []
     for stage in lost:
         core.stages.remove(stage)
@@ -265,6 +292,19 @@
     return effects + [_need(core, hole) for hole in core.holes]
 
 
+def _hand_over(core, stage, now_s):
+    """Put a stage in the place of one that is to stop."""
+    old, core.leaving = core.leaving, None
+    if stage[3:] != old[3:]:
+        return []
+    core.stages[core.stages.index(old)] = stage
+    core.excluded.append(old.endpoint)
+    core.departing = old
+    effects = _ask(core, now_s, heir=stage)
+    order = HandOver(core.start.request, core.generation, stage.address)
+    return effects + [SendTo(old.address, order)]
+
+
 def _need(core, hole):
     return NeedStage(hole.first_layer, hole.end_layer, tuple(core.excluded))
 
@@ -276,18 +316,19 @@
     return None
 
 
-def _ask(core, now_s):
+def _ask(core, now_s, heir=None):
     """Begin a new generation and ask each stage what it holds."""
     core.idle_rounds += 1
     if core.idle_rounds > MAX_IDLE_ROUNDS or core.generation >= MAX_GENERATIONS:
         return _fail(core, "the chain of stages could not be kept up")
     core.phase = Phase.ASKING
+    core.leaving = None
     core.since_s = now_s
     core.generation += 1
     core.plan = tuple(core.stages)
     core.held = {}
     return [
-        SendTo(stage.address, Resume(_start_for(core, index)))
+        SendTo(stage.address, Resume(_start_for(core, index), stage is heir))
         for index, stage in enumerate(core.stages)
     ]
 
@@ -309,6 +350,7 @@
         return effects + freed + _ask(core, now_s)
     core.phase = Phase.RUNNING
     core.since_s = now_s
+    effects += _free_departing(core)
     effects += [
         SendTo(stage.address, resume.continue_for(core, index))
         for index, stage in enumerate(core.stages)
@@ -337,4 +379,11 @@
 def _end(core):
     core.phase = Phase.ENDED
     free = Free(core.start.request)
-    return [SendTo(stage.address, free) for stage in core.stages] + [Finished()]
+    freed = [SendTo(stage.address, free) for stage in core.stages]
+    return freed + _free_departing(core) + [Finished()]
+
+
+def _free_departing(core):
+    """Let go of a stage that handed over, should the order have missed it."""
+    stage, core.departing = core.departing, None
+    return [SendTo(stage.address, Free(core.start.request))] if stage else []
--- a/libs/pipeline/src/cherryrudder/pipeline/stage.py
+++ b/libs/pipeline/src/cherryrudder/pipeline/stage.py
@@ -4,7 +4,11 @@
 generation is refused, so that every layer runs once per token whatever the links do.
 """
 
-from cherryrudder.pipeline import stagerequest as requests, stagetable as tables
+from cherryrudder.pipeline import (
+    handover,
+    stagerequest as requests,
+    stagetable as tables,
+)
 from cherryrudder.pipeline.effects import Compute, FreeKv, SendTo
 from cherryrudder.pipeline.messages import (
     ENTRY_STAGE,
@@ -13,6 +17,8 @@
     Ack,
     Continue,
     Free,
+    HandOver,
+    KvMove,
     Refused,
     Resume,
     StageFailed,
@@ -47,6 +53,7 @@
     if state.owes_held:
         state.owes_held = False
         effects.append(SendTo(state.start.entry, requests.held(state)))
+    effects += handover.export_when_idle(state)
     return effects + _advance(core, state)
 
 
@@ -61,6 +68,9 @@
     if state is None or not state.running or position != state.next_position:
         return []
     state.running = 0
+    if state.leaving_to:
+        # The entry's plan has the heir in this place, which is well.
+        return handover.exported(core, request, "", now_s)
     start = state.start
     failed = StageFailed(request, start.generation, start.stage, message)
     return [SendTo(start.entry, failed)] + tables.drop(core, request, now_s)
@@ -85,7 +95,7 @@
 def tick(core: StageCore, now_s: float) -> list:
     """Free what nobody will ask for again; call it about once a second."""
     tables.forget_old(core, now_s)
-    effects = []
+    effects = handover.give_up_waiting(core, now_s)
     for request in tables.abandoned(core, now_s):
         effects += tables.drop(core, request, now_s)
     return effects
@@ -119,6 +129,7 @@
         if state is None:
             return effects
         state.send_next = None
+        state.awaits_kv_s = now_s if resume.awaits_kv else None
     elif start.generation < state.start.generation:
         return [_refuse(state, start.entry, OLD_GENERATION)]
     elif start.generation > state.start.generation:
@@ -127,7 +138,7 @@
         # A repeat of the resume that this stage has already continued from.
         return []
     _touch(state, now_s)
-    state.owes_held = state.running > 0
+    state.owes_held = requests.is_busy(state)
     effects = [SendTo(start.entry, requests.held(state))]
     return effects + _take_early(core, state, now_s)
 
@@ -215,6 +226,8 @@
     Ack: _ack,
     Free: _free,
     Refused: _refused,
+    HandOver: handover.leave,
+    KvMove: handover.take_kv,
 }
 
 
@@ -226,8 +239,8 @@
 
 def _take_early(core, state, now_s):
     effects = []
-    for step in tables.take_early(core, state.start.request):
-        effects += _step(core, step, now_s)
+    for message in tables.take_early(core, state.start.request):
+        effects += receive(core, message, now_s)
     return effects
 
 
@@ -252,7 +265,8 @@
 def _run(core, state):
     """Start the next compute unless one is in flight."""
     start = state.start
-    if state.running or not state.waiting or start.request in core.draining:
+    busy = requests.is_busy(state) or start.request in core.draining
+    if busy or not state.waiting:
         return []
     inputs = tuple(state.waiting)
     state.waiting.clear()
--- a/libs/pipeline/src/cherryrudder/pipeline/stagerequest.py
+++ b/libs/pipeline/src/cherryrudder/pipeline/stagerequest.py
@@ -27,6 +27,10 @@
         self.acked = 0
         self.owes_held = False
         self.previous_hops = {}
+        # A planned stop: where the KV goes, or since when it is awaited.
+        self.leaving_to = ""
+        self.awaits_kv_s = None
+        self.importing = False
         self.orphaned_s = None
         self.touched_s = now_s
 
@@ -46,6 +50,11 @@
     return start.stage == len(start.stages) - 1
 
 
+def is_busy(request: StageRequest) -> bool:
+    """Tell whether the engine works or waits on what the request holds."""
+    return request.running > 0 or request.awaits_kv_s is not None
+
+
 def previous_hop(start: Start) -> str:
     """Return the address that a stage's steps come from."""
     return start.stages[start.stage - 1].address
@@ -98,7 +107,7 @@
         start.stage,
         request.next_position,
         tuple(tokens),
-        request.running > 0,
+        is_busy(request),
         request.kept_from,
     )
 
--- a/libs/pipeline/src/cherryrudder/pipeline/stagetable.py
+++ b/libs/pipeline/src/cherryrudder/pipeline/stagetable.py
@@ -1,16 +1,16 @@
-"""The bounded tables of a sidecar: requests, early steps, tombstones, kept outputs."""
+"""The bounded tables of a sidecar: requests, early messages, tombstones, outputs."""
 
 from typing import NamedTuple
 
 from cherryrudder.pipeline.effects import FreeKv, SendTo
-from cherryrudder.pipeline.messages import NO_ROOM, Refused, Step
+from cherryrudder.pipeline.messages import NO_ROOM, KvMove, Refused, Step
 from cherryrudder.pipeline.stagerequest import StageRequest, trim
 
 # An engine of today runs some tens of requests at once; this leaves room for those
 # that wait between two steps and still bounds the kept outputs.
 MAX_REQUESTS = 512
-# Half of the smallest endpoint VM's spare memory that the brief's sizes leave room
-# for; the daemon sets it from what its VM has.
+# The hidden states (16 KB each) of one prompt of 4000 tokens. The daemon sets it from
+# what its VM has to spare.
 MAX_KEPT_BYTES = 64 * 2**20
 # A step overtakes its `Start` by the difference of two links' delays, which is
 # milliseconds inside a region; past this the start is lost and the entry resumes.
@@ -21,17 +21,17 @@
 # requests of a dead entry don't fill an engine's KV.
 ORPHAN_S = 10.0
 # A request that saw no message and no result this long has lost its entry without a
-# sign; were it alive, the entry's stall check would have asked long before.
+# sign. Should its caller only be slow, the next resume rebuilds it.
 IDLE_S = 600.0
 # Frames of a freed request may still be under way this long.
 TOMBSTONE_S = 30.0
 MAX_TOMBSTONES = 8192
 
 
-class EarlyStep(NamedTuple):
-    """A step that came before its request's start."""
+class Early(NamedTuple):
+    """A message of another stage that came before its request's start."""
 
-    step: Step
+    message: Step | KvMove
     arrived_s: float
 
 
@@ -54,7 +54,7 @@
         self.max_kept_bytes = max_kept_bytes
         self.kept_bytes = 0
         self.requests: dict[str, StageRequest] = {}
-        self.early: list[EarlyStep] = []
+        self.early: list[Early] = []
         self.tombstones: dict[str, Tombstone] = {}
         # Requests freed while the engine computed for them.
         self.draining: set[str] = set()
@@ -75,25 +75,25 @@
     return state, []
 
 
-def keep_early(core, step, now_s):
-    """Keep a step for its start, within bounds; others are lost like a frame."""
-    tombstone = core.tombstones.get(step.request)
-    dead = tombstone and step.generation <= tombstone.generation
+def keep_early(core, message, now_s):
+    """Keep a message for its start, within bounds; others are lost like a frame."""
+    tombstone = core.tombstones.get(message.request)
+    dead = tombstone and message.generation <= tombstone.generation
     if not dead and len(core.early) < MAX_EARLY:
-        core.early.append(EarlyStep(step, now_s))
+        core.early.append(Early(message, now_s))
 
 
-def take_early(core, request: str) -> list[Step]:
-    """Return the steps that came before their request."""
-    mine = [e.step for e in core.early if e.step.request == request]
-    core.early = [e for e in core.early if e.step.request != request]
+def take_early(core, request: str) -> list[Step | KvMove]:
+    """Return the messages that came before their request."""
+    mine = [e.message for e in core.early if e.message.request == request]
+    core.early = [e for e in core.early if e.message.request != request]
     return mine
 
 
 def drop(core, request, now_s):
     """Forget a request, leaving a tombstone for its late frames."""
     state = core.requests.pop(request, None)
-    core.early = [e for e in core.early if e.step.request != request]
+    core.early = [e for e in core.early if e.message.request != request]
     if state is None:
         return []
     core.kept_bytes -= _size_bytes(state.outputs)
@@ -135,6 +135,14 @@
             return
 
 
+def forget_outputs(core, state):
+    """Drop every output of a request that is to start over."""
+    core.kept_bytes -= _size_bytes(state.outputs)
+    state.outputs.clear()
+    state.inputs.clear()
+    state.kept_from = 0
+
+
 def _kept(state):
     return len(state.outputs)
 
--- a/libs/pipeline/test/builders.py
+++ b/libs/pipeline/test/builders.py
@@ -1,16 +1,19 @@
 """Builders of test data for the pipeline's tests: stages, a fold engine, a world."""
 
+from ast import literal_eval
 from collections import Counter, deque
 
 from cherryrudder.fakes import fold
 from cherryrudder.model.endpoints import Announcement, Kind, Place
-from cherryrudder.pipeline import request as entry, stage as sidecar
+from cherryrudder.pipeline import handover, request as entry, stage as sidecar
 from cherryrudder.pipeline.effects import (
     Compute,
     Deliver,
+    ExportKv,
     Fail,
     Finished,
     FreeKv,
+    ImportKv,
     NeedStage,
     SendTo,
 )
@@ -93,6 +96,15 @@
             outputs.append(pick_token(value, self.salt) if is_last else value)
         return outputs
 
+    def export(self, request):
+        """Return a request's KV as text."""
+        return repr((self.next_position[request], self.kv.get(request, {})))
+
+    def load(self, request, text):
+        """Take KV that another engine exported."""
+        self.next_position[request], kv = literal_eval(text)
+        self.kv[request] = kv or dict.fromkeys(self.layers, fold.EMPTY_KV)
+
     def free(self, request):
         """Drop a request's KV."""
         if self.kv.pop(request, None):
@@ -107,7 +119,7 @@
         self.stage = stage
         self.core = core
         self.engine = FoldEngine(stage, salt)
-        self.computes = deque()
+        self.jobs = deque()
         self.frozen = False
 
 
@@ -184,8 +196,8 @@
         for effect in effects:
             if isinstance(effect, SendTo):
                 self.send(address, effect)
-            elif isinstance(effect, Compute):
-                node.computes.append(effect)
+            elif isinstance(effect, (Compute, ExportKv, ImportKv)):
+                node.jobs.append(effect)
             elif isinstance(effect, FreeKv):
                 node.engine.free(effect.request)
 
@@ -207,14 +219,14 @@
         computes = [
             address
             for address, node in self.nodes.items()
-            if node.computes and not node.frozen
+            if node.jobs and not node.frozen
         ]
         return links + computes
 
     def happen(self, what):
         """Deliver a link's next frame or finish an engine's next compute."""
         if isinstance(what, str):
-            self.finish_compute(self.nodes[what])
+            self.finish_job(self.nodes[what])
             return
         message = self.links[what].popleft()
         address = what[1]
@@ -227,17 +239,29 @@
             effects = entry.receive(core, message, self.now_s)
             self.at_entry(message.request, effects)
 
-    def finish_compute(self, node, fails=False):
-        """Give a compute's outputs, or its failure, to the sidecar."""
-        compute = node.computes.popleft()
-        key = (compute.request, compute.position)
-        outputs = None if fails else node.engine.run(compute)
-        if outputs is None:
-            effects = self.sidecar.compute_failed(node.core, *key, "gap", self.now_s)
+    def finish_job(self, node, fails=False):
+        """Give the outcome of an engine's next job to the sidecar."""
+        job = node.jobs.popleft()
+        core, request, now_s = node.core, job.request, self.now_s
+        if isinstance(job, ExportKv):
+            kv = "" if fails else node.engine.export(request)
+            effects = handover.exported(core, request, kv, now_s)
+        elif isinstance(job, ImportKv):
+            if not fails:
+                node.engine.load(request, job.kv)
+            effects = handover.imported(core, request, not fails, now_s)
         else:
-            effects = self.sidecar.computed(node.core, *key, outputs, self.now_s)
+            effects = self.finish_compute(node, job, fails)
         self.at_stage(node.stage.address, effects)
 
+    def finish_compute(self, node, job, fails):
+        """Give a compute's outputs, or its failure, to the sidecar."""
+        key = (job.request, job.position)
+        outputs = None if fails else node.engine.run(job)
+        if outputs is None:
+            return self.sidecar.compute_failed(node.core, *key, "gap", self.now_s)
+        return self.sidecar.computed(node.core, *key, outputs, self.now_s)
+
     def run(self, until=lambda: False, steps=100_000, rng=None):
         """Let things happen, in turn or at random, and time pass when nothing does."""
         idle = 0
@@ -286,10 +310,20 @@
             else:
                 self.cut(peer, address)
 
+    def leave(self, request, address):
+        """Announce a planned stop of a stage."""
+        core = self.cores[request]
+        self.at_entry(request, entry.stage_leaving(core, address, self.now_s))
+
     def cancel(self, request):
         """Let a caller go away."""
         self.at_entry(request, entry.cancel(self.cores[request], self.now_s))
 
+    def doing(self, kind):
+        """Return the node whose engine's next job is of a kind, or None."""
+        busy = (node for node in self.nodes.values() if node.jobs)
+        return next((node for node in busy if type(node.jobs[0]) is kind), None)
+
     def runs_twice(self):
         """Return the layer runs that a KV saw twice; there should be none."""
         return [
--- a/libs/pipeline/test/test_chainfaults.py
+++ b/libs/pipeline/test/test_chainfaults.py
@@ -76,12 +76,13 @@
         faults = (
             lambda: self.pass_time(rng.choice((0.3, 1.0, 2.0))),
             lambda: self.kill(rng.getrandbits(16), rng.random() < 0.5),
+            lambda: self.leave(rng.getrandbits(16)),
             lambda: self.freeze(rng.getrandbits(16)),
             self.thaw,
             lambda: self.cut(rng.getrandbits(16)),
             lambda: self.lose_frames_silently(rng.getrandbits(16)),
             self.world.deaf.clear,
-            lambda: self.fail_compute(rng.getrandbits(16)),
+            lambda: self.fail_job(rng.getrandbits(16)),
         )
         for _ in range(rng.randint(1, 12)):
             rng.choice(faults)()
@@ -97,6 +98,13 @@
         if address := self.pick(number, used & set(self.world.nodes)):
             self.world.kill(address, silently)
 
+    @rule(number=numbers)
+    def leave(self, number):
+        request = self.pick(number, self.world.cores)
+        stages = self.world.cores[request].stages
+        if address := self.pick(number // 4, [stage.address for stage in stages]):
+            self.world.leave(request, address)
+
     @rule(number=numbers)
     def freeze(self, number):
         if address := self.pick(number, self.world.nodes):
@@ -119,10 +127,10 @@
             self.world.deaf.add(link)
 
     @rule(number=numbers)
-    def fail_compute(self, number):
-        busy = [a for a, node in self.world.nodes.items() if node.computes]
+    def fail_job(self, number):
+        busy = [a for a, node in self.world.nodes.items() if node.jobs]
         if address := self.pick(number, busy):
-            self.world.finish_compute(self.world.nodes[address], fails=True)
+            self.world.finish_job(self.world.nodes[address], fails=True)
 
     @rule(number=numbers)
     def cancel(self, number):
--- a/libs/pipeline/test/test_request.py
+++ b/libs/pipeline/test/test_request.py
@@ -14,7 +14,7 @@
 )
 
 from cherryrudder.pipeline import request as entry
-from cherryrudder.pipeline.effects import Fail, NeedStage
+from cherryrudder.pipeline.effects import ExportKv, Fail, ImportKv, NeedStage
 from cherryrudder.pipeline.messages import Step
 
 
@@ -103,6 +103,41 @@
                     self.assertEqual([], world.runs_twice())
                     self.assertEqual([], world.leftovers())
 
+    def test_a_planned_stop_anywhere(self):
+        """The caller's text is whole although a stage stops in the middle of it.
+
+        The stage finishes its compute and its KV moves to another endpoint, which goes
+        on where it ended: between them they run each position once.
+        """
+        for stage in range(3):
+            for when in range(60):
+                world, start = begin(until=after(when))
+                world.leave("r1", start.stages[stage].address)
+                with self.subTest(stage=stage, when=when):
+                    self.assertEqual(oracle(start), finish(world))
+                    runs = [n.engine.ledger.total() for n in world.nodes.values()]
+                    self.assertEqual(48, sum(runs))
+                    world.run()
+                    self.assertEqual([], world.leftovers())
+
+    def test_a_planned_stop_that_goes_wrong(self):
+        """The caller's text is whole although the KV never arrives.
+
+        The export fails, the import fails, or the stage dies in between; the new
+        stage then holds nothing and is rebuilt from what its neighbour keeps.
+        """
+        for fault in (ExportKv, ImportKv, None):
+            world, start = begin(until=after(20))
+            leaving = start.stages[1].address
+            world.leave("r1", leaving)
+            if fault:
+                world.run(until=lambda world=world, kind=fault: world.doing(kind))
+                world.finish_job(world.doing(fault), fails=True)
+            else:
+                world.kill(leaving, silently=True)
+            self.assertEqual(oracle(start), finish(world))
+            self.assertEqual([], world.runs_twice())
+
     def test_engines_that_sample_differently(self):
         """The caller's text is one that a single process could have written.
 
