Add cherryrudder, the operators' command-line tool

Operators need contracts, planned stops and control VMs in their hands from a shell and from version control. apply prints a plan with its differences and carries it out; contract, stop, control, endpoints, dump, check and key-digest do the rest; each ends with 0 done, 1 failed, 2 bad input or 3 conflict. client.py is usable without the tool. A change keeps its id over retries through other control VMs, and a give-up tells whether the change may stand.

Weighed: letting apply revive a retired contract whose file still lies in the folder (it would undo a retirement nobody asked to undo, so it refuses with 3), retiring a contract whose file is missing (a bad checkout would end a customer's service, so it is left alone), and removing a lost voter before the new one votes.

Not run against a real control VM.

--- /dev/null
+++ b/libs/cli/src/cherryrudder/cli/apply_command.py
@@ -0,0 +1,112 @@
+"""The command `apply`: make the platform hold a folder's contracts."""
+
+from pathlib import Path
+from typing import NamedTuple
+
+from . import client as operator
+from .client import Client
+from .errors import CONFLICT, DONE, CliError, Unreachable
+from .output import Output
+from .plan import Action, Step, load_folder, make_plan
+
+UNCHANGED = {
+    Action.KEEP: "no change",
+    Action.ABSENT: "no file in the folder, left as it is",
+    Action.RETIRED: "not changed, `contract change` takes it up again",
+}
+
+
+class Done(NamedTuple):
+    """What became of a step; `exit_code` is not 0 if it could not be carried out."""
+
+    step: Step
+    message: str
+    exit_code: int = DONE
+
+
+def apply(folder: Path, *, dry_run: bool = False):
+    """Make the platform hold the contracts of a folder of INI files.
+
+    Prints the plan with its differences and what became of each step. Contracts
+    without a file are left alone. Running it again changes nothing.
+
+    Ends with 0 if all is done or nothing was to do, 1 on failure, 2 on bad input, 3
+    if a contract was changed by someone else or is retired.
+
+    :param folder: folder with one .ini file per customer
+    :param dry_run: print the plan only
+    """
+
+    def run(connect):
+        wanted = load_folder(folder)
+        if wanted.is_error():
+            raise wanted.error
+        client = connect()
+        steps = make_plan(wanted.ok, operator.contracts(client))
+        done = plan_only(steps) if dry_run else carry_out(client, steps)
+        return report(done)
+
+    return run
+
+
+def plan_only(steps: list[Step]) -> list[Done]:
+    """Return the steps as they would be carried out."""
+    return [_unchanged(step) or Done(step, "planned") for step in steps]
+
+
+def carry_out(client: Client, steps: list[Step]) -> list[Done]:
+    """Carry out each step, also after one that was refused.
+
+    Once no control VM answers, the rest is not tried: each step would wait in vain.
+    """
+    done, reachable = [], True
+    for step in steps:
+        unchanged = _unchanged(step)
+        if unchanged:
+            done.append(unchanged)
+        elif not reachable:
+            done.append(Done(step, "not tried", Unreachable.exit_code))
+        else:
+            try:
+                done.append(_put(client, step))
+            except Unreachable as error:
+                reachable = False
+                done.append(Done(step, str(error), error.exit_code))
+    return done
+
+
+def report(done: list[Done]) -> Output:
+    """Return what is printed about the steps."""
+    lines, rows = [], []
+    for step, message, _ in done:
+        lines.append(f"{step.action} {step.contract.customer}: {message}")
+        lines += [f"    {line}" for line in step.diff]
+        rows.append(
+            {
+                "action": step.action,
+                "customer": step.contract.customer,
+                "expected_version": step.expected_version,
+                "message": message,
+                "diff": step.diff,
+            }
+        )
+    # A failure matters more to a script than a refusal, whatever came first.
+    codes = [result.exit_code for result in done if result.exit_code]
+    return Output("\n".join(lines), {"plan": rows}, min(codes, default=DONE))
+
+
+def _unchanged(step):
+    message = UNCHANGED.get(step.action)
+    if message is None:
+        return None
+    return Done(step, message, CONFLICT if step.action == Action.RETIRED else DONE)
+
+
+def _put(client, step):
+    try:
+        answer = operator.put_contract(client, step.contract, step.expected_version)
+    except Unreachable:
+        raise
+    except CliError as error:
+        return Done(step, str(error), error.exit_code)
+    return Done(step, f"done, version {answer.version}")
--- /dev/null
+++ b/libs/cli/src/cherryrudder/cli/contract_commands.py
@@ -0,0 +1,143 @@
+"""The commands on single contracts.
+
+Each function is a subcommand: it takes the command line's arguments and returns what
+to do once there is a client.
+"""
+
+from pathlib import Path
+
+from cherryrudder.model.contractfiles import format_contract, load_contract
+
+from . import client as operator
+from .errors import BadInput, Conflict
+from .output import Output, table
+from .plan import diff_contracts
+
+
+def list_contracts():
+    """List the contracts with their main limits."""
+
+    def run(connect):
+        held = operator.contracts(connect())
+        rows = [
+            (
+                name,
+                version,
+                contract.requests_per_s,
+                contract.tokens_per_s,
+                contract.concurrent_requests,
+                "retired" if contract.retired else "in force",
+            )
+            for name, (version, contract) in sorted(held.items())
+        ]
+        heads = ("customer", "version", "requests/s", "tokens/s", "concurrent", "state")
+        return Output(table(heads, rows), {"contracts": _plain(held)})
+
+    return run
+
+
+def show(customer: str):
+    """Print one contract as its contract file.
+
+    :param customer: the customer's name
+    """
+
+    def run(connect):
+        held = _held(connect(), customer)
+        state = "retired" if held.contract.retired else "in force"
+        head = f"; version {held.version}, {state}\n"
+        text = head + format_contract(held.contract).rstrip()
+        return Output(text, _plain({customer: held})[0])
+
+    return run
+
+
+def create(file: Path):
+    """Create a contract from its file.
+
+    :param file: the contract file
+    """
+
+    def run(connect):
+        return _put(connect(), _load(file), None, 0)
+
+    return run
+
+
+def change(file: Path, *, expected_version: int | None = None):
+    """Change a contract to what its file says.
+
+    :param file: the contract file
+    :param expected_version: version that the change is made for, as "show" printed it;
+        without it the version found now
+    """
+
+    def run(connect):
+        contract = _load(file)
+        client = connect()
+        version, current = _held(client, contract.customer)
+        wanted_version = version if expected_version is None else expected_version
+        return _put(client, contract, current, wanted_version)
+
+    return run
+
+
+def retire(customer: str, *, expected_version: int | None = None):
+    """Retire a contract: new work is refused, what runs is finished.
+
+    :param customer: the customer's name
+    :param expected_version: version that the change is made for, as "show" printed it;
+        without it the version found now
+    """
+
+    def run(connect):
+        client = connect()
+        version, current = _held(client, customer)
+        wanted_version = version if expected_version is None else expected_version
+        retired = current._replace(retired=True)
+        return _put(client, retired, current, wanted_version)
+
+    return run
+
+
+COMMANDS = {
+    "list": list_contracts,
+    "show": show,
+    "create": create,
+    "change": change,
+    "retire": retire,
+}
+
+
+def _load(file):
+    result = load_contract(file)
+    if result.is_error():
+        raise BadInput(*result.error.faults)
+    return result.ok
+
+
+def _held(client, customer):
+    held = operator.contracts(client).get(customer)
+    if held is None:
+        raise BadInput(f"{customer}: no such contract")
+    return held
+
+
+def _put(client, contract, current, expected_version):
+    if current == contract:
+        return Output(f"{contract.customer}: no change", {"changed": False})
+    try:
+        answer = operator.put_contract(client, contract, expected_version)
+    except Conflict as error:
+        raise Conflict(f"{contract.customer}: {error}") from error
+    lines = [f"{contract.customer}: done, version {answer.version}"]
+    lines += [f"    {line}" for line in diff_contracts(current, contract)]
+    value = {"changed": True, **answer._asdict()}
+    return Output("\n".join(lines), value)
+
+
+def _plain(held):
+    return [
+        {"version": version, "contract": contract._asdict()}
+        for version, contract in held.values()
+    ]
--- /dev/null
+++ b/libs/cli/src/cherryrudder/cli/main.py
@@ -0,0 +1,54 @@
+"""The command line of `cherryrudder`."""
+
+import argparse
+import os
+import sys
+
+import defopt
+
+from . import contract_commands, local_commands, platform_commands
+from .apply_command import apply
+from .client import Client
+from .errors import CliError
+from .options import HELP, check_address, control_addresses, read_key, split_options
+from .output import pretty
+
+COMMANDS = {
+    "apply": apply,
+    "contract": contract_commands.COMMANDS,
+    "stop": platform_commands.STOP_COMMANDS,
+    "control": platform_commands.CONTROL_COMMANDS,
+    "endpoints": platform_commands.endpoints,
+    "dump": platform_commands.dump,
+    "check": local_commands.check,
+    "key-digest": local_commands.key_digest,
+}
+
+
+def main(arguments=None, environment=os.environ, transport=None) -> int:
+    """Run one command and return its exit code."""
+    arguments = sys.argv[1:] if arguments is None else arguments
+    options, left = split_options(arguments, environment)
+
+    def connect(addresses=None):
+        if addresses is None:
+            addresses = control_addresses(options)
+        checked = [check_address(address) for address in addresses]
+        return Client(checked, read_key(options), transport)
+
+    command = defopt.run(
+        COMMANDS,
+        argv=left,
+        argparse_kwargs={
+            "prog": "cherryrudder",
+            "epilog": HELP,
+            "formatter_class": argparse.RawDescriptionHelpFormatter,
+        },
+    )
+    try:
+        output = command(connect)
+    except CliError as error:
+        print(error, file=sys.stderr)
+        return error.exit_code
+    print(pretty(output.value) if options.json else output.text)
+    return output.exit_code
--- /dev/null
+++ b/libs/cli/test/test_client.py
@@ -0,0 +1,76 @@
+"""Tests of the operators' client: which control VM it asks, and when it gives up."""
+
+import unittest
+
+import httpx
+from builders import ADDRESSES, KEY, FakeControl, a_contract
+
+from cherryrudder.cli import client as operator
+from cherryrudder.cli.client import PATIENCE_S, Client
+from cherryrudder.cli.errors import BadInput, Conflict, Failed, Unreachable
+
+
+class ClientTest(unittest.TestCase):
+    def setUp(self):
+        self.control = FakeControl()
+        self.now_s = 0.0
+        self.client = self.open(KEY)
+
+    def open(self, key):
+        transport = httpx.MockTransport(self.control.handle)
+        clock = {"clock": lambda: self.now_s, "sleep": self.sleep}
+        return Client(ADDRESSES, key, transport, **clock)
+
+    def sleep(self, wait_s):
+        self.now_s += wait_s
+
+    def asked(self):
+        return [address for address, *_ in self.control.calls]
+
+    def test_the_next_address_is_asked_and_then_kept(self):
+        self.control.faults = {ADDRESSES[0]: ["down"], ADDRESSES[1]: ["no-leader"]}
+        self.assertEqual(operator.contracts(self.client), {})
+        operator.contracts(self.client)
+        self.assertEqual(self.asked(), [*ADDRESSES, ADDRESSES[2]])
+
+    def test_a_new_leader_is_waited_for(self):
+        """The leader dies; for a second nobody takes changes, then one is elected.
+
+        The operator's change must not fail for that, and must be made once.
+        """
+        self.control.faults = {address: ["no-leader"] * 3 for address in ADDRESSES}
+        answer = operator.put_contract(self.client, a_contract(), 0)
+        self.assertEqual(answer.version, 1)
+        self.assertGreater(self.now_s, 0.5)
+
+    def test_giving_up_tells_whether_a_change_may_stand(self):
+        """All control VMs are out of reach, or one took the change and went silent.
+
+        Only in the first case may the operator be sure that nothing was changed.
+        """
+        for fault, sent in (("down", False), ("lost", True)):
+            self.control.faults = {ADDRESSES[1]: [fault]}
+            for address in (ADDRESSES[0], ADDRESSES[2], ADDRESSES[1]):
+                self.control.faults.setdefault(address, []).extend(["down"] * 999)
+            with self.assertRaises(Unreachable) as caught:
+                operator.put_contract(self.client, a_contract(), 0)
+            self.assertEqual(caught.exception.sent, sent)
+            self.assertEqual("may have been accepted" in str(caught.exception), sent)
+        self.assertLess(self.now_s, 2 * (PATIENCE_S + 1))
+
+    def test_answers_become_typed_errors(self):
+        operator.put_contract(self.client, a_contract(), 0)
+        with self.assertRaises(Conflict):
+            operator.put_contract(self.client, a_contract(), 0)
+        with self.assertRaises(BadInput):
+            operator.cancel_stop(self.client, "none")
+        with self.assertRaisesRegex(Failed, "key was refused"):
+            operator.contracts(self.open("another"))
+        for content in (b"<html>", b"[]", b'{"contracts": [{"contract": {}}]}'):
+            self.client.http = httpx.Client(
+                transport=httpx.MockTransport(
+                    lambda _, content=content: httpx.Response(200, content=content)
+                )
+            )
+            with self.assertRaises(Failed):
+                operator.contracts(self.client)
