Slow only long answers, and measure refusals

The fault for long answers slowed the whole batch step, so that short requests beside a long one were slowed too and a watcher would have seen it. Long ones now take part in every n-th batch step only. The load report gains the time to a refusal and the number of refusals without Retry-After, since a request that is given up on has to be answered at once and told when to come back. Counting them from the statuses alone was ruled out: a 503 without Retry-After looks the same there.

--- a/libs/fakes/src/cherryrudder/fakes/core.py
+++ b/libs/fakes/src/cherryrudder/fakes/core.py
@@ -94,9 +94,10 @@
     return Ok(job)
 
 
-def begin_batch(engine: Engine) -> list[Work]:
+def begin_batch(engine: Engine, may_run=lambda job: True) -> list[Work]:
     """Return the work of the next batch step, which is running from now on."""
-    engine.batch = choose_batch(list(engine.jobs.values()), engine.limits)
+    jobs = [job for job in engine.jobs.values() if may_run(job)]
+    engine.batch = choose_batch(jobs, engine.limits)
     return engine.batch
 
 
--- a/libs/fakes/src/cherryrudder/fakes/engine_loop.py
+++ b/libs/fakes/src/cherryrudder/fakes/engine_loop.py
@@ -7,7 +7,7 @@
 from . import core, load_report
 from .batching import batch_s
 from .core import Engine
-from .faults import EngineFaults
+from .faults import EngineFaults, may_run
 from .freeze import Freeze, thaw
 from .load_report import LoadReport
 from .orders import Gate
@@ -33,6 +33,7 @@
         self.accelerator = accelerator
         self.load_s = load_s
         self.faults = EngineFaults()
+        self.step_number = 0
         self.freeze = Freeze()
         self.waiting = {}
         self.work_came = anyio.Event()
@@ -42,13 +43,16 @@
     """Run batch step after batch step for as long as there is work."""
     while True:
         await thaw(shell.freeze)
-        batch = core.begin_batch(shell.engine)
+        shell.step_number += 1
+        runnable = may_run(shell.faults, shell.step_number)
+        batch = core.begin_batch(shell.engine, runnable)
         note_load(shell)
-        if not batch:
+        if not shell.engine.jobs:
             shell.work_came = anyio.Event()
             await shell.work_came.wait()
             continue
-        await anyio.sleep(slowed_s(shell, batch))
+        step_s = batch_s(batch, shell.engine.limits)
+        await anyio.sleep(step_s * shell.faults.slow_factor)
         await thaw(shell.freeze)
         tell(shell, core.finish_batch(shell.engine, anyio.current_time()))
         count_down_to_death(shell)
@@ -60,15 +64,6 @@
     load_report.note(shell.loads, load, anyio.current_time())
 
 
-def slowed_s(shell: Shell, batch) -> float:
-    """Return how long a batch step lasts under the present faults."""
-    faults = shell.faults
-    longest = max(job.position for job, _ in batch)
-    long = longest >= faults.long_tokens
-    factor = faults.slow_factor * (faults.slow_long_factor if long else 1)
-    return batch_s(batch, shell.engine.limits) * factor
-
-
 def tell(shell: Shell, jobs):
     """Wake the calls that wait for these jobs."""
     for job in jobs:
--- a/libs/fakes/src/cherryrudder/fakes/faults.py
+++ b/libs/fakes/src/cherryrudder/fakes/faults.py
@@ -1,13 +1,17 @@
 """The faults that a test can give a stand-in, and what they do to it."""
 
+from collections.abc import Callable
 from typing import NamedTuple
 
+from .batching import Job
+
 
 class EngineFaults(NamedTuple):
     """Faults of an engine; a call to /v1/faults sets the fields it names.
 
-    `fail_steps` counts the steps still to fail. `slow_long_factor` applies to requests
-    past `long_tokens` positions only. `mute` accepts calls and never answers them.
+    `fail_steps` counts the steps still to fail. Requests past `long_tokens` positions
+    run in every `slow_long_factor`-th batch step only, so that short ones beside them
+    are as quick as ever. `mute` accepts calls and never answers them.
     `die_after_steps` ends the process once so many more batch steps have run.
     """
 
@@ -15,7 +19,7 @@
     freeze_s: float = 0.0
     fail_steps: int = 0
     die: bool = False
-    slow_long_factor: float = 1.0
+    slow_long_factor: int = 1
     long_tokens: int = 256
     mute: bool = False
     die_after_steps: int = -1
@@ -29,3 +33,10 @@
     freeze_s: float = 0.0
     die: bool = False
     drop_answers: int = 0
+
+
+def may_run(faults: EngineFaults, step_number: int) -> Callable[[Job], bool]:
+    """Return which jobs a batch step may take under the faults."""
+    if step_number % max(1, faults.slow_long_factor) == 0:
+        return lambda job: True
+    return lambda job: job.position < faults.long_tokens
--- a/libs/fakes/src/cherryrudder/fakes/load_stats.py
+++ b/libs/fakes/src/cherryrudder/fakes/load_stats.py
@@ -11,6 +11,7 @@
 MICROSECONDS = 1_000_000
 LONGEST_US = 3600 * MICROSECONDS
 DIGITS = 3
+REFUSALS = (429, 503)
 
 
 class Percentiles(NamedTuple):
@@ -37,7 +38,10 @@
     total: Percentiles
     goodput_tokens_per_s: float
     goodput_requests_per_s: float
+    refusal: Percentiles
     retry_after: Percentiles
+    # Refusals that do not say when to come back, which the promises forbid.
+    no_retry_after: int
 
 
 class Report(NamedTuple):
@@ -72,7 +76,8 @@
 def figures(name: str, samples: list[Sample], elapsed_s: float) -> Figures:
     """Return the figures of some samples."""
     done = [sample for sample in samples if sample.result == Result.DONE]
-    refused = [s.retry_after_s for s in samples if s.retry_after_s]
+    refused = [sample for sample in samples if sample.status in REFUSALS]
+    waits_s = [sample.retry_after_s for sample in refused if sample.retry_after_s]
     tokens = sum(len(sample.text.split()) for sample in done)
     gaps_s = (gap_s for sample in done for gap_s in sample.token_gaps_s)
     return Figures(
@@ -85,7 +90,9 @@
         percentiles(sample.total_s for sample in done),
         tokens / elapsed_s,
         len(done) / elapsed_s,
-        percentiles(refused),
+        percentiles(sample.total_s for sample in refused),
+        percentiles(waits_s),
+        len(refused) - len(waits_s),
     )
 
 
@@ -105,7 +112,7 @@
 def format_report(report: Report) -> str:
     """Return the report as a table for people."""
     heads = ("customer", "sent", "done", "not-run", "unknown", "bad", "tokens/s")
-    heads += ("ttft p50", "p99", "tbt p50", "p99", "retry-after")
+    heads += ("ttft p50", "p99", "tbt p50", "p99", "refusal p99", "retry-after")
     lines = [f"{heads[0]:14}" + "".join(f"{head:>12}" for head in heads[1:])]
     lines += [_row(row) for row in (*report.customers, report.together)]
     lines.append(
@@ -121,5 +128,6 @@
     cells.append(f"{row.goodput_tokens_per_s:.1f}")
     for times in (row.first_token, row.between_tokens):
         cells += [f"{times.p50_s * 1000:.1f} ms", f"{times.p99_s * 1000:.1f} ms"]
+    cells.append(f"{row.refusal.p99_s * 1000:.1f} ms")
     cells.append(f"{row.retry_after.p50_s:.2f} s")
     return f"{row.customer:14}" + "".join(f"{cell:>12}" for cell in cells)
--- /dev/null
+++ b/libs/fakes/test/test_faults.py
@@ -0,0 +1,37 @@
+"""Tests of the faults that are decided without a process."""
+
+import unittest
+
+from builders import a_job
+
+from cherryrudder.fakes.batching import Limits, batch_s, choose_batch
+from cherryrudder.fakes.faults import EngineFaults, may_run
+from cherryrudder.fakes.fields import merge
+
+
+class FaultTest(unittest.TestCase):
+    def test_only_long_answers_are_slowed(self):
+        """An engine is told to be four times slower past 100 tokens.
+
+        A watcher that judges it by short requests sees nothing; callers of long ones
+        get a quarter of their tokens.
+        """
+        short, long = a_job(1), a_job(2)
+        long.position = 100
+        faults = EngineFaults(slow_long_factor=4, long_tokens=100)
+        ran = [
+            [job.number for job in (short, long) if may_run(faults, step)(job)]
+            for step in range(1, 5)
+        ]
+        self.assertEqual(ran, [[1], [1], [1], [1, 2]])
+        self.assertTrue(may_run(EngineFaults(), 1)(long))
+
+    def test_a_step_without_work_takes_time_too(self):
+        limits = Limits(100.0, 4, 8)
+        self.assertGreater(batch_s(choose_batch([], limits), limits), 0)
+
+    def test_changes_are_checked_by_type(self):
+        self.assertEqual(merge(EngineFaults(), {"mute": True}).mute, True)
+        for changes in ({"mute": "yes"}, {"slow": 1}):
+            with self.assertRaises(ValueError):
+                merge(EngineFaults(), changes)
--- a/libs/fakes/test/test_load.py
+++ b/libs/fakes/test/test_load.py
@@ -102,6 +102,7 @@
         self.assertAlmostEqual(self.report.together.goodput_tokens_per_s, goodput)
         self.assertAlmostEqual(self.report.jain, 1 / 5)
         self.assertAlmostEqual(self.report.together.retry_after.p50_s, 2.0, delta=0.01)
+        self.assertEqual(self.report.together.no_retry_after, 0)
         self.assertIn("Jain's index 0.200", format_report(self.report))
 
     def test_whole_answers_are_checked_too(self):
