--- /dev/null
+++ b/libs/daemon/src/cherryrudder/daemon/voter.py
@@ -0,0 +1,246 @@
+"""Drives the replicated log's core: its disk, its messages and its clock.
+
+Effects are carried out strictly in order. A `Persist` waits for one turn of the loop
+first, so that all requests that arrived in the meantime share its fsync.
+"""
+
+import random
+from collections import deque
+from typing import Any
+
+import anyio
+import anyio.lowlevel
+from loguru import logger
+
+from cherryrudder.model import jsoncodec
+from cherryrudder.quorum import core, events
+from cherryrudder.quorum.core import Timing
+from cherryrudder.quorum.files import open_disk
+from cherryrudder.state import machine
+from cherryrudder.state.commands import Clock
+
+from .clock import new_id, now_s, wall_s
+from .errors import NoQuorum, StartError
+from .peers import Peers
+
+# The leader puts the time of day into the log this often; retention needs no better.
+CLOCK_S = 10.0
+# One try at a leader; a new one is elected in about a second.
+TRY_S = 1.5
+RETRY_S = 0.05
+# Answers to proposals that nobody here waits for, kept in case of a late waiter.
+KEPT_ANSWERS = 4096
+NO_QUORUM = "no majority of the control VMs answered in time"
+
+log = logger.bind(part="voter")
+
+
+class Voter:
+    """The control VM's part of the replicated log, and the state that it drives."""
+
+    def __init__(self, process):
+        quorum = process.settings.quorum
+        result = open_disk(quorum.data_folder, process.settings.process.vm)
+        if result.is_error():
+            raise StartError(str(result.error))
+        self.process = process
+        self.disk = result.ok
+        self.state = machine.new_state()
+        self.applied_index = 0
+        self.applied = anyio.Event()
+        self.peers = Peers(process, self._on_message, self._on_call)
+        self.node = open_core(process, self.disk)
+        self._heartbeat_s = quorum.heartbeat_s
+        self._effects = deque()
+        self._wake = anyio.Event()
+        self._answers: dict[int, Any] = {}
+        self._waiting: dict[str, Any] = {}
+
+    def start(self) -> None:
+        """Start the tasks that drive the core."""
+        self.peers.start()
+        self.process.group.start_soon(self._carry_out)
+        self.process.group.start_soon(self._tick)
+        self.process.group.start_soon(self._put_time)
+
+    def feed(self, event) -> None:
+        """Give the core an event."""
+        self._effects.extend(core.handle(self.node, event, now_s()))
+        self._wake.set()
+
+    def status(self) -> dict:
+        """Return the core's view of itself."""
+        return core.status(self.node) | {"applied": self.applied_index}
+
+    async def propose(self, payload: str, timeout_s: float) -> Any:
+        """Commit a command through whichever VM leads; raises NoQuorum.
+
+        A command carries an id that makes it idempotent in the state, so that it is
+        safe to propose it again when a leader was lost before it answered.
+        """
+        deadline_s = now_s() + timeout_s
+        while now_s() < deadline_s:
+            answer = await self._at_leader("propose", payload, deadline_s)
+            if answer is not None:
+                return answer
+            await anyio.sleep(RETRY_S)
+        raise NoQuorum(NO_QUORUM)
+
+    async def confirm(self, timeout_s: float) -> int:
+        """Wait until the state here is as fresh as the call; raises NoQuorum."""
+        deadline_s = now_s() + timeout_s
+        while now_s() < deadline_s:
+            index = await self._at_leader("read-index", "", deadline_s)
+            if index is not None:
+                await self._wait_applied(index, deadline_s)
+                return self.applied_index
+            await anyio.sleep(RETRY_S)
+        raise NoQuorum(NO_QUORUM)
+
+    async def change_voters(self, action, voter, timeout_s: float) -> bool:
+        """Change the voters by one; false when the leader refused; raises NoQuorum."""
+        value = {"action": action, "voter": voter}
+        done = await self._at_leader("voters", value, now_s() + timeout_s)
+        if done is None:
+            raise NoQuorum("the change of voters was not confirmed in time")
+        return done
+
+    async def _at_leader(self, kind, value, deadline_s):
+        """Return the answer of this VM if it leads, or of the one that it knows."""
+        deadline_s = min(deadline_s, now_s() + TRY_S)
+        answer = await self._here(kind, value, deadline_s)
+        address = core.status(self.node)["leader_address"]
+        if answer is None and address not in ("", self.peers.address):
+            answer = await self.peers.call(address, kind, value, deadline_s)
+        return answer
+
+    async def _here(self, kind, value, deadline_s):
+        """Return the answer if this VM leads, else None."""
+        make_event = event_maker(kind, value)
+        if make_event is None:
+            return None
+        result = await self._ask(make_event, deadline_s)
+        match result:
+            case events.Proposed():
+                return self._answers.pop(result.index, True)
+            case events.ReadReady():
+                return result.index
+            case events.Rejected() if kind == "voters" and not result.leader_address:
+                return False
+        return None
+
+    async def _ask(self, make_event, deadline_s):
+        name = new_id()
+        slot = self._waiting[name] = [None, anyio.Event()]
+        try:
+            self.feed(make_event(name))
+            with anyio.move_on_after(max(0.0, deadline_s - now_s())):
+                await slot[1].wait()
+            return slot[0]
+        finally:
+            del self._waiting[name]
+
+    async def _on_call(self, kind, value):
+        return await self._here(kind, value, now_s() + TRY_S)
+
+    def _on_message(self, sender, message):
+        self.feed(events.Received(sender, message))
+
+    async def _wait_applied(self, index, deadline_s):
+        while self.applied_index < index:
+            with anyio.move_on_after(deadline_s - now_s()) as scope:
+                await self.applied.wait()
+            if scope.cancelled_caught:
+                raise NoQuorum("the log has not caught up in time")
+
+    async def _tick(self):
+        while True:
+            self.feed(events.Tick())
+            await anyio.sleep(self._heartbeat_s / 3)
+
+    async def _put_time(self):
+        while True:
+            await anyio.sleep(CLOCK_S)
+            payload = machine.encode_command(Clock(wall_s()))
+            self.feed(events.Propose("clock", payload))
+
+    async def _carry_out(self):
+        while True:
+            while self._effects:
+                await self._do(self._effects.popleft())
+            self._wake = anyio.Event()
+            await self._wake.wait()
+
+    async def _do(self, effect):
+        match effect:
+            case events.Send():
+                self.peers.send(effect.address, effect.message)
+            case events.Persist():
+                # Requests that are ready share the next fsync as one group, and what
+                # was sent before this effect leaves while the disk works.
+                await anyio.lowlevel.checkpoint()
+                self.disk.persist(effect)
+                self.feed(events.Persisted(effect.write_id))
+            case events.SaveSnapshot():
+                self.disk.save_snapshot(effect)
+                self.feed(events.Persisted(effect.write_id))
+            case events.Apply():
+                self._apply(effect.entries)
+            case events.RestoreSnapshot():
+                self.state = machine.restore(effect.data)
+                self._moved_to(effect.index)
+            case events.WantSnapshot():
+                data = machine.snapshot(self.state)
+                self.feed(events.Snapshotted(self.applied_index, data))
+            case events.Proposed() | events.Rejected():
+                self._resolve(effect.proposal_id, effect)
+            case events.ReadReady():
+                self._resolve(effect.read_id, effect)
+
+    def _apply(self, entries):
+        for entry in entries:
+            if entry.kind == "command":
+                answer = machine.apply(self.state, entry.index, entry.payload)
+                if self._waiting:
+                    self._answers[entry.index] = answer
+        self._moved_to(entries[-1].index)
+        while len(self._answers) > KEPT_ANSWERS:
+            del self._answers[next(iter(self._answers))]
+
+    def _moved_to(self, index):
+        self.applied_index = index
+        self.applied.set()
+        self.applied = anyio.Event()
+
+    def _resolve(self, name, effect):
+        slot = self._waiting.get(name)
+        if slot is not None:
+            slot[0] = effect
+            slot[1].set()
+
+
+def event_maker(kind: str, value):
+    """Return a function from a name to the core's event, None for an unknown kind."""
+    if kind == "propose":
+        return lambda name: events.Propose(name, value)
+    if kind == "read-index":
+        return events.ReadIndex
+    if kind == "voters":
+        voter = jsoncodec.convert(jsoncodec.plain(value["voter"]), events.Voter)
+        return lambda name: events.ChangeVoters(name, value["action"], voter)
+    return None
+
+
+def open_core(process, disk):
+    """Return the log's core as the disk left it."""
+    quorum = process.settings.quorum
+    timing = Timing(
+        quorum.heartbeat_s,
+        quorum.election_min_s,
+        quorum.election_max_s,
+        quorum.snapshot_entries,
+    )
+    identity = disk.saved.identity
+    me = events.Voter(identity.vm, identity.disk_id, process.settings.listen.frames)
+    rng = random.Random(process.incarnation)
+    return core.open_node(me, disk.saved, timing, rng, now_s())
--- /dev/null
+++ b/libs/pipeline/src/cherryrudder/pipeline/stage.py
@@ -0,0 +1,276 @@
+"""The sidecar's part of the pipeline: many requests, one stage of each.
+
+A step's inputs are taken once, by position: a repeat is dropped, a gap or an old
+generation is refused, so that every layer runs once per token whatever the links do.
+"""
+
+from cherryrudder.pipeline import stagerequest as requests, stagetable as tables
+from cherryrudder.pipeline.effects import Compute, FreeKv, SendTo
+from cherryrudder.pipeline.messages import (
+    ENTRY_STAGE,
+    GAP,
+    OLD_GENERATION,
+    Ack,
+    Continue,
+    Free,
+    Refused,
+    Resume,
+    StageFailed,
+    Start,
+    Step,
+)
+from cherryrudder.pipeline.stagetable import StageCore
+
+
+def receive(core: StageCore, message, now_s: float) -> list:
+    """Take a message and return the effects."""
+    handler = HANDLERS.get(type(message))
+    return handler(core, message, now_s) if handler else []
+
+
+def computed(core: StageCore, request: str, position: int, outputs, now_s: float):
+    """Take the engine's outputs, one for each input of the `Compute`."""
+    if request in core.draining:
+        return _drained(core, request)
+    state = core.requests.get(request)
+    if state is None:
+        return [FreeKv(request)]
+    if not state.running or position != state.next_position:
+        return []
+    if len(outputs) != state.running:
+        message = f"{len(outputs)} outputs for {state.running} inputs"
+        return compute_failed(core, request, position, message, now_s)
+    state.touched_s = now_s
+    tables.keep(core, state, outputs)
+    state.running = 0
+    effects = []
+    if state.owes_held:
+        state.owes_held = False
+        effects.append(SendTo(state.start.entry, requests.held(state)))
+    return effects + _advance(core, state)
+
+
+def compute_failed(core: StageCore, request, position, message: str, now_s: float):
+    """Report a failed compute to the entry and drop what the engine holds.
+
+    The KV is in an unknown state: going on with it could run a layer twice.
+    """
+    if request in core.draining:
+        return _drained(core, request)
+    state = core.requests.get(request)
+    if state is None or not state.running or position != state.next_position:
+        return []
+    state.running = 0
+    start = state.start
+    failed = StageFailed(request, start.generation, start.stage, message)
+    return [SendTo(start.entry, failed)] + tables.drop(core, request, now_s)
+
+
+def link_lost(core: StageCore, address: str, now_s: float) -> list:
+    """Report lost links to neighbours; requests of a lost entry wait for `tick`."""
+    effects = []
+    for state in core.requests.values():
+        start = state.start
+        if start.entry == address and state.orphaned_s is None:
+            state.orphaned_s = now_s
+        for stage in _neighbours(start):
+            if start.stages[stage].address == address:
+                lost = StageFailed(
+                    start.request, start.generation, stage, "link lost", True
+                )
+                effects.append(SendTo(start.entry, lost))
+    return effects
+
+
+def tick(core: StageCore, now_s: float) -> list:
+    """Free what nobody will ask for again; call it about once a second."""
+    tables.forget_old(core, now_s)
+    effects = []
+    for request in tables.abandoned(core, now_s):
+        effects += tables.drop(core, request, now_s)
+    return effects
+
+
+def _neighbours(start):
+    """Return the stages that a stage exchanges steps with, without itself."""
+    count = len(start.stages)
+    around = {(start.stage - 1) % count, (start.stage + 1) % count}
+    return sorted(around - {start.stage})
+
+
+def _start(core, start, now_s):
+    state = core.requests.get(start.request)
+    if state is not None:
+        # A repeat, or one that a newer generation overtook.
+        return []
+    state, effects = tables.open_request(core, start, now_s)
+    if state is None:
+        return effects
+    if start.stage == 0:
+        requests.accept(state, 0, start.prompt)
+    return _take_early(core, state, now_s) + _advance(core, state)
+
+
+def _resume(core, resume, now_s):
+    start = resume.start
+    state = core.requests.get(start.request)
+    if state is None:
+        state, effects = tables.open_request(core, start, now_s)
+        if state is None:
+            return effects
+        state.send_next = None
+    elif start.generation < state.start.generation:
+        return [_refuse(state, start.entry, OLD_GENERATION)]
+    elif start.generation > state.start.generation:
+        requests.adopt(state, start)
+    elif state.send_next is not None:
+        # A repeat of the resume that this stage has already continued from.
+        return []
+    _touch(state, now_s)
+    state.owes_held = state.running > 0
+    effects = [SendTo(start.entry, requests.held(state))]
+    return effects + _take_early(core, state, now_s)
+
+
+def _continue(core, message, now_s):
+    state = core.requests.get(message.request)
+    if state is None or message.generation != state.start.generation:
+        return []
+    _touch(state, now_s)
+    start = state.start
+    state.send_next = message.send_from
+    if requests.is_last(start):
+        state.feed_next = message.send_from - requests.first_sent(start)
+    if start.stage == 0 and not requests.accept(
+        state, message.position, message.inputs
+    ):
+        return [_refuse(state, start.entry, GAP)]
+    return _advance(core, state)
+
+
+def _step(core, step, now_s):
+    state = core.requests.get(step.request)
+    if state is None or step.generation > state.start.generation:
+        tables.keep_early(core, step, now_s)
+        return []
+    if step.generation < state.start.generation:
+        hop = state.previous_hops.get(step.generation)
+        return [_refuse(state, hop, OLD_GENERATION)] if hop else []
+    state.touched_s = now_s
+    if not requests.accept(state, step.position, step.inputs):
+        return [_refuse(state, requests.previous_hop(state.start), GAP)]
+    return _run(core, state)
+
+
+def _ack(core, ack, now_s):
+    state = core.requests.get(ack.request)
+    if state is None:
+        return []
+    _touch(state, now_s)
+    state.acked = max(state.acked, ack.count)
+    return _advance(core, state)
+
+
+def _free(core, free, now_s):
+    return tables.drop(core, free.request, now_s)
+
+
+def _refused(core, refused, now_s):
+    state = core.requests.get(refused.request)
+    if state is None:
+        return []
+    start = state.start
+    if refused.code == OLD_GENERATION and refused.generation > start.generation:
+        # Either this process was frozen or cut off while the entry replaced it, or
+        # its own `Resume` is still under way on another link. Dropping the KV at
+        # once would have a surviving stage rebuilt, so it falls silent and waits.
+        state.send_next = None
+        state.orphaned_s = now_s
+        return []
+    if refused.code != GAP or refused.generation != start.generation:
+        return []
+    if state.send_next is None:
+        return []
+    _rewind(state, refused)
+    return _advance(core, state)
+
+
+def _rewind(state, refused):
+    """Go back to what the refusing side waits for."""
+    start = state.start
+    if not requests.is_last(start):
+        state.send_next = min(state.send_next, refused.next_position)
+    elif refused.stage == ENTRY_STAGE:
+        state.send_next = min(state.send_next, refused.next_position - 1)
+    else:
+        token = refused.next_position - len(start.prompt)
+        state.feed_next = min(state.feed_next, max(0, token))
+
+
+HANDLERS = {
+    Start: _start,
+    Resume: _resume,
+    Continue: _continue,
+    Step: _step,
+    Ack: _ack,
+    Free: _free,
+    Refused: _refused,
+}
+
+
+def _touch(state, now_s):
+    """Note a message from the entry."""
+    state.touched_s = now_s
+    state.orphaned_s = None
+
+
+def _take_early(core, state, now_s):
+    effects = []
+    for step in tables.take_early(core, state.start.request):
+        effects += _step(core, step, now_s)
+    return effects
+
+
+def _advance(core, state):
+    """Send what is due and give the engine what waits."""
+    start = state.start
+    if not requests.is_last(start):
+        step = requests.take_step(state)
+        address = start.stages[(start.stage + 1) % len(start.stages)].address
+        sent = [SendTo(address, step)] if step else []
+        return sent + _run(core, state)
+    tokens = requests.take_tokens(state)
+    sent = [SendTo(start.entry, tokens)] if tokens else []
+    feedback = requests.take_feedback(state)
+    if feedback and start.stage == 0:
+        requests.accept(state, feedback.position, feedback.inputs)
+    elif feedback:
+        sent.append(SendTo(start.stages[0].address, feedback))
+    return sent + _run(core, state)
+
+
+def _run(core, state):
+    """Start the next compute unless one is in flight."""
+    start = state.start
+    if state.running or not state.waiting or start.request in core.draining:
+        return []
+    inputs = tuple(state.waiting)
+    state.waiting.clear()
+    state.running = len(inputs)
+    position = state.next_position
+    return [Compute(start.request, start.model, position, inputs, start.priority)]
+
+
+def _drained(core, request):
+    """Throw away a result for a freed request; its compute may have made KV anew."""
+    core.draining.discard(request)
+    state = core.requests.get(request)
+    return [FreeKv(request)] + (_run(core, state) if state else [])
+
+
+def _refuse(state, address, code):
+    start = state.start
+    refused = Refused(
+        start.request, start.generation, start.stage, code, state.expected
+    )
+    return SendTo(address, refused)
