Place requests by policy, with credits from the sidecars

Cause: the entry took the first chain that covered the layers and counted only its own requests. Placement now chooses by speed, links, prefix and credits; each sidecar tells its endpoint's own step time and the age of its oldest call, so that a slow stage is not blamed on its chain and a mute engine is seen. Ruled out: whole-chain times as each stage's own (three stages blamed for one).

--- a/libs/daemon/src/cherryrudder/daemon/dataplane.py
+++ b/libs/daemon/src/cherryrudder/daemon/dataplane.py
@@ -7,12 +7,13 @@
 
 from cherryrudder.pipeline import request as driver
 from cherryrudder.pipeline.effects import Deliver, Fail, Finished, NeedStage, SendTo
-from cherryrudder.pipeline.messages import MESSAGES, Stage, Start
+from cherryrudder.pipeline.messages import Stage, Start
 from cherryrudder.wire.frames import FrameCodec
 from cherryrudder.wire.links import Links, listen_frames
 
 from .clock import now_s
 from .errors import DaemonError
+from .framemessages import DATA_MESSAGES, CreditGrant
 
 TICK_S = 0.1
 
@@ -41,11 +42,12 @@
 class DataPlane:
     """All pipelines of one entry."""
 
-    def __init__(self, process, stall_s: float):
+    def __init__(self, process, stall_s: float, on_grant: Callable):
         self.process = process
+        self.on_grant = on_grant
         self.timing = driver.Timing(stall_s=stall_s)
         self.flows: dict[str, Flow] = {}
-        self.codec = FrameCodec(MESSAGES)
+        self.codec = FrameCodec(DATA_MESSAGES)
         self.links = Links(
             process.group,
             self.codec,
@@ -100,16 +102,23 @@
         """Free every stage of a request that nobody waits for; harmless at its end."""
         self._carry_out(flow, driver.cancel(flow.core, now_s()))
 
+    def lose(self, endpoint: str) -> None:
+        """Go on elsewhere with every request that has a stage on an endpoint."""
+        self._link_down(endpoint)
+
     def _on_messages(self, peer, messages):
         at_s = now_s()
         for message in messages:
+            if isinstance(message, CreditGrant):
+                self.on_grant(message)
+                continue
             flow = self.flows.get(message.request)
             if flow is not None:
                 self._carry_out(flow, driver.receive(flow.core, message, at_s))
 
-    def _link_down(self, address):
+    def _link_down(self, name):
         for flow in list(self.flows.values()):
-            self._carry_out(flow, driver.stage_lost(flow.core, address, now_s()))
+            self._carry_out(flow, driver.stage_lost(flow.core, name, now_s()))
 
     async def _tick(self):
         while True:
--- a/libs/daemon/src/cherryrudder/daemon/enginehost.py
+++ b/libs/daemon/src/cherryrudder/daemon/enginehost.py
@@ -8,7 +8,7 @@
 
 from cherryrudder.pipeline import stage
 from cherryrudder.pipeline.effects import Compute, FreeKv, SendTo
-from cherryrudder.pipeline.messages import MESSAGES, NO_ROOM, Refused, Resume, Start
+from cherryrudder.pipeline.messages import NO_ROOM, Refused, Resume, Start
 from cherryrudder.wire.asgi import Routes
 from cherryrudder.wire.client import Client
 from cherryrudder.wire.errors import WireError
@@ -16,7 +16,9 @@
 from cherryrudder.wire.links import Links, listen_frames
 
 from .clock import now_s
+from .creditdesk import CreditDesk
 from .fenceguard import FenceGuard
+from .framemessages import DATA_MESSAGES, CreditReport
 
 # The longest single step: a long prompt on a slow accelerator.
 STEP_S = 60.0
@@ -48,7 +50,7 @@
         self.process = process
         self.back_end = process.settings.sidecar.back_end.rstrip("/")
         self.core = stage.StageCore()
-        self.codec = FrameCodec(MESSAGES)
+        self.codec = FrameCodec(DATA_MESSAGES)
         self.client = Client()
         self.guard = FenceGuard(process, self.client, self.back_end)
         self.links = Links(
@@ -58,6 +60,7 @@
             process.settings.listen.frames,
             self._link_down,
         )
+        self.desk = CreditDesk(process.settings.sidecar, self.links)
         self.leaving = False
         self._computes: list[Compute] = []
         self._wake = anyio.Event()
@@ -80,6 +83,7 @@
     def set_leaving(self, leaving: bool) -> None:
         """Refuse new requests, or take them again."""
         self.leaving = leaving
+        self.desk.set_leaving(leaving, now_s())
 
     def in_flight(self) -> int:
         """Return the number of requests that have a part here."""
@@ -100,7 +104,9 @@
     def _on_messages(self, peer, messages):
         at_s = now_s()
         for message in messages:
-            if self.leaving and self._is_new(message):
+            if isinstance(message, CreditReport):
+                self.desk.answer(message, at_s)
+            elif self.leaving and self._is_new(message):
                 self._refuse(message)
             else:
                 self._carry_out(stage.receive(self.core, message, at_s))
@@ -158,6 +164,8 @@
     async def _compute(self, computes):
         url = f"{self.back_end}/v1/steps"
         value = {"steps": [compute._asdict() for compute in computes]}
+        call = object()
+        self.desk.call_began(call, now_s())
         try:
             answer = await self.client.call("POST", url, value, StepAnswer, STEP_S)
         except WireError as error:
@@ -165,8 +173,12 @@
             outputs = [
                 StepOutput(c.request, c.position, (), str(error)) for c in computes
             ]
+            self.desk.call_ended(call, 0, now_s())
         else:
             outputs = answer.outputs
+            # One call is one step of the engine's batch, unless it fills a prompt.
+            decodes = all(len(compute.inputs) == 1 for compute in computes)
+            self.desk.call_ended(call, int(decodes), now_s())
         for output in outputs:
             self._computed(output)
 
--- a/libs/daemon/src/cherryrudder/daemon/entryrole.py
+++ b/libs/daemon/src/cherryrudder/daemon/entryrole.py
@@ -12,6 +12,7 @@
 from .clock import now_s
 from .completions import Completions
 from .controlcalls import Controls
+from .creditline import CreditLine
 from .dataplane import DataPlane
 from .fleet import FleetView
 from .follower import Follower
@@ -37,10 +38,11 @@
         self.process = process
         self.contracts = {}
         self.is_closed = True
-        self.fleet = FleetView()
+        self.fleet = FleetView(process)
         self.controls = Controls(process)
-        self.door = FrontDoor(process, settings.max_queued)
-        self.plane = DataPlane(process, settings.stall_s)
+        self.door = FrontDoor(process, settings.max_queued, self.ask_credits)
+        self.plane = DataPlane(process, settings.stall_s, self.take_grant)
+        self.credits = CreditLine(process, self.fleet, self.plane.links, self.door)
         self.follower = Follower(process, self.on_change)
         self.completions = Completions(self)
         self.services = Services(self)
@@ -72,6 +74,15 @@
         self.sharing.put_in_force(now_s())
         self.door.release()
 
+    def ask_credits(self) -> None:
+        """Ask for more credits: a request waits for some."""
+        self.credits.kick()
+
+    def take_grant(self, grant) -> None:
+        """Take in an endpoint's credits, and start what they make room for."""
+        self.fleet.take_grant(grant)
+        self.door.release()
+
     def is_ready(self) -> bool:
         """Tell whether the balancer may send callers here."""
         return not self.is_closed and not self.process.leaving.is_set()
@@ -118,6 +129,7 @@
     process.listen(listen.internal, internal, process.internal_key)
     entry.plane.start()
     entry.door.start()
+    entry.credits.start()
     entry.follower.start()
     process.group.start_soon(refresh_often, entry)
     await entry.follower.ready.wait()
@@ -138,6 +150,9 @@
     while True:
         await anyio.sleep(REFRESH_S)
         entry.refresh()
+        for endpoint in entry.fleet.review():
+            log.warning("{} is ejected.", endpoint)
+            entry.plane.lose(endpoint)
 
 
 async def leave(entry: Entry) -> None:
--- a/libs/daemon/src/cherryrudder/daemon/frontdoor.py
+++ b/libs/daemon/src/cherryrudder/daemon/frontdoor.py
@@ -37,9 +37,10 @@
 class FrontDoor:
     """What waits at this entry, and what may start."""
 
-    def __init__(self, process, max_queued: int):
+    def __init__(self, process, max_queued: int, on_wait: Callable[[], None]):
         self.process = process
         self.admission = Admission(max_queued)
+        self._on_wait = on_wait
         self._tickets: dict[str, _Ticket] = {}
 
     def start(self) -> None:
@@ -78,6 +79,7 @@
 
     async def _wait(self, request_id, place):
         ticket = self._tickets[request_id] = _Ticket(place)
+        self._on_wait()
         try:
             await ticket.done.wait()
         except anyio.get_cancelled_exc_class():
--- a/libs/daemon/src/cherryrudder/daemon/servicehost.py
+++ b/libs/daemon/src/cherryrudder/daemon/servicehost.py
@@ -8,8 +8,13 @@
 from cherryrudder.wire.asgi import Request, Routes, json_reply
 from cherryrudder.wire.client import Client
 from cherryrudder.wire.errors import WireError
+from cherryrudder.wire.frames import FrameCodec
+from cherryrudder.wire.links import Links, listen_frames
 
 from . import gate
+from .clock import now_s
+from .creditdesk import CreditDesk
+from .framemessages import DATA_MESSAGES, CreditReport
 from .gate import NO_ANSWER, Call, Gate, Run, Verdict
 
 # A service that does not answer for this long is given up; its call's outcome is
@@ -30,16 +35,34 @@
         self.gate = Gate(process.incarnation)
         # The service knows nothing of the system's keys and must not see them.
         self.client = Client()
+        self.codec = FrameCodec(DATA_MESSAGES)
+        self.links = Links(
+            process.group,
+            self.codec,
+            process.internal_key,
+            process.settings.listen.frames,
+            lambda address: None,
+        )
+        self.desk = CreditDesk(process.settings.sidecar, self.links)
         self.leaving = False
         self.forwarding = 0
         self._finished: dict[str, anyio.Event] = {}
 
     def start(self) -> None:
-        """Start nothing: a service's sidecar acts on calls alone."""
+        """Start listening for entries' reports."""
+        self.process.group.start_soon(
+            listen_frames,
+            self.process.settings.listen.frames,
+            self.codec,
+            self.process.internal_key,
+            self._on_messages,
+            self.process.stopping,
+        )
 
     def set_leaving(self, leaving: bool) -> None:
         """Refuse new calls, or take them again."""
         self.leaving = leaving
+        self.desk.set_leaving(leaving, now_s())
 
     def in_flight(self) -> int:
         """Return the number of calls that have not ended."""
@@ -61,6 +84,11 @@
             ("POST", "/v1/forward"): self._forward,
         }
 
+    def _on_messages(self, peer, messages):
+        for message in messages:
+            if isinstance(message, CreditReport):
+                self.desk.answer(message, now_s())
+
     async def _run(self, request: Request):
         run = await request.json(Run)
         if self.leaving and run.claim.attempt_id not in self.gate.running:
@@ -124,11 +152,16 @@
         return json_reply(Verdict("replay", status, body))
 
     async def _call(self, call):
-        reply = await self.client.send(
-            call.method,
-            self.back_end + call.path,
-            call.body.encode(),
-            (("content-type", call.content_type),),
-            CALL_S,
-        )
+        mark = object()
+        self.desk.call_began(mark, now_s())
+        try:
+            reply = await self.client.send(
+                call.method,
+                self.back_end + call.path,
+                call.body.encode(),
+                (("content-type", call.content_type),),
+                CALL_S,
+            )
+        finally:
+            self.desk.call_ended(mark, 0, now_s())
         return reply.status_code, reply.text
--- a/libs/daemon/src/cherryrudder/daemon/services.py
+++ b/libs/daemon/src/cherryrudder/daemon/services.py
@@ -95,10 +95,12 @@
             )
             try:
                 verdict = await self._post(placed.announcement, "forward", call, RUN_S)
+                placed.release(1)
                 return answer_of(verdict)
             except WireError as error:
                 log.info("{} failed: {}.", placed.announcement.endpoint, error)
                 exclude.add(placed.announcement.endpoint)
+                placed.fail(placed.announcement.endpoint)
             finally:
                 placed.release()
                 self.entry.door.settle(request_id, 1)
@@ -112,6 +114,9 @@
             )
             try:
                 reply = await self._attempt(filing, placed.announcement)
+                if reply is None:
+                    placed.fail(placed.announcement.endpoint)
+                placed.release(1)
             finally:
                 placed.release()
                 self.entry.door.settle(request_id, 1)
--- a/libs/fakes/src/cherryrudder/fakes/deployment.py
+++ b/libs/fakes/src/cherryrudder/fakes/deployment.py
@@ -258,7 +258,7 @@
             "service": spec.service,
             "slots": spec.slots,
         }
-        listen = {"internal": free_address()}
+        listen = {"internal": free_address(), "frames": free_address()}
         return self._daemon(
             spec.name, "sidecar", listen, spec.data_centre, sidecar=sidecar
         )
--- a/libs/model/src/cherryrudder/model/settings.py
+++ b/libs/model/src/cherryrudder/model/settings.py
@@ -125,6 +125,7 @@
         ("control", "addresses"),
     ),
     "sidecar": (
+        ("listen", "frames"),
         ("sidecar", "endpoint"),
         ("sidecar", "back_end"),
         ("control", "addresses"),
@@ -226,9 +227,8 @@
         return [f"[process] role: {role!r} is not one of {', '.join(ROLES)}"]
     needed = NEEDED["all"] + NEEDED[role]
     if role == "sidecar":
-        wants_frames = values["sidecar"]["kind"] == Kind.ENGINE
-        extra = ("listen", "frames") if wants_frames else ("sidecar", "service")
-        needed += (extra,)
+        is_engine = values["sidecar"]["kind"] == Kind.ENGINE
+        needed += (("sidecar", "model" if is_engine else "service"),)
     return [
         f"[{section}] {key}: a {role} needs a value"
         for section, key in needed
--- a/libs/model/test/builders.py
+++ b/libs/model/test/builders.py
@@ -18,6 +18,7 @@
 operator_file = operator.key
 [sidecar]
 endpoint = briefing-1
+model = briefing
 back_end = http://127.0.0.1:9000
 """
 
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -146,9 +146,8 @@
     expected = " ".join(fold.generate(MODEL, LAYERS, PROMPT, LONG_TOKENS))
     whole = (text, outcome) == (expected, "done")
     story.check(f"{victims[0]} killed mid-stream: whole in {took_s:.1f} s", whole)
-    deployment.nodes[f"{victims[0]}.engine"].start()
-    deployment.nodes[victims[0]].start()
-    deployment.wait_endpoints(len(ENGINES) + len(SERVICES))
+    deployment.restart(f"{victims[0]}.engine")
+    deployment.restart(victims[0])
 
 
 def show_planned_stop(deployment, story):
@@ -158,9 +157,7 @@
     def announce():
         busy = [n for n in deployment.engines if deployment.dump(n)["in_flight"]]
         stopped.append(busy[0].name)
-        result = run_tool(
-            deployment, "stop", "announce", "--scope", "endpoint", stopped[0]
-        )
+        result = run_tool(deployment, "stop", "announce", "endpoint", stopped[0])
         story.check("the stop is announced", result.returncode == 0)
 
     text, outcome = stream(deployment, 1, LONG_TOKENS, 10, announce)
@@ -209,7 +206,10 @@
         show_killed_stage(deployment, story)
         show_planned_stop(deployment, story)
         dump = deployment.dump(deployment.entries[0])
-        print(f"entry-0 at revision {dump['revision']}: {dump['endpoints']}")
+        print(f"entry-0 is at revision {dump['revision']}; its endpoints:")
+        for name, seen in sorted(dump["endpoints"].items()):
+            state = "leaving" if seen["leaving"] else f"{seen['credits']} credits"
+            print(f"  {name}: {state}, {seen['in_flight']} in flight")
     took_s = time.monotonic() - started_s
     print(f"{story.failed} not held, {took_s:.0f} s")
     return 1 if story.failed else 0
