Let the claim fuzzing meet late packets of the same call

Twenty faults were put into a scratch copy of the state machine, one at a time (trials). 17 were found. Not found were: an outcome taken from any attempt, a cancelled stop that raises no revision, and a touched claim that keeps its place in the order of expiry.

The first escaped since keys ended in done or unknown within a few steps and packets were drawn from the whole history; now each dozen proposals get a new key and packets come from the last six. The second escaped since generated logs had five records on average and the reader took deltas that were no newer. The third had no test.

--- a/libs/state/test/builders.py
+++ b/libs/state/test/builders.py
@@ -110,6 +110,8 @@
         self.held = {}
 
     def take(self, delta):
+        if delta.revision <= self.revision:
+            return
         self.held = {} if delta.full else self.held
         self.held |= {held.contract.customer: held for held in delta.contracts}
         self.held |= {("stop", held.stop.stop_id): held for held in delta.stops}
--- a/libs/state/test/test_claims.py
+++ b/libs/state/test/test_claims.py
@@ -9,7 +9,12 @@
 from cherryrudder.state import claims
 from cherryrudder.state.machine import find_claim
 
-pick = st.integers(0, 1000)
+pick = st.integers(0, 5)
+
+
+def recent(items, which):
+    """Return one of the last few items; late packets of one call meet each other."""
+    return items[-1 - which % len(items)]
 
 
 class ClaimMachine(stateful.RuleBasedStateMachine):
@@ -31,30 +36,32 @@
         if answer.code == "granted":
             self.granted.append(answer.claim)
 
-    @stateful.rule(key=st.sampled_from("xy"), attempt=st.integers(0, 4), endpoint=pick)
-    def open(self, key, attempt, endpoint):
-        self.propose(an_open(f"{key}{attempt}", key, f"desk-{endpoint % 2}"))
+    @stateful.rule(endpoint=st.sampled_from("ab"))
+    def open(self, endpoint):
+        # A key ends in done or unknown before long; each dozen proposals get a new one.
+        number = len(self.sent)
+        self.propose(an_open(f"attempt-{number}", f"k{number // 12}", endpoint))
 
     @stateful.precondition(lambda self: self.sent)
     @stateful.rule(which=pick)
     def resend(self, which):
-        self.propose(self.sent[which % len(self.sent)])
+        self.propose(recent(self.sent, which))
 
     @stateful.precondition(lambda self: self.granted)
     @stateful.rule(which=pick)
     def deliver(self, which):
-        self.sidecars.run(self.granted[which % len(self.granted)])
+        self.sidecars.run(recent(self.granted, which))
 
     @stateful.precondition(lambda self: self.granted)
-    @stateful.rule(which=pick, sees_sidecar=st.booleans())
+    @stateful.rule(which=pick, sees_sidecar=st.sampled_from([1, 1, 1, 0]))
     def give_up(self, which, sees_sidecar):
-        claim = self.granted[which % len(self.granted)]
+        claim = recent(self.granted, which)
         outcome = "unknown"
         if sees_sidecar:
             outcome = "not-run" if self.sidecars.refuse(claim) else "done"
         self.propose(a_close(outcome, claim.attempt_id, claim.key))
         if outcome == "not-run":
-            self.told_not_run.add(claim.attempt_id)
+            self.told_not_run.add((claim.endpoint, claim.attempt_id))
 
     @stateful.rule()
     def restart(self):
@@ -67,7 +74,7 @@
 
     @stateful.invariant()
     def not_run_was_true(self):
-        assert not self.told_not_run & {attempt for _, attempt in self.sidecars.ran}
+        assert not self.told_not_run & self.sidecars.ran
 
 
 class NaiveClaimMachine(ClaimMachine):
@@ -113,6 +120,13 @@
         answer = self.voter.apply(an_open("a2", body_sha256="other"))
         self.assertEqual(answer.code, "body-differs")
 
+    def test_a_doubled_not_run_does_not_close_the_next_attempt(self):
+        self.voter.apply(an_open("a1"))
+        self.voter.apply(a_close("not-run", "a1"))
+        self.voter.apply(an_open("a2"))
+        self.assertEqual(self.voter.apply(a_close("not-run", "a1")).code, "conflict")
+        self.assertEqual(self.voter.apply(an_open("a3")).code, "exists")
+
     def test_a_spent_attempt_is_never_granted_again(self):
         self.voter.apply(an_open("a1"))
         for attempt, following in (("a1", "a2"), ("a2", "a3")):
@@ -134,11 +148,13 @@
 
     def test_the_result_is_kept_for_a_day_of_the_logs_time(self):
         self.voter.apply(an_open())
+        self.voter.apply(an_open(key="k2"))
+        self.voter.pass_time(1)
         self.voter.apply(a_close("done", body="receipt 7"))
         self.voter.pass_time(claims.CLAIM_RETENTION_S - 1)
+        self.assertEqual(len(self.voter.state.claims), 1)
         self.assertEqual(self.held().body, "receipt 7")
-        self.voter.pass_time(2)
-        self.assertIsNone(self.held())
+        self.voter.pass_time(1)
         self.assertEqual(self.voter.state.claims_held, {})
 
     def test_a_flood_of_keys_leaves_half_of_the_table_to_others(self):
--- a/libs/state/test/test_deltas.py
+++ b/libs/state/test/test_deltas.py
@@ -19,7 +19,7 @@
         self.voter = Voter()
 
     @SETTINGS
-    @given(st.lists(st.tuples(puts | other_changes, st.booleans()), max_size=40))
+    @given(st.lists(st.tuples(puts | other_changes, st.booleans()), min_size=10))
     def test_a_reader_that_lags_ends_where_the_state_is(self, log):
         voter, lagging = Voter(), DictReader()
         for command, reads in log:
--- a/libs/state/test/test_machine.py
+++ b/libs/state/test/test_machine.py
@@ -58,7 +58,7 @@
                 self.assertEqual(answer.code, "invalid")
 
     @SETTINGS
-    @given(st.lists(commands, max_size=30), st.integers(0, 30))
+    @given(st.lists(commands, min_size=10), st.integers(0, 20))
     def test_a_voter_restored_in_the_middle_goes_on_alike(self, log, cut):
         """A voter restarts from a snapshot, or a new one gets it from the leader.
 
