--- a/libs/membership/src/cherryrudder/membership/rendezvous.py
+++ b/libs/membership/src/cherryrudder/membership/rendezvous.py
@@ -12,4 +12,4 @@
 
 def _weight(name, key):
     # The key's own length keeps ("ab", "c") apart from ("a", "bc").
-    return xxhash.xxh64_intdigest(f"{len(key)}/{key}/{name}")
+    return xxhash.xxh64_intdigest(f"{len(key)}/{key}/{name}".encode())
--- /dev/null
+++ b/libs/membership/test/test_reader.py
@@ -0,0 +1,99 @@
+"""Tests of what a reader keeps when control VMs fall silent."""
+
+import unittest
+
+from builders import an_announcement
+
+from cherryrudder.membership.reader import (
+    KEEP_S,
+    LINK_S,
+    STALE_S,
+    Merged,
+    Reader,
+    endpoints,
+    lost_link,
+    merge,
+    position,
+    saw_link,
+)
+from cherryrudder.membership.table import TableDelta
+
+
+class ReaderTest(unittest.TestCase):
+    def setUp(self):
+        self.reader = Reader()
+        self.hear("north", "desk-1", now_s=0.0)
+        self.hear("south", "desk-2", now_s=0.0)
+
+    def hear(self, source, *names, now_s, epoch="1", version=1, **changes):
+        announced = tuple(an_announcement(name, **changes) for name in names)
+        delta = TableDelta(epoch, version, True, announced)
+        return merge(self.reader, source, delta, now_s)
+
+    def names(self, now_s):
+        return [a.endpoint for a in endpoints(self.reader, now_s)]
+
+    def test_an_entry_that_is_cut_off_keeps_what_it_knows(self):
+        """An entry loses all control VMs for an hour, then one answers again.
+
+        Emptying its table would turn a cut of control into a cut of service. Nor may
+        the first control VM to answer wipe what the other alone holds; that one has a
+        few seconds to answer too.
+        """
+        self.assertEqual(self.names(3600.0), ["desk-1", "desk-2"])
+        self.hear("north", "desk-1", now_s=3600.0)
+        self.assertEqual(self.names(3600.0 + STALE_S), ["desk-1", "desk-2"])
+        for now_s in (3602.0, 3604.0, 3601.0 + KEEP_S):
+            self.hear("north", "desk-1", now_s=now_s)
+        self.assertEqual(self.names(3601.0 + KEEP_S), ["desk-1"])
+
+    def test_what_only_a_silent_control_vm_held_leaves_after_a_while(self):
+        """One control VM freezes. Its endpoints turn to another one in time.
+
+        Until then they are kept, or a third of the platform would vanish for a moment;
+        one that died at the same time still leaves within seconds, and a later cut
+        does not bring it back.
+        """
+        for now_s in (2.0, 4.0, KEEP_S):
+            self.hear("north", "desk-1", now_s=now_s)
+        self.assertEqual(self.names(KEEP_S), ["desk-1", "desk-2"])
+        self.hear("north", "desk-1", now_s=KEEP_S + 0.1)
+        self.assertEqual(self.names(KEEP_S + 0.1), ["desk-1"])
+        self.assertEqual(self.names(KEEP_S + 100.0), ["desk-1"])
+
+    def test_a_restarted_control_vm_does_not_empty_the_table(self):
+        """All control VMs restart and answer at once, before any endpoint announces."""
+        for source in ("north", "south"):
+            self.hear(source, now_s=1.0, epoch="2", version=0)
+        self.assertEqual(self.names(1.0), ["desk-1", "desk-2"])
+        for now_s in (3.0, 5.0, 7.0):
+            self.hear("south", "desk-2", now_s=now_s, epoch="2", version=2)
+        self.assertEqual(self.names(7.0), ["desk-2"])
+        late = self.hear("north", "desk-1", now_s=7.0, epoch="1", version=9)
+        self.assertEqual(late, Merged.OLD)
+
+    def test_a_live_link_holds_an_endpoint_that_control_lost(self):
+        """A cut parts the endpoints from the control VMs but not from the entries.
+
+        All leases run out. An endpoint that still sends to this entry goes on serving,
+        until its link breaks or falls silent.
+        """
+        saw_link(self.reader, "desk-1", an_announcement().incarnation, 1.0)
+        saw_link(self.reader, "desk-2", "another life", 1.0)
+        for source in ("north", "south"):
+            self.hear(source, now_s=1.0, version=2)
+        self.assertEqual(self.names(1.0 + LINK_S), ["desk-1"])
+        self.assertEqual(self.names(1.1 + LINK_S), [])
+        lost_link(self.reader, "desk-1")
+        self.assertEqual(self.names(1.0), [])
+
+    def test_the_newest_of_two_sources_wins(self):
+        self.hear("south", "desk-1", now_s=0.0, version=2, sequence=2, leaving=True)
+        self.assertTrue(endpoints(self.reader, 0.0)[0].leaving)
+        self.hear("north", "desk-1", now_s=0.0, version=2, start=2)
+        self.assertFalse(endpoints(self.reader, 0.0)[0].leaving)
+
+    def test_a_gap_is_asked_for_again(self):
+        for delta in (TableDelta("1", 9, False, since=5), TableDelta("2", 9, False)):
+            self.assertEqual(merge(self.reader, "north", delta, 1.0), Merged.GAP)
+        self.assertEqual(position(self.reader, "north"), ("1", 1))
--- /dev/null
+++ b/libs/membership/test/test_table.py
@@ -0,0 +1,194 @@
+"""Tests of the table and of its readers under lost, doubled and late messages."""
+
+import unittest
+
+from builders import (
+    LEASE_S,
+    SETTINGS,
+    UNSHRUNK,
+    an_announcement,
+    naive_announce,
+    naive_merge,
+)
+from hypothesis import stateful, strategies as st
+
+from cherryrudder.membership import reader as reading, table as tables
+from cherryrudder.membership.incarnation import age_key
+from cherryrudder.membership.table import Code, Table, announce, expire, live
+
+pick = st.integers(0, 5)
+either = st.integers(0, 1)
+
+
+def contents(announcements):
+    """Return what readers act on; a renewal alone raises the sequence."""
+    return {announcement._replace(sequence=0) for announcement in announcements}
+
+
+class TableMachine(stateful.RuleBasedStateMachine):
+    """Two endpoints, two control VMs and a reader; the oracle knows the newest."""
+
+    announce = staticmethod(announce)
+    merge = staticmethod(reading.merge)
+
+    def __init__(self):
+        super().__init__()
+        self.now_s = 100.0
+        self.epochs = 0
+        self.tables = [None, None]
+        self.newest = [{}, {}]
+        self.reader = reading.Reader()
+        self.current = [an_announcement("a"), an_announcement("b")]
+        self.packets = []
+        self.deltas = []
+        for which in (0, 1):
+            self.restart_control(which)
+            self.read(which)
+
+    @stateful.rule(which=either)
+    def restart_control(self, which):
+        self.epochs += 1
+        self.tables[which] = Table(f"epoch-{self.epochs}")
+        self.newest[which] = {}
+
+    @stateful.rule(which=either)
+    def restart_sidecar(self, which):
+        old = self.current[which]
+        start = int(old.incarnation.partition("-")[0]) + 1
+        self.current[which] = an_announcement(old.endpoint, start, 0)
+
+    @stateful.rule(which=either, to=either, leaving=st.booleans())
+    def send(self, which, to, leaving):
+        old = self.current[which]
+        new = old._replace(sequence=old.sequence + 1, leaving=old.leaving or leaving)
+        self.current[which] = new
+        self.packets.append(new)
+        self.deliver(0, to)
+
+    @stateful.precondition(lambda self: self.packets)
+    @stateful.rule(which=pick, to=either)
+    def deliver(self, which, to):
+        packet = self.packets[-1 - which % len(self.packets)]
+        self.announce(self.tables[to], packet, LEASE_S, self.now_s)
+        held, _ = self.newest[to].get(packet.endpoint, (None, 0.0))
+        if held is None or age_key(packet) > age_key(held):
+            self.newest[to][packet.endpoint] = (packet, self.now_s + LEASE_S)
+
+    @stateful.rule()
+    def pass_time(self):
+        self.now_s += 0.7
+
+    @stateful.rule(which=either)
+    def read(self, which):
+        asked = reading.position(self.reader, which)
+        delta = tables.delta_since(self.tables[which], *asked)
+        self.deltas.append((which, delta))
+        self.reader.views.setdefault(which, reading.View())
+        self.merge(self.reader, which, delta, self.now_s)
+        self.check_view(which)
+
+    @stateful.precondition(lambda self: self.deltas)
+    @stateful.rule(which=pick)
+    def read_late(self, which):
+        source, delta = self.deltas[-1 - which % len(self.deltas)]
+        view = self.reader.views[source]
+        known = dict(view.endpoints)
+        is_old = delta.epoch != view.epoch or delta.version < view.version
+        self.merge(self.reader, source, delta, self.now_s)
+        if is_old:
+            assert view.endpoints == known
+
+    def check_view(self, which):
+        held = live(self.tables[which])
+        view = self.reader.views[which]
+        assert contents(view.endpoints.values()) == contents(held)
+        shown = {a.endpoint: a for a in reading.endpoints(self.reader, self.now_s)}
+        for a in held:
+            b = shown[a.endpoint]
+            assert (b.incarnation, b.leaving) >= (a.incarnation, a.leaving)
+
+    @stateful.invariant()
+    def tables_hold_the_newest_of_each_live_endpoint(self):
+        for table, newest in zip(self.tables, self.newest, strict=True):
+            expire(table, self.now_s)
+            expected = [a for a, expires_s in newest.values() if expires_s > self.now_s]
+            assert contents(live(table)) == contents(expected)
+
+
+class NaiveTableMachine(TableMachine):
+    announce = staticmethod(naive_announce)
+
+
+class NaiveReaderMachine(TableMachine):
+    merge = staticmethod(naive_merge)
+
+
+class TableTest(unittest.TestCase):
+    def setUp(self):
+        self.table = Table("epoch-1")
+
+    def announce(self, *arguments, now_s=0.0, **changes):
+        announcement = an_announcement(*arguments, **changes)
+        return announce(self.table, announcement, LEASE_S, now_s).code
+
+    def test_late_and_doubled_messages_leave_the_newest_in_force(self):
+        """An endpoint announces that it is leaving, and an older packet comes after.
+
+        Work that is sent to it then would be cut off. Tables refuse what is older by
+        incarnation and sequence, readers what is older by epoch and version, so the
+        newest stays in force whatever is lost, doubled or late.
+        """
+        stateful.run_state_machine_as_test(TableMachine, settings=SETTINGS)
+
+    def test_believing_the_last_message_fails(self):
+        """The naive versions undo `leaving`, and bring lost endpoints back."""
+        for naive in (NaiveTableMachine, NaiveReaderMachine):
+            with self.subTest(naive.__name__), self.assertRaises(AssertionError):
+                stateful.run_state_machine_as_test(naive, settings=UNSHRUNK)
+
+    def test_a_superseded_process_cannot_come_back(self):
+        """A frozen sidecar thaws after its VM was started again.
+
+        Its announcements would take the endpoint away from the new process. It is
+        told so, also when the new process has gone meanwhile.
+        """
+        self.announce("desk-1", 2)
+        self.assertEqual(self.announce("desk-1", 1, 9), Code.SUPERSEDED)
+        expire(self.table, 1.0)
+        self.assertEqual(expire(self.table, LEASE_S), ("desk-1",))
+        self.assertEqual(self.announce("desk-1", 1, 10, now_s=2.5), Code.SUPERSEDED)
+        self.assertEqual(self.announce("desk-1", 2, 1, now_s=2.5), Code.OLD)
+        self.assertEqual(self.announce("desk-1", 2, 2, now_s=2.5), Code.OK)
+
+    def test_a_thawed_control_vm_does_not_lose_its_endpoints(self):
+        """A control VM is frozen for a minute, longer than every lease.
+
+        The endpoints went on announcing, which it could not hear. It gives them a
+        lease's time to be heard again; the one that died in between leaves then.
+        """
+        self.announce("desk-1")
+        self.announce("desk-2")
+        expire(self.table, 0.5)
+        self.assertEqual(expire(self.table, 60.0), ())
+        self.announce("desk-1", 1, 99, now_s=60.2)
+        self.assertEqual(expire(self.table, 61.0), ())
+        self.assertEqual(expire(self.table, 61.9), ("desk-2",))
+
+    def test_a_renewal_is_no_change(self):
+        self.announce()
+        version = self.table.version
+        self.announce("desk-1", 1, 2)
+        delta = tables.delta_since(self.table, "epoch-1", version)
+        self.assertEqual((delta.version, delta.announced), (version, ()))
+
+    def test_a_reader_from_before_the_kept_losses_gets_everything(self):
+        self.announce("desk-1")
+        self.announce("desk-2", now_s=1.5)
+        for now_s in (1.0, 2.0):
+            expire(self.table, now_s)
+        self.assertEqual(tables.delta_since(self.table, "epoch-1", 2).gone, ("desk-1",))
+        self.announce("desk-2", 1, 2, now_s=tables.FORGET_S + 1.9)
+        expire(self.table, tables.FORGET_S + 2.0)
+        delta = tables.delta_since(self.table, "epoch-1", 2)
+        self.assertTrue(delta.full)
+        self.assertEqual(delta.announced, live(self.table))
