--- a/libs/policy/src/cherryrudder/policy/admission.py
+++ b/libs/policy/src/cherryrudder/policy/admission.py
@@ -216,7 +216,7 @@
         name: {
             "running_tokens": drain.running_tokens,
             "hold_s": refusal.hold_s(drain),
-            "queued": admission.queue.model_counts.get(name, 0),
+            "customers_waiting": len(admission.queue.by_model.get(name, ())),
         }
         for name, drain in admission.drains.items()
     }
@@ -226,7 +226,7 @@
 
 def _may_start(admission, asked, own, estimated, now_s):
     # With anyone waiting for the model the fair order decides, in `release`.
-    if asked.model in admission.queue.model_counts:
+    if asked.model in admission.queue.by_model:
         return False
     if asked.customer in admission.queue.active:
         return False
@@ -244,6 +244,11 @@
 
 def _enqueue(admission, asked, own, estimated, arrived_s, now_s):
     contract, tokens = own.contract, estimated.cost_tokens
+    # A request that starts at its deadline is answered too late: it must start while
+    # there is time to run it.
+    start_by_s = asked.deadline_s - refusal.run_s(
+        _drain(admission, asked.model), tokens
+    )
     request = Waiting(
         asked.request_id,
         asked.customer,
@@ -252,10 +257,10 @@
         arrived_s + waits.allowance_s(contract, asked.priority, tokens),
         fairqueue.next_sequence(admission.queue),
         arrived_s,
-        min(asked.deadline_s, arrived_s + contract.max_wait_s),
+        min(start_by_s, arrived_s + contract.max_wait_s),
     )
     wait = _wait(admission, request, now_s)
-    budget_s = waits.budget_s(contract, request, asked.deadline_s, now_s)
+    budget_s = waits.budget_s(contract, request, start_by_s, now_s)
     if wait.total_s > budget_s:
         is_own = wait.limit_s >= wait.platform_s
         return _refuse(admission, request, is_own, wait.total_s - budget_s, now_s)
@@ -308,8 +313,8 @@
     """Return the final answer of a request that has left the queue unserved."""
     del admission.offers[request.request_id]
     own = admission.limits[request.customer]
-    is_own = not limits.is_within(own, request.cost_tokens, now_s)
     wait = _wait(admission, request, now_s)
+    is_own = wait.limit_s > wait.platform_s
     over_s = max(0.0, wait.total_s - own.contract.max_wait_s)
     answer = _refuse(admission, request, is_own, over_s, now_s)
     return GaveUp(request.request_id, answer)
@@ -320,7 +325,7 @@
     started, blocked = [], set()
     order = [(queue.flows[name].start_tag, name) for name in queue.active]
     heapq.heapify(order)
-    while order and len(blocked) < len(queue.model_counts):
+    while order and len(blocked) < len(queue.by_model):
         _, customer = heapq.heappop(order)
         request = fairqueue.head(queue, customer, blocked)
         if request is None:
--- a/libs/policy/src/cherryrudder/policy/fairqueue.py
+++ b/libs/policy/src/cherryrudder/policy/fairqueue.py
@@ -63,7 +63,8 @@
         self.waiting: dict[str, Waiting] = {}
         self.flows: dict[str, Flow] = {}
         self.active: set[str] = set()
-        self.model_counts: dict[str, int] = {}
+        # For each model that is waited for, the customers that wait for it.
+        self.by_model: dict[str, dict[str, Flow]] = {}
         self.expiries: list[tuple[float, int, str]] = []
         self.virtual = 0.0
         self.sequence = 0
@@ -97,7 +98,7 @@
     heapq.heappush(flow.lanes.setdefault(model, []), entry)
     flow.counts[model] = flow.counts.get(model, 0) + 1
     flow.tokens[model] = flow.tokens.get(model, 0.0) + request.cost_tokens
-    queue.model_counts[model] = queue.model_counts.get(model, 0) + 1
+    queue.by_model.setdefault(model, {})[request.customer] = flow
     queue.waiting[request.request_id] = request
     expiry = (request.expires_s, request.sequence, request.request_id)
     heapq.heappush(queue.expiries, expiry)
@@ -112,11 +113,11 @@
     model = request.model
     flow.counts[model] -= 1
     flow.tokens[model] -= request.cost_tokens
-    queue.model_counts[model] -= 1
-    if not queue.model_counts[model]:
-        del queue.model_counts[model]
     if not flow.counts[model]:
         del flow.lanes[model], flow.counts[model], flow.tokens[model]
+        del queue.by_model[model][request.customer]
+        if not queue.by_model[model]:
+            del queue.by_model[model]
     if not flow.counts:
         queue.active.discard(request.customer)
         flow.is_limited = False
@@ -199,13 +200,12 @@
         tag = max(tag, queue.virtual)
     finish_tag = tag + own_tokens / flow.weight
     ahead = own_tokens
-    for name in queue.active:
-        other = queue.flows[name]
-        tokens = other.tokens.get(model)
-        if not tokens or name == customer or other.is_limited:
-            continue
+    for other in queue.by_model.get(model, {}).values():
         share = (finish_tag - other.start_tag) * other.weight
-        ahead += max(0.0, min(tokens, share))
+        if other is flow or other.is_limited or share <= 0:
+            continue
+        tokens = other.tokens[model]
+        ahead += share if share < tokens else tokens
     return ahead
 
 
--- a/libs/policy/src/cherryrudder/policy/limits.py
+++ b/libs/policy/src/cherryrudder/policy/limits.py
@@ -142,12 +142,13 @@
     needed = ahead_tokens + min(cost_tokens, limits.tokens.depth)
     tokens_s = bucket_wait_s(limits.tokens, needed, now_s)
     requests_s = bucket_wait_s(limits.requests, ahead + 1.0, now_s)
-    free = limits.share.concurrency - limits.running
+    # An entry without a slot of its own now will be leased one; waiting for it is as
+    # long as waiting for another's request to end.
+    slots = max(1, limits.share.concurrency)
+    free = slots - limits.running
     slots_s = 0.0
-    if limits.share.concurrency <= 0:
-        slots_s = math.inf
-    elif ahead >= free:
-        slots_s = (ahead - free + 1) * hold_s / limits.share.concurrency
+    if ahead >= free:
+        slots_s = (ahead - free + 1) * hold_s / slots
     return max(tokens_s, requests_s, slots_s)
 
 
--- a/libs/policy/src/cherryrudder/policy/refusal.py
+++ b/libs/policy/src/cherryrudder/policy/refusal.py
@@ -40,6 +40,7 @@
         self.blocked_since_s: float | None = None
         self.finished_tokens = 0.0
         self.finished_token_s = 0.0
+        self.finished_s = 0.0
 
 
 class Wait(NamedTuple):
@@ -69,6 +70,7 @@
     drain.finished_tokens = drain.finished_tokens * KEEP_PART + cost_tokens
     weighted = cost_tokens * duration_s
     drain.finished_token_s = drain.finished_token_s * KEEP_PART + weighted
+    drain.finished_s = drain.finished_s * KEEP_PART + duration_s
 
 
 def note_blocked(drain: Drain, now_s: float) -> None:
@@ -84,6 +86,13 @@
     return drain.finished_token_s / drain.finished_tokens
 
 
+def run_s(drain: Drain, cost_tokens: float) -> float:
+    """Return how long a request of that cost is expected to run; 0 if unknown."""
+    if not drain.finished_tokens:
+        return 0.0
+    return cost_tokens * drain.finished_s / drain.finished_tokens
+
+
 def drain_rate(drain: Drain, now_s: float) -> float | None:
     """Return the tokens per second that make room, or None when it isn't known."""
     if drain.running_tokens <= 0:
@@ -98,6 +107,11 @@
 
 def platform_wait_s(drain: Drain, ahead_tokens: float, now_s: float) -> float:
     """Return the wait behind that many tokens; 0 while the rate isn't known."""
+    # While endpoints have room, what runs is held down by customers' own limits and
+    # says nothing of the platform's rate: callers past their own limit would be told
+    # that the platform is full.
+    if drain.blocked_since_s is None:
+        return 0.0
     rate = drain_rate(drain, now_s)
     if rate is None:
         return 0.0
--- a/libs/policy/src/cherryrudder/policy/shareholder.py
+++ b/libs/policy/src/cherryrudder/policy/shareholder.py
@@ -9,6 +9,9 @@
 from .limits import Share
 from .shares import NOTHING, RENEW_PART, Grant
 
+# Between two asks for more: some round trips between data centres.
+MIN_ASK_S = 0.1
+
 
 class ShareHolder:
     """One customer's share at one entry."""
@@ -58,11 +61,18 @@
     holder.expires_s = asked_s + grant.lease_s
 
 
-def is_due(holder: ShareHolder, now_s: float) -> bool:
-    """Tell whether it is time to ask again."""
+def is_due(holder: ShareHolder, demand: Share, now_s: float) -> bool:
+    """Tell whether it is time to ask again: for renewal, or for more."""
     if holder.grant is None:
         return True
-    return now_s >= holder.asked_s + RENEW_PART * holder.lease_s
+    waited_s = now_s - holder.asked_s
+    if waited_s >= RENEW_PART * holder.lease_s:
+        return True
+    # A burst asks at once; at its renewal it would wait for up to a quarter lease with
+    # the bound unused. The pause keeps a refused burst from asking at each request.
+    share = holder.grant.share
+    is_short = any(want > have for want, have in zip(demand, share, strict=True))
+    return is_short and waited_s >= MIN_ASK_S
 
 
 def received_from(holder: ShareHolder, allocator: str) -> int:
--- a/libs/policy/src/cherryrudder/policy/shares.py
+++ b/libs/policy/src/cherryrudder/policy/shares.py
@@ -29,6 +29,10 @@
 # An entry without load keeps this part of its floor, so that its next request starts at
 # once; over five entries it costs a lone busy entry 1.6% of the bound.
 IDLE_PART = 0.02
+# Of what nobody demands, half is spread evenly, so that a burst finds something at any
+# entry. The other half stays unleased and goes whole to the first that asks for more;
+# what is spread out comes back with its holders' next renewals.
+SPREAD_PART = 0.5
 NOTHING = Share(0.0, 0.0, 0)
 # A part of a slot would be lost when parts are rounded down to whole ones.
 SLOTS = Share._fields.index("concurrency")
@@ -156,14 +160,14 @@
 
 
 def max_min(demands: list[float], pool: float) -> list[float]:
-    """Return max-min fair parts of a pool; what nobody demands is split evenly."""
+    """Return max-min fair parts of a pool, with some of what nobody demands."""
     parts = [0.0] * len(demands)
     left = max(0.0, pool)
     order = sorted(range(len(demands)), key=demands.__getitem__)
     for done, index in enumerate(order):
         parts[index] = min(demands[index], left / (len(order) - done))
         left -= parts[index]
-    return [part + left / len(parts) for part in parts]
+    return [part + SPREAD_PART * left / len(parts) for part in parts]
 
 
 def outstanding(allocator: Allocator, customer: str, now_s: float) -> Share:
--- a/libs/policy/src/cherryrudder/policy/waits.py
+++ b/libs/policy/src/cherryrudder/policy/waits.py
@@ -30,7 +30,7 @@
     return urgency_s + min(SIZE_PART * contract.max_wait_s, run_s)
 
 
-def budget_s(contract: Contract, request: Waiting, deadline_s, now_s) -> float:
+def budget_s(contract: Contract, request: Waiting, start_by_s, now_s) -> float:
     """Return the longest wait with which a new request is let in.
 
     Urgent requests leave room within the longest wait for those that they overtake;
@@ -39,7 +39,7 @@
     allowed_s = request.order_s - request.arrived_s
     room_s = (PRIORITY_PART + SIZE_PART) * contract.max_wait_s - allowed_s
     latest_s = request.arrived_s + contract.max_wait_s - room_s
-    return min(deadline_s, latest_s) - now_s
+    return min(start_by_s, latest_s) - now_s
 
 
 def expected_wait(
