Fit the operators' tool to the control VMs' real answers

Run against three real control processes, shapes differed from the draft: typed errors stand under error, stops and contracts carry their revision, a change of voters answers done or refused without a cause, a cancelled stop id stays used, and a control VM says no-quorum only after 4 s, later than the tool waited.

--- /dev/null
+++ b/libs/cli/src/cherryrudder/cli/__main__.py
@@ -0,0 +1,8 @@
+"""Run the tool: `python -m cherryrudder.cli`."""
+
+import sys
+
+from .main import main
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/libs/cli/src/cherryrudder/cli/client.py
+++ b/libs/cli/src/cherryrudder/cli/client.py
@@ -2,23 +2,26 @@
 
 import time
 import uuid
+from typing import NamedTuple
 
 import httpx
 import msgspec
 
 from cherryrudder.model.contracts import Contract
 from cherryrudder.model.endpoints import Stop
+from cherryrudder.model.revisions import VersionedContract, VersionedStop
 
-from .errors import BadInput, Conflict, Failed, Unreachable
-from .records import Answer, VersionedContract, Voter, read_contracts, read_record
+from .errors import BadInput, CliError, Conflict, Failed, Unreachable
+from .records import Answer, ErrorBody, Status, Voter, read_record, read_rows
 
-# A change is committed within milliseconds and an election lasts some two seconds; a
-# control VM that has not answered by then is cut off or down.
-ATTEMPT_TIMEOUT_S = 3.0
-# Long enough for every one of five addresses to time out once and a second round to
+# A control VM that cannot reach a majority says so after 4 s; one that has not
+# answered by then is cut off or down.
+ATTEMPT_TIMEOUT_S = 5.0
+# Long enough for each of five addresses to time out once and for a second round to
 # find the new leader.
-PATIENCE_S = 20.0
+PATIENCE_S = 30.0
 PAUSE_S = 0.3
+KEY_REFUSED = (httpx.codes.UNAUTHORIZED, httpx.codes.FORBIDDEN)
 
 
 class Client:
@@ -46,6 +49,14 @@
         )
 
 
+class Attempt(NamedTuple):
+    """One control VM's answer, or why there is none and whether it may have acted."""
+
+    answer: httpx.Response | None
+    fault: str = ""
+    may_have_acted: bool = False
+
+
 def call(client: Client, method: str, path: str, body=None) -> httpx.Response:
     """Return the first answer that a control VM gives, trying each in turn.
 
@@ -56,19 +67,19 @@
     """
     content = None if body is None else msgspec.json.encode(body)
     give_up_s = client.clock() + PATIENCE_S
-    faults, sent = {}, False
+    faults, may_have_acted = {}, False
     while True:
         for address in list(client.addresses):
-            answer, fault, acted = _attempt(client, address, method, path, content)
-            sent = sent or acted
-            if answer is not None:
+            tried = _attempt(client, address, method, path, content)
+            may_have_acted = may_have_acted or tried.may_have_acted
+            if tried.answer is not None:
                 # Others may be down; the next call starts where this one ended.
                 client.addresses.remove(address)
                 client.addresses.insert(0, address)
-                return answer
-            faults[address] = fault
+                return tried.answer
+            faults[address] = tried.fault
             if client.clock() >= give_up_s:
-                raise Unreachable(faults, sent)
+                raise Unreachable(faults, may_have_acted)
         client.sleep(PAUSE_S)
 
 
@@ -79,7 +90,28 @@
 
 def contracts(client: Client) -> dict[str, VersionedContract]:
     """Return every contract by customer."""
-    return read_contracts(get(client, "/v1/contracts"))
+    rows = read_rows(VersionedContract, get(client, "/v1/contracts"), "contracts")
+    return {row.contract.customer: row for row in rows}
+
+
+def stops(client: Client) -> list[VersionedStop]:
+    """Return the planned stops."""
+    return read_rows(VersionedStop, get(client, "/v1/stops"), "stops")
+
+
+def statuses(client: Client) -> dict[str, Status | str]:
+    """Return each control VM's status by address, or why it gave none."""
+    found = {}
+    for address in client.addresses:
+        tried = _attempt(client, address, "GET", "/v1/status", None)
+        if tried.answer is None:
+            found[address] = tried.fault
+            continue
+        try:
+            found[address] = read_record(Status, _value(tried.answer))
+        except CliError as error:
+            found[address] = str(error)
+    return found
 
 
 def put_contract(client: Client, contract: Contract, expected_version: int) -> Answer:
@@ -97,60 +129,68 @@
 
 
 def announce_stop(client: Client, stop: Stop) -> Answer:
-    """Announce a planned stop."""
+    """Announce a planned stop; an id that was cancelled raises Conflict."""
     return change(client, "announce-stop", stop=stop._asdict())
 
 
 def cancel_stop(client: Client, stop_id: str) -> Answer:
-    """Take a planned stop back."""
+    """Take a planned stop back; raises BadInput if there is none of that id."""
     return change(client, "cancel-stop", stop_id=stop_id)
 
 
 def change(client: Client, kind: str, **fields) -> Answer:
     """Send one change under an id of its own and return the platform's answer."""
     body = {"kind": kind, "change_id": uuid.uuid4().hex, **fields}
-    return _answer(call(client, "POST", "/v1/changes", body))
-
-
-def change_voters(client: Client, action: str, voter: Voter) -> Answer:
-    """Add a learner, promote it or remove a voter."""
+    answer = read_record(Answer, _value(call(client, "POST", "/v1/changes", body)))
+    if answer.code == "ok":
+        return answer
+    message = answer.message or answer.code
+    if answer.code == "conflict":
+        raise Conflict(message)
+    if answer.code in ("invalid", "unknown"):
+        raise BadInput(message)
+    raise Failed(message)
+
+
+def change_voters(client: Client, action: str, voter: Voter) -> None:
+    """Add a learner, promote it or remove a voter; raises Conflict if refused.
+
+    The platform refuses while another change of voters is under way, for a learner
+    that lags, and for a set that would be left without a majority at work.
+    """
     body = {"action": action, "voter": voter._asdict()}
-    return _answer(call(client, "POST", "/v1/voters", body))
+    _value(call(client, "POST", "/v1/voters", body))
 
 
 def _attempt(client, address, method, path, content):
-    """Return an answer or None, the fault, and whether a VM may have acted."""
     changes = method != "GET"
     url = f"http://{address}{path}"
     try:
         answer = client.http.request(method, url, content=content)
     except (httpx.ConnectError, httpx.ConnectTimeout) as error:
-        return None, f"no connection ({error})", False
+        return Attempt(None, f"no connection ({error})")
     except httpx.TransportError as error:
-        return None, f"no answer ({type(error).__name__})", changes
+        return Attempt(None, f"no answer ({type(error).__name__})", changes)
     if answer.is_server_error:
-        return None, f"{answer.status_code} {answer.text[:200]}", changes
-    return answer, "", changes
+        fault = f"{answer.status_code} {answer.text[:200]}"
+        return Attempt(None, fault, changes)
+    return Attempt(answer)
 
 
 def _value(answer):
-    if answer.status_code in (httpx.codes.UNAUTHORIZED, httpx.codes.FORBIDDEN):
-        raise Failed("the operator key was refused")
+    """Return the JSON of an answer, or raise the error that it tells."""
     try:
         value = msgspec.json.decode(answer.content)
     except msgspec.DecodeError as error:
         raise Failed(f"not JSON: {answer.text[:200]!r}") from error
     if answer.is_success or (isinstance(value, dict) and "code" in value):
         return value
-    raise Failed(f"{answer.status_code} {answer.text[:200]}")
-
-
-def _answer(answer):
-    result = read_record(Answer, _value(answer))
-    if result.code == "ok":
-        return result
-    if result.code == "conflict":
-        raise Conflict(result.message or "conflict")
-    if result.code == "invalid":
-        raise BadInput(result.message or "invalid")
-    raise Failed(f"{result.code}: {result.message}")
+    if not isinstance(value, dict) or "error" not in value:
+        raise Failed(f"{answer.status_code} {answer.text[:200]}")
+    error = read_record(ErrorBody, value["error"])
+    message = f"{error.field}: {error.message}" if error.field else error.message
+    if answer.status_code in KEY_REFUSED:
+        raise Failed(f"the operator key was refused: {message}")
+    if answer.status_code == httpx.codes.CONFLICT:
+        raise Conflict(message)
+    raise BadInput(message)
--- a/libs/cli/src/cherryrudder/cli/contract_commands.py
+++ b/libs/cli/src/cherryrudder/cli/contract_commands.py
@@ -6,6 +6,7 @@
 
 from pathlib import Path
 
+from cherryrudder.model import jsoncodec
 from cherryrudder.model.contractfiles import format_contract, load_contract
 
 from . import client as operator
@@ -22,16 +23,18 @@
         rows = [
             (
                 name,
-                version,
-                contract.requests_per_s,
-                contract.tokens_per_s,
-                contract.concurrent_requests,
-                "retired" if contract.retired else "in force",
+                row.version,
+                row.contract.requests_per_s,
+                row.contract.tokens_per_s,
+                row.contract.concurrent_requests,
+                "retired" if row.contract.retired else "in force",
             )
-            for name, (version, contract) in sorted(held.items())
+            for name, row in sorted(held.items())
         ]
         heads = ("customer", "version", "requests/s", "tokens/s", "concurrent", "state")
-        return Output(table(heads, rows), {"contracts": _plain(held)})
+        return Output(
+            table(heads, rows), {"contracts": jsoncodec.plain(list(held.values()))}
+        )
 
     return run
 
@@ -47,7 +50,7 @@
         state = "retired" if held.contract.retired else "in force"
         head = f"; version {held.version}, {state}\n"
         text = head + format_contract(held.contract).rstrip()
-        return Output(text, _plain({customer: held})[0])
+        return Output(text, jsoncodec.plain(held))
 
     return run
 
@@ -75,9 +78,9 @@
     def run(connect):
         contract = _load(file)
         client = connect()
-        version, current = _held(client, contract.customer)
-        wanted_version = version if expected_version is None else expected_version
-        return _put(client, contract, current, wanted_version)
+        held = _held(client, contract.customer)
+        version = held.version if expected_version is None else expected_version
+        return _put(client, contract, held.contract, version)
 
     return run
 
@@ -92,10 +95,10 @@
 
     def run(connect):
         client = connect()
-        version, current = _held(client, customer)
-        wanted_version = version if expected_version is None else expected_version
-        retired = current._replace(retired=True)
-        return _put(client, retired, current, wanted_version)
+        held = _held(client, customer)
+        version = held.version if expected_version is None else expected_version
+        retired = held.contract._replace(retired=True)
+        return _put(client, retired, held.contract, version)
 
     return run
 
@@ -134,10 +137,3 @@
     lines += [f"    {line}" for line in diff_contracts(current, contract)]
     value = {"changed": True, **answer._asdict()}
     return Output("\n".join(lines), value)
-
-
-def _plain(held):
-    return [
-        {"version": version, "contract": contract._asdict()}
-        for version, contract in held.values()
-    ]
--- a/libs/cli/src/cherryrudder/cli/errors.py
+++ b/libs/cli/src/cherryrudder/cli/errors.py
@@ -34,14 +34,14 @@
 
 
 class Unreachable(CliError):
-    """No control VM gave an answer; `sent` tells whether one may have acted."""
+    """No control VM gave an answer; one may have acted all the same."""
 
-    def __init__(self, faults: dict[str, str], sent: bool):
+    def __init__(self, faults: dict[str, str], may_have_acted: bool):
         head = "no control VM answered"
-        if sent:
+        if may_have_acted:
             # Telling an operator "failed" about a change that was accepted would
             # invite a second, different one.
             head += "; a change may have been accepted, run the command again"
         lines = [f"  {address}: {fault}" for address, fault in faults.items()]
         super().__init__("\n".join([head, *lines]))
-        self.sent = sent
+        self.may_have_acted = may_have_acted
--- a/libs/cli/src/cherryrudder/cli/main.py
+++ b/libs/cli/src/cherryrudder/cli/main.py
@@ -6,7 +6,13 @@
 
 import defopt
 
-from . import contract_commands, local_commands, platform_commands
+from . import (
+    contract_commands,
+    control_commands,
+    local_commands,
+    platform_commands,
+    stop_commands,
+)
 from .apply_command import apply
 from .client import Client
 from .errors import CliError
@@ -16,8 +22,8 @@
 COMMANDS = {
     "apply": apply,
     "contract": contract_commands.COMMANDS,
-    "stop": platform_commands.STOP_COMMANDS,
-    "control": platform_commands.CONTROL_COMMANDS,
+    "stop": stop_commands.COMMANDS,
+    "control": control_commands.COMMANDS,
     "endpoints": platform_commands.endpoints,
     "dump": platform_commands.dump,
     "check": local_commands.check,
--- a/libs/cli/src/cherryrudder/cli/plan.py
+++ b/libs/cli/src/cherryrudder/cli/plan.py
@@ -8,9 +8,9 @@
 
 from cherryrudder.model.contractfiles import format_contract, load_contract
 from cherryrudder.model.contracts import Contract
+from cherryrudder.model.revisions import VersionedContract
 
 from .errors import BadInput
-from .records import VersionedContract
 
 
 class Action(StrEnum):
@@ -57,9 +57,9 @@
     """Return one step for each contract that is wanted or held, by customer."""
     steps = [_step(contract, held.get(contract.customer)) for contract in wanted]
     names = {contract.customer for contract in wanted}
-    for name, (version, contract) in held.items():
-        if name not in names and not contract.retired:
-            steps.append(Step(Action.ABSENT, contract, version))
+    for name, row in held.items():
+        if name not in names and not row.contract.retired:
+            steps.append(Step(Action.ABSENT, row.contract, row.version))
     return sorted(steps, key=lambda step: step.contract.customer)
 
 
@@ -81,7 +81,7 @@
 def _step(contract, held):
     if held is None:
         return Step(Action.CREATE, contract, 0, diff_contracts(None, contract))
-    version, current = held
+    version, current = held.version, held.contract
     if current.retired:
         return Step(Action.RETIRED, contract, version)
     if current == contract:
--- /dev/null
+++ b/libs/cli/src/cherryrudder/cli/stop_commands.py
@@ -0,0 +1,79 @@
+"""The commands on planned stops."""
+
+import uuid
+from typing import Literal
+
+from cherryrudder.model import jsoncodec
+from cherryrudder.model.endpoints import Stop
+
+from . import client as operator
+from .output import Output, table
+
+COLUMNS = ("stop_id", "scope", "target", "reason")
+
+
+def announce(
+    target: str,
+    *,
+    scope: Literal["endpoint", "vm", "data_centre"] = "endpoint",
+    reason: str = "",
+    stop_id: str = "",
+):
+    """Announce a planned stop: what it names gets no new work from now on.
+
+    A target that is announced already stays so; nothing is changed.
+
+    :param target: name of the endpoint, VM or data centre
+    :param scope: what stops
+    :param reason: shown with the stop
+    :param stop_id: name to cancel it by, never used before; made up if not given
+    """
+
+    def run(connect):
+        client = connect()
+        held = _announced(client, scope, target)
+        if held is not None and not stop_id:
+            value = {"stop_id": held.stop_id, "changed": False}
+            return Output(f"{held.stop_id}: announced already", value)
+        # An id counts once for ever: a late resend of an announcement must not bring
+        # back a stop that was cancelled. So each announcement has one of its own.
+        name = stop_id or f"{target}-{uuid.uuid4().hex[:8]}"
+        answer = operator.announce_stop(client, Stop(name, scope, target, reason))
+        value = {"stop_id": name, "changed": True, **answer._asdict()}
+        return Output(f"{name}: announced", value)
+
+    return run
+
+
+def cancel(stop_id: str):
+    """Take a planned stop back.
+
+    :param stop_id: the stop's name as "stop list" prints it
+    """
+
+    def run(connect):
+        answer = operator.cancel_stop(connect(), stop_id)
+        return Output(f"{stop_id}: cancelled", answer._asdict())
+
+    return run
+
+
+def list_stops():
+    """List the planned stops."""
+
+    def run(connect):
+        held = [row.stop for row in operator.stops(connect())]
+        rows = [tuple(getattr(stop, name) for name in COLUMNS) for stop in held]
+        return Output(table(COLUMNS, rows), {"stops": jsoncodec.plain(held)})
+
+    return run
+
+
+COMMANDS = {"announce": announce, "list": list_stops, "cancel": cancel}
+
+
+def _announced(client, scope, target):
+    for row in operator.stops(client):
+        if (row.stop.scope, row.stop.target) == (scope, target):
+            return row.stop
+    return None
--- a/libs/fakes/src/cherryrudder/fakes/load_client.py
+++ b/libs/fakes/src/cherryrudder/fakes/load_client.py
@@ -97,8 +97,11 @@
             if event.kind == "error":
                 result = error_of(event)
                 break
-            texts.append(text_of(event))
-            times_s.append(since(run, arrival))
+            text = text_of(event)
+            # The last event carries the reason of the end and no token.
+            if text:
+                texts.append(text)
+                times_s.append(since(run, arrival))
     except httpx.HTTPError:
         # The stream broke after its start with no error event: that is a cut too.
         pass
