--- a/libs/cli/src/cherryrudder/cli/__main__.py
+++ b/libs/cli/src/cherryrudder/cli/__main__.py
@@ -1,7 +1,8 @@
-"""Run the tool as `python -m cherryrudder.cli`."""
+"""Run the tool: `python -m cherryrudder.cli`."""
 
 import sys
 
 from .main import main
 
-sys.exit(main())
+if __name__ == "__main__":
+    sys.exit(main())
