End each role without cutting an answer, and speak the policy's newer interface

A graceful stop also cancelled its listeners at once, which wrote tracebacks of open polls; the last listener to close ends the process now, and long polls end as soon as their control VM leaves.

--- a/libs/daemon/src/cherryrudder/daemon/creditline.py
+++ b/libs/daemon/src/cherryrudder/daemon/creditline.py
@@ -4,6 +4,8 @@
 
 import anyio
 
+from cherryrudder.policy.admission import queued_by_model
+
 from .fleet import FleetView, queue_name
 from .framemessages import CreditReport
 
@@ -42,10 +44,10 @@
                 await self._kick.wait()
 
     def _report(self):
-        waiting = self.door.admission.queue.model_counts
+        waiting = queued_by_model(self.door.admission)
         entry = self.process.settings.listen.frames
         for announcement, running, peers in self.fleet.members():
-            queued = waiting.get(queue_name(announcement), 0)
+            queued = waiting[queue_name(announcement)]
             wanted = math.ceil(ASK_FACTOR * queued / max(1, peers))
             # One more than runs: the next request then starts without a round trip.
             report = CreditReport(
--- a/libs/daemon/src/cherryrudder/daemon/main.py
+++ b/libs/daemon/src/cherryrudder/daemon/main.py
@@ -42,6 +42,11 @@
     except DaemonError as error:
         print(f"cherryrudderd: {error}", file=sys.stderr)
         sys.exit(FAILED)
+    except Exception:
+        # A part that failed for a reason that nobody foresaw ends the process: the
+        # others must not go on beside it. The log says so before the traceback.
+        log.exception("A part of the process has failed.")
+        sys.exit(FAILED)
 
 
 def read_options(arguments):
--- a/libs/daemon/src/cherryrudder/daemon/process.py
+++ b/libs/daemon/src/cherryrudder/daemon/process.py
@@ -47,6 +47,11 @@
                 await serve(app, address, self.stopping)
             except OSError as error:
                 raise StartError(f"cannot listen at {address}: {error}") from error
+            # The last listener to close ends the process: ending it before would cut
+            # off the answers that are still being written.
+            self._listening -= 1
+            if not self._listening:
+                self.group.cancel_scope.cancel()
 
         self._listening += 1
         self.group.start_soon(run)
@@ -62,9 +67,8 @@
                 self.leaving.set()
 
     def stop(self) -> None:
-        """Close the listeners and end the process."""
+        """Close the listeners; the process ends with the last of them."""
         self.stopping.set()
-        self.group.cancel_scope.cancel()
 
 
 def read_key(path: str) -> str:
--- a/libs/daemon/src/cherryrudder/daemon/sharing.py
+++ b/libs/daemon/src/cherryrudder/daemon/sharing.py
@@ -137,7 +137,8 @@
             self.put_in_force(at_s)
             due = {}
             for customer, holder in self.holders.items():
-                if shareholder.is_due(holder, at_s):
+                demand = admission.demand(self.entry.door.admission, customer, at_s)
+                if shareholder.is_due(holder, demand, at_s):
                     due.setdefault(self._allocator_of(customer), []).append(customer)
             async with anyio.create_task_group() as group:
                 for allocator, customers in due.items():
--- a/libs/daemon/src/cherryrudder/daemon/watches.py
+++ b/libs/daemon/src/cherryrudder/daemon/watches.py
@@ -37,6 +37,7 @@
         """Start the rounds of confirmation."""
         self.process.group.start_soon(self._confirm)
         self.process.group.start_soon(self._follow)
+        self.process.group.start_soon(self._leave)
 
     def confirmed_age_s(self, at_s: float) -> float:
         """Return how long ago a majority confirmed this VM's log."""
@@ -62,6 +63,8 @@
             await self.voter.confirm(FRESH_S)
         else:
             await self._wait_news(revision, epoch, version, with_table, wait_s)
+        if self.process.leaving.is_set():
+            raise NoQuorum("this control VM is leaving")
         if not fresh and not self.is_fresh():
             raise NoQuorum("this control VM cannot confirm its log")
         answer = {"config": machine.delta(self.voter.state, revision), "table": None}
@@ -73,18 +76,23 @@
         self.count += 1
         try:
             with anyio.move_on_after(wait_s):
-                while not self._has_news(revision, epoch, version, with_table):
+                while not self._is_over(revision, epoch, version, with_table):
                     await self._changed.wait()
         finally:
             self.count -= 1
 
-    def _has_news(self, revision, epoch, version, with_table):
-        if self.voter.state.revision > revision:
+    def _is_over(self, revision, epoch, version, with_table):
+        if self.process.leaving.is_set() or self.voter.state.revision > revision:
             return True
         if not with_table:
             return False
         return epoch != self.table.epoch or version < self.table.version
 
+    async def _leave(self):
+        # Watchers turn to other control VMs now and not when their polls time out.
+        await self.process.leaving.wait()
+        self.wake()
+
     async def _confirm(self):
         while True:
             started_s = now_s()
--- a/libs/policy/src/cherryrudder/policy/admission.py
+++ b/libs/policy/src/cherryrudder/policy/admission.py
@@ -12,6 +12,7 @@
 
 import heapq
 import math
+from collections import Counter
 from typing import NamedTuple
 
 from cherryrudder.model.contracts import Contract
@@ -199,6 +200,14 @@
     return limits.demand_of(admission.limits[customer], waiting, tokens, now_s)
 
 
+def queued_by_model(admission: Admission) -> Counter:
+    """Return how many requests wait for each model."""
+    queued = Counter()
+    for flow in admission.queue.flows.values():
+        queued.update(flow.counts)
+    return queued
+
+
 def dump(admission: Admission) -> dict:
     """Return the state as plain data."""
     customers = {}
--- a/libs/wire/src/cherryrudder/wire/logs.py
+++ b/libs/wire/src/cherryrudder/wire/logs.py
@@ -6,9 +6,7 @@
 
 from cherryrudder.model.settings import LogSettings
 
-TEXT = (
-    "{time:YYYY-MM-DDTHH:mm:ss.SSS} {level: <7} {extra[part]}: {message}\n{exception}"
-)
+TEXT = "{time:YYYY-MM-DDTHH:mm:ss.SSS} {level: <7} {extra[part]}: {message}"
 
 
 def set_up_logs(settings: LogSettings) -> None:
--- a/libs/wire/src/cherryrudder/wire/server.py
+++ b/libs/wire/src/cherryrudder/wire/server.py
@@ -5,6 +5,7 @@
 import anyio
 from hypercorn.asyncio import serve as hypercorn_serve
 from hypercorn.config import Config
+from loguru import logger
 
 from cherryrudder.model.settings import split_address
 
@@ -14,6 +15,8 @@
 CLOSE_WAIT_S = 1.0
 BACKLOG = 1024
 
+log = logger.bind(part="http")
+
 
 def listener_config(address: str) -> Config:
     """Return hypercorn's settings for one listener."""
@@ -33,9 +36,13 @@
 
 async def serve(app, address: str, stopping: anyio.Event) -> None:
     """Serve an ASGI application until `stopping` is set."""
-    await hypercorn_serve(
-        app, listener_config(address), shutdown_trigger=stopping.wait, mode="asgi"
-    )
+    config = listener_config(address)
+    try:
+        await hypercorn_serve(app, config, shutdown_trigger=stopping.wait, mode="asgi")
+    except asyncio.InvalidStateError:
+        # hypercorn asks its cancelled tasks for their exception. It happens only when
+        # the process is already ending, and must not hide why.
+        log.debug("The listener at {} was cancelled.", address)
 
 
 async def wait_listening(address: str, timeout_s: float) -> None:
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -157,7 +157,9 @@
     def announce():
         busy = [n for n in deployment.engines if deployment.dump(n)["in_flight"]]
         stopped.append(busy[0].name)
-        result = run_tool(deployment, "stop", "announce", "endpoint", stopped[0])
+        result = run_tool(
+            deployment, "stop", "announce", "--scope", "endpoint", stopped[0]
+        )
         story.check("the stop is announced", result.returncode == 0)
 
     text, outcome = stream(deployment, 1, LONG_TOKENS, 10, announce)
