--- a/libs/policy/src/cherryrudder/policy/admission.py
+++ b/libs/policy/src/cherryrudder/policy/admission.py
@@ -129,7 +129,10 @@
 
 
 def put_back(admission: Admission, request_id: str, now_s) -> Queued | Refusal:
-    """Queue a started request that found no place; it keeps its time of arrival."""
+    """Queue a started request that found no place, or has lost it and may run again.
+
+    Only the time that it has waited counts towards its longest wait.
+    """
     running = admission.running.pop(request_id)
     own = admission.limits[running.offer.customer]
     limits.refund(own, running.cost.cost_tokens, now_s)
@@ -139,7 +142,8 @@
     tokens = running.cost.cost_tokens
     fairqueue.settle_tag(admission.queue, running.offer.customer, -tokens)
     asked, estimated = running.offer, running.cost
-    return _enqueue(admission, asked, own, estimated, running.arrived_s, now_s)
+    arrived_s = now_s - (running.started_s - running.arrived_s)
+    return _enqueue(admission, asked, own, estimated, arrived_s, now_s)
 
 
 def release(admission: Admission, now_s, can_place) -> list[Started | GaveUp]:
@@ -262,7 +266,7 @@
     wait = _wait(admission, request, now_s)
     budget_s = waits.budget_s(contract, request, start_by_s, now_s)
     if wait.total_s > budget_s:
-        is_own = wait.limit_s >= wait.platform_s
+        is_own = wait.limit_s > wait.platform_s
         return _refuse(admission, request, is_own, wait.total_s - budget_s, now_s)
     if not _make_room(admission, request, now_s):
         return _refuse(admission, request, False, 0.0, now_s)
--- a/libs/policy/src/cherryrudder/policy/refusal.py
+++ b/libs/policy/src/cherryrudder/policy/refusal.py
@@ -27,6 +27,9 @@
 UNKNOWN_RETRY_S = 5.0
 # Nobody is sent away for longer: past a minute the estimate says nothing.
 MAX_RETRY_AFTER_S = 60.0
+# A run half as long again as the mean is common (uncached prompts, long answers), and
+# a request that ends past its deadline has wasted its whole run.
+RUN_MARGIN = 1.5
 # A refusal always asks for some pause, the least that a caller's timer keeps.
 MIN_RETRY_AFTER_S = 0.1
 
@@ -87,10 +90,11 @@
 
 
 def run_s(drain: Drain, cost_tokens: float) -> float:
-    """Return how long a request of that cost is expected to run; 0 if unknown."""
+    """Return in what time a request of that cost should have run; 0 if unknown."""
     if not drain.finished_tokens:
         return 0.0
-    return cost_tokens * drain.finished_s / drain.finished_tokens
+    mean_s = cost_tokens * drain.finished_s / drain.finished_tokens
+    return RUN_MARGIN * mean_s
 
 
 def drain_rate(drain: Drain, now_s: float) -> float | None:
--- a/libs/policy/src/cherryrudder/policy/shares.py
+++ b/libs/policy/src/cherryrudder/policy/shares.py
@@ -93,6 +93,10 @@
     allocator.entries = tuple(sorted(entries))
     for customer in allocator.bounds:
         _set_floors(allocator, customer)
+    for parts in allocator.parts.values():
+        for name in parts.keys() - set(allocator.entries):
+            # Of an entry that was taken out only its leases still count.
+            parts[name].floor = NOTHING
 
 
 def set_bound(allocator: Allocator, customer: str, bound: Share) -> None:
--- a/libs/policy/test/builders.py
+++ b/libs/policy/test/builders.py
@@ -70,6 +70,19 @@
         shareholder.set_floor(holder, floor)
         return holder
 
+    def set_entries(self, names):
+        """Tell the allocators and the living entries of another set of entries."""
+        for allocator in self.allocators:
+            shares.set_entries(allocator, names)
+        self.names = list(names)
+        for name in names:
+            if name in self.holders:
+                floor = shares.floor_of(self.bound, names, name)
+                shareholder.set_floor(self.holders[name], floor)
+
+    def lose(self, name):
+        self.names.remove(name)
+
     def act(self, action, name, amount):
         if action == "load":
             load = 2 * amount
--- a/libs/policy/test/driver.py
+++ b/libs/policy/test/driver.py
@@ -14,7 +14,14 @@
 
 from cherryrudder.model.endpoints import Place
 from cherryrudder.model.outcomes import Refusal
-from cherryrudder.policy import admission as adm, credits, placement, retries, shares
+from cherryrudder.policy import (
+    admission as adm,
+    credits,
+    links,
+    placement,
+    retries,
+    shares,
+)
 from cherryrudder.policy.fleet import Fleet
 from cherryrudder.policy.limits import (
     Limits,
@@ -59,14 +66,16 @@
 class Engine:
     """A fake engine: so many slots at a fixed speed, a queue, a small prefix cache."""
 
-    def __init__(self, name, slots=8, token_s=0.01, slow=lambda tokens, now_s: 1.0):
+    def __init__(self, name, slots=8, token_s=0.01, hop_s=0.0):
         self.name = name
         self.slots = slots
         self.token_s = token_s
-        self.slow = slow
+        self.hop_s = hop_s
+        self.slow = lambda tokens, now_s: 1.0
         self.fault = ""
         self.busy = 0
         self.waiting = []
+        self.running = []
         self.cache = []
         self.received = []
         self.is_leaving = False
@@ -75,7 +84,11 @@
     def announcement(self):
         speed = self.slots / self.token_s
         return an_engine(
-            self.name, slots=self.slots, tokens_per_s=speed, leaving=self.is_leaving
+            self.name,
+            centre=f"at-{self.hop_s}",
+            slots=self.slots,
+            tokens_per_s=speed,
+            leaving=self.is_leaving,
         )
 
     def service_s(self, request, now_s):
@@ -84,8 +97,9 @@
         if request.prefix:
             tokens += 0 if request.prefix in self.cache else 100
             known = [prefix for prefix in self.cache if prefix != request.prefix]
-            self.cache = [*known, request.prefix][-4:]
-        return tokens * self.token_s * self.slow(request.answer, now_s)
+            self.cache = [*known, request.prefix][-8:]
+        slowed_s = self.token_s * self.slow(request.answer, now_s)
+        return tokens * (slowed_s + 2 * self.hop_s)
 
 
 class Sim:
@@ -144,7 +158,7 @@
     def send(self, name, request, entry):
         engine = self.engines[name]
         engine.received.append(self.now_s)
-        if engine.fault == "fails":
+        if engine.fault in ("fails", "gone"):
             self.at(self.now_s + 0.001, lambda: entry.failed(request, name))
         elif engine.busy < engine.slots:
             self.start(engine, request, entry)
@@ -153,6 +167,7 @@
 
     def start(self, engine, request, entry):
         engine.busy += 1
+        engine.running.append((request, entry))
         if engine.fault == "silent":
             return
         started_s = self.now_s
@@ -162,6 +177,7 @@
 
     def end(self, engine, request, entry, started_s):
         engine.busy -= 1
+        engine.running.remove((request, entry))
         if engine.waiting and not engine.fault:
             self.start(engine, *engine.waiting.pop(0))
         if engine.fault:
@@ -175,8 +191,9 @@
         """Kill an engine; what it runs is lost and new work fails."""
         engine = self.engines[name]
         engine.fault = "fails"
-        for entry in self.entries:
-            entry.lost(name)
+        lost, engine.waiting = engine.waiting, []
+        for request, entry in lost + engine.running:
+            entry.failed(request, name)
 
 
 class OurEntry:
@@ -188,6 +205,10 @@
         self.admission = adm.Admission(2000)
         place = Place(f"vm-{name}", "amman-1", "jordan")
         self.fleet = Fleet(random.Random(name), place)
+        for engine in sim.engines.values():
+            centre = f"at-{engine.hop_s}"
+            for pair in (("amman-1", centre), (centre, "amman-1")):
+                links.set_measured(self.fleet.links, *pair, engine.hop_s)
         self.budget = retries.RetryBudget()
         self.credits_s = 0.0
         self.holders = {}
@@ -275,11 +296,6 @@
             self.sim.refuse(request, answer.status, answer.retry_after_s)
         self.release()
 
-    def lost(self, name):
-        for request_id, at in list(self.at.items()):
-            if at == name:
-                self.failed(self.requests[request_id], name)
-
     def tick(self):
         now_s = self.sim.now_s
         self.announced()
@@ -349,9 +365,6 @@
         finish(self.limits[request.customer], 0, 0, self.sim.now_s)
         self.sim.refuse(request, 503, 1.0)
 
-    def lost(self, name):
-        pass
-
     def tick(self):
         pass
 
--- /dev/null
+++ b/libs/policy/test/test_scenarios_faults.py
@@ -0,0 +1,256 @@
+"""Scenarios of faults, judged by what callers receive, against the naive entry."""
+
+import unittest
+
+from builders import Entries
+from driver import (
+    Engine,
+    NaiveEntry,
+    OurEntry,
+    Sim,
+    arrivals,
+    contracts_for,
+    goodput,
+    served_part,
+    waits,
+)
+
+from cherryrudder.policy.limits import Share
+
+LARGE = {"requests_per_s": 1e3, "tokens_per_s": 1e5, "concurrent_requests": 999}
+
+
+class LaggedEntry(NaiveEntry):
+    """Choose the engine with the least load by reports that are five seconds old."""
+
+    reports: dict = {}
+
+    def arrive(self, request):
+        def reported(name):
+            engine = self.sim.engines[name]
+            age_s = (self.sim.now_s - self.taken_s) if self.reports else 5.0
+            if age_s >= 5.0:
+                self.taken_s = self.sim.now_s
+                self.reports = {
+                    one.name: one.busy + len(one.waiting)
+                    for one in self.sim.engines.values()
+                }
+            return self.reports[engine.name]
+
+        self.sim.send(min(self.sim.engines, key=reported), request, self)
+
+    def ended(self, request, name, duration_s):
+        return True
+
+
+class SlowEndpointTest(unittest.TestCase):
+    """Scenario 4: one of six endpoints is slow, silent, or fails."""
+
+    def run_fault(self, kind, fault):
+        contracts = contracts_for(["petra"], **LARGE)
+        requests = arrivals(
+            "petra",
+            30,
+            0,
+            30,
+            answer=lambda rng: rng.choice((20, 20, 20, 400)),
+            timeout_s=12.0,
+        )
+        requests = [one._replace(max_tokens=one.answer) for one in requests]
+        engines = [Engine(f"g{number}", slots=16) for number in range(6)]
+        if fault == "slow":
+            engines[0].slow = lambda tokens, now_s: 10.0
+        elif fault == "slow when long":
+            engines[0].slow = lambda tokens, now_s: 10.0 if tokens > 256 else 1.0
+        else:
+            engines[0].fault = fault
+        sim = Sim(engines, contracts, requests, kind).run(60)
+        return sim, [one for one in requests if one.at_s > 10]
+
+    def test_callers_hardly_notice(self):
+        """A sixth of the callers meet an endpoint that harms them.
+
+        A round robin goes on sending it a sixth for ever. Compared with its kind, the
+        endpoint is found out within seconds, and requests that it swallowed are sent
+        elsewhere.
+        """
+        for fault in ("slow", "slow when long", "silent", "fails"):
+            with self.subTest(fault=fault):
+                naive, late = self.run_fault(NaiveEntry, fault)
+                self.assertLess(served_part(naive, late), 0.97)
+                ours, late = self.run_fault(OurEntry, fault)
+                self.assertGreater(served_part(ours, late), 0.995)
+                first = [r.request for r in ours.results if r.request.at_s <= 10]
+                self.assertGreater(served_part(ours, first), 0.9)
+
+
+class LostEntryTest(unittest.TestCase):
+    """Scenario 7: an entry dies and comes back, then the allocator's entry."""
+
+    def test_bound_holds_and_is_met_again(self):
+        """Callers of the other entries take over the load of one that died.
+
+        A static split holds them to two thirds until it is back. With leases the dead
+        entry's floor is kept until it is taken out of the set, and then is theirs; at
+        no moment do the shares pass the bound.
+        """
+        entries = Entries(Share(100.0, 1000.0, 30), 3, seed=1)
+        for name in entries.names:
+            entries.demand[name] = Share(1e3, 1e4, 300)
+        used = []
+
+        def run(duration_s):
+            for _ in range(int(duration_s * 10)):
+                entries.run(0.1)
+                used.append(entries.used()[1])
+
+        run(6.0)
+        entries.lost["e2"] = 1.0
+        entries.lose("e2")
+        run(3.0)
+        self.assertGreater(used[-1], 0.65 * 1000)
+        entries.set_entries(["e0", "e1"])
+        run(3.0)
+        self.assertGreater(used[-1], 0.99 * 1000)
+        entries.set_entries(["e0", "e1", "e2"])
+        entries.lost["e2"] = 0.0
+        entries.act("restart", "e2", 0)
+        run(6.0)
+        self.assertGreater(used[-1], 0.99 * 1000)
+        entries.act("allocator", "", 0)
+        run(5.0)
+        self.assertGreater(used[-1], 0.99 * 1000)
+        self.assertLess(max(used), 1000.001)
+        # The static split, for comparison, after the entry has died.
+        self.assertLess(2 * 1000 / 3, 0.7 * 1000)
+
+
+class HerdTest(unittest.TestCase):
+    """Scenario 8: reports five seconds old, entries that decide at the same moment."""
+
+    def run_herd(self, kind):
+        contracts = contracts_for(["petra"], **LARGE)
+        requests = []
+        for entry in range(4):
+            requests += arrivals("petra", 25, 0, 30, seed=entry, entry=entry)
+        engines = [Engine(f"g{number}") for number in range(8)]
+        sim = Sim(engines, contracts, requests, kind, entries=4)
+        return requests, sim.run(50)
+
+    def test_no_herd(self):
+        """Four entries see the same idle endpoint in reports five seconds old.
+
+        All send to it until the next report: its queue grows by hundreds while others
+        idle, and its callers wait. Credits are spent where they are counted.
+        """
+        requests, naive = self.run_herd(LaggedEntry)
+        self.assertGreater(waits(naive, requests), 2.0)
+        requests, ours = self.run_herd(OurEntry)
+        self.assertLess(waits(ours, requests), 0.5)
+        self.assertEqual(served_part(ours, requests), 1.0)
+
+
+class MixedAcceleratorsTest(unittest.TestCase):
+    """Scenario 9: four kinds of accelerator, links that differ a hundredfold."""
+
+    def run_mixed(self, kind):
+        contracts = contracts_for(["petra"], **LARGE)
+        requests = arrivals("petra", 60, 0, 30, timeout_s=6.0)
+        engines = []
+        for number in range(12):
+            token_s = (0.005, 0.01, 0.02, 0.04)[number % 4]
+            hop_s = (0.0003, 0.003, 0.03)[number // 4]
+            engines.append(Engine(f"g{number}", 8, token_s, hop_s=hop_s))
+        return requests, Sim(engines, contracts, requests, kind).run(50)
+
+    def test_fast_and_near_endpoints_earn_more(self):
+        requests, naive = self.run_mixed(NaiveEntry)
+        requests, ours = self.run_mixed(OurEntry)
+
+        def latency_s(sim):
+            took = [r.ended_s - r.request.at_s for r in sim.results]
+            return sum(took) / len(took)
+
+        self.assertGreater(latency_s(naive), 2.0)
+        self.assertLess(latency_s(ours), 0.7)
+        self.assertEqual(served_part(ours, requests), 1.0)
+
+
+class PlannedStopTest(unittest.TestCase):
+    """Scenario 10: a planned stop in the middle of the others."""
+
+    def run_stop(self, kind, rate, fault="", hot=False):
+        names = ["c0", "c1"]
+        contracts = contracts_for(names, **LARGE)
+        requests = arrivals("c0", rate * (0.9 if hot else 0.5), 0, 25)
+        requests += arrivals("c1", rate * (0.1 if hot else 0.5), 0, 25)
+        engines = [Engine(f"g{number}", token_s=0.02) for number in range(6)]
+        if fault == "slow":
+            engines[5].slow = lambda tokens, now_s: 10.0
+        sim = Sim(engines, contracts, requests, kind)
+        sim.at(10.0, lambda: setattr(engines[0], "is_leaving", True))
+        # The process ends when nothing is in flight, or a minute after the stop.
+        sim.at(10.5, lambda: self.end_when_idle(sim, engines[0]))
+        return requests, sim.run(80)
+
+    def end_when_idle(self, sim, engine):
+        if engine.busy and sim.now_s < 70:
+            sim.at(sim.now_s + 0.1, lambda: self.end_when_idle(sim, engine))
+            return
+        self.ended_s = sim.now_s
+        engine.fault = engine.fault or "fails"
+
+    def test_nothing_is_cut_and_no_work_comes_after_two_seconds(self):
+        """An operator takes an endpoint out, under normal load, overload, a hot
+        caller, and beside a slow endpoint.
+
+        A round robin goes on sending to it, so it never gets idle or its callers see
+        errors once it has gone. Ours sends nothing more and the process ends soon.
+        """
+        for load in ((30, ""), (120, ""), (100, "", True), (30, "slow")):
+            with self.subTest(load=load):
+                naive, ours = NaiveEntry, OurEntry
+                _, sim = self.run_stop(naive, *load)
+                late = [at_s for at_s in sim.engines["g0"].received if at_s > 12]
+                self.assertGreater(len(late), 10)
+                _, sim = self.run_stop(ours, *load)
+                late = [at_s for at_s in sim.engines["g0"].received if at_s > 10.2]
+                self.assertEqual(late, [])
+                self.assertLess(self.ended_s, 13)
+                found = {r.request.request_id for r in sim.results}
+                self.assertEqual(len(found), len(sim.tries))
+                self.assertLessEqual({r.status for r in sim.results}, {200, 503, 429})
+
+
+class LostThirdTest(unittest.TestCase):
+    """Scenario 11: a third of the endpoints is lost at once at 80% load."""
+
+    def run_loss(self, kind):
+        contracts = contracts_for(["petra"], **LARGE)
+        # 9 engines of 8 slots serve 144 requests of half a second a second.
+        requests = arrivals("petra", 0.8 * 144, 0, 60)
+        engines = [Engine(f"g{number}") for number in range(9)]
+        sim = Sim(engines, contracts, requests, kind, tries=9)
+        for number in range(3):
+            name = f"g{number}"
+            sim.at(10.0, lambda name=name: sim.lose(name))
+            # Its announcement lapses.
+            lapse = (engines[number], "fault", "gone")
+            sim.at(12.0, lambda lapse=lapse: setattr(*lapse))
+        return requests, sim.run(80)
+
+    def test_what_is_left_is_used_whole(self):
+        """Three of nine endpoints die with what they run; the rest can serve 83%.
+
+        A round robin sends a third to the dead for ever and lets in more than the rest
+        can do, so that callers get their answers late. Ours sends the lost requests
+        elsewhere, as they are idempotent, and refuses at once what has no room.
+        """
+        left = 96 * 100
+        requests, naive = self.run_loss(NaiveEntry)
+        late = [result for result in naive.results if result.status == 0]
+        self.assertGreater(len(late), 0.05 * len(requests))
+        requests, ours = self.run_loss(OurEntry)
+        self.assertGreater(goodput(ours, 12, 60), 0.97 * left)
+        self.assertEqual({r.status for r in ours.results} - {200}, {503})
+        self.assertEqual(len(ours.results), len(requests))
--- /dev/null
+++ b/libs/policy/test/test_scenarios_load.py
@@ -0,0 +1,188 @@
+"""Scenarios of load, judged by what callers receive, against the naive entry."""
+
+import unittest
+
+from driver import (
+    Engine,
+    NaiveEntry,
+    OurEntry,
+    Sim,
+    arrivals,
+    contracts_for,
+    goodput,
+    jain,
+    served_part,
+    waits,
+)
+
+
+def statuses(sim):
+    return {result.status for result in sim.results}
+
+
+class BurstTest(unittest.TestCase):
+    """Scenario 1: a burst of 20 times a customer's bound."""
+
+    def run_burst(self, kind, entry):
+        requests = arrivals("petra", 200, 5, 15, entry=entry, timeout_s=8.0)
+        contracts = contracts_for(["petra"], concurrent_requests=100)
+        engines = [Engine(f"g{number}", slots=10) for number in range(6)]
+        return Sim(engines, contracts, requests, kind, 3, tries=99).run(25)
+
+    def test_burst_through_one_entry_reaches_the_bound(self):
+        """A customer's whole batch comes through one of three entries.
+
+        Under a static split the caller gets a third of its contract and refusals for
+        the rest, though nobody uses the other two thirds. With leases the busy entry
+        gets what the idle ones don't need.
+        """
+        naive, ours = self.run_burst(NaiveEntry, 0), self.run_burst(OurEntry, 0)
+        self.assertLess(goodput(naive, 6, 15), 0.4 * 1000)
+        self.assertGreater(goodput(ours, 6, 15), 0.95 * 1000)
+        self.assertEqual(statuses(ours), {200, 429})
+
+    def test_burst_through_all_entries_keeps_to_the_bound(self):
+        ours = self.run_burst(OurEntry, lambda rng: rng.randrange(3))
+        self.assertGreater(goodput(ours, 6, 15), 0.95 * 1000)
+        self.assertLess(goodput(ours, 6, 15), 1.05 * 1000)
+        self.assertEqual(statuses(ours), {200, 429})
+
+
+class HotCallerTest(unittest.TestCase):
+    """Scenario 2: one caller at 50 times its share beside nine that keep to theirs."""
+
+    def run_hot(self, kind):
+        names = [f"c{number}" for number in range(10)]
+        contracts = contracts_for(names, concurrent_requests=60)
+        self.calm = []
+        for name in names[1:]:
+            self.calm += arrivals(name, 1.2, 0, 30)
+        hot = arrivals("c0", 75, 0, 30)
+        engines = [Engine(f"g{number}", slots=3, token_s=0.02) for number in range(5)]
+        return Sim(engines, contracts, self.calm + hot, kind, tries=99).run(50)
+
+    def test_the_nine_lose_nothing(self):
+        """A platform for 1500 tokens a second, and one caller who wants 7500.
+
+        First come first served lets the hot caller take its contract's whole 1000,
+        more than is free beside the nine's 1080; all queues grow, and the nine's
+        requests come late. Fair queueing starts theirs first.
+        """
+        naive = self.run_hot(NaiveEntry)
+        self.assertLess(served_part(naive, self.calm), 0.8)
+        ours = self.run_hot(OurEntry)
+        self.assertEqual(served_part(ours, self.calm), 1.0)
+        self.assertLess(waits(ours, self.calm), 1.5)
+        self.assertGreater(goodput(ours, 5, 30), 0.95 * 1500)
+        served = [goodput(ours, 0, 50, f"c{number}") for number in range(1, 10)]
+        offered = [
+            sum(r.tokens for r in self.calm if r.customer == f"c{number}")
+            for number in range(1, 10)
+        ]
+        parts = [got / asked for got, asked in zip(served, offered, strict=True)]
+        self.assertGreater(jain(parts), 0.999)
+
+
+class HotKeyTest(unittest.TestCase):
+    """Scenario 3: one prompt prefix takes 60% of the load."""
+
+    def run_hot_key(self, kind):
+        def prefix(rng):
+            return "hot" if rng.random() < 0.6 else f"p{rng.randrange(40)}"
+
+        contracts = contracts_for(
+            ["petra"], requests_per_s=1e3, tokens_per_s=1e5, concurrent_requests=999
+        )
+        requests = arrivals("petra", 90, 0, 30, prefix=prefix, timeout_s=4.0)
+        engines = [Engine(f"g{number}") for number in range(10)]
+        return requests, Sim(engines, contracts, requests, kind).run(40)
+
+    def test_hot_prefix_is_cached_and_spread(self):
+        """Prompts that are computed anew take three times as long.
+
+        A round robin spreads 41 prefixes over caches that hold eight each, computes
+        many anew, and callers wait while engines repeat each other's work.
+        """
+        requests, naive = self.run_hot_key(NaiveEntry)
+        self.assertGreater(waits(naive, requests), 0.5)
+        requests, ours = self.run_hot_key(OurEntry)
+        self.assertLess(waits(ours, requests), 0.1)
+        self.assertEqual(served_part(ours, requests), 1.0)
+        received = [len(engine.received) for engine in ours.engines.values()]
+        self.assertLess(max(received), 2 * sum(received) / len(received))
+
+
+class LongAmongShortTest(unittest.TestCase):
+    """Scenario 5: 1 request in 20 is 100 times longer."""
+
+    def run_mixed(self, kind):
+        contracts = contracts_for(
+            ["petra"], requests_per_s=100, tokens_per_s=4e3, concurrent_requests=100
+        )
+        requests = arrivals(
+            "petra",
+            30,
+            0,
+            40,
+            answer=lambda rng: 1000 if rng.random() < 0.05 else 10,
+            timeout_s=40.0,
+        )
+        requests = [one._replace(max_tokens=one.answer) for one in requests]
+        engines = [Engine(f"g{number}", slots=4) for number in range(6)]
+        return requests, Sim(engines, contracts, requests, kind).run(90)
+
+    def test_short_requests_do_not_wait_for_long_ones(self):
+        """A round robin puts short requests behind long ones at a busy engine.
+
+        Their callers wait seconds for a tenth of a second's work while other engines
+        are free. With credits nothing waits at an engine.
+        """
+        requests, naive = self.run_mixed(NaiveEntry)
+        short = [one for one in requests if one.answer == 10]
+        long = [one for one in requests if one.answer != 10]
+        self.assertGreater(waits(naive, short), 2.0)
+        _, ours = self.run_mixed(OurEntry)
+        self.assertLess(waits(ours, short), 0.5)
+        self.assertEqual(served_part(ours, short), 1.0)
+        self.assertEqual(served_part(ours, long), 1.0)
+
+
+class OverloadTest(unittest.TestCase):
+    """Scenario 6: 2 and 5 times capacity for ten minutes, then back."""
+
+    capacity = 1000.0
+
+    def run_overload(self, kind, times, length_s):
+        names = [f"c{number}" for number in range(4)]
+        contracts = contracts_for(
+            names, tokens_per_s=8e3, requests_per_s=100, concurrent_requests=200
+        )
+        requests = []
+        for name in names:
+            requests += arrivals(name, 2.5 * times, 0, length_s, timeout_s=8.0)
+            after = arrivals(name, 1.5, length_s, length_s + 60, 2, timeout_s=8.0)
+            requests += after
+        engines = [Engine(f"g{n}", slots=4, token_s=0.04) for n in range(5)]
+        sim = Sim(engines, contracts, requests, kind, tries=99)
+        return requests, sim.run(length_s + 70)
+
+    def test_goodput_holds_and_nothing_outlives_the_overload(self):
+        """Twice and five times the capacity, callers who come back, ten minutes.
+
+        First come first served answers everything after its caller has gone: goodput
+        is nothing while engines are busy all the time, and stays so afterwards.
+        """
+        _, naive = self.run_overload(NaiveEntry, 2, 100)
+        self.assertLess(goodput(naive, 50, 100), 0.1 * self.capacity)
+        for times in (2, 5):
+            requests, ours = self.run_overload(OurEntry, times, 600)
+            during = goodput(ours, 10, 600)
+            self.assertGreater(during, 0.95 * self.capacity)
+            self.assertLess(during, 1.05 * self.capacity)
+            after = [one for one in requests if one.at_s > 610]
+            self.assertEqual(served_part(ours, after), 1.0)
+            self.assertLess(waits(ours, after), 0.5)
+            self.assertEqual(statuses(ours), {200, 503})
+            # Callers come back when they are told to, so refusals make no storm.
+            tries = sum(ours.tries.values()) / len(requests)
+            self.assertLess(tries, 1.5)
