--- a/libs/policy/src/cherryrudder/policy/admission.py
+++ b/libs/policy/src/cherryrudder/policy/admission.py
@@ -25,6 +25,9 @@
 # Waits of queued requests are looked at again this often, which costs one pass over
 # the queue; a caller learns of a lost endpoint this much later at the most.
 REVIEW_S = 0.25
+# So many requests of a pass may let others go first; more would make the pass dear and
+# the order unfair.
+MAX_SKIPPED = 8
 # A queued request is given up when its wait is clearly too long. Without the margin
 # the estimate's noise would throw out requests that were just let in.
 REVIEW_MARGIN = 1.25
@@ -146,17 +149,22 @@
     return _enqueue(admission, asked, own, estimated, arrived_s, now_s)
 
 
-def release(admission: Admission, now_s, can_place) -> list[Started | GaveUp]:
+def release(
+    admission: Admission, now_s, can_place, lets_pass=None
+) -> list[Started | GaveUp]:
     """Start what there is room for, give up what cannot be served in time.
 
     `can_place(request_id) -> bool` places a request, or tells that its model has no
-    room now.
+    room now. `lets_pass(request_id, waited_s) -> bool` tells that a request should let
+    others go first to the room there is; if none of them will, it goes all the same.
     """
     results = admission.given_up
     admission.given_up = []
     for request in fairqueue.take_expired(admission.queue, now_s):
         results.append(_give_up(admission, request, now_s))
-    results += _start_waiting(admission, now_s, can_place)
+    if lets_pass is not None:
+        results += _start_waiting(admission, now_s, can_place, lets_pass)
+    results += _start_waiting(admission, now_s, can_place, _never)
     if now_s - admission.reviewed_s >= REVIEW_S:
         admission.reviewed_s = now_s
         results += _review(admission, now_s)
@@ -324,14 +332,18 @@
     return GaveUp(request.request_id, answer)
 
 
-def _start_waiting(admission, now_s, can_place):
+def _never(request_id, waited_s):
+    return False
+
+
+def _start_waiting(admission, now_s, can_place, lets_pass):
     queue = admission.queue
-    started, blocked = [], set()
+    started, blocked, skipped = [], set(), set()
     order = [(queue.flows[name].start_tag, name) for name in queue.active]
     heapq.heapify(order)
     while order and len(blocked) < len(queue.by_model):
         _, customer = heapq.heappop(order)
-        request = fairqueue.head(queue, customer, blocked)
+        request = fairqueue.head(queue, customer, blocked, skipped)
         if request is None:
             continue
         flow = queue.flows[customer]
@@ -339,7 +351,10 @@
         flow.is_limited = not limits.is_within(own, request.cost_tokens, now_s)
         if flow.is_limited:
             continue
-        if can_place(request.request_id):
+        request_id, waited_s = request.request_id, now_s - request.arrived_s
+        if len(skipped) < MAX_SKIPPED and lets_pass(request_id, waited_s):
+            skipped.add(request_id)
+        elif can_place(request_id):
             started.append(_start_queued(admission, request, now_s))
         else:
             blocked.add(request.model)
--- a/libs/policy/src/cherryrudder/policy/affinity.py
+++ b/libs/policy/src/cherryrudder/policy/affinity.py
@@ -26,8 +26,12 @@
 # With less than this part of its slots in use an endpoint isn't overloaded, whatever
 # the mean; otherwise affinity would end at two requests when little is in flight.
 FREE_PART = 0.5
-# Prefixes remembered per endpoint; more than an engine's cache holds of long ones.
+# Prefixes remembered per endpoint from its events; more than an engine's cache holds of
+# long ones.
 MAX_PREFIXES = 2000
+# Prefixes taken for cached because this entry has just sent them there. Engines evict
+# by use in limited memory, and other entries send too, so only the latest are likely.
+MAX_SENT = 8
 
 
 class CacheEvent(NamedTuple):
@@ -39,9 +43,10 @@
 
 
 class CacheView:
-    """What the engines' events have told about their caches."""
+    """Which prefixes the engines' caches are believed to hold."""
 
-    def __init__(self):
+    def __init__(self, max_prefixes=MAX_PREFIXES):
+        self.max_prefixes = max_prefixes
         self.numbers: dict[str, int] = {}
         self.prefixes: dict[str, dict[str, None]] = {}
         self.holders: dict[str, set[str]] = {}
@@ -78,18 +83,27 @@
         # to caches that have long dropped the prefix.
         forget_endpoint(view, endpoint)
     view.numbers[endpoint] = event.number
+    if event.is_stored:
+        note_stored(view, endpoint, event.prefix)
+    elif holds(view, endpoint, event.prefix):
+        _drop(view, endpoint, event.prefix)
+
+
+def note_stored(view: CacheView, endpoint: str, prefix: str) -> None:
+    """Believe that an endpoint holds a prefix, as its latest one."""
     known = view.prefixes.setdefault(endpoint, {})
-    if not event.is_stored:
-        if event.prefix in known:
-            _drop(view, endpoint, event.prefix)
-        return
-    known.pop(event.prefix, None)
-    known[event.prefix] = None
-    view.holders.setdefault(event.prefix, set()).add(endpoint)
-    if len(known) > MAX_PREFIXES:
+    known.pop(prefix, None)
+    known[prefix] = None
+    view.holders.setdefault(prefix, set()).add(endpoint)
+    if len(known) > view.max_prefixes:
         _drop(view, endpoint, next(iter(known)))
 
 
+def holds(view: CacheView, endpoint: str, prefix: str) -> bool:
+    """Tell whether an endpoint is believed to hold a prefix."""
+    return prefix in view.prefixes.get(endpoint, ())
+
+
 def forget_endpoint(view: CacheView, endpoint: str) -> None:
     """Drop all that is known of an endpoint's cache."""
     for prefix in list(view.prefixes.get(endpoint, ())):
--- a/libs/policy/src/cherryrudder/policy/fairqueue.py
+++ b/libs/policy/src/cherryrudder/policy/fairqueue.py
@@ -124,8 +124,11 @@
     return request
 
 
-def head(queue: FairQueue, customer: str, blocked: set[str]) -> Waiting | None:
-    """Return the customer's first request for a model that is not blocked."""
+def head(queue, customer, blocked: set[str], skipped: set[str]) -> Waiting | None:
+    """Return the customer's first request for a model that is not blocked.
+
+    Skipped requests are passed over; they keep their turn.
+    """
     flow = queue.flows[customer]
     best = None
     for model, lane in flow.lanes.items():
@@ -133,8 +136,11 @@
             continue
         while _is_stale(queue, lane[0]):
             heapq.heappop(lane)
-        if best is None or lane[0] < best:
-            best = lane[0]
+        first = lane[0]
+        if first[2] in skipped:
+            first = _first_after(queue, lane, skipped)
+        if first is not None and (best is None or first < best):
+            best = first
     return queue.waiting[best[2]] if best else None
 
 
@@ -225,6 +231,13 @@
     return queue.waiting[max(live)[2]]
 
 
+def _first_after(queue, lane, skipped):
+    for entry in heapq.nsmallest(2 * len(skipped) + 1, lane):
+        if entry[2] not in skipped and not _is_stale(queue, entry):
+            return entry
+    return None
+
+
 def _is_stale(queue, entry):
     request = queue.waiting.get(entry[2])
     return request is None or request.sequence != entry[1]
--- a/libs/policy/src/cherryrudder/policy/fleet.py
+++ b/libs/policy/src/cherryrudder/policy/fleet.py
@@ -92,7 +92,9 @@
         self.rng = rng
         self.home = home
         self.links = Links()
+        # What the engines' events tell, and what this entry has sent them.
         self.caches = affinity.CacheView()
+        self.sent = affinity.CacheView(affinity.MAX_SENT)
         self.members: dict[str, Member] = {}
         self.groups: dict[tuple, Group] = {}
         self.models: dict[tuple[str, str], LayerMap] = {}
@@ -218,7 +220,9 @@
         return 0
     if ejection.is_ejected(member.health, now_s):
         return 0
-    allowed = 1 if ejection.is_probing(member.health) else member.credits
+    allowed = member.credits
+    if ejection.is_probing(member.health):
+        allowed = min(1, allowed)
     return max(0, allowed - member.in_flight)
 
 
@@ -267,7 +271,7 @@
             # Another process: what the one before it had in flight is lost.
             _unlist(fleet, known, now_s)
             fleet.members.pop(announcement.endpoint, None)
-            affinity.forget_endpoint(fleet.caches, announcement.endpoint)
+            _forget_caches(fleet, announcement.endpoint)
             known = None
         elif _sort(known.announcement) != _sort(announcement):
             _unlist(fleet, known, now_s)
@@ -300,7 +304,12 @@
         member.kind.members.pop(name, None)
     if not member.in_flight:
         fleet.members.pop(name, None)
-        affinity.forget_endpoint(fleet.caches, name)
+        _forget_caches(fleet, name)
+
+
+def _forget_caches(fleet, endpoint):
+    affinity.forget_endpoint(fleet.caches, endpoint)
+    affinity.forget_endpoint(fleet.sent, endpoint)
 
 
 def _take_off(fleet, member, now_s):
--- a/libs/policy/src/cherryrudder/policy/placement.py
+++ b/libs/policy/src/cherryrudder/policy/placement.py
@@ -15,6 +15,7 @@
 
 import math
 from collections.abc import Iterable
+from itertools import islice
 from typing import NamedTuple
 
 from cherryrudder.model.endpoints import Announcement, Place
@@ -30,6 +31,7 @@
     ended,
     failed,
     free_slots,
+    group_key,
     progressed,
     review,
     set_credits,
@@ -49,11 +51,13 @@
     "dump",
     "ended",
     "failed",
+    "note_sent",
     "progressed",
     "review",
     "set_credits",
     "set_stops",
     "update",
+    "waits_for_prefix",
     "withdrawn",
 ]
 
@@ -68,6 +72,10 @@
 BEAM = 3
 # A cached prefix saves its prefill, about this part of a short answer's time.
 PREFIX_SAVED_PART = 0.3
+# A fleet with at most this part of its endpoints open is nearly full.
+FULL_PART = 0.1
+# How long a request lets others go first: about the time of the prefill that it saves.
+PATIENCE_S = 0.5
 
 
 class Need(NamedTuple):
@@ -123,6 +131,30 @@
     return Chain(stages, best.cost_s * max(1.0, need.tokens))
 
 
+def waits_for_prefix(fleet: Fleet, need: Need, chain: Chain, waited_s, now_s) -> bool:
+    """Tell whether a request should let others go first to the one endpoint with room.
+
+    When the fleet is nearly full, each request would go to whichever endpoint frees a
+    slot, and be computed anew there; the fleet would lose the speed that its caches
+    gave it, and stay full. Of those that wait, one whose prefix is there goes instead.
+    """
+    if not need.prefix or waited_s >= PATIENCE_S:
+        return False
+    first = chain.stages[0]
+    group = fleet.groups[group_key(first)]
+    has_room = sum(len(opened.members) for opened in group.open.values())
+    if has_room > FULL_PART * len(group.members) + 1:
+        return False
+    is_ranked = first.endpoint in _ranked(group, need.prefix)[:1]
+    return not is_ranked and not _holds(fleet, first.endpoint, need.prefix)
+
+
+def note_sent(fleet: Fleet, chain: Chain, prefix: str) -> None:
+    """Remember that a chain will hold a prefix."""
+    for stage in chain.stages:
+        affinity.note_stored(fleet.sent, stage.endpoint, prefix)
+
+
 def choose_stage(
     fleet: Fleet, need: Need, first_layer: int, end_layer: int, now_s: float
 ) -> Announcement | None:
@@ -209,8 +241,11 @@
     for opened in group.open.values():
         best, best_s = None, math.inf
         for member in _drawn(fleet, opened.members, need.exclude):
-            if member.cost_s[size] < best_s:
-                best, best_s = member, member.cost_s[size]
+            cost_s = member.cost_s[size]
+            if need.prefix and _holds(fleet, member.announcement.endpoint, need.prefix):
+                cost_s *= 1 - PREFIX_SAVED_PART
+            if cost_s < best_s:
+                best, best_s = member, cost_s
         if best is not None:
             found.append(Candidate(best, best_s))
     if need.prefix:
@@ -233,13 +268,10 @@
 
 
 def _caching(fleet, group, need, now_s):
-    slot = affinity.slot_of(need.prefix)
-    ranked = group.ranked.get(slot)
-    if ranked is None:
-        ranked = group.ranked[slot] = affinity.rank(group.members, slot)
     holders = affinity.holders_of(fleet.caches, need.prefix)
-    names = [name for name in holders if name in group.members]
-    for name in ranked:
+    # A hot prefix is held by many; the endpoints that were drawn stand for those.
+    names = [name for name in islice(holders, DRAWN) if name in group.members]
+    for name in _ranked(group, need.prefix):
         # The second choice is for what is above the bound of the first: spread over
         # both from the start, the prefix would be computed and kept twice.
         if _takes(group, name, need, now_s):
@@ -254,6 +286,20 @@
     return found
 
 
+def _ranked(group, prefix):
+    slot = affinity.slot_of(prefix)
+    ranked = group.ranked.get(slot)
+    if ranked is None:
+        ranked = group.ranked[slot] = affinity.rank(group.members, slot)
+    return ranked
+
+
+def _holds(fleet, endpoint, prefix):
+    return affinity.holds(fleet.caches, endpoint, prefix) or affinity.holds(
+        fleet.sent, endpoint, prefix
+    )
+
+
 def _takes(group, name, need, now_s):
     member = group.members[name]
     if name in need.exclude or free_slots(member, now_s) <= 0:
