--- /dev/null
+++ b/bench/state_apply.py
@@ -0,0 +1,236 @@
+"""Measure the state machine and the endpoint table, without network or disk.
+
+Prints one line per figure: the median of the rounds, then the lowest and the highest.
+Run it from the root with the libraries' `src` folders on PYTHONPATH.
+"""
+
+import random
+import statistics
+import time
+
+import defopt
+
+from cherryrudder.membership import table as tables
+from cherryrudder.membership.reader import Reader, endpoints, merge, position
+from cherryrudder.model.contracts import Contract, digest_key
+from cherryrudder.model.endpoints import Announcement, Kind, Place
+from cherryrudder.model.jsoncodec import encode
+from cherryrudder.state.commands import Clock, CloseClaim, OpenClaim, PutContract
+from cherryrudder.state.machine import (
+    apply,
+    delta,
+    encode_command,
+    new_state,
+    restore,
+    snapshot,
+)
+
+# The sizes that the platform is meant to reach.
+CONTRACTS = 260
+CLAIMS = 10_000
+NODES = 370
+ENDPOINTS = 1_100
+LEASE_S = 2.0
+RECEIPT = '{"receipt":"2026-000000","text":"' + "x" * 200 + '"}'
+
+
+def a_contract(number, version=0):
+    """Return a contract with two models and two services."""
+    name = f"customer-{number}"
+    contract = Contract(
+        name,
+        digest_key(name),
+        ("briefing", "summary"),
+        ("filings", "receipts"),
+        40.0,
+        2000.0 + version,
+        64,
+        5.0,
+    )
+    return PutContract(f"change-{number}-{version}", version, contract)
+
+
+def an_open(number):
+    """Return a claim as an entry makes it, with ids of the usual lengths."""
+    rng = random.Random(number)
+    key, attempt = (f"{rng.getrandbits(128):032x}" for _ in range(2))
+    return OpenClaim(
+        f"customer-{number % CONTRACTS}",
+        key,
+        f"{rng.getrandbits(256):064x}",
+        attempt,
+        "filings",
+        f"filing-{number % 3}",
+        "1764702000000-5e884898",
+        "10.0.12.34:7001",
+    )
+
+
+def a_close(opened):
+    """Return the outcome of a claim, with a receipt as its body."""
+    place = (opened.customer, opened.key, opened.attempt_id)
+    return CloseClaim(*place, "done", 200, RECEIPT)
+
+
+def an_announcement(number, sequence=1, leaving=False):
+    """Return an engine's announcement."""
+    return Announcement(
+        f"briefing-{number}",
+        Kind.ENGINE,
+        "1764702000000-5e884898",
+        sequence,
+        Place(f"vm-{number}", "amman-1", "jordan"),
+        "10.0.12.34:7001",
+        "10.0.12.34:7002",
+        model="briefing",
+        version="1",
+        accelerator="type-a",
+        end_layer=16,
+        model_layers=32,
+        slots=8,
+        tokens_per_s=100.0,
+        leaving=leaving,
+    )
+
+
+def a_table(count):
+    """Return a table that holds a number of engines."""
+    table = tables.Table("5e884898")
+    for number in range(count):
+        tables.announce(table, an_announcement(number), LEASE_S, 0.0)
+    return table
+
+
+def timed(work, rounds, count=1):
+    """Return the microseconds of one of `count` pieces of work, for each round."""
+    found = []
+    for number in range(rounds):
+        start = time.perf_counter()
+        work(number)
+        found.append((time.perf_counter() - start) / count * 1e6)
+    return found
+
+
+def show(name, found, unit):
+    """Print the median, the lowest and the highest of some figures."""
+    middle = statistics.median(found)
+    print(f"{name:44} {middle:12,.1f} {min(found):12,.1f} {max(found):12,.1f} {unit}")
+
+
+def show_rate(name, micros):
+    show(name, [1e6 / value for value in micros], "per s")
+
+
+def apply_all(state, payloads):
+    for payload in payloads:
+        apply(state, state.applied + 1, payload)
+
+
+def measure_applies(rounds):
+    """Measure records a second and leave a state of the aimed size."""
+    puts = [encode_command(a_contract(n)) for n in range(CONTRACTS)]
+    opened = [an_open(n) for n in range(CLAIMS)]
+    opens = [encode_command(command) for command in opened]
+    closes = [encode_command(a_close(command)) for command in opened]
+    kinds = (("PutContract", puts), ("OpenClaim", opens), ("CloseClaim", closes))
+    states = [new_state() for _ in range(rounds)]
+    for name, payloads in kinds:
+        found = timed(
+            lambda n, p=payloads: apply_all(states[n], p), rounds, len(payloads)
+        )
+        show_rate(f"apply {name}", found)
+        show(f"log record of {name}", [len(payloads[0])], "bytes")
+    clocks = [encode_command(Clock(float(n))) for n in range(1000)]
+    found = timed(lambda n: apply_all(states[n], clocks), rounds, len(clocks))
+    show_rate(f"apply Clock over {CLAIMS:,} claims", found)
+    return states[0]
+
+
+def measure_snapshot(state, rounds):
+    """Measure the snapshot, also per record held."""
+    text = snapshot(state)
+    show(f"snapshot, {CONTRACTS} contracts, {CLAIMS:,} claims", [len(text)], "bytes")
+    show(
+        "snapshot per claim",
+        [len(encode(list(state.claims.values()))) / CLAIMS],
+        "bytes",
+    )
+    held = len(encode(list(state.contracts.values()))) / CONTRACTS
+    kept = len(encode(list(state.changes.items()))) / len(state.changes)
+    show("snapshot per contract", [held], "bytes")
+    show("snapshot per kept answer", [kept], "bytes")
+    show("write the snapshot", timed(lambda _: snapshot(state), rounds), "us")
+    show("restore it", timed(lambda _: restore(text), rounds), "us")
+
+
+def measure_config(state, rounds):
+    """Measure what readers of the configuration cost."""
+    apply(state, state.applied + 1, encode_command(a_contract(0, 1)))
+    one = encode(delta(state, state.revision - 1))
+    show("configuration delta, one contract", [len(one)], "bytes")
+    show("configuration, all contracts", [len(encode(delta(state, 0)))], "bytes")
+    show(
+        "empty configuration delta",
+        [len(encode(delta(state, state.revision)))],
+        "bytes",
+    )
+    found = timed(lambda _: delta(state, state.revision), rounds * 100)
+    show("make an empty configuration delta", found, "us")
+
+
+def measure_table(rounds):
+    """Measure announcements and deltas at the aimed number of endpoints."""
+    show("announcement", [len(encode(an_announcement(7)))], "bytes")
+    table = a_table(ENDPOINTS)
+
+    def renew(number):
+        for endpoint in range(ENDPOINTS):
+            renewal = an_announcement(endpoint, number + 2)
+            tables.announce(table, renewal, LEASE_S, number / 2)
+
+    built = timed(
+        lambda n: [an_announcement(e, n) for e in range(ENDPOINTS)], rounds, ENDPOINTS
+    )
+    found = timed(renew, rounds, ENDPOINTS)
+    show("renew a lease", [a - b for a, b in zip(found, built, strict=True)], "us")
+    found = timed(lambda _: tables.expire(table, 0.0), rounds * 10)
+    show(f"expire over {ENDPOINTS:,} endpoints", found, "us")
+    measure_table_deltas(table, rounds)
+
+
+def measure_table_deltas(table, rounds):
+    before = table.version
+    everything = tables.delta_since(table, "", 0)
+    show(f"full delta, {ENDPOINTS:,} endpoints", [len(encode(everything))], "bytes")
+    empty = tables.delta_since(table, table.epoch, before)
+    show("empty delta", [len(encode(empty))], "bytes")
+    tables.announce(table, an_announcement(5, 10**6, leaving=True), LEASE_S, 0.0)
+    one = tables.delta_since(table, table.epoch, before)
+    show("delta of one change", [len(encode(one))], "bytes")
+
+    def answer_all(_):
+        for _ in range(NODES):
+            encode(tables.delta_since(table, table.epoch, before))
+
+    show(f"one change to {NODES} readers", timed(answer_all, rounds), "us")
+    reader = Reader()
+    merge(reader, "north", everything, 0.0)
+    merge(reader, "south", everything, 0.0)
+    assert position(reader, "north") == (table.epoch, before)
+    found = timed(lambda _: endpoints(reader, 0.0), rounds)
+    show(f"list {ENDPOINTS:,} endpoints of two sources", found, "us")
+
+
+def main(*, rounds: int = 11):
+    """Measure all of it.
+
+    :param rounds: how often each timed piece of work is done
+    """
+    state = measure_applies(rounds)
+    measure_snapshot(state, rounds)
+    measure_config(state, rounds)
+    measure_table(rounds)
+
+
+if __name__ == "__main__":
+    defopt.run(main)
--- a/libs/state/src/cherryrudder/state/claims.py
+++ b/libs/state/src/cherryrudder/state/claims.py
@@ -14,9 +14,11 @@
 # started again within the day. A resend after this time finds no claim and would
 # run: the promise holds for resends within a day of the claim's last change.
 CLAIM_RETENTION_S = 24 * 3600.0
-# Bounds the memory and the snapshot of a voter. Dropping the oldest claims at the
-# bound would let a resend run twice, so a new claim is refused instead: "full".
-MAX_CLAIMS = 100_000
+# Bounds the memory and the snapshot of a voter to about 50 MB on disk.
+# Dropping the oldest claims at the bound would let a resend run twice, so a new claim
+# is refused instead: "full". A claim weighs one, and one more per so much of its body.
+MAX_WEIGHT = 100_000
+BODY_CHARS_PER_WEIGHT = 512
 # A receipt or confirmation takes hundreds of characters.
 MAX_BODY_CHARS = 64 * 1024
 # A caller that meets not-run this often in a day has a fault of its own.
@@ -80,6 +82,11 @@
     return held.claim if held else None
 
 
+def weight_of(claim: Claim) -> int:
+    """Return how much a claim counts towards the bound."""
+    return 1 + len(claim.body) // BODY_CHARS_PER_WEIGHT
+
+
 def expire_claims(state: State) -> None:
     """Drop the claims that are past their retention."""
     limit_s = state.now_s - CLAIM_RETENTION_S
@@ -89,18 +96,17 @@
             break
         old.append(place)
     for place in old:
-        del state.claims[place]
-        _count(state, place[0], -1)
+        held = state.claims.pop(place)
+        _weigh(state, place[0], -weight_of(held.claim))
 
 
 def _grant_first(state, wanted):
     # One customer may fill the table only down to as much room as it holds itself
     # (a dynamic threshold): a flood of keys leaves half of the table to others.
-    room = MAX_CLAIMS - len(state.claims)
-    if state.claims_held.get(wanted.customer, 0) >= room:
+    room = MAX_WEIGHT - sum(state.claim_weights.values())
+    if state.claim_weights.get(wanted.customer, 0) >= room:
         return ClaimAnswer("full", wanted)
     _put(state, wanted, ())
-    _count(state, wanted.customer, 1)
     return ClaimAnswer("granted", wanted)
 
 
@@ -116,15 +122,17 @@
 
 def _put(state, claim, spent):
     place = (claim.customer, claim.key)
-    state.claims.pop(place, None)
+    before = state.claims.pop(place, None)
     state.claims[place] = HeldClaim(claim, state.now_s, spent)
+    added = weight_of(claim) - (weight_of(before.claim) if before else 0)
+    _weigh(state, claim.customer, added)
 
 
-def _count(state, customer, change):
-    held = state.claims_held.get(customer, 0) + change
-    state.claims_held[customer] = held
-    if not held:
-        del state.claims_held[customer]
+def _weigh(state, customer, added):
+    weight = state.claim_weights.get(customer, 0) + added
+    state.claim_weights[customer] = weight
+    if not weight:
+        del state.claim_weights[customer]
 
 
 def _check(command):
--- a/libs/state/src/cherryrudder/state/records.py
+++ b/libs/state/src/cherryrudder/state/records.py
@@ -55,6 +55,6 @@
         self.settings: dict[str, VersionedSetting] = {}
         self.changes: dict[str, KeptAnswer] = {}
         self.claims: dict[tuple[str, str], HeldClaim] = {}
-        self.claims_held: dict[str, int] = {}
+        self.claim_weights: dict[str, int] = {}
         self.fences: dict[str, int] = {}
         self.fence_requests: dict[str, KeptFence] = {}
--- a/libs/state/src/cherryrudder/state/snapshots.py
+++ b/libs/state/src/cherryrudder/state/snapshots.py
@@ -10,6 +10,7 @@
     VersionedStop,
 )
 
+from .claims import weight_of
 from .errors import SnapshotError
 from .records import HeldClaim, KeptAnswer, KeptFence, State
 
@@ -86,4 +87,5 @@
     for held in claims:
         customer = held.claim.customer
         state.claims[customer, held.claim.key] = held
-        state.claims_held[customer] = state.claims_held.get(customer, 0) + 1
+        weight = state.claim_weights.get(customer, 0) + weight_of(held.claim)
+        state.claim_weights[customer] = weight
