Join admission, placement and retries in dispatch

The scenarios' entry joined them in test code, and the daemon would have had to write the same again: a path that forgets to give a slot back loses it for good.

--- a/libs/policy/src/cherryrudder/policy/admission.py
+++ b/libs/policy/src/cherryrudder/policy/admission.py
@@ -12,7 +12,6 @@
 
 import heapq
 import math
-from typing import NamedTuple
 
 from cherryrudder.model.contracts import Contract
 from cherryrudder.model.outcomes import Refusal
@@ -20,6 +19,7 @@
 from . import cost, fairqueue, limits, refusal, waits
 from .fairqueue import Ahead, FairQueue, Waiting
 from .limits import Limits, Share
+from .offers import Admitted, GaveUp, Offer, Queued, Running, Started
 from .refusal import Drain, Turns
 
 # Waits of queued requests are looked at again this often, which costs one pass over
@@ -32,53 +32,22 @@
 # the estimate's noise would throw out requests that were just let in.
 REVIEW_MARGIN = 1.25
 
-
-class Offer(NamedTuple):
-    """A request that asks to be let in; priority 0 is the most urgent."""
-
-    request_id: str
-    customer: str
-    model: str
-    prompt_tokens: int
-    max_tokens: int
-    priority: int
-    deadline_s: float
-
-
-class Admitted(NamedTuple):
-    """The request has started: place it now, or call `put_back`."""
-
-    cost_tokens: float
-
-
-class Queued(NamedTuple):
-    """The request waits; `release` tells when it starts or is given up."""
-
-    wait_s: float
-
-
-class Started(NamedTuple):
-    """A queued request that `can_place` has placed."""
-
-    request_id: str
-    waited_s: float
-
-
-class GaveUp(NamedTuple):
-    """A queued request that is given up; it did not run."""
-
-    request_id: str
-    refusal: Refusal
-
-
-class Running(NamedTuple):
-    """A started request; kept until it is settled."""
-
-    offer: Offer
-    cost: cost.Estimate
-    arrived_s: float
-    started_s: float
-    is_cancelled: bool = False
+__all__ = [
+    "Admission",
+    "Admitted",
+    "GaveUp",
+    "Offer",
+    "Queued",
+    "Started",
+    "cancel",
+    "demand",
+    "dump",
+    "offer",
+    "put_back",
+    "release",
+    "set_contract",
+    "settle",
+]
 
 
 class Admission:
--- /dev/null
+++ b/libs/policy/src/cherryrudder/policy/dispatch.py
@@ -0,0 +1,284 @@
+"""Admission, placement and retries joined: what an entry does with each request.
+
+Load pattern: requests end, fail, get lost and are cancelled while others wait for the
+room that they leave.
+Without it: the count of what is in flight is kept in several places, and one path that
+forgets to give a slot back (a failed retry, a silent endpoint) takes it away for good.
+
+Each function returns effects, which the shell carries out in their order. A request
+ends in exactly one `Answer` or `Failed` from here, or in the `finished` or `cancel` of
+the shell.
+"""
+
+from typing import NamedTuple
+
+from cherryrudder.model.endpoints import Announcement
+from cherryrudder.model.outcomes import Outcome, Refusal
+
+from . import admission as adm, cost, placement, retries
+from .admission import Admission, Offer
+from .fleet import Fleet
+from .placement import Chain, Need
+from .retries import RetryBudget, Verdict
+
+
+class Work(NamedTuple):
+    """A request and what placing it needs; a service's name if it is for a service."""
+
+    offer: Offer
+    version: str = ""
+    prefix: str = ""
+    service: str = ""
+    is_idempotent: bool = True
+
+
+class Send(NamedTuple):
+    """Send a request to these endpoints, in the order of their layers."""
+
+    request_id: str
+    stages: tuple[Announcement, ...]
+    expected_s: float
+
+
+class Answer(NamedTuple):
+    """Answer a request that did not run."""
+
+    request_id: str
+    refusal: Refusal
+
+
+class Failed(NamedTuple):
+    """Answer a request that failed and isn't sent again."""
+
+    request_id: str
+    outcome: Outcome
+    verdict: Verdict
+
+
+class Silent(NamedTuple):
+    """An endpoint has fallen silent on a request: resume it, or call `failed`."""
+
+    request_id: str
+    endpoint: str
+
+
+class Placed(NamedTuple):
+    """Where a request runs."""
+
+    stages: tuple[str, ...]
+    expected_s: float
+
+
+class Dispatcher:
+    """All that one entry knows of its requests."""
+
+    def __init__(self, admission: Admission, fleet: Fleet):
+        self.admission = admission
+        self.fleet = fleet
+        self.budget = RetryBudget()
+        self.works: dict[str, Work] = {}
+        self.placed: dict[str, Placed] = {}
+        self.tried: dict[str, tuple[str, ...]] = {}
+        self.effects: list = []
+
+
+def submit(dispatcher: Dispatcher, work: Work, now_s: float) -> list:
+    """Take in a request: send it, queue it or answer it."""
+    request_id = work.offer.request_id
+    dispatcher.works[request_id] = work
+    retries.note_request(dispatcher.budget)
+    answer = adm.offer(dispatcher.admission, work.offer, now_s)
+    if isinstance(answer, adm.Admitted) and not _place(dispatcher, request_id, now_s):
+        answer = adm.put_back(dispatcher.admission, request_id, now_s)
+    if isinstance(answer, Refusal):
+        _answer(dispatcher, request_id, answer)
+    return advance(dispatcher, now_s)
+
+
+def finished(dispatcher, request_id, used_tokens, duration_s, now_s: float) -> list:
+    """End a request that was answered whole."""
+    work = dispatcher.works[request_id]
+    answer_tokens = max(0.0, used_tokens - work.offer.prompt_tokens)
+    for endpoint in dispatcher.placed.pop(request_id).stages:
+        placement.ended(dispatcher.fleet, endpoint, answer_tokens, duration_s, now_s)
+    adm.settle(dispatcher.admission, request_id, used_tokens, now_s)
+    _forget(dispatcher, request_id)
+    return advance(dispatcher, now_s)
+
+
+def failed(
+    dispatcher: Dispatcher,
+    request_id: str,
+    endpoint: str,
+    is_certain_not_run: bool,
+    now_s: float,
+) -> list:
+    """End an attempt that an endpoint failed: send the request again, or answer it."""
+    expected_s = _take_off(dispatcher, request_id, endpoint, now_s)
+    work = dispatcher.works[request_id]
+    tried = (*dispatcher.tried.get(request_id, ()), endpoint)
+    dispatcher.tried[request_id] = tried
+    attempt = retries.Attempt(
+        len(tried),
+        work.is_idempotent,
+        is_certain_not_run,
+        expected_s,
+        work.offer.deadline_s,
+    )
+    verdict = retries.may_retry(dispatcher.budget, attempt, now_s)
+    if verdict == Verdict.RETRY:
+        answer = adm.put_back(dispatcher.admission, request_id, now_s)
+        if isinstance(answer, Refusal):
+            _fail(dispatcher, request_id, is_certain_not_run, verdict)
+        return advance(dispatcher, now_s)
+    adm.cancel(dispatcher.admission, request_id, now_s)
+    # What may have run is charged for its prompt at least.
+    used = 0 if is_certain_not_run else work.offer.prompt_tokens
+    adm.settle(dispatcher.admission, request_id, used, now_s)
+    _fail(dispatcher, request_id, is_certain_not_run, verdict)
+    return advance(dispatcher, now_s)
+
+
+def cancel(dispatcher: Dispatcher, request_id, used_tokens, now_s: float) -> list:
+    """End a request whose caller has gone, with the tokens it has used so far."""
+    if not adm.cancel(dispatcher.admission, request_id, now_s):
+        _take_off(dispatcher, request_id, "", now_s)
+        adm.settle(dispatcher.admission, request_id, used_tokens, now_s)
+    _forget(dispatcher, request_id)
+    return advance(dispatcher, now_s)
+
+
+def replace_stage(
+    dispatcher: Dispatcher, request_id: str, endpoint: str, now_s: float
+) -> Announcement | None:
+    """Return an endpoint in place of one that a running request has lost."""
+    lost = dispatcher.fleet.members.get(endpoint)
+    work = dispatcher.works[request_id]
+    placed = dispatcher.placed[request_id]
+    if lost is None or work.service:
+        return None
+    stage = lost.announcement
+    exclude = frozenset((*placed.stages, *dispatcher.tried.get(request_id, ())))
+    need = _need(dispatcher, work)._replace(version=stage.version, exclude=exclude)
+    layers = stage.first_layer, stage.end_layer
+    found = placement.choose_stage(dispatcher.fleet, need, *layers, now_s)
+    if found is None:
+        return None
+    placement.failed(dispatcher.fleet, endpoint, now_s)
+    placement.began(dispatcher.fleet, found.endpoint, now_s)
+    stages = tuple(
+        found.endpoint if name == endpoint else name for name in placed.stages
+    )
+    dispatcher.placed[request_id] = placed._replace(stages=stages)
+    return found
+
+
+def advance(dispatcher: Dispatcher, now_s: float) -> list:
+    """Start what there is room for; call it when credits or shares have changed."""
+
+    def place(request_id):
+        return _place(dispatcher, request_id, now_s)
+
+    def lets_pass(request_id, waited_s):
+        return _lets_pass(dispatcher, request_id, waited_s, now_s)
+
+    results = adm.release(dispatcher.admission, now_s, place, lets_pass)
+    for result in results:
+        if isinstance(result, adm.GaveUp):
+            _answer(dispatcher, result.request_id, result.refusal)
+    effects, dispatcher.effects = dispatcher.effects, []
+    return effects
+
+
+def tick(dispatcher: Dispatcher, now_s: float) -> list:
+    """Look for silent endpoints and expired requests; call it ten times a second."""
+    silent = set(placement.review(dispatcher.fleet, now_s))
+    if silent:
+        for request_id, placed in dispatcher.placed.items():
+            for endpoint in silent.intersection(placed.stages):
+                dispatcher.effects.append(Silent(request_id, endpoint))
+    return advance(dispatcher, now_s)
+
+
+def dump(dispatcher: Dispatcher, now_s: float) -> dict:
+    """Return the state as plain data."""
+    return {
+        "admission": adm.dump(dispatcher.admission),
+        "endpoints": placement.dump(dispatcher.fleet, now_s),
+        "retries_saved": dispatcher.budget.saved,
+        "placed": {name: one.stages for name, one in dispatcher.placed.items()},
+    }
+
+
+def _need(dispatcher, work):
+    offer = work.offer
+    costs = dispatcher.admission.costs
+    estimate = cost.estimate(
+        costs, offer.customer, offer.model, offer.prompt_tokens, offer.max_tokens
+    )
+    tokens = max(0.0, estimate.cost_tokens - offer.prompt_tokens)
+    tried = frozenset(dispatcher.tried.get(offer.request_id, ()))
+    return Need(offer.model, work.version, tokens, work.prefix, tried)
+
+
+def _choose(dispatcher, work, now_s):
+    need = _need(dispatcher, work)
+    if not work.service:
+        return placement.choose_chain(dispatcher.fleet, need, now_s)
+    found = placement.choose_service(
+        dispatcher.fleet, work.service, need.exclude, now_s
+    )
+    return Chain((found,), 0.0) if found else None
+
+
+def _place(dispatcher, request_id, now_s):
+    work = dispatcher.works[request_id]
+    chain = _choose(dispatcher, work, now_s)
+    if chain is None:
+        return False
+    for stage in chain.stages:
+        placement.began(dispatcher.fleet, stage.endpoint, now_s)
+    if work.prefix:
+        placement.note_sent(dispatcher.fleet, chain, work.prefix)
+    names = tuple(stage.endpoint for stage in chain.stages)
+    dispatcher.placed[request_id] = Placed(names, chain.expected_s)
+    dispatcher.effects.append(Send(request_id, chain.stages, chain.expected_s))
+    return True
+
+
+def _lets_pass(dispatcher, request_id, waited_s, now_s):
+    work = dispatcher.works[request_id]
+    if not work.prefix:
+        return False
+    need = _need(dispatcher, work)
+    chain = placement.choose_chain(dispatcher.fleet, need, now_s)
+    if chain is None:
+        return False
+    return placement.waits_for_prefix(dispatcher.fleet, need, chain, waited_s, now_s)
+
+
+def _take_off(dispatcher, request_id, endpoint, now_s):
+    """Give the slots back, blame the endpoint that failed; return the expected time."""
+    placed = dispatcher.placed.pop(request_id)
+    for name in placed.stages:
+        if name == endpoint:
+            placement.failed(dispatcher.fleet, name, now_s)
+        else:
+            placement.withdrawn(dispatcher.fleet, name, now_s)
+    return placed.expected_s
+
+
+def _answer(dispatcher, request_id, refusal):
+    dispatcher.effects.append(Answer(request_id, refusal))
+    _forget(dispatcher, request_id)
+
+
+def _fail(dispatcher, request_id, is_certain_not_run, verdict):
+    outcome = Outcome.NOT_RUN if is_certain_not_run else Outcome.UNKNOWN
+    dispatcher.effects.append(Failed(request_id, outcome, verdict))
+    _forget(dispatcher, request_id)
+
+
+def _forget(dispatcher, request_id):
+    dispatcher.works.pop(request_id, None)
+    dispatcher.tried.pop(request_id, None)
