Dump what the pipeline's cores hold; bound early messages by bytes

A step that comes before its start may hold a whole prompt's hidden states, so 512 of them bounded nothing; their bytes now count against the same bound as kept outputs. A late copy of an old resume made the entry ask every stage again for no reason; only a gap does now. The dump shows each request's generation, position and what it waits for, so that an operator can see that a cancelled request is gone. Ruled out: leaving the early messages unkept, since a stage's first step often overtakes the start.

--- /dev/null
+++ b/libs/pipeline/src/cherryrudder/pipeline/dump.py
@@ -0,0 +1,51 @@
+"""What the two cores hold, for the dump of a process."""
+
+from cherryrudder.pipeline.request import RequestCore
+from cherryrudder.pipeline.stage import StageCore
+from cherryrudder.pipeline.stagerequest import StageRequest
+
+
+def dump_sidecar(core: StageCore) -> dict:
+    """Return a sidecar's requests and the fill of its bounded tables."""
+    return {
+        "requests": {name: _dump_request(r) for name, r in core.requests.items()},
+        "max_requests": core.max_requests,
+        "kept_bytes": core.kept_bytes,
+        "max_kept_bytes": core.max_kept_bytes,
+        "early_messages": len(core.early),
+        "tombstones": len(core.tombstones),
+        "draining": sorted(core.draining),
+    }
+
+
+def dump_entry(core: RequestCore) -> dict:
+    """Return a request as its entry sees it; the text itself is left out."""
+    return {
+        "phase": str(core.phase),
+        "generation": core.generation,
+        "stages": [stage.endpoint for stage in core.stages],
+        "missing_layers": [list(hole) for hole in core.holes],
+        "excluded": list(core.excluded),
+        "leaving": core.leaving.endpoint if core.leaving else "",
+        "prompt_tokens": len(core.start.prompt),
+        "tokens": len(core.tokens),
+        "max_tokens": core.start.max_tokens,
+        "consumed": core.consumed,
+        "waiting_since_s": core.since_s,
+    }
+
+
+def _dump_request(state: StageRequest):
+    return {
+        "entry": state.start.entry,
+        "generation": state.start.generation,
+        "stage": state.start.stage,
+        "next_position": state.next_position,
+        "running": state.running,
+        "waiting": len(state.waiting),
+        "kept_from": state.kept_from,
+        "is_resuming": state.send_next is None,
+        "leaving_to": state.leaving_to,
+        "orphaned_s": state.orphaned_s,
+        "touched_s": state.touched_s,
+    }
--- a/libs/pipeline/src/cherryrudder/pipeline/request.py
+++ b/libs/pipeline/src/cherryrudder/pipeline/request.py
@@ -112,12 +112,14 @@
 
 def receive(core: RequestCore, message, now_s: float) -> list:
     """Take a message from a stage and return the effects."""
-    if core.phase == Phase.ENDED or message.generation != core.generation:
+    handler = HANDLERS.get(type(message))
+    if core.phase == Phase.ENDED or handler is None:
+        return []
+    if message.generation != core.generation:
         # A stage that was frozen or cut off still speaks for an old generation. Its
         # tokens may differ from those of the stage that took its place.
         return []
-    handler = HANDLERS.get(type(message))
-    return handler(core, message, now_s) if handler else []
+    return handler(core, message, now_s)
 
 
 def consumed(core: RequestCore, count: int, now_s: float) -> list:
@@ -260,7 +262,9 @@
 def _refused(core, refused, now_s):
     if refused.code == NO_ROOM:
         return _lose(core, [core.plan[refused.stage]], now_s)
-    return _ask(core, now_s) if core.phase == Phase.RUNNING else []
+    # A late copy of an old resume is rightly refused and says nothing about the chain.
+    is_gap = refused.code == GAP and core.phase == Phase.RUNNING
+    return _ask(core, now_s) if is_gap else []
 
 
 HANDLERS = {
--- a/libs/pipeline/src/cherryrudder/pipeline/stagetable.py
+++ b/libs/pipeline/src/cherryrudder/pipeline/stagetable.py
@@ -79,7 +79,12 @@
     """Keep a message for its start, within bounds; others are lost like a frame."""
     tombstone = core.tombstones.get(message.request)
     dead = tombstone and message.generation <= tombstone.generation
-    if not dead and len(core.early) < MAX_EARLY:
+    # Bytes count too: a step can hold a whole prompt's hidden states.
+    size_bytes = _early_bytes(message) + sum(
+        _early_bytes(e.message) for e in core.early
+    )
+    fits = len(core.early) < MAX_EARLY and size_bytes <= core.max_kept_bytes
+    if fits and not dead:
         core.early.append(Early(message, now_s))
 
 
@@ -148,6 +153,11 @@
     return len(state.outputs)
 
 
+def _early_bytes(message):
+    is_step = isinstance(message, Step)
+    return _size_bytes(message.inputs if is_step else (*message.outputs, message.kv))
+
+
 def _size_bytes(outputs):
     return sum(map(len, outputs))
 
--- a/libs/pipeline/test/builders.py
+++ b/libs/pipeline/test/builders.py
@@ -309,6 +309,7 @@
         held = []
         for node in self.nodes.values():
             held += [*node.core.requests, *node.engine.kv, *node.core.draining]
+            held += [node.core.kept_bytes] if node.core.kept_bytes else []
         return held
 
 
