Tell what a request still seeks, and ignore answers to needs that are gone

Two stages lost at once give two needs; a shell that remembers one and asks again later forgets the other, and the request fails though endpoints are there. needs() gives them all at any time. A late answer to a need that is gone failed the request as one that fits nowhere; only one that overlaps what is missing does now. Ruled out: telling the needs again on each tick, which would take a place on an endpoint each time. Filling a hole moved to plan, next to the cover.

--- a/libs/pipeline/src/cherryrudder/pipeline/plan.py
+++ b/libs/pipeline/src/cherryrudder/pipeline/plan.py
@@ -1,11 +1,20 @@
 """Chain endpoints whose layer ranges cover the model exactly once, in order."""
 
+from typing import NamedTuple
+
 from expression import Error, Ok, Result
 
 from cherryrudder.pipeline.errors import PlanError
 from cherryrudder.pipeline.messages import Stage
 
 
+class Hole(NamedTuple):
+    """Layers that no stage of a plan holds; `end_layer` is exclusive."""
+
+    first_layer: int
+    end_layer: int
+
+
 def cover(announcements, model_layers: int) -> Result[tuple[Stage, ...], PlanError]:
     """Return the shortest exact cover; among equals the earlier announcements win.
 
@@ -41,6 +50,30 @@
     )
 
 
+def fill(holes, stage: Stage) -> Result[list[Hole], PlanError]:
+    """Return the holes that are left once a stage holds the first part of one."""
+    for hole in holes:
+        fits = stage.first_layer == hole.first_layer
+        if fits and stage.end_layer <= hole.end_layer:
+            others = [other for other in holes if other != hole]
+            rest = Hole(stage.end_layer, hole.end_layer)
+            return Ok([rest, *others] if rest.first_layer < rest.end_layer else others)
+    return Error(
+        PlanError(
+            f"endpoint {stage.endpoint} holds layers {stage.first_layer} to "
+            f"{stage.end_layer}, which fit no part of the plan that is missing"
+        )
+    )
+
+
+def touches(holes, stage: Stage) -> bool:
+    """Tell whether a stage holds a layer of a hole."""
+    return any(
+        stage.first_layer < hole.end_layer and hole.first_layer < stage.end_layer
+        for hole in holes
+    )
+
+
 def _extend(best, layer, usable):
     for announcement in usable:
         if announcement.first_layer != layer:
--- a/libs/pipeline/test/test_request.py
+++ b/libs/pipeline/test/test_request.py
@@ -224,6 +224,8 @@
         self.assertIn(NeedStage(2, 4, ("s1a",)), needs)
         rest = entry.replace(self.core, a_stage("new1", 2, 3), 1.0)
         self.assertEqual([NeedStage(3, 4, ("s1a",))], rest)
+        self.assertEqual(rest, entry.needs(self.core))
+        self.assertEqual([], entry.replace(self.core, a_stage("late", 0, 2), 1.0))
         entry.replace(self.core, a_stage("new2", 3, 4), 1.0)
         names = [stage.endpoint for stage in self.core.plan]
         self.assertEqual(["s0a", "new1", "new2", "s2a"], names)
