--- a/libs/pipeline/src/cherryrudder/pipeline/request.py
+++ b/libs/pipeline/src/cherryrudder/pipeline/request.py
@@ -32,6 +32,7 @@
     Start,
     Token,
 )
+from cherryrudder.pipeline.plan import Hole, fill, touches
 
 
 class Timing(NamedTuple):
@@ -65,13 +66,6 @@
     ENDED = "ended"
 
 
-class Hole(NamedTuple):
-    """Layers that no stage of the plan holds; `end_layer` is exclusive."""
-
-    first_layer: int
-    end_layer: int
-
-
 class RequestCore:
     """One request at its entry; `start` is the message for stage 0."""
 
@@ -112,12 +106,14 @@
 
 def receive(core: RequestCore, message, now_s: float) -> list:
     """Take a message from a stage and return the effects."""
-    if core.phase == Phase.ENDED or message.generation != core.generation:
+    handler = HANDLERS.get(type(message))
+    if core.phase == Phase.ENDED or handler is None:
+        return []
+    if message.generation != core.generation:
         # A stage that was frozen or cut off still speaks for an old generation. Its
         # tokens may differ from those of the stage that took its place.
         return []
-    handler = HANDLERS.get(type(message))
-    return handler(core, message, now_s) if handler else []
+    return handler(core, message, now_s)
 
 
 def consumed(core: RequestCore, count: int, now_s: float) -> list:
@@ -160,24 +156,27 @@
         return _hand_over(core, stage, now_s)
     if core.phase != Phase.REPLACING:
         return []
-    hole = _fitting_hole(core, stage)
-    if hole is None:
-        return _fail(
-            core,
-            f"endpoint {stage.endpoint} holds layers {stage.first_layer} to "
-            f"{stage.end_layer}, which fit no part of the plan that is missing",
-        )
-    core.holes.remove(hole)
+    if not touches(core.holes, stage):
+        # A late answer to a need that is gone.
+        return []
+    left = fill(core.holes, stage)
+    if left.is_error():
+        return _fail(core, str(left.error))
+    is_partial = len(left.ok) == len(core.holes)
+    core.holes = left.ok
     core.stages.append(stage)
     core.stages.sort(key=lambda s: s.first_layer)
     core.since_s = now_s
-    if stage.end_layer < hole.end_layer:
-        rest = Hole(stage.end_layer, hole.end_layer)
-        core.holes.append(rest)
-        return [_need(core, rest)]
+    if is_partial:
+        return [_need(core, core.holes[0])]
     return [] if core.holes else _ask(core, now_s)
 
 
+def needs(core: RequestCore) -> list[NeedStage]:
+    """Return what is still sought, for a shell that finds nothing at first."""
+    return [_need(core, hole) for hole in core.holes]
+
+
 def no_stage(core: RequestCore, now_s: float) -> list:
     """End the request since no endpoint can take the lost range.
 
@@ -260,7 +259,9 @@
 def _refused(core, refused, now_s):
     if refused.code == NO_ROOM:
         return _lose(core, [core.plan[refused.stage]], now_s)
-    return _ask(core, now_s) if core.phase == Phase.RUNNING else []
+    # A late copy of an old resume is rightly refused and says nothing about the chain.
+    is_gap = refused.code == GAP and core.phase == Phase.RUNNING
+    return _ask(core, now_s) if is_gap else []
 
 
 HANDLERS = {
@@ -289,7 +290,7 @@
         effects.append(SendTo(stage.address, Free(core.start.request)))
     # A stage that is lost while another is sought changes what is excluded, so the
     # whole need is told again.
-    return effects + [_need(core, hole) for hole in core.holes]
+    return effects + needs(core)
 
 
 def _hand_over(core, stage, now_s):
@@ -309,13 +310,6 @@
     return NeedStage(hole.first_layer, hole.end_layer, tuple(core.excluded))
 
 
-def _fitting_hole(core, stage):
-    for hole in core.holes:
-        if stage.first_layer == hole.first_layer < stage.end_layer <= hole.end_layer:
-            return hole
-    return None
-
-
 def _ask(core, now_s, heir=None):
     """Begin a new generation and ask each stage what it holds."""
     core.idle_rounds += 1
