List endpoints from all control VMs, and name bad answers

An endpoint announces itself to two of three control VMs, so endpoints, asked of the first that answers, showed a part: 8 of 10 after one run by hand, and an operator would take the other two for lost. The tool now asks every control VM, merges by the newest announcement and names those that gave no answer. Asking the leader only was ruled out, since the table is soft state that the leader has no more of than others. The load tool's table names the kinds of bad answers: 5 bad filings in one run by hand could not be told apart.

--- a/libs/cli/src/cherryrudder/cli/client.py
+++ b/libs/cli/src/cherryrudder/cli/client.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from cherryrudder.model.contracts import Contract
-from cherryrudder.model.endpoints import Stop
+from cherryrudder.model.endpoints import Announcement, Stop
 from cherryrudder.model.revisions import VersionedContract, VersionedStop
 
 from .errors import BadInput, CliError, Conflict, Failed, Unreachable
@@ -101,17 +101,29 @@
 
 def statuses(client: Client) -> dict[str, Status | str]:
     """Return each control VM's status by address, or why it gave none."""
-    found = {}
-    for address in client.addresses:
-        tried = _attempt(client, address, "GET", "/v1/status", None)
-        if tried.answer is None:
-            found[address] = tried.fault
-            continue
-        try:
-            found[address] = read_record(Status, _value(tried.answer))
-        except CliError as error:
-            found[address] = str(error)
-    return found
+    return _ask_all(client, "/v1/status", lambda value: read_record(Status, value))
+
+
+def endpoints(client: Client) -> tuple[list[Announcement], dict[str, str]]:
+    """Return the announced endpoints, and the control VMs that gave no answer.
+
+    An endpoint announces itself to some control VMs only, so that one of them knows
+    a part of them all. Raises Unreachable if none answers.
+    """
+    found = _ask_all(
+        client,
+        "/v1/endpoints",
+        lambda value: read_rows(Announcement, value, "endpoints"),
+    )
+    silent = {at: rows for at, rows in found.items() if isinstance(rows, str)}
+    if len(silent) == len(found):
+        raise Unreachable(silent, False)
+    newest = {}
+    for rows in found.values():
+        for row in () if isinstance(rows, str) else rows:
+            known = newest.get(row.endpoint, row)
+            newest[row.endpoint] = max(known, row, key=_age_order)
+    return [newest[name] for name in sorted(newest)], silent
 
 
 def put_contract(client: Client, contract: Contract, expected_version: int) -> Answer:
@@ -162,6 +174,26 @@
     _value(call(client, "POST", "/v1/voters", body))
 
 
+def _age_order(announcement):
+    # An incarnation begins with the time of its process's start.
+    return announcement.incarnation, announcement.sequence
+
+
+def _ask_all(client, path, read):
+    """Return what each control VM says by address, or as text why it says nothing."""
+    found = {}
+    for address in client.addresses:
+        tried = _attempt(client, address, "GET", path, None)
+        if tried.answer is None:
+            found[address] = tried.fault
+            continue
+        try:
+            found[address] = read(_value(tried.answer))
+        except CliError as error:
+            found[address] = str(error)
+    return found
+
+
 def _attempt(client, address, method, path, content):
     changes = method != "GET"
     url = f"http://{address}{path}"
--- a/libs/cli/src/cherryrudder/cli/platform_commands.py
+++ b/libs/cli/src/cherryrudder/cli/platform_commands.py
@@ -1,23 +1,27 @@
 """The commands that show what the platform holds at this moment."""
 
 from cherryrudder.model import jsoncodec
-from cherryrudder.model.endpoints import Announcement, Kind
+from cherryrudder.model.endpoints import Kind
 
 from . import client as operator
 from .output import Output, pretty, table
-from .records import read_rows
 
 HEADS = ("endpoint", "kind", "vm", "data centre", "serves", "slots", "state")
 
 
 def endpoints():
-    """List the endpoints that announce themselves."""
+    """List the endpoints that announce themselves, as all control VMs know them.
+
+    Names the control VMs that gave no answer; with two of them silent, endpoints may
+    be missing from the list.
+    """
 
     def run(connect):
-        value = operator.get(connect(), "/v1/endpoints")
-        found = read_rows(Announcement, value, "endpoints")
-        rows = sorted(_row(one) for one in found)
-        return Output(table(HEADS, rows), {"endpoints": jsoncodec.plain(found)})
+        found, silent = operator.endpoints(connect())
+        lines = [table(HEADS, [_row(one) for one in found])]
+        lines += [f"no answer from {at}: {fault}" for at, fault in silent.items()]
+        value = {"endpoints": jsoncodec.plain(found), "silent": silent}
+        return Output("\n".join(lines), value)
 
     return run
 
--- a/libs/cli/test/builders.py
+++ b/libs/cli/test/builders.py
@@ -78,14 +78,14 @@
             return httpx.Response(503, json={"error": {"code": "no-quorum"}})
         if request.headers["authorization"] != f"Bearer {KEY}":
             return httpx.Response(401, json={"error": {"code": "wrong-key"}})
-        answer = self.answer(request.url.path, body)
+        answer = self.answer(request.url.path, body, request.url.port)
         if fault == "lost":
             raise httpx.ReadTimeout("timed out")
         code = answer.get("code") or answer.get("error", {}).get("code")
         status = STATUS_OF_CODE.get(code, 200)
         return httpx.Response(status, json=answer)
 
-    def answer(self, path, body):
+    def answer(self, path, body, port):
         if path == "/v1/changes":
             return self.change(body)
         if path == "/v1/voters":
@@ -103,8 +103,10 @@
             return {"stops": stops}
         if path == "/v1/endpoints":
             place = Place("vm-9", "amman-1", "jordan")
-            engine = Announcement("e1", Kind.ENGINE, "i", 1, place, "127.0.0.1:8")
-            return {"endpoints": jsoncodec.plain([engine])}
+            engine = Announcement("e1", Kind.ENGINE, "i", 0, place, "127.0.0.1:8")
+            own = engine._replace(endpoint=f"e{port % 3}", sequence=port)
+            rows = [engine._replace(leaving=True), own._replace(leaving=port == 3)]
+            return {"endpoints": jsoncodec.plain(rows)}
         status = Status("vm-1", "disk-1", "leader", 3, "vm-1", 9, 9)
         status = status._replace(voters=self.voters, learners=self.learners)
         return jsoncodec.plain(status) | {"added_later": 1}
--- a/libs/cli/test/test_commands.py
+++ b/libs/cli/test/test_commands.py
@@ -56,12 +56,23 @@
         self.run_tool(*announce, "--stop-id", name, expect=3)
         self.assertNotIn(name, self.run_tool(*announce))
 
-    def test_what_the_platform_holds_is_printed(self):
-        self.assertIn("e1        engine  vm-9", self.run_tool("endpoints"))
+    def test_a_dump_is_asked_of_the_address_given(self):
         dump = json.loads(self.run_tool("dump", "127.0.0.1:9"))
         self.assertEqual(dump["term"], 3)
         self.assertEqual(self.control.calls[-1][0], "127.0.0.1:9")
 
+    def test_endpoints_are_merged_from_all_control_vms(self):
+        """Each endpoint announces itself to two of three control VMs.
+
+        One control VM alone would show a part of them, and an operator would take the
+        others for lost. The newest announcement counts.
+        """
+        rows = self.run_tool("endpoints").splitlines()[1:]
+        states = {row.split()[0]: row.split()[-1] for row in rows}
+        self.assertEqual(states, {"e0": "leaving", "e1": "serving", "e2": "serving"})
+        self.control.faults[ADDRESSES[0]] = ["down"]
+        self.assertIn(f"no answer from {ADDRESSES[0]}", self.run_tool("endpoints"))
+
     def test_status_shows_every_control_vm_and_the_voters(self):
         self.assertIn(
             "disk-3  127.0.0.1:3     voter", self.run_tool("control", "status")
--- a/libs/fakes/src/cherryrudder/fakes/load_stats.py
+++ b/libs/fakes/src/cherryrudder/fakes/load_stats.py
@@ -12,6 +12,7 @@
 LONGEST_US = 3600 * MICROSECONDS
 DIGITS = 3
 REFUSALS = (429, 503)
+BAD = (Result.CUT, Result.NO_OUTCOME, Result.WRONG, Result.TRANSPORT)
 
 
 class Percentiles(NamedTuple):
@@ -119,6 +120,11 @@
         f"Jain's index {report.jain:.3f}, {report.elapsed_s:.1f} s, "
         f"latest start {report.late_start_s * 1000:.1f} ms after plan"
     )
+    bad = {kind: n for kind, n in report.together.results.items() if kind in BAD}
+    if bad:
+        lines.append(f"bad: {', '.join(f'{n} {kind}' for kind, n in bad.items())}")
+    if report.together.no_retry_after:
+        lines.append(f"refusals without Retry-After: {report.together.no_retry_after}")
     return "\n".join(lines)
 
 
--- a/libs/fakes/test/test_load.py
+++ b/libs/fakes/test/test_load.py
@@ -103,7 +103,9 @@
         self.assertAlmostEqual(self.report.jain, 1 / 5)
         self.assertAlmostEqual(self.report.together.retry_after.p50_s, 2.0, delta=0.01)
         self.assertEqual(self.report.together.no_retry_after, 0)
-        self.assertIn("Jain's index 0.200", format_report(self.report))
+        printed = format_report(self.report)
+        self.assertIn("Jain's index 0.200", printed)
+        self.assertRegex(printed, r"bad: .*\d+ (wrong|cut), \d+ (wrong|cut)")
 
     def test_whole_answers_are_checked_too(self):
         results = self.measure(stream=False)
