--- a/libs/policy/src/cherryrudder/policy/admission.py
+++ b/libs/policy/src/cherryrudder/policy/admission.py
@@ -12,6 +12,7 @@
 
 import heapq
 import math
+from collections import Counter
 from typing import NamedTuple
 
 from cherryrudder.model.contracts import Contract
@@ -25,6 +26,9 @@
 # Waits of queued requests are looked at again this often, which costs one pass over
 # the queue; a caller learns of a lost endpoint this much later at the most.
 REVIEW_S = 0.25
+# So many requests of a pass may let others go first; more would make the pass dear and
+# the order unfair.
+MAX_SKIPPED = 8
 # A queued request is given up when its wait is clearly too long. Without the margin
 # the estimate's noise would throw out requests that were just let in.
 REVIEW_MARGIN = 1.25
@@ -129,7 +133,10 @@
 
 
 def put_back(admission: Admission, request_id: str, now_s) -> Queued | Refusal:
-    """Queue a started request that found no place; it keeps its time of arrival."""
+    """Queue a started request that found no place, or has lost it and may run again.
+
+    Only the time that it has waited counts towards its longest wait.
+    """
     running = admission.running.pop(request_id)
     own = admission.limits[running.offer.customer]
     limits.refund(own, running.cost.cost_tokens, now_s)
@@ -139,20 +146,26 @@
     tokens = running.cost.cost_tokens
     fairqueue.settle_tag(admission.queue, running.offer.customer, -tokens)
     asked, estimated = running.offer, running.cost
-    return _enqueue(admission, asked, own, estimated, running.arrived_s, now_s)
+    arrived_s = now_s - (running.started_s - running.arrived_s)
+    return _enqueue(admission, asked, own, estimated, arrived_s, now_s)
 
 
-def release(admission: Admission, now_s, can_place) -> list[Started | GaveUp]:
+def release(
+    admission: Admission, now_s, can_place, lets_pass=None
+) -> list[Started | GaveUp]:
     """Start what there is room for, give up what cannot be served in time.
 
     `can_place(request_id) -> bool` places a request, or tells that its model has no
-    room now.
+    room now. `lets_pass(request_id, waited_s) -> bool` tells that a request should let
+    others go first to the room there is; if none of them will, it goes all the same.
     """
     results = admission.given_up
     admission.given_up = []
     for request in fairqueue.take_expired(admission.queue, now_s):
         results.append(_give_up(admission, request, now_s))
-    results += _start_waiting(admission, now_s, can_place)
+    if lets_pass is not None:
+        results += _start_waiting(admission, now_s, can_place, lets_pass)
+    results += _start_waiting(admission, now_s, can_place, _never)
     if now_s - admission.reviewed_s >= REVIEW_S:
         admission.reviewed_s = now_s
         results += _review(admission, now_s)
@@ -199,6 +212,14 @@
     return limits.demand_of(admission.limits[customer], waiting, tokens, now_s)
 
 
+def queued_by_model(admission: Admission) -> Counter:
+    """Return how many requests wait for each model."""
+    queued = Counter()
+    for flow in admission.queue.flows.values():
+        queued.update(flow.counts)
+    return queued
+
+
 def dump(admission: Admission) -> dict:
     """Return the state as plain data."""
     customers = {}
@@ -216,7 +237,7 @@
         name: {
             "running_tokens": drain.running_tokens,
             "hold_s": refusal.hold_s(drain),
-            "queued": admission.queue.model_counts.get(name, 0),
+            "customers_waiting": len(admission.queue.by_model.get(name, ())),
         }
         for name, drain in admission.drains.items()
     }
@@ -226,7 +247,7 @@
 
 def _may_start(admission, asked, own, estimated, now_s):
     # With anyone waiting for the model the fair order decides, in `release`.
-    if asked.model in admission.queue.model_counts:
+    if asked.model in admission.queue.by_model:
         return False
     if asked.customer in admission.queue.active:
         return False
@@ -244,6 +265,11 @@
 
 def _enqueue(admission, asked, own, estimated, arrived_s, now_s):
     contract, tokens = own.contract, estimated.cost_tokens
+    # A request that starts at its deadline is answered too late: it must start while
+    # there is time to run it.
+    start_by_s = asked.deadline_s - refusal.run_s(
+        _drain(admission, asked.model), tokens
+    )
     request = Waiting(
         asked.request_id,
         asked.customer,
@@ -252,12 +278,12 @@
         arrived_s + waits.allowance_s(contract, asked.priority, tokens),
         fairqueue.next_sequence(admission.queue),
         arrived_s,
-        min(asked.deadline_s, arrived_s + contract.max_wait_s),
+        min(start_by_s, arrived_s + contract.max_wait_s),
     )
     wait = _wait(admission, request, now_s)
-    budget_s = waits.budget_s(contract, request, asked.deadline_s, now_s)
+    budget_s = waits.budget_s(contract, request, start_by_s, now_s)
     if wait.total_s > budget_s:
-        is_own = wait.limit_s >= wait.platform_s
+        is_own = wait.limit_s > wait.platform_s
         return _refuse(admission, request, is_own, wait.total_s - budget_s, now_s)
     if not _make_room(admission, request, now_s):
         return _refuse(admission, request, False, 0.0, now_s)
@@ -308,21 +334,25 @@
     """Return the final answer of a request that has left the queue unserved."""
     del admission.offers[request.request_id]
     own = admission.limits[request.customer]
-    is_own = not limits.is_within(own, request.cost_tokens, now_s)
     wait = _wait(admission, request, now_s)
+    is_own = wait.limit_s > wait.platform_s
     over_s = max(0.0, wait.total_s - own.contract.max_wait_s)
     answer = _refuse(admission, request, is_own, over_s, now_s)
     return GaveUp(request.request_id, answer)
 
 
-def _start_waiting(admission, now_s, can_place):
+def _never(request_id, waited_s):
+    return False
+
+
+def _start_waiting(admission, now_s, can_place, lets_pass):
     queue = admission.queue
-    started, blocked = [], set()
+    started, blocked, skipped = [], set(), set()
     order = [(queue.flows[name].start_tag, name) for name in queue.active]
     heapq.heapify(order)
-    while order and len(blocked) < len(queue.model_counts):
+    while order and len(blocked) < len(queue.by_model):
         _, customer = heapq.heappop(order)
-        request = fairqueue.head(queue, customer, blocked)
+        request = fairqueue.head(queue, customer, blocked, skipped)
         if request is None:
             continue
         flow = queue.flows[customer]
@@ -330,7 +360,10 @@
         flow.is_limited = not limits.is_within(own, request.cost_tokens, now_s)
         if flow.is_limited:
             continue
-        if can_place(request.request_id):
+        request_id, waited_s = request.request_id, now_s - request.arrived_s
+        if len(skipped) < MAX_SKIPPED and lets_pass(request_id, waited_s):
+            skipped.add(request_id)
+        elif can_place(request_id):
             started.append(_start_queued(admission, request, now_s))
         else:
             blocked.add(request.model)
--- a/libs/policy/src/cherryrudder/policy/fairqueue.py
+++ b/libs/policy/src/cherryrudder/policy/fairqueue.py
@@ -63,7 +63,8 @@
         self.waiting: dict[str, Waiting] = {}
         self.flows: dict[str, Flow] = {}
         self.active: set[str] = set()
-        self.model_counts: dict[str, int] = {}
+        # For each model that is waited for, the customers that wait for it.
+        self.by_model: dict[str, dict[str, Flow]] = {}
         self.expiries: list[tuple[float, int, str]] = []
         self.virtual = 0.0
         self.sequence = 0
@@ -97,7 +98,7 @@
     heapq.heappush(flow.lanes.setdefault(model, []), entry)
     flow.counts[model] = flow.counts.get(model, 0) + 1
     flow.tokens[model] = flow.tokens.get(model, 0.0) + request.cost_tokens
-    queue.model_counts[model] = queue.model_counts.get(model, 0) + 1
+    queue.by_model.setdefault(model, {})[request.customer] = flow
     queue.waiting[request.request_id] = request
     expiry = (request.expires_s, request.sequence, request.request_id)
     heapq.heappush(queue.expiries, expiry)
@@ -112,19 +113,22 @@
     model = request.model
     flow.counts[model] -= 1
     flow.tokens[model] -= request.cost_tokens
-    queue.model_counts[model] -= 1
-    if not queue.model_counts[model]:
-        del queue.model_counts[model]
     if not flow.counts[model]:
         del flow.lanes[model], flow.counts[model], flow.tokens[model]
+        del queue.by_model[model][request.customer]
+        if not queue.by_model[model]:
+            del queue.by_model[model]
     if not flow.counts:
         queue.active.discard(request.customer)
         flow.is_limited = False
     return request
 
 
-def head(queue: FairQueue, customer: str, blocked: set[str]) -> Waiting | None:
-    """Return the customer's first request for a model that is not blocked."""
+def head(queue, customer, blocked: set[str], skipped: set[str]) -> Waiting | None:
+    """Return the customer's first request for a model that is not blocked.
+
+    Skipped requests are passed over; they keep their turn.
+    """
     flow = queue.flows[customer]
     best = None
     for model, lane in flow.lanes.items():
@@ -132,8 +136,11 @@
             continue
         while _is_stale(queue, lane[0]):
             heapq.heappop(lane)
-        if best is None or lane[0] < best:
-            best = lane[0]
+        first = lane[0]
+        if first[2] in skipped:
+            first = _first_after(queue, lane, skipped)
+        if first is not None and (best is None or first < best):
+            best = first
     return queue.waiting[best[2]] if best else None
 
 
@@ -199,13 +206,12 @@
         tag = max(tag, queue.virtual)
     finish_tag = tag + own_tokens / flow.weight
     ahead = own_tokens
-    for name in queue.active:
-        other = queue.flows[name]
-        tokens = other.tokens.get(model)
-        if not tokens or name == customer or other.is_limited:
-            continue
+    for other in queue.by_model.get(model, {}).values():
         share = (finish_tag - other.start_tag) * other.weight
-        ahead += max(0.0, min(tokens, share))
+        if other is flow or other.is_limited or share <= 0:
+            continue
+        tokens = other.tokens[model]
+        ahead += share if share < tokens else tokens
     return ahead
 
 
@@ -225,6 +231,13 @@
     return queue.waiting[max(live)[2]]
 
 
+def _first_after(queue, lane, skipped):
+    for entry in heapq.nsmallest(2 * len(skipped) + 1, lane):
+        if entry[2] not in skipped and not _is_stale(queue, entry):
+            return entry
+    return None
+
+
 def _is_stale(queue, entry):
     request = queue.waiting.get(entry[2])
     return request is None or request.sequence != entry[1]
--- a/libs/policy/test/builders.py
+++ b/libs/policy/test/builders.py
@@ -70,6 +70,19 @@
         shareholder.set_floor(holder, floor)
         return holder
 
+    def set_entries(self, names):
+        """Tell the allocators and the living entries of another set of entries."""
+        for allocator in self.allocators:
+            shares.set_entries(allocator, names)
+        self.names = list(names)
+        for name in names:
+            if name in self.holders:
+                floor = shares.floor_of(self.bound, names, name)
+                shareholder.set_floor(self.holders[name], floor)
+
+    def lose(self, name):
+        self.names.remove(name)
+
     def act(self, action, name, amount):
         if action == "load":
             load = 2 * amount
@@ -87,7 +100,8 @@
         end_s = self.now_s + duration_s
         while self.now_s < end_s:
             for name in self.names:
-                if shareholder.is_due(self.holders[name], self.now_s):
+                holder, wanted = self.holders[name], self.demand[name]
+                if shareholder.is_due(holder, wanted, self.now_s):
                     self.ask(name)
             self.now_s = round(self.now_s + 0.05, 6)
 
