Run the entry on the policy's dispatcher

The front door now only carries out the dispatcher's effects; places, retry budget, prefix delay and silent endpoints are decided there. finished() takes each endpoint's own time, so a slow stage is not blamed on its chain. Ruled out: keeping both (logic that stands twice had already drifted: no retry budget).

--- a/libs/daemon/src/cherryrudder/daemon/completions.py
+++ b/libs/daemon/src/cherryrudder/daemon/completions.py
@@ -10,7 +10,9 @@
 from cherryrudder.model.errors import RequestError
 from cherryrudder.model.outcomes import Outcome
 from cherryrudder.pipeline.messages import Start
+from cherryrudder.pipeline.plan import stage_of
 from cherryrudder.policy.admission import Offer
+from cherryrudder.policy.dispatch import Work
 from cherryrudder.wire.asgi import Request, StreamReply, json_reply
 
 from .callers import OUTCOME, Caller, fail, identify, refuse
@@ -21,6 +23,9 @@
 # Tokens that a chain may be ahead of its caller: some seconds at 33 ms a token, so
 # that a brief pause of the caller's network leaves the accelerators busy.
 WINDOW_TOKENS = 64
+# Prompts that begin alike share their engine's cached prefix; so many tokens are enough
+# to tell a customer's templates apart.
+PREFIX_TOKENS = 16
 DONE_EVENT = b"data: [DONE]\n\n"
 
 log = logger.bind(part="completions")
@@ -81,13 +86,14 @@
             priority=body.priority,
             deadline_s=caller.deadline_s,
         )
-        place = self.entry.fleet.chain_placer(offer, prompt)
-        placed = await _while_connected(request, self.entry.door.enter(offer, place))
+        work = Work(offer, prefix=" ".join(prompt[:PREFIX_TOKENS]))
+        sent = await _while_connected(request, self.entry.door.enter(work))
+        began_s = now_s()
         start = Start(
             request=offer.request_id,
             generation=1,
             entry=self.entry.process.settings.listen.frames,
-            stages=placed.stages,
+            stages=tuple(stage_of(stage) for stage in sent.stages),
             stage=0,
             model=body.model,
             prompt=prompt,
@@ -98,10 +104,16 @@
 
         def ended(core):
             used_tokens = len(prompt) + len(core.tokens)
-            placed.release(len(core.tokens))
-            self.entry.door.settle(offer.request_id, used_tokens)
+            if len(core.tokens) == start.max_tokens:
+                took_s = now_s() - began_s
+                self.entry.door.finish(offer.request_id, used_tokens, took_s)
+            else:
+                self.entry.door.cancel(offer.request_id, used_tokens)
 
-        return self.entry.plane.begin(start, placed.find_stage, ended)
+        def find_stage(need):
+            return self.entry.door.replace_stage(offer.request_id, need)
+
+        return self.entry.plane.begin(start, find_stage, ended)
 
     async def _tokens(self, flow, caller) -> AsyncIterator[list[str]]:
         """Yield tokens until the end, the deadline, or the caller's going away."""
--- a/libs/daemon/src/cherryrudder/daemon/dataplane.py
+++ b/libs/daemon/src/cherryrudder/daemon/dataplane.py
@@ -36,7 +36,6 @@
         self.is_last = False
         self.failure = ""
         self.news = anyio.Event()
-        self.need: NeedStage | None = None
 
 
 class DataPlane:
@@ -102,9 +101,11 @@
         """Free every stage of a request that nobody waits for; harmless at its end."""
         self._carry_out(flow, driver.cancel(flow.core, now_s()))
 
-    def lose(self, endpoint: str) -> None:
-        """Go on elsewhere with every request that has a stage on an endpoint."""
-        self._link_down(endpoint)
+    def lose(self, request_id: str, endpoint: str) -> None:
+        """Go on elsewhere with a request that has lost an endpoint."""
+        flow = self.flows.get(request_id)
+        if flow is not None:
+            self._carry_out(flow, driver.stage_lost(flow.core, endpoint, now_s()))
 
     def _on_messages(self, peer, messages):
         at_s = now_s()
@@ -124,8 +125,10 @@
         while True:
             await anyio.sleep(TICK_S)
             for flow in list(self.flows.values()):
-                if flow.need is not None:
-                    self._find_stage(flow, flow.need)
+                # No endpoint may have been free at first; the core's own time limit
+                # ends the request that finds none.
+                for need in driver.needs(flow.core):
+                    self._find_stage(flow, need)
                 self._carry_out(flow, driver.tick(flow.core, now_s()))
 
     def _carry_out(self, flow, effects):
@@ -149,15 +152,10 @@
                     self._finish(flow)
 
     def _find_stage(self, flow, need):
-        # No endpoint may be free at this moment: the next ticks ask again, until the
-        # core's own time limit ends the request.
-        flow.need = need
         found = flow.find_stage(need)
         if found is not None:
-            flow.need = None
             self._carry_out(flow, driver.replace(flow.core, found, now_s()))
 
     def _finish(self, flow):
         if self.flows.pop(flow.core.start.request, None) is not None:
-            flow.need = None
             flow.ended(flow.core)
--- a/libs/daemon/src/cherryrudder/daemon/entryrole.py
+++ b/libs/daemon/src/cherryrudder/daemon/entryrole.py
@@ -6,7 +6,7 @@
 from cherryrudder.model.contracts import Contract
 from cherryrudder.model.endpoints import Announcement, Kind
 from cherryrudder.model.outcomes import Refusal
-from cherryrudder.policy import admission
+from cherryrudder.policy import dispatch
 
 from .announcer import Announcer
 from .clock import now_s
@@ -34,14 +34,13 @@
     """One entry VM's process."""
 
     def __init__(self, process: Process):
-        settings = process.settings.entry
         self.process = process
         self.contracts = {}
         self.is_closed = True
         self.fleet = FleetView(process)
         self.controls = Controls(process)
-        self.door = FrontDoor(process, settings.max_queued, self.ask_credits)
-        self.plane = DataPlane(process, settings.stall_s, self.take_grant)
+        self.door = FrontDoor(process, self.fleet, self.ask_credits, self.lose_stage)
+        self.plane = DataPlane(process, process.settings.entry.stall_s, self.take_grant)
         self.credits = CreditLine(process, self.fleet, self.plane.links, self.door)
         self.follower = Follower(process, self.on_change)
         self.completions = Completions(self)
@@ -72,16 +71,20 @@
         entries = [a for a in announcements if a.kind == Kind.ENTRY]
         self.sharing.see_entries(entries, now_s())
         self.sharing.put_in_force(now_s())
-        self.door.release()
+        self.door.advance()
 
     def ask_credits(self) -> None:
         """Ask for more credits: a request waits for some."""
         self.credits.kick()
 
+    def lose_stage(self, request_id: str, endpoint: str) -> None:
+        """Go on elsewhere with a request that an endpoint is silent on."""
+        self.plane.lose(request_id, endpoint)
+
     def take_grant(self, grant) -> None:
         """Take in an endpoint's credits, and start what they make room for."""
         self.fleet.take_grant(grant)
-        self.door.release()
+        self.door.advance()
 
     def is_ready(self) -> bool:
         """Tell whether the balancer may send callers here."""
@@ -150,9 +153,6 @@
     while True:
         await anyio.sleep(REFRESH_S)
         entry.refresh()
-        for endpoint in entry.fleet.review():
-            log.warning("{} is ejected.", endpoint)
-            entry.plane.lose(endpoint)
 
 
 async def leave(entry: Entry) -> None:
@@ -175,9 +175,8 @@
         "ready": entry.is_ready(),
         "revision": entry.follower.config.revision,
         "contracts": sorted(entry.follower.config.contracts),
-        "endpoints": entry.fleet.dump(),
         "in_flight": entry.in_flight(),
         "pipelines": sorted(entry.plane.flows),
         "sharing": entry.sharing.dump(),
-        "admission": admission.dump(entry.door.admission),
+        **dispatch.dump(entry.door.dispatcher, now_s()),
     }
--- a/libs/daemon/src/cherryrudder/daemon/services.py
+++ b/libs/daemon/src/cherryrudder/daemon/services.py
@@ -14,6 +14,7 @@
 from cherryrudder.model.errors import RequestError
 from cherryrudder.model.outcomes import Outcome
 from cherryrudder.policy.admission import Offer
+from cherryrudder.policy.dispatch import Work
 from cherryrudder.state.commands import Claim, CloseClaim, OpenClaim
 from cherryrudder.wire.asgi import Reply, Request
 from cherryrudder.wire.errors import StatusError, WireError
@@ -21,7 +22,7 @@
 from .callers import OUTCOME, fail, identify, refuse
 from .clock import new_id, now_s
 from .errors import NoQuorum
-from .frontdoor import TurnedAway
+from .frontdoor import GivenUp, TurnedAway
 from .gate import NO_ANSWER, Call, Run, Verdict
 
 KEY_HEADER = "idempotency-key"
@@ -31,8 +32,6 @@
 QUERY_S = 35.0
 # The caller has its result already; the record is for a later resend.
 CLOSE_S = 1.0
-# A call that certainly did not run is tried elsewhere this many times in all.
-MAX_ATTEMPTS = 3
 
 log = logger.bind(part="services")
 
@@ -78,6 +77,8 @@
             return await self._file(filing)
         except TurnedAway as error:
             return refuse(error.refusal)
+        except GivenUp as error:
+            return fail(502, "no-answer", str(error), error.outcome)
         finally:
             self.in_flight -= 1
 
@@ -88,55 +89,37 @@
         return method in methods
 
     async def _repeatable(self, caller, name, call):
-        exclude = set()
-        for _ in range(MAX_ATTEMPTS):
-            placed, request_id = await self._place(
-                caller.contract.customer, name, caller.deadline_s, exclude
-            )
-            try:
-                verdict = await self._post(placed.announcement, "forward", call, RUN_S)
-                placed.release(1)
-                return answer_of(verdict)
-            except WireError as error:
-                log.info("{} failed: {}.", placed.announcement.endpoint, error)
-                exclude.add(placed.announcement.endpoint)
-                placed.fail(placed.announcement.endpoint)
-            finally:
-                placed.release()
-                self.entry.door.settle(request_id, 1)
-        return fail(502, "no-answer", "no endpoint answered", Outcome.UNKNOWN)
+        work = work_for(caller.contract.customer, name, caller.deadline_s, True)
+        return await self._send(work, lambda to: self._forward(to, call))
 
     async def _file(self, filing):
-        exclude = set()
-        for _ in range(MAX_ATTEMPTS):
-            placed, request_id = await self._place(
-                filing.customer, filing.service, filing.deadline_s, exclude
-            )
+        work = work_for(filing.customer, filing.service, filing.deadline_s, False)
+        return await self._send(work, lambda to: self._attempt(filing, to))
+
+    async def _send(self, work, attempt):
+        """Make attempts until one gives an answer; raises TurnedAway, GivenUp."""
+        request_id = work.offer.request_id
+        sent = await self.entry.door.enter(work)
+        while True:
+            began_s = now_s()
+            endpoint = sent.stages[0]
             try:
-                reply = await self._attempt(filing, placed.announcement)
-                if reply is None:
-                    placed.fail(placed.announcement.endpoint)
-                placed.release(1)
-            finally:
-                placed.release()
-                self.entry.door.settle(request_id, 1)
+                reply = await attempt(endpoint)
+            except BaseException:
+                self.entry.door.cancel(request_id, 1)
+                raise
             if reply is not None:
+                self.entry.door.finish(request_id, 1, now_s() - began_s)
                 return reply
-            exclude.add(placed.announcement.endpoint)
-        return not_run("no endpoint took the call")
-
-    async def _place(self, customer, service, deadline_s, exclude):
-        offer = Offer(
-            request_id=new_id(),
-            customer=customer,
-            model=f"service/{service}",
-            prompt_tokens=0,
-            max_tokens=1,
-            priority=0,
-            deadline_s=deadline_s,
-        )
-        place = self.entry.fleet.service_placer(service, exclude)
-        return await self.entry.door.enter(offer, place), offer.request_id
+            # An attempt without an answer has certainly not run, or may be repeated.
+            sent = await self.entry.door.retry(request_id, endpoint.endpoint, True)
+
+    async def _forward(self, announcement, call) -> Reply | None:
+        try:
+            return answer_of(await self._post(announcement, "forward", call, RUN_S))
+        except WireError as error:
+            log.info("{} failed: {}.", announcement.endpoint, error)
+            return None
 
     async def _attempt(self, filing, announcement) -> Reply | None:
         """Return the final answer, or None when this attempt certainly did not run."""
@@ -234,6 +217,20 @@
     return name, f"/{rest}{query}"
 
 
+def work_for(customer, service, deadline_s: float, is_idempotent: bool) -> Work:
+    """Return what the policy needs to know of a service call."""
+    offer = Offer(
+        request_id=new_id(),
+        customer=customer,
+        model=f"service/{service}",
+        prompt_tokens=0,
+        max_tokens=1,
+        priority=0,
+        deadline_s=deadline_s,
+    )
+    return Work(offer, service=service, is_idempotent=is_idempotent)
+
+
 def read_text(body: bytes) -> str:
     """Return a body as text; raises RequestError 400."""
     try:
--- a/libs/policy/src/cherryrudder/policy/dispatch.py
+++ b/libs/policy/src/cherryrudder/policy/dispatch.py
@@ -95,12 +95,20 @@
     return advance(dispatcher, now_s)
 
 
-def finished(dispatcher, request_id, used_tokens, duration_s, now_s: float) -> list:
-    """End a request that was answered whole."""
+def finished(
+    dispatcher, request_id, used_tokens, duration_s, now_s: float, own_s=None
+) -> list:
+    """End a request that was answered whole.
+
+    `own_s(endpoint, tokens)` gives an endpoint's own part of the time, where it is
+    known; the whole time would blame every stage of a chain for its slowest one.
+    """
     work = dispatcher.works[request_id]
     answer_tokens = max(0.0, used_tokens - work.offer.prompt_tokens)
     for endpoint in dispatcher.placed.pop(request_id).stages:
-        placement.ended(dispatcher.fleet, endpoint, answer_tokens, duration_s, now_s)
+        known_s = own_s(endpoint, answer_tokens) if own_s is not None else 0.0
+        took_s = known_s or duration_s
+        placement.ended(dispatcher.fleet, endpoint, answer_tokens, took_s, now_s)
     adm.settle(dispatcher.admission, request_id, used_tokens, now_s)
     _forget(dispatcher, request_id)
     return advance(dispatcher, now_s)
