Draw each port of a deployment once, below the ephemeral ones

A stand-in service once answered 'Server disconnected without sending a response' and 5 of 34 filings went bad, and no log told why. A deployment draws some 45 ports from the kernel before any process listens. Ports are now counted up from a place by process id, tried by binding, below the range of outgoing connections. Drawing at random without repeats was ruled out: two test processes side by side would still meet, and an outgoing connection could still take a port.

--- a/libs/fakes/src/cherryrudder/fakes/deployment.py
+++ b/libs/fakes/src/cherryrudder/fakes/deployment.py
@@ -4,6 +4,7 @@
 started here are ever signalled, by their pid.
 """
 
+import itertools
 import os
 import signal
 import socket
@@ -22,6 +23,13 @@
 OPERATOR_KEY = "operator-key"
 START_S = 60.0
 POLL_S = 0.05
+# Below the ports that Linux gives to outgoing connections (32768 and up), which could
+# otherwise take a port between its choice and its use.
+FIRST_PORT = 10_000
+END_PORT = 32_768
+# More than a deployment needs, so that two test processes side by side, whose ids
+# mostly follow each other, begin far enough apart.
+PORTS_PER_PROCESS = 400
 
 
 class EngineSpec(NamedTuple):
@@ -311,11 +319,29 @@
     return "\n".join(lines) + "\n"
 
 
+def _candidate_ports():
+    start = os.getpid() * PORTS_PER_PROCESS
+    for offset in itertools.count(start):
+        yield FIRST_PORT + offset % (END_PORT - FIRST_PORT)
+
+
+_ports = _candidate_ports()
+
+
 def free_port() -> int:
-    """Return a loopback port that was free a moment ago."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    """Return a loopback port that was free a moment ago, another one each time.
+
+    A port that the kernel picks is free only until the next pick: the same one may
+    come twice, or go to a connection before its process listens. Then one process
+    does not start, or another one answers in its place.
+    """
+    for port in _ports:
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+            return port
 
 
 def free_address() -> str:
