--- a/libs/daemon/src/cherryrudder/daemon/gate.py
+++ b/libs/daemon/src/cherryrudder/daemon/gate.py
@@ -30,6 +30,7 @@
     path: str
     body: str
     content_type: str = "application/json"
+    idempotency_key: str = ""
 
 
 class Run(NamedTuple):
--- a/libs/daemon/src/cherryrudder/daemon/servicehost.py
+++ b/libs/daemon/src/cherryrudder/daemon/servicehost.py
@@ -152,6 +152,9 @@
         return json_reply(Verdict("replay", status, body))
 
     async def _call(self, call):
+        headers = [("content-type", call.content_type)]
+        if call.idempotency_key:
+            headers.append(("idempotency-key", call.idempotency_key))
         mark = object()
         self.desk.call_began(mark, now_s())
         try:
@@ -159,7 +162,7 @@
                 call.method,
                 self.back_end + call.path,
                 call.body.encode(),
-                (("content-type", call.content_type),),
+                headers,
                 CALL_S,
             )
         finally:
--- a/libs/daemon/src/cherryrudder/daemon/services.py
+++ b/libs/daemon/src/cherryrudder/daemon/services.py
@@ -66,6 +66,7 @@
             path,
             read_text(await request.body()),
             request.headers.get("content-type", "application/json"),
+            request.headers.get(KEY_HEADER, ""),
         )
         if self.entry.is_closed:
             return refuse(self.entry.closed_refusal())
--- a/libs/wire/src/cherryrudder/wire/asgi.py
+++ b/libs/wire/src/cherryrudder/wire/asgi.py
@@ -13,6 +13,7 @@
 from cherryrudder.model import jsoncodec
 from cherryrudder.model.errors import RequestError
 
+BODY_TOO_LARGE = 413
 DEFAULT_MAX_BODY_BYTES = 16 * 1024 * 1024
 
 
@@ -75,7 +76,7 @@
             size_bytes += len(parts[-1])
             if size_bytes > self._max_body_bytes:
                 text = f"the body is over {self._max_body_bytes} bytes"
-                raise RequestError(413, "body-too-large", text)
+                raise RequestError(BODY_TOO_LARGE, "body-too-large", text)
             if not message.get("more_body", False):
                 return b"".join(parts)
 
@@ -143,7 +144,10 @@
             raise RequestError(401, "wrong-key", "the key is missing or wrong")
         return await handler(request)
     except RequestError as error:
-        return error_reply(error)
+        # The rest of the body stays unread, so the listener closes the connection;
+        # without the header the caller's next request on it would be cut off.
+        headers = (("connection", "close"),) if error.status == BODY_TOO_LARGE else ()
+        return error_reply(error, headers)
     except Exception:
         # A fault in one handler must not take the process with it; the caller gets a
         # plain 500 and the log gets the traceback.
