Keep shares in the policy's share book; meet doubled and late run packets

Cause: the entry kept holders and asks itself, which the policy's share book now does under test. Ruled out: trusting the unit fuzz alone.

--- a/libs/daemon/src/cherryrudder/daemon/entryrole.py
+++ b/libs/daemon/src/cherryrudder/daemon/entryrole.py
@@ -3,7 +3,6 @@
 import anyio
 from loguru import logger
 
-from cherryrudder.model.contracts import Contract
 from cherryrudder.model.endpoints import Announcement, Kind
 from cherryrudder.model.outcomes import Refusal
 from cherryrudder.policy import dispatch
@@ -56,13 +55,11 @@
 
     def on_change(self) -> None:
         """Put what the follower has seen in force."""
-        self.contracts = {c.key_sha256: c for c in self.held_contracts()}
+        contracts = [c.contract for c in self.follower.config.contracts.values()]
+        self.contracts = {contract.key_sha256: contract for contract in contracts}
+        self.sharing.see_contracts(contracts)
         self.refresh()
 
-    def held_contracts(self) -> list[Contract]:
-        """Return every customer's contract, retired ones too."""
-        return [held.contract for held in self.follower.config.contracts.values()]
-
     def refresh(self) -> None:
         """Take the endpoints that are live now."""
         stops = [held.stop for held in self.follower.config.stops.values()]
--- a/libs/daemon/test/test_atmostonce.py
+++ b/libs/daemon/test/test_atmostonce.py
@@ -1,12 +1,13 @@
 """Filings through real processes: at most once, and an honest answer, under failure."""
 
+import json
 import threading
 import unittest
 
 import httpx
 from builders import CUSTOMER, DeploymentTestCase, a_contract, services
 
-from cherryrudder.fakes.deployment import wait_for
+from cherryrudder.fakes.deployment import INTERNAL_KEY, wait_for
 
 
 class FilingTest(DeploymentTestCase):
@@ -141,6 +142,51 @@
         self.assertEqual(again.headers["cherryrudder-outcome"], "unknown")
         self.assertLessEqual(self.filings("seven"), 1)
 
+    def test_a_doubled_and_a_late_run_file_once(self):
+        """The packet of a claimed call comes twice, and again after a restart.
+
+        The sidecar runs an attempt once and replays its answer to the copy. Its next
+        incarnation has forgotten all that, and refuses the claim of the old one.
+        """
+        run = self.claimed_run("k9", "nine")
+        first = self.internal("filing-0", "/v1/run", run)
+        second = self.internal("filing-0", "/v1/run", run)
+        self.assertEqual(first, second)
+        self.assertEqual(first["action"], "replay")
+        self.deployment.nodes["filing-0"].kill()
+        self.deployment.restart("filing-0")
+        self.assertEqual(
+            self.internal("filing-0", "/v1/run", run)["action"], "forgotten"
+        )
+        self.assertEqual(self.filings("nine"), 1)
+
+    def claimed_run(self, key, text):
+        """Claim a call as an entry does and return its run, not yet sent."""
+        sidecar = self.deployment.dump(self.deployment.nodes["filing-0"])
+        command = {
+            "customer": CUSTOMER,
+            "key": key,
+            "body_sha256": "0" * 64,
+            "attempt_id": f"attempt of {key}",
+            "service": "slots",
+            "endpoint": "filing-0",
+            "incarnation": sidecar["incarnation"],
+            "address": sidecar["announcement"]["address"],
+        }
+        answer = self.internal("control-0", "/v1/claims/open", command)
+        self.assertEqual(answer["code"], "granted")
+        body = json.dumps({"text": text})
+        call = {"method": "POST", "path": "/filings", "body": body}
+        return {"claim": answer["claim"], "call": call}
+
+    def internal(self, name, path, value):
+        """Post to a process's internal surface and return the answer."""
+        address = self.deployment.nodes[name].addresses["internal"]
+        headers = {"authorization": f"Bearer {INTERNAL_KEY}"}
+        url = f"http://{address}{path}"
+        reply = self.deployment.http.post(url, json=value, headers=headers)
+        return reply.raise_for_status().json()
+
     def test_without_a_quorum_a_filing_is_honestly_not_run(self):
         """Two of three control VMs freeze, then thaw.
 
