Add a bench of throughput against a contract's bound

Cause: the users measure throughput against each contract's bound, and nobody else may pay for a flood. Ruled out: a static split, which the policy's scenarios measure.

--- /dev/null
+++ b/bench/bound.py
@@ -0,0 +1,103 @@
+"""Throughput against a contract's bound, and who pays when one customer floods.
+
+Real processes on loopback. One customer sends far over its contract through one entry
+and through all, beside customers that keep to theirs; printed is what callers received.
+Run: python bench/bound.py
+"""
+
+import random
+import sys
+import tempfile
+
+import anyio
+
+from cherryrudder.fakes.deployment import Deployment, EngineSpec
+from cherryrudder.fakes.load import measure
+from cherryrudder.fakes.load_plan import (
+    Shape,
+    Target,
+    parse_customer,
+    plan_arrivals,
+)
+from cherryrudder.model.contracts import Contract, digest_key
+
+MODEL = "briefing"
+LAYERS = 6
+SECONDS = 15.0
+TOKENS = 16
+PROMPT = 8
+# Tokens that one request counts for: its prompt and its answer.
+REQUEST_TOKENS = PROMPT + TOKENS
+QUIET = ("quiet-1", "quiet-2", "quiet-3")
+
+
+def contract(customer, tokens_per_s):
+    """Return a contract that is bound by its tokens."""
+    return Contract(
+        customer,
+        digest_key(customer),
+        (MODEL,),
+        (),
+        requests_per_s=1000.0,
+        tokens_per_s=tokens_per_s,
+        concurrent_requests=100,
+        max_wait_s=2.0,
+    )
+
+
+def run_load(deployment, entries, rates):
+    """Send Poisson load at requests a second by customer; return the report."""
+    customers = [parse_customer(f"{c}:{c}:{rate}") for c, rate in rates.items()]
+    shape = Shape((PROMPT,), (TOKENS,), 0)
+    arrivals = plan_arrivals(customers, shape, SECONDS, random.Random(1))
+    bases = tuple(f"http://{e.addresses['caller']}" for e in entries)
+    target = Target(bases, MODEL, LAYERS, True, "", 0.0)
+    return anyio.run(measure, arrivals, target)
+
+
+def main():
+    engines = [
+        EngineSpec(f"{chain}-{stage}", stage * 3, stage * 3 + 3, LAYERS, tokens_per_s=s)
+        for chain, s in (("a", 400.0), ("b", 400.0), ("c", 200.0), ("d", 200.0))
+        for stage in range(2)
+    ]
+    bound = float(sys.argv[1]) if len(sys.argv) > 1 else 300.0
+    with (
+        tempfile.TemporaryDirectory(prefix="cherryrudder-") as folder,
+        Deployment(folder, engines=engines) as deployment,
+    ):
+        deployment.start()
+        deployment.wait_endpoints(len(engines))
+        deployment.put_contract(contract("flood", bound))
+        for customer in QUIET:
+            deployment.put_contract(contract(customer, bound))
+        anyio.run(anyio.sleep, 3.0)
+        quiet = dict.fromkeys(QUIET, 0.3 * bound / REQUEST_TOKENS)
+        for name, entries in (
+            ("one entry", deployment.entries[:1]),
+            ("both entries", deployment.entries),
+        ):
+            for factor in (2, 10):
+                flood = factor * bound / REQUEST_TOKENS
+                report = run_load(deployment, entries, quiet | {"flood": flood})
+                print(f"== {name}, flood at {factor} times its bound of {bound}")
+                print_report(report, bound)
+
+
+def print_report(report, bound):
+    """Print what each customer received."""
+    for one in report.customers:
+        done = one.results.get("done", 0)
+        served = one.goodput_requests_per_s * REQUEST_TOKENS
+        print(
+            f"  {one.customer}: sent {one.sent}, done {done}, {one.results}, "
+            f"{100 * served / bound:.0f}% of its bound, "
+            f"first token p50 {one.first_token.p50_s:.3f} "
+            f"p95 {one.first_token.p95_s:.3f} s, "
+            f"between tokens p95 {1000 * one.between_tokens.p95_s:.0f} ms, "
+            f"refused within {one.refusal.p95_s:.3f} s (p95)"
+        )
+
+
+if __name__ == "__main__":
+    main()
