--- a/libs/pipeline/test/builders.py
+++ b/libs/pipeline/test/builders.py
@@ -48,6 +48,17 @@
     )
 
 
+def a_step(position, *inputs, generation=1):
+    """Return a step of the first request."""
+    return Step("r1", generation, position, inputs)
+
+
+def sent(effects, kind=object):
+    """Return the messages of a type among effects."""
+    messages = [e.message for e in effects if isinstance(e, SendTo)]
+    return [message for message in messages if isinstance(message, kind)]
+
+
 def an_announcement(name, first_layer, end_layer, **changes):
     """Return an engine's announcement."""
     announcement = Announcement(
--- a/libs/pipeline/test/test_chainfaults.py
+++ b/libs/pipeline/test/test_chainfaults.py
@@ -90,7 +90,7 @@
         self.cancelled = set()
         self.starts = {}
         self.varied = varied
-        kept_bytes = rng.choice((40, 2**20))
+        kept_bytes = rng.choice((20, 2**20))
         self.world = World(fleet, varied=varied, max_kept_bytes=kept_bytes)
         self.faults = Faults(self.world)
         for number in range(count):
--- /dev/null
+++ b/libs/pipeline/test/test_handover.py
@@ -0,0 +1,67 @@
+"""Tests of the hand-over at a planned stop, one sidecar at a time."""
+
+import unittest
+
+from builders import a_start, a_step, sent
+
+from cherryrudder.pipeline import handover, stage as sidecar
+from cherryrudder.pipeline.effects import ExportKv, FreeKv, ImportKv
+from cherryrudder.pipeline.messages import HandOver, Held, KvMove, Resume
+
+ORDER = HandOver("r1", 2, "heir:1")
+MOVE = KvMove("r1", 2, 0, ("A", "B", "C", "D"), ("petra", "at", "dawn", "x"), "kv")
+
+
+class LeavingTests(unittest.TestCase):
+    def setUp(self):
+        self.core = sidecar.StageCore()
+        sidecar.receive(self.core, a_start()._replace(stage=1), 0.0)
+        sidecar.receive(self.core, a_step(0, "a"), 0.0)
+
+    def test_the_compute_in_flight_is_part_of_the_export(self):
+        self.assertEqual([], sidecar.receive(self.core, ORDER, 0.0))
+        effects = sidecar.computed(self.core, "r1", 0, ("A",), 0.0)
+        self.assertEqual([ExportKv("r1")], effects)
+        self.assertEqual([], sidecar.receive(self.core, ORDER, 0.0))
+        effects = handover.exported(self.core, "r1", "kv", 0.0)
+        self.assertEqual([KvMove("r1", 2, 0, ("A",), (), "kv")], sent(effects))
+        self.assertEqual(FreeKv("r1"), effects[-1])
+
+    def test_a_failed_compute_is_no_fault_of_the_heir(self):
+        """The caller's chain keeps the new stage although the old one's engine fails.
+
+        The entry's plan has the heir in the old one's place; a report of the failure
+        would have it replaced too. The heir is told that there is no KV.
+        """
+        sidecar.receive(self.core, ORDER, 0.0)
+        effects = sidecar.compute_failed(self.core, "r1", 0, "no memory", 0.0)
+        self.assertEqual([KvMove("r1", 2, 0, (), (), "")], sent(effects))
+
+
+class HeirTests(unittest.TestCase):
+    def setUp(self):
+        self.core = sidecar.StageCore()
+        resume = Resume(a_start()._replace(generation=2), awaits_kv=True)
+        effects = sidecar.receive(self.core, resume, 0.0)
+        self.assertEqual([Held("r1", 2, 0, 0, (), True)], sent(effects))
+
+    def test_it_goes_on_where_the_old_stage_ended(self):
+        effects = sidecar.receive(self.core, MOVE, 0.0)
+        self.assertEqual([ImportKv("r1", "kv")], effects)
+        self.assertEqual([], sidecar.receive(self.core, MOVE, 0.0))
+        self.assertEqual(
+            [], sidecar.receive(self.core, a_step(4, "y", generation=2), 0)
+        )
+        effects = handover.imported(self.core, "r1", True, 0.0)
+        self.assertEqual([Held("r1", 2, 0, 4, ("x", "y"))], sent(effects))
+
+    def test_it_holds_nothing_when_the_import_fails(self):
+        sidecar.receive(self.core, MOVE, 0.0)
+        effects = handover.imported(self.core, "r1", False, 0.0)
+        self.assertEqual(FreeKv("r1"), effects[0])
+        self.assertEqual([Held("r1", 2, 0, 0)], sent(effects))
+
+    def test_it_waits_only_so_long(self):
+        self.assertEqual([], sidecar.tick(self.core, handover.KV_WAIT_S - 0.1))
+        effects = sidecar.tick(self.core, handover.KV_WAIT_S)
+        self.assertEqual([Held("r1", 2, 0, 0)], sent(effects))
--- a/libs/pipeline/test/test_request.py
+++ b/libs/pipeline/test/test_request.py
@@ -14,8 +14,8 @@
 )
 
 from cherryrudder.pipeline import request as entry, stage as sidecar
-from cherryrudder.pipeline.effects import ExportKv, Fail, ImportKv, NeedStage
-from cherryrudder.pipeline.messages import Ack, Held, StageFailed, Token
+from cherryrudder.pipeline.effects import ExportKv, Fail, ImportKv, NeedStage, SendTo
+from cherryrudder.pipeline.messages import Ack, Free, Held, StageFailed, Token
 
 
 def after(count):
@@ -193,9 +193,10 @@
         The stage before the killed one no longer keeps what the new one needs, so it
         is rebuilt too, from what the stage before it keeps.
         """
-        world, start = begin(until=after(25), max_kept_bytes=40)
+        world, start = begin(until=after(25), max_kept_bytes=20)
         world.kill(start.stages[2].address)
         self.assertEqual(oracle(start), finish(world))
+        self.assertEqual(0.0, world.now_s)
 
     def test_a_doubled_step_against_the_naive_sidecar(self):
         """The caller's text is right although a link doubles a frame.
@@ -230,6 +231,14 @@
         names = [stage.endpoint for stage in self.core.plan]
         self.assertEqual(["s0a", "new1", "new2", "s2a"], names)
 
+    def test_a_relieved_stage_is_freed(self):
+        needs = entry.stage_leaving(self.core, "s1a", 1.0)
+        self.assertEqual([NeedStage(2, 4, ("s1a",))], needs)
+        entry.replace(self.core, a_stage("heir", 2, 4), 1.0)
+        for stage in range(3):
+            effects = entry.receive(self.core, Held("r1", 2, stage, 3), 1.0)
+        self.assertIn(SendTo("s1a:1", Free("r1")), effects)
+
     def test_a_stage_that_does_not_fit(self):
         entry.stage_lost(self.core, "s1a", 1.0)
         effects = entry.replace(self.core, a_stage("wide", 1, 4), 1.0)
--- a/libs/pipeline/test/test_stage.py
+++ b/libs/pipeline/test/test_stage.py
@@ -2,10 +2,10 @@
 
 import unittest
 
-from builders import a_start
+from builders import a_start, a_step, sent
 
 from cherryrudder.pipeline import stage as sidecar, stagetable
-from cherryrudder.pipeline.effects import Compute, FreeKv, SendTo
+from cherryrudder.pipeline.effects import Compute, FreeKv
 from cherryrudder.pipeline.messages import (
     GAP,
     NO_ROOM,
@@ -20,16 +20,6 @@
 )
 
 
-def a_step(position, *inputs, generation=1):
-    return Step("r1", generation, position, inputs)
-
-
-def sent(effects, kind=None):
-    """Return the messages among effects."""
-    messages = [e.message for e in effects if isinstance(e, SendTo)]
-    return [m for m in messages if kind is None or isinstance(m, kind)]
-
-
 def computes(effects):
     return [(e.position, e.inputs) for e in effects if isinstance(e, Compute)]
 
@@ -165,6 +155,8 @@
         self.assertEqual(stagetable.MAX_EARLY, len(core.early))
         sidecar.tick(core, 1.0 + stagetable.EARLY_S)
         self.assertEqual([], core.early)
+        sidecar.receive(core, Step("r2", 1, 0, ("a" * 2**26, "a")), 9.0)
+        self.assertEqual([], core.early)
 
     def test_no_room(self):
         core = sidecar.StageCore(max_requests=1)
