Hand long answers over on a planned stop, and tell cut work from finished work

Cause: a planned stop of a stage waited for the longest answer (minutes), although engines export KV. Answers with 100 tokens or more to go are handed over. Ruled out: handing over short answers (the export costs more than it saves). Conclusion: stops are by plan, not by repair.

--- a/libs/daemon/src/cherryrudder/daemon/dataplane.py
+++ b/libs/daemon/src/cherryrudder/daemon/dataplane.py
@@ -6,6 +6,7 @@
 from loguru import logger
 
 from cherryrudder.pipeline import request as driver
+from cherryrudder.pipeline.dump import dump_entry
 from cherryrudder.pipeline.effects import Deliver, Fail, Finished, NeedStage, SendTo
 from cherryrudder.pipeline.messages import Stage, Start
 from cherryrudder.wire.frames import FrameCodec
@@ -16,6 +17,8 @@
 from .framemessages import DATA_MESSAGES, CreditGrant
 
 TICK_S = 0.1
+# Some seconds at 33 ms a token: below that a planned stop waits for the answer's end.
+HAND_OVER_TOKENS = 100
 
 log = logger.bind(part="pipeline")
 
@@ -107,6 +110,21 @@
         if flow is not None:
             self._carry_out(flow, driver.stage_lost(flow.core, endpoint, now_s()))
 
+    def dump(self) -> dict:
+        """Return every request in flight as its core sees it."""
+        return {name: dump_entry(flow.core) for name, flow in self.flows.items()}
+
+    def relieve(self, endpoint: str) -> None:
+        """Hand over the long requests of an endpoint that is to stop.
+
+        The short ones end sooner than a move of their KV would pay.
+        """
+        for flow in list(self.flows.values()):
+            left = flow.core.start.max_tokens - len(flow.core.tokens)
+            if left >= HAND_OVER_TOKENS:
+                effects = driver.stage_leaving(flow.core, endpoint, now_s())
+                self._carry_out(flow, effects)
+
     def _on_messages(self, peer, messages):
         at_s = now_s()
         for message in messages:
@@ -155,6 +173,9 @@
         found = flow.find_stage(need)
         if found is not None:
             self._carry_out(flow, driver.replace(flow.core, found, now_s()))
+        elif flow.core.leaving:
+            # Nothing is free to take over: the leaving stage works on to the end.
+            driver.no_stage(flow.core, now_s())
 
     def _finish(self, flow):
         if self.flows.pop(flow.core.start.request, None) is not None:
--- a/libs/daemon/src/cherryrudder/daemon/enginehost.py
+++ b/libs/daemon/src/cherryrudder/daemon/enginehost.py
@@ -6,8 +6,10 @@
 import anyio.lowlevel
 from loguru import logger
 
-from cherryrudder.pipeline import stage
-from cherryrudder.pipeline.effects import Compute, FreeKv, SendTo
+from cherryrudder.model import jsoncodec
+from cherryrudder.pipeline import handover, stage
+from cherryrudder.pipeline.dump import dump_sidecar
+from cherryrudder.pipeline.effects import Compute, ExportKv, FreeKv, ImportKv, SendTo
 from cherryrudder.pipeline.messages import NO_ROOM, Refused, Resume, Start
 from cherryrudder.wire.asgi import Routes
 from cherryrudder.wire.client import Client
@@ -23,6 +25,8 @@
 # The longest single step: a long prompt on a slow accelerator.
 STEP_S = 60.0
 FREE_S = 5.0
+# An export and its import are given up for a replay by the core after its own limit.
+KV_S = 5.0
 TICK_S = 0.25
 
 log = logger.bind(part="stage")
@@ -92,7 +96,7 @@
     def dump(self) -> dict:
         """Return what the stage holds."""
         return {
-            "requests": sorted(self.core.requests),
+            **dump_sidecar(self.core),
             "links": self.links.peers(),
             "fence": self.guard.highest,
         }
@@ -131,6 +135,10 @@
                 case Compute():
                     self._computes.append(effect)
                     self._wake.set()
+                case ExportKv():
+                    self.process.group.start_soon(self._export, effect.request)
+                case ImportKv():
+                    self.process.group.start_soon(self._import, effect)
                 case FreeKv():
                     # A later compute of the same request waits for this, or the
                     # engine would drop the KV that it has just built.
@@ -191,6 +199,31 @@
             act(self.core, output.request, output.position, result, now_s())
         )
 
+    async def _export(self, request):
+        url = f"{self.back_end}/v1/kv/export"
+        try:
+            kv = await self.client.call(
+                "POST", url, {"request": request}, dict, timeout_s=KV_S
+            )
+        except WireError as error:
+            log.warning("The engine did not export {}: {}.", request, error)
+            text = ""
+        else:
+            text = jsoncodec.encode(kv).decode()
+        self._carry_out(handover.exported(self.core, request, text, now_s()))
+
+    async def _import(self, effect):
+        url = f"{self.back_end}/v1/kv/import"
+        try:
+            value = jsoncodec.decode(effect.kv)
+            await self.client.call("POST", url, value, timeout_s=KV_S)
+        except (WireError, ValueError) as error:
+            log.warning("The engine did not import {}: {}.", effect.request, error)
+            is_done = False
+        else:
+            is_done = True
+        self._carry_out(handover.imported(self.core, effect.request, is_done, now_s()))
+
     async def _free(self, request):
         done = self._freeing[request]
         url = f"{self.back_end}/v1/free"
--- a/libs/daemon/src/cherryrudder/daemon/entryrole.py
+++ b/libs/daemon/src/cherryrudder/daemon/entryrole.py
@@ -150,6 +150,8 @@
     while True:
         await anyio.sleep(REFRESH_S)
         entry.refresh()
+        for endpoint in entry.fleet.leaving():
+            entry.plane.relieve(endpoint)
 
 
 async def leave(entry: Entry) -> None:
@@ -173,7 +175,7 @@
         "revision": entry.follower.config.revision,
         "contracts": sorted(entry.follower.config.contracts),
         "in_flight": entry.in_flight(),
-        "pipelines": sorted(entry.plane.flows),
+        "pipelines": entry.plane.dump(),
         "sharing": entry.sharing.dump(),
         **dispatch.dump(entry.door.dispatcher, now_s()),
     }
--- a/libs/daemon/src/cherryrudder/daemon/fleet.py
+++ b/libs/daemon/src/cherryrudder/daemon/fleet.py
@@ -48,6 +48,11 @@
         members = group.members.values() if group else ()
         return next((member.announcement for member in members), None)
 
+    def leaving(self) -> list[str]:
+        """Return the endpoints that are to stop and still hold work from here."""
+        members = self.fleet.members.items()
+        return [name for name, m in members if m.is_leaving and m.in_flight]
+
     def members(self):
         """Yield each endpoint's announcement, what it runs from here, and its peers."""
         for member in list(self.fleet.members.values()):
--- a/libs/daemon/test/test_controlprocesses.py
+++ b/libs/daemon/test/test_controlprocesses.py
@@ -196,6 +196,31 @@
         self.deployment.restart("entry-1")
         self.assertGreaterEqual(self.deployment.dump(entry)["revision"], revision)
 
+    def test_an_entry_that_starts_without_a_majority_is_not_ready(self):
+        """Two control VMs are frozen while an entry restarts.
+
+        The third one still answers, but cannot know whether its configuration is
+        the newest. The entry must not say ready until a majority has confirmed it.
+        """
+        frozen = self.deployment.controls[:2]
+        entry = self.deployment.entries[1]
+        entry.kill()
+        for control in frozen:
+            control.freeze()
+        try:
+            entry.start()
+            url = f"http://{entry.addresses['internal']}/readyz"
+            for _ in range(8):
+                time.sleep(0.5)
+                try:
+                    self.assertEqual(self.deployment.http.get(url).status_code, 503)
+                except httpx.ConnectError:
+                    continue
+        finally:
+            for control in frozen:
+                control.thaw()
+        self.deployment.wait_ready(entry)
+
     def test_without_a_majority_changes_are_refused_and_service_goes_on(self):
         """Two of three control VMs are killed.
 
--- a/libs/daemon/test/test_pipelineprocesses.py
+++ b/libs/daemon/test/test_pipelineprocesses.py
@@ -3,6 +3,7 @@
 import json
 import threading
 import unittest
+from collections import Counter
 
 import httpx
 from builders import (
@@ -78,11 +79,25 @@
         nodes = self.deployment.engines
         return [n.name for n in nodes if self.deployment.dump(n)["in_flight"]]
 
+    def request_at(self, name):
+        """Return the request that an engine's sidecar holds."""
+        dump = self.deployment.dump(self.deployment.nodes[name])
+        return next(iter(dump["host"]["requests"]))
+
+    def assert_ran_once(self, request):
+        """Check that no layer ran twice for a position, on whichever engine."""
+        times = Counter()
+        for runs in self.runs_by_engine().values():
+            for run in runs:
+                if run["request"] == request:
+                    times[run["layer"], run["position"]] += run["times"]
+        self.assertEqual(set(times.values()), {1})
+
     def assert_nothing_left(self):
         """Check that every stage and entry has let go of every request."""
         self.wait(lambda: not self.busy(), "stages are free")
         for entry in self.deployment.entries:
-            self.assertEqual(self.deployment.dump(entry)["pipelines"], [])
+            self.assertEqual(self.deployment.dump(entry)["pipelines"], {})
 
     def runs_by_engine(self):
         """Return each engine's layer runs from its ledger."""
@@ -206,11 +221,31 @@
         stream = Stream(self)
         stream.wait_parts(10)
         victim = self.busy()[0]
+        request = self.request_at(victim)
         code = self.deployment.nodes[victim].stop(60.0)
         stream.assert_whole()
         self.assertEqual(code, 0)
+        # Were it cut off, the text would still be whole, but rebuilt elsewhere.
+        self.assert_ran_once(request)
         self.deployment.restart(victim)
 
+    def test_a_planned_stop_hands_a_long_answer_over(self):
+        """A sidecar gets SIGTERM in the middle of an answer of 1,200 tokens.
+
+        Its KV moves to another endpoint, so the process ends long before the answer
+        does; no layer runs twice, and the text is whole.
+        """
+        stream = Stream(self, max_tokens=1200)
+        stream.wait_parts(20)
+        victim = self.busy()[1]
+        request = self.request_at(victim)
+        code = self.deployment.nodes[victim].stop(60.0)
+        self.assertEqual(stream.outcome, "", "it ended only with the answer")
+        self.deployment.nodes[victim].start()
+        stream.assert_whole()
+        self.assertEqual(code, 0)
+        self.assert_ran_once(request)
+
     def test_sigterm_to_an_entry_cuts_nothing(self):
         """An entry gets SIGTERM while it streams.
 
--- a/libs/policy/src/cherryrudder/policy/dispatch.py
+++ b/libs/policy/src/cherryrudder/policy/dispatch.py
@@ -172,7 +172,9 @@
     found = placement.choose_stage(dispatcher.fleet, need, *layers, now_s)
     if found is None:
         return None
-    placement.failed(dispatcher.fleet, endpoint, now_s)
+    # One that is to stop is relieved by plan; that is no fault of its own.
+    take_off = placement.withdrawn if lost.is_leaving else placement.failed
+    take_off(dispatcher.fleet, endpoint, now_s)
     placement.began(dispatcher.fleet, found.endpoint, now_s)
     stages = tuple(
         found.endpoint if name == endpoint else name for name in placed.stages
