--- a/libs/quorum/src/cherryrudder/quorum/replication.py
+++ b/libs/quorum/src/cherryrudder/quorum/replication.py
@@ -1,7 +1,6 @@
 """How the leader's log reaches the followers, and when an entry is committed."""
 
 from . import voters
-from .commit import advance
 from .errors import ProtocolError
 from .events import Entry, Voter
 from .messages import APPEND, APPEND_REPLY, INSTALL
@@ -100,7 +99,7 @@
 
 
 def on_append_reply(node: Node, message: dict, now_s: float) -> None:
-    """Take note of what a peer has, and commit what a majority has."""
+    """Take note of what a peer has synced, or go back to where it agrees."""
     peer = node.peers.get(message["disk_id"])
     if node.role != LEADER or message["term"] != node.term or peer is None:
         return
@@ -115,7 +114,6 @@
     if peer.match >= peer.outstanding:
         peer.outstanding = 0
         peer.next_index = max(peer.next_index, peer.match + 1)
-    advance(node)
 
 
 def accept_leader(node: Node, message: dict, now_s: float) -> None:
--- /dev/null
+++ b/libs/quorum/test/fakedisk.py
@@ -0,0 +1,133 @@
+"""A disk in memory that loses what wasn't synced."""
+
+import itertools
+
+from cherryrudder.quorum.filesystem import FileSystem
+
+
+class PowerCut(Exception):
+    """The fake disk has reached the operation at which it fails."""
+
+
+class FakeFile:
+    """Bytes as a process sees them, and the writes since the last sync."""
+
+    def __init__(self):
+        self.data = bytearray()
+        self.synced = b""
+        self.pending = []
+
+    def write(self, offset, data):
+        self.data[offset : offset + len(data)] = data
+        self.pending.append((offset, bytes(data)))
+
+    def truncate(self, size):
+        del self.data[size:]
+        self.pending.append((size, None))
+
+    def sync(self):
+        self.synced = bytes(self.data)
+        self.pending = []
+
+    def crash(self, rng):
+        """Keep any of the unsynced writes, the last kept one perhaps torn."""
+        self.data = bytearray(self.synced)
+        kept = [write for write in self.pending if rng.random() < 0.5]
+        for number, (offset, data) in enumerate(kept):
+            if data is None:
+                del self.data[offset:]
+                continue
+            if number == len(kept) - 1 and rng.random() < 0.5:
+                data = data[: rng.randrange(len(data) + 1)]
+            gap = offset - len(self.data)
+            self.data += bytes(max(0, gap))
+            self.data[offset : offset + len(data)] = data
+        self.sync()
+
+
+class FakeDisk:
+    """One folder; a rename lasts only once the folder is synced."""
+
+    def __init__(self):
+        self.names = {}
+        self.durable = {}
+        self.handles = {}
+        self.locked = set()
+        self.numbers = itertools.count()
+        self.operations = 0
+        self.cut_at = None
+
+    def filesystem(self):
+        return FileSystem(
+            make_folder=lambda path: None,
+            list_folder=lambda path: sorted(self.names),
+            sync_folder=self._sync_folder,
+            open=self._open,
+            lock=self._lock,
+            read=lambda fd: bytes(self.handles[fd].data),
+            write=self._write,
+            truncate=lambda fd, size: self._do(self.handles[fd].truncate, size),
+            sync=lambda fd: self._do(self.handles[fd].sync),
+            close=self._close,
+            rename=self._rename,
+        )
+
+    def crash(self, rng):
+        """Lose power: unsynced writes and renames each last or don't."""
+        for name in set(self.names) | set(self.durable):
+            if rng.random() < 0.5 or self.names.get(name) is None:
+                self._revert(name)
+        files = {id(file): file for file in self.names.values()}
+        for file in files.values():
+            file.crash(rng)
+        self.durable = dict(self.names)
+        self.handles.clear()
+        self.locked.clear()
+        self.cut_at = None
+
+    def _revert(self, name):
+        if name in self.durable:
+            self.names[name] = self.durable[name]
+        else:
+            self.names.pop(name, None)
+
+    def _do(self, operation, *arguments):
+        self.operations += 1
+        if self.cut_at is not None and self.operations >= self.cut_at:
+            raise PowerCut
+        return operation(*arguments)
+
+    def _write(self, fd, offset, data):
+        try:
+            self._do(self.handles[fd].write, offset, data)
+        except PowerCut:
+            # Part of it was on its way; `crash` decides how much arrives.
+            self.handles[fd].write(offset, data)
+            raise
+
+    def _open(self, path):
+        name = path.rpartition("/")[2]
+        fd = next(self.numbers)
+        self.handles[fd] = self.names.setdefault(name, FakeFile())
+        return fd
+
+    def _close(self, fd):
+        self.locked.discard(fd)
+        del self.handles[fd]
+
+    def _lock(self, fd):
+        if self.locked:
+            raise OSError("locked")
+        self.locked.add(fd)
+
+    def _rename(self, old, new):
+        self._do(self._move, old.rpartition("/")[2], new.rpartition("/")[2])
+
+    def _move(self, old, new):
+        self.names[new] = self.names.pop(old)
+
+    def _sync_folder(self, path):
+        self._do(self._sync_names)
+
+    def _sync_names(self):
+        self.durable = dict(self.names)
--- a/libs/quorum/test/test_core.py
+++ b/libs/quorum/test/test_core.py
@@ -195,6 +195,25 @@
         cluster.settle()
         cluster.check()
 
+    def test_learner_never_campaigns(self):
+        """A wiped VM that has its log back but isn't promoted yet stays a follower.
+
+        Its name is still in the voter set, with the old disk. The leader is gone, and
+        the other voter is cut off, so nobody may lead.
+        """
+        cluster = Cluster(3)
+        cluster.settle()
+        cluster.crash("a")
+        cluster.settle()
+        learner = cluster.wipe("a")
+        cluster.change("add-learner", learner)
+        cluster.run(2)
+        self.assertEqual(cluster.status("a")["learners"], [learner._asdict()])
+        cluster.crash(cluster.leader())
+        cluster.cut = set("bc")
+        cluster.run(10)
+        self.assertEqual(cluster.status("a")["role"], "follower")
+
     def lose_b(self, naive):
         cluster = Cluster(3)
         cluster.settle()
@@ -257,6 +276,10 @@
         """
         cluster = Cluster(3)
         cluster.settle()
+        absent = ev.Voter("x", "disk-x", "x:1")
+        cluster.change("add-learner", absent)
+        cluster.fill(70)
+        self.assertTrue(cluster.rejected[cluster.change("promote", absent)])
         cluster.crash(next(vm for vm in "abc" if vm != cluster.leader()))
         cluster.settle()
         alive = next(
@@ -267,10 +290,6 @@
         self.assertTrue(
             cluster.rejected[cluster.change("remove", old_voter(cluster, alive))]
         )
-        absent = ev.Voter("x", "disk-x", "x:1")
-        cluster.change("add-learner", absent)
-        cluster.run(1)
-        self.assertTrue(cluster.rejected[cluster.change("promote", absent)])
         cluster.settle()
 
     def test_leader_that_is_removed_steps_down(self):
--- a/libs/quorum/test/test_files.py
+++ b/libs/quorum/test/test_files.py
@@ -7,12 +7,12 @@
 
 from builders import (
     FOLDER,
-    PowerCut,
     append_to,
     make_voters,
     new_disk,
     save_snapshot,
 )
+from fakedisk import PowerCut
 
 from cherryrudder.quorum.events import Persist
 from cherryrudder.quorum.files import init_disk, join_disk, open_disk
@@ -204,6 +204,21 @@
         return [disk.saved]
 
 
+class SnapshotTest(unittest.TestCase):
+    def test_tail_stays_only_if_it_follows_the_snapshot(self):
+        """A voter opens no log that mixes two leaders' entries (see test_replication).
+
+        Power may be cut before the entries after the snapshot are truncated.
+        """
+        for term, count in ((1, 3), (2, 0)):
+            fake, disk = new_disk()
+            append_to(disk, 1, 8)
+            save_snapshot(disk, 5, term)
+            fake.crash(random.Random(1))
+            saved = open_disk(FOLDER, "a", fake.filesystem()).ok.saved
+            self.assertEqual(len(saved.entries), count)
+
+
 class FailedWriteTest(unittest.TestCase):
     def test_failed_sync_stops_the_disk(self):
         """After a failed fsync nothing more is answered, also if the next succeeds.
--- a/libs/quorum/test/test_replication.py
+++ b/libs/quorum/test/test_replication.py
@@ -18,10 +18,11 @@
         identity = Identity("x", "a", "disk-a", "10.0.0.0:1", self.voters)
         saved = Saved(identity, 2, "disk-a", tuple(entries))
         self.node = open_node(self.voters[0], saved, TIMING, random.Random(1), 0.0)
+        self.now_s = 1.0
 
     def feed(self, event):
         """Feed an event, and say of each write at once that it is done."""
-        effects = handle(self.node, event, 1.0)
+        effects = handle(self.node, event, self.now_s)
         for effect in list(effects):
             if isinstance(effect, ev.Persist):
                 effects += self.feed(ev.Persisted(effect.write_id))
@@ -38,6 +39,11 @@
         place |= {"ok": True, "synced": synced, "round": read_round, "sent_s": 1.0}
         return self.answer(vm, "append-reply", **(place | fields))
 
+    def hear(self, vm, term, prev_index, prev_term, commit=0):
+        fields = {"term": term, "prev_index": prev_index, "prev_term": prev_term}
+        fields |= {"entries": [], "commit": commit, "round": 1, "sent_s": 1.0}
+        return self.answer(vm, "append", **fields)
+
     def lead(self):
         self.feed(ev.Tick())
         for vm in "bc":
@@ -55,6 +61,69 @@
     return [ev.Entry(n, term, "command", f"p{n}") for n, term in enumerate(terms, 1)]
 
 
+class OfficeTest(unittest.TestCase):
+    def test_vote_of_another_disk_under_a_voters_name_does_not_count(self):
+        """A VM that came back with another disk elects nobody."""
+        hand = Hand()
+        hand.feed(ev.Tick())
+        for disk_id in ("disk-new", "disk-b"):
+            self.assertEqual(hand.node.role, "pre-candidate")
+            for vm in "bc":
+                wrong = disk_id if vm == "b" else "disk-c"
+                term = hand.node.term + 1
+                fields = {"granted": True, "term": term, "disk_id": wrong}
+                hand.answer(vm, "pre-vote-reply", **fields)
+        self.assertEqual(hand.node.role, "candidate")
+        for disk_id in ("disk-new", "disk-c"):
+            self.assertEqual(hand.node.role, "candidate")
+            hand.answer("b", "vote-reply", granted=True)
+            hand.answer("c", "vote-reply", granted=True, disk_id=disk_id)
+        self.assertEqual(hand.node.role, "leader")
+
+    def test_answer_counts_from_when_its_question_was_sent(self):
+        """A leader whose answers come late doesn't stay in office on old ones."""
+        hand = Hand().lead()
+        hand.now_s += TIMING.election_min_s * 0.9
+        for vm in "bcde":
+            hand.acknowledge(vm, 0)
+        self.assertEqual(hand.node.role, "leader")
+        hand.now_s += TIMING.election_min_s * 0.2
+        hand.feed(ev.Tick())
+        self.assertEqual(hand.node.role, "follower")
+
+
+class InstallTest(unittest.TestCase):
+    def test_tail_stays_only_if_it_follows_the_snapshot(self):
+        """Entries of a leader that lost don't survive behind a newer snapshot.
+
+        Kept, they would give this voter a log that no leader ever had, with an old
+        term at its end: it would help to elect a leader without accepted entries.
+        """
+        for term, last_index in ((1, 8), (2, 5)):
+            hand = Hand(old_entries(*[1] * 8))
+            fields = {"index": 5, "index_term": term, "data": "[]", "round": 1}
+            fields |= {"voter_set": ["x", hand.voters, []], "sent_s": 0.0}
+            effects = hand.answer("b", "install-snapshot", **fields)
+            self.assertIn(ev.RestoreSnapshot(5, "[]"), effects)
+            self.assertEqual(hand.node.log.last_index, last_index)
+
+
+class FollowerTest(unittest.TestCase):
+    def test_heartbeat_vouches_for_no_entry_that_was_not_compared(self):
+        """A follower's entries of another leader are neither acknowledged nor applied.
+
+        They agreed with the leader before, but not with this one, which has only sent
+        a heartbeat so far. Acknowledged, they would count for entries that this
+        leader has at the same indexes, and an accepted one would be on too few disks.
+        """
+        hand = Hand(old_entries(2, 2, 2))
+        for vm, term, place, synced in (("b", 3, (3, 2), 3), ("c", 4, (0, 0), 0)):
+            effects = hand.hear(vm, term, *place, commit=3 - synced)
+            replies = [e.message["synced"] for e in effects if "Send" in kinds([e])]
+            self.assertEqual(set(replies), {synced})
+            self.assertNotIn("Apply", kinds(effects))
+
+
 class CommitTest(unittest.TestCase):
     def test_entry_of_an_earlier_term_is_not_committed_by_copies_alone(self):
         """A change that is answered as accepted can't be overwritten afterwards.
