Keep a founder's disk that was created a second time silent

A founder's disk id is fixed when the cluster is founded, so an operator who lost that disk and created it again the same way got the old id with an empty log: the others counted it, and a wiped VM had its vote back under its old name.

Now the first leader needs every founder's synced vote, so a founder that has never voted and yet hears a leader, entries or a later term knows that it was created again, and keeps silent; `status` says `founded: false`. A cluster begins once all founders are up. Ruled out: random ids alone, since founders must know one another's before they have spoken.

--- a/libs/quorum/src/cherryrudder/quorum/core.py
+++ b/libs/quorum/src/cherryrudder/quorum/core.py
@@ -88,6 +88,7 @@
         "term": node.term,
         "leader": node.leader.vm if node.leader else "",
         "leader_address": node.leader.address if node.leader else "",
+        "founded": not election.is_unfounded(node),
         "commit": node.commit,
         "applied": node.applied,
         "persisted": node.persisted,
@@ -132,7 +133,7 @@
     if result.is_error():
         return
     message = result.ok
-    if not _is_for(node, message):
+    if not _is_for(node, message) or election.is_recreated(node, message):
         return
     if not _enter_term(node, message, now_s):
         return
--- a/libs/quorum/src/cherryrudder/quorum/election.py
+++ b/libs/quorum/src/cherryrudder/quorum/election.py
@@ -138,6 +138,27 @@
     return node.leader is not None and recent
 
 
+def is_unfounded(node: Node) -> bool:
+    """Tell whether this is a founder's disk that has never voted."""
+    return node.term == 0 and node.log.last_index == 0 and is_voter(node)
+
+
+def is_recreated(node: Node, message: dict) -> bool:
+    """Tell whether a message shows that this disk was created a second time.
+
+    An operator may create the disk of a founder that was lost in the same way as the
+    first one, with the same disk id. It has forgotten its votes and entries, but the
+    others would count it: accepted changes would vanish. A founder that has never
+    voted can't hear of a leader or of entries, since the first leader had every
+    founder's synced vote. So it keeps silent; such a VM has to join as a learner.
+    """
+    if not is_unfounded(node):
+        return False
+    if message["type"] in (PRE_VOTE, VOTE):
+        return message["last_index"] > 0
+    return message["type"] != PRE_VOTE_REPLY or not message["granted"]
+
+
 def _start_pre_vote(node, now_s):
     node.role = PRE_CANDIDATE
     node.leader = None
@@ -154,8 +175,19 @@
     _tally(node, now_s)
 
 
+def _votes_needed(node):
+    """Return a majority, or all founders as long as the log is empty.
+
+    So each founder has synced a vote before the first entry exists; see
+    `is_recreated`, which rests on it.
+    """
+    if node.log.last_index == 0:
+        return len(node.voter_set.voters)
+    return voters.quorum_size(node.voter_set)
+
+
 def _tally(node, now_s):
-    if len(node.votes) < voters.quorum_size(node.voter_set):
+    if len(node.votes) < _votes_needed(node):
         return
     if node.role == PRE_CANDIDATE:
         campaign(node, now_s)
--- a/libs/quorum/src/cherryrudder/quorum/files.py
+++ b/libs/quorum/src/cherryrudder/quorum/files.py
@@ -125,8 +125,10 @@
 ) -> Result[Identity, DiskError]:
     """Create the data folder of one of a new cluster's first voters.
 
-    All of them are given the same `voters`, each with a disk id from `new_disk_id`.
-    Without any, the VM is its cluster's only voter and others join it.
+    All of them are given the same `voters`, each with a disk id of its own, and the
+    cluster begins once all of them are up. Without any, the VM is its cluster's only
+    voter and others join it. A disk that is lost later must not be created so again
+    but by `join_disk`; `election.is_recreated` keeps it silent otherwise.
     """
     voters = tuple(voters) or (Voter(vm, new_disk_id(), address),)
     own = [voter for voter in voters if voter.vm == vm]
