--- a/libs/state/test/test_stops.py
+++ b/libs/state/test/test_stops.py
@@ -7,7 +7,7 @@
 
 from cherryrudder.model.endpoints import Stop
 from cherryrudder.state import stops
-from cherryrudder.state.commands import AnnounceStop, CancelStop
+from cherryrudder.state.commands import AnnounceStop, Answer, CancelStop
 from cherryrudder.state.machine import delta
 
 STOP = Stop("s1", "vm", "vm-1")
@@ -25,7 +25,8 @@
         was started again. It must not drain the VM a second time.
         """
         self.assertEqual(self.voter.apply(AnnounceStop("c2", STOP)), self.first)
-        self.assertEqual(self.voter.apply(CancelStop("c3", "s1")).code, "ok")
+        answer = self.voter.apply(CancelStop("c3", "s1"))
+        self.assertEqual(answer, Answer("ok", revision=self.voter.state.revision))
         self.assertEqual(self.voter.apply(AnnounceStop("c4", STOP)).code, "conflict")
         self.assertEqual(self.voter.apply(CancelStop("c5", "s9")).code, "unknown")
         self.assertEqual(self.voter.state.stops, {})
