Test honest times to come back and a stop amid a loss; ignore late news

News of an attempt that has been replaced, or of a request that has ended, is now ignored by dispatch: it would have given back a slot that another request holds, or raised.

--- a/libs/policy/src/cherryrudder/policy/dispatch.py
+++ b/libs/policy/src/cherryrudder/policy/dispatch.py
@@ -97,6 +97,10 @@
 
 def finished(dispatcher, request_id, used_tokens, duration_s, now_s: float) -> list:
     """End a request that was answered whole."""
+    # An answer may come after its request was cancelled or given up elsewhere. Counted
+    # again, it would give back a slot that another request holds by now.
+    if request_id not in dispatcher.placed:
+        return []
     work = dispatcher.works[request_id]
     answer_tokens = max(0.0, used_tokens - work.offer.prompt_tokens)
     for endpoint in dispatcher.placed.pop(request_id).stages:
@@ -114,6 +118,10 @@
     now_s: float,
 ) -> list:
     """End an attempt that an endpoint failed: send the request again, or answer it."""
+    placed = dispatcher.placed.get(request_id)
+    # Late news of an attempt that has been replaced must not end the one that runs.
+    if placed is None or endpoint not in placed.stages:
+        return []
     expected_s = _take_off(dispatcher, request_id, endpoint, now_s)
     work = dispatcher.works[request_id]
     tried = (*dispatcher.tried.get(request_id, ()), endpoint)
@@ -141,6 +149,8 @@
 
 def cancel(dispatcher: Dispatcher, request_id, used_tokens, now_s: float) -> list:
     """End a request whose caller has gone, with the tokens it has used so far."""
+    if request_id not in dispatcher.works:
+        return []
     if not adm.cancel(dispatcher.admission, request_id, now_s):
         _take_off(dispatcher, request_id, "", now_s)
         adm.settle(dispatcher.admission, request_id, used_tokens, now_s)
--- a/libs/policy/test/driver.py
+++ b/libs/policy/test/driver.py
@@ -235,21 +235,17 @@
             elif self.sim.engines[effect.endpoint].fault == "silent":
                 self.failed(request, effect.endpoint)
 
-    def is_at(self, request, name):
-        placed = self.dispatcher.placed.get(request.request_id)
-        return placed is not None and placed.stages == (name,)
-
     def ended(self, request, name, duration_s):
-        if not self.is_at(request, name):
+        placed = self.dispatcher.placed.get(request.request_id)
+        if placed is None or placed.stages != (name,):
             return False
         end = (request.request_id, request.tokens, duration_s, self.sim.now_s)
         self.apply(dispatch.finished(self.dispatcher, *end))
         return True
 
     def failed(self, request, name):
-        if self.is_at(request, name):
-            end = (request.request_id, name, False, self.sim.now_s)
-            self.apply(dispatch.failed(self.dispatcher, *end))
+        end = (request.request_id, name, False, self.sim.now_s)
+        self.apply(dispatch.failed(self.dispatcher, *end))
 
     def tick(self):
         self.announced()
--- a/libs/policy/test/test_dispatch.py
+++ b/libs/policy/test/test_dispatch.py
@@ -42,7 +42,12 @@
         lost = sent.stages[0].endpoint
         (again,) = dispatch.failed(self.dispatcher, "r1", lost, False, 0.1)
         self.assertNotEqual(again.stages[0].endpoint, lost)
+        self.assertEqual(dispatch.failed(self.dispatcher, "r1", lost, False, 0.2), [])
         self.assertEqual(sum(self.in_flight().values()), 2)
+        dispatch.finished(self.dispatcher, "r1", 80, 0.5, 0.5)
+        self.assertEqual(dispatch.finished(self.dispatcher, "r1", 80, 0.5, 0.6), [])
+        self.assertEqual(dispatch.cancel(self.dispatcher, "r1", 80, 0.7), [])
+        self.assertEqual(self.in_flight(), {})
 
     def test_what_may_have_run_is_never_sent_again_nor_called_not_run(self):
         """A filing's answer is lost after it was sent.
--- a/libs/policy/test/test_scenarios_faults.py
+++ b/libs/policy/test/test_scenarios_faults.py
@@ -155,13 +155,15 @@
 class PlannedStopTest(unittest.TestCase):
     """Scenario 10: a planned stop in the middle of the others."""
 
-    def run_stop(self, kind, rate, fault="", hot=False):
-        requests = arrivals("c0", rate * (0.9 if hot else 0.5), 0, 25)
-        requests += arrivals("c1", rate * (0.1 if hot else 0.5), 0, 25)
+    def run_stop(self, kind, rate, fault="", hot_part=0.5):
+        requests = arrivals("c0", rate * hot_part, 0, 25, entry=0)
+        requests += arrivals("c1", rate * (1 - hot_part), 0, 25, entry=1)
         engines = [Engine(f"g{number}", token_s=0.02) for number in range(6)]
         if fault == "slow":
             engines[5].slow = lambda tokens: 10.0
-        sim = Sim(engines, LARGE, requests, kind)
+        sim = Sim(engines, LARGE, requests, kind, entries=2)
+        if fault == "lost":
+            sim.at(9.5, lambda: [sim.lose("g4"), sim.lose("g5")])
         sim.at(10.0, lambda: setattr(engines[0], "is_leaving", True))
         # The process ends when nothing is in flight, or a minute after the stop.
         sim.at(10.5, lambda: self.end_when_idle(sim, engines[0]))
@@ -176,12 +178,12 @@
 
     def test_nothing_is_cut_and_no_work_comes_after_two_seconds(self):
         """An operator takes an endpoint out, under normal load, overload, a hot
-        caller, and beside a slow endpoint.
+        caller, beside a slow endpoint, and half a second after a third was lost.
 
         A round robin goes on sending to it, so it never gets idle or its callers see
         errors once it has gone. Ours sends nothing more and the process ends soon.
         """
-        for load in ((30, ""), (120, ""), (100, "", True), (30, "slow")):
+        for load in ((30,), (120,), (100, "", 0.9), (30, "slow"), (60, "lost")):
             with self.subTest(load=load):
                 sim = self.run_stop(NaiveEntry, *load)
                 late = [at_s for at_s in sim.engines["g0"].received if at_s > 12]
--- a/libs/policy/test/test_scenarios_load.py
+++ b/libs/policy/test/test_scenarios_load.py
@@ -34,6 +34,28 @@
         self.assertEqual(ours.statuses(), {200, 429})
 
 
+class RetryAfterTest(unittest.TestCase):
+    """Callers who come back when they are told to."""
+
+    def run_burst(self, kind):
+        requests = arrivals("petra", 200, 0, 2, timeout_s=90.0)
+        contracts = contracts_for(["petra"], concurrent_requests=100)
+        engines = [Engine(f"g{number}", slots=10) for number in range(6)]
+        return Sim(engines, contracts, requests, kind, tries=99).run(60)
+
+    def test_they_are_let_in_when_they_were_told(self):
+        """Two seconds' burst is half a minute's work under the contract.
+
+        Told to come back in a second, all callers come back together and one is let
+        in; some ask thirty times. Told their own turns, most need one more try.
+        """
+        naive, ours = self.run_burst(NaiveEntry), self.run_burst(OurEntry)
+        self.assertGreater(max(naive.tries.values()), 30)
+        self.assertLessEqual(max(ours.tries.values()), 4)
+        self.assertLess(sum(ours.tries.values()), 2.1 * len(ours.tries))
+        self.assertEqual(ours.statuses(), {200})
+
+
 class HotCallerTest(unittest.TestCase):
     """Scenario 2: one caller at 50 times its share beside nine that keep to theirs."""
 
