Leave to busy entries the credits that others don't want

Two entries, one with nine tenths of the load: each endpoint's slots were split evenly among all entries that wanted anything, so the busy one was held to half of each and callers got 845 of 2499 answers where a lone entry served 1204.

--- a/libs/policy/src/cherryrudder/policy/credits.py
+++ b/libs/policy/src/cherryrudder/policy/credits.py
@@ -11,6 +11,7 @@
 taken back, which is one round trip's worth.
 """
 
+import math
 from typing import NamedTuple
 
 # An entry that has not reported for so long holds only what it is running: two lost
@@ -67,15 +68,28 @@
 def _part(issuer, wanted, free, running):
     """Return the part of the free slots for an entry that wants so many."""
     others = issuer.holdings.values()
-    sharers = 1 + sum(other.wanted > 0 for other in others)
-    even = -(-issuer.slots // sharers)
     # An entry that wants nothing now may still keep one, so that its next request
     # starts without a round trip; but only if that leaves one for each other.
     if wanted <= 0:
         return min(1, max(0, free - len(issuer.holdings)))
-    # What others want too is split evenly; a lone one may take all.
-    most = wanted if sharers == 1 else max(0, min(wanted, even - running))
-    return min(free, most)
+    demands = [running + wanted]
+    demands += [other.running + other.wanted for other in others]
+    # Max-min: what others leave of an even split is for those that want more. Under a
+    # plain even split an entry with little load would hold half of each endpoint idle.
+    fair = math.ceil(fair_part(demands, issuer.slots))
+    return min(free, wanted, max(0, fair - running))
+
+
+def fair_part(demands: list[float], pool: float) -> float:
+    """Return the max-min fair part of a pool for the first of these demands."""
+    mine = demands[0]
+    left = pool
+    for served, demand in enumerate(sorted(demands)):
+        even = left / (len(demands) - served)
+        if mine <= demand or demand > even:
+            return min(mine, even)
+        left -= demand
+    return 0.0
 
 
 def _drop_lapsed(issuer, now_s):
--- a/libs/policy/test/test_credits.py
+++ b/libs/policy/test/test_credits.py
@@ -14,6 +14,13 @@
         self.assertEqual(credits.report(issuer, "a", 3, 20, 0.2).count, 4)
         self.assertEqual(credits.report(issuer, "b", 0, 20, 0.3).count, 4)
 
+    def test_an_entry_with_little_load_leaves_the_rest_to_others(self):
+        issuer = Issuer("g0", 8)
+        self.assertEqual(credits.report(issuer, "a", 0, 1, 0.0).count, 1)
+        self.assertEqual(credits.report(issuer, "b", 0, 20, 0.1).count, 7)
+        self.assertEqual(credits.fair_part([2, 1, 9], 8), 2)
+        self.assertEqual(credits.fair_part([9, 1, 9], 8), 3.5)
+
     def test_a_dead_entrys_credits_come_back(self):
         issuer = Issuer("g0", 8)
         credits.report(issuer, "a", 0, 20, 0.0)
