--- a/bench/policy_cost.py
+++ b/bench/policy_cost.py
@@ -110,7 +110,7 @@
     admission = adm.Admission(100_000)
     for number in range(customers):
         name = f"c{number}"
-        contract = Contract(name, "", ("m",), (), 1e6, 1e6, 10_000, 5.0)
+        contract = Contract(name, "", ("m", "briefing"), (), 1e6, 1e6, 10_000, 5.0)
         adm.set_contract(admission, contract, 1.0, 0.0)
     return admission
 
--- a/libs/policy/src/cherryrudder/policy/admission.py
+++ b/libs/policy/src/cherryrudder/policy/admission.py
@@ -100,6 +100,9 @@
     own = admission.limits.get(asked.customer)
     if own is None or own.contract.retired:
         return refusal.no_contract(asked.customer)
+    # Also keeps state from growing with every name that a caller makes up.
+    if asked.model not in own.contract.models + own.contract.services:
+        return refusal.not_covered(asked.model)
     if asked.deadline_s <= now_s:
         return refusal.too_late()
     max_tokens = min(asked.max_tokens, own.contract.max_tokens)
--- a/libs/policy/src/cherryrudder/policy/fleet.py
+++ b/libs/policy/src/cherryrudder/policy/fleet.py
@@ -26,6 +26,7 @@
 FAILURE_WEIGHT = 4.0
 # An endpoint that announces no speed is taken for one of average speed.
 UNKNOWN_TOKEN_S = 0.02
+SEQUENCE = Announcement._fields.index("sequence")
 
 
 class Member:
@@ -111,7 +112,9 @@
             continue
         seen.add(announcement.endpoint)
         known = fleet.members.get(announcement.endpoint)
-        if known is None or known.announcement is not announcement:
+        if known is None or not known.is_listed:
+            _list(fleet, announcement, known, now_s)
+        elif not _says_the_same(known.announcement, announcement):
             _list(fleet, announcement, known, now_s)
     for name in [name for name in fleet.members if name not in seen]:
         _unlist(fleet, fleet.members[name], now_s)
@@ -347,6 +350,14 @@
     )
 
 
+def _says_the_same(announcement, other):
+    # All but the sequence number, which changes with each renewal of the lease.
+    return announcement is other or (
+        announcement[:SEQUENCE] == other[:SEQUENCE]
+        and announcement[SEQUENCE + 1 :] == other[SEQUENCE + 1 :]
+    )
+
+
 def _sort(announcement):
     return group_key(announcement), announcement.accelerator
 
--- a/libs/policy/src/cherryrudder/policy/refusal.py
+++ b/libs/policy/src/cherryrudder/policy/refusal.py
@@ -166,6 +166,12 @@
     return Refusal(403, "no-contract", message, 0.0)
 
 
+def not_covered(model: str) -> Refusal:
+    """Return the refusal of a model or service that the contract doesn't name."""
+    message = f"The contract does not cover {model!r}; the request did not run."
+    return Refusal(403, "not-covered", message, 0.0)
+
+
 def too_late() -> Refusal:
     """Return the refusal of a request whose deadline has passed."""
     message = "The deadline has passed before the request could start; it did not run."
--- a/libs/policy/test/test_admission.py
+++ b/libs/policy/test/test_admission.py
@@ -54,6 +54,14 @@
         self.assertTrue(adm.forget_contract(admission, "petra"))
         self.assertEqual(adm.dump(admission)["customers"], {})
 
+    def test_only_what_the_contract_names_is_let_in(self):
+        admission = an_admission()
+        answer = adm.offer(admission, an_offer("a", model="made-up"), 0.0)
+        self.assertEqual((answer.status, admission.drains), (403, {}))
+        self.assertIsInstance(
+            adm.offer(admission, an_offer("b", model="slots"), 0.0), Admitted
+        )
+
     def test_put_back_keeps_its_turn_and_leaves_no_charge(self):
         admission = an_admission()
         self.assertIsInstance(adm.offer(admission, an_offer("a"), 0.0), Admitted)
