Forget gaps between answers by time, not by the number of signals

Silence is a fault past four times the longest gap that a kind has shown. It is now forgotten over twenty seconds.

--- a/libs/policy/src/cherryrudder/policy/ejection.py
+++ b/libs/policy/src/cherryrudder/policy/ejection.py
@@ -11,6 +11,7 @@
 is ejected: if most are slow, the cause is elsewhere, and ejecting them adds to it.
 """
 
+import math
 from typing import NamedTuple
 
 # Three times the median: normal spread under continuous batching stays below two.
@@ -40,8 +41,10 @@
 LONG_TOKENS = 256
 # Each sample counts a fifth, so ten samples forget an old speed.
 LEARNING_PART = 0.2
-# A longest gap is forgotten over some two hundred signals.
-GAP_KEEP_PART = 0.99
+# A longest gap is forgotten over some twenty seconds. By time and not by signals, which
+# come by the thousand when tokens stream: the gap of a long prompt's prefill would be
+# forgotten within milliseconds, and the next such prompt be taken for a fault.
+GAP_MEMORY_S = 20.0
 
 
 class Health:
@@ -65,6 +68,7 @@
     def __init__(self):
         self.median_s = [0.0, 0.0]
         self.gap_s = 0.0
+        self.signal_s = 0.0
 
 
 class Peer(NamedTuple):
@@ -93,8 +97,10 @@
 def note_signal(health: Health, kind: KindHealth, now_s: float) -> None:
     """Note that an endpoint with work in flight has answered something."""
     gap_s = min(now_s - health.signal_s, silence_s(kind))
-    kind.gap_s = max(gap_s, kind.gap_s * GAP_KEEP_PART)
-    health.signal_s = now_s
+    passed_s = max(0.0, now_s - kind.signal_s)
+    kept_s = kind.gap_s * math.exp(-passed_s / GAP_MEMORY_S)
+    kind.gap_s = max(gap_s, kept_s)
+    kind.signal_s = health.signal_s = now_s
 
 
 def note_answer(health, kind, tokens: float, duration_s: float, now_s: float) -> None:
--- a/libs/policy/test/test_ejection.py
+++ b/libs/policy/test/test_ejection.py
@@ -51,3 +51,19 @@
         self.peers[0] = self.peers[0]._replace(in_flight=1)
         self.assertEqual(ejection.review(self.kind, self.peers, 2.0), [])
         self.assertEqual(ejection.review(self.kind, self.peers, 6.0), ["g0"])
+
+    def test_a_prefill_amid_streaming_is_no_silence(self):
+        """Tokens stream by the hundred a second; one endpoint reads a long prompt.
+
+        Its caller waits three seconds for the first token, as others did before. Were
+        that forgotten with the next tokens, the endpoint would be ejected and the
+        prompt read again elsewhere.
+        """
+        for peer in self.peers:
+            ejection.note_signal(peer.health, self.kind, 3.0)
+        for step in range(500):
+            for peer in self.peers[1:]:
+                ejection.note_signal(peer.health, self.kind, 3.0 + step / 100)
+        self.peers = [peer._replace(in_flight=1) for peer in self.peers]
+        self.peers[0].health.signal_s = 5.0
+        self.assertEqual(ejection.review(self.kind, self.peers, 8.0), [])
