--- a/libs/policy/src/cherryrudder/policy/dispatch.py
+++ b/libs/policy/src/cherryrudder/policy/dispatch.py
@@ -103,6 +103,10 @@
     `own_s(endpoint, tokens)` gives an endpoint's own part of the time, where it is
     known; the whole time would blame every stage of a chain for its slowest one.
     """
+    # An answer may come after its request was cancelled or given up elsewhere. Counted
+    # again, it would give back a slot that another request holds by now.
+    if request_id not in dispatcher.placed:
+        return []
     work = dispatcher.works[request_id]
     answer_tokens = max(0.0, used_tokens - work.offer.prompt_tokens)
     for endpoint in dispatcher.placed.pop(request_id).stages:
@@ -122,6 +126,10 @@
     now_s: float,
 ) -> list:
     """End an attempt that an endpoint failed: send the request again, or answer it."""
+    placed = dispatcher.placed.get(request_id)
+    # Late news of an attempt that has been replaced must not end the one that runs.
+    if placed is None or endpoint not in placed.stages:
+        return []
     expected_s = _take_off(dispatcher, request_id, endpoint, now_s)
     work = dispatcher.works[request_id]
     tried = (*dispatcher.tried.get(request_id, ()), endpoint)
@@ -149,6 +157,8 @@
 
 def cancel(dispatcher: Dispatcher, request_id, used_tokens, now_s: float) -> list:
     """End a request whose caller has gone, with the tokens it has used so far."""
+    if request_id not in dispatcher.works:
+        return []
     if not adm.cancel(dispatcher.admission, request_id, now_s):
         _take_off(dispatcher, request_id, "", now_s)
         adm.settle(dispatcher.admission, request_id, used_tokens, now_s)
