Promote a learner only after it has answered

With the lost one still in the set, two of four voters answered, no majority was left, and no change was accepted ever again; control status showed two pre-candidates at term 2.

Cause: a new peer counts as active for election_min_s, since its last answer is set to the time at which it is added, and a learner counts as caught up within 64 entries of the log's end, which on a short log is everything. The promotion that follows at once passed both checks. The existing test waits a second before it promotes, so that the first check refuses; it stays as it is. Ruled out: the tool, which sends what it is given, and the fencing of messages by disk id, which held.

A learner must now have acknowledged something of the log. The new test promotes within election_min_s: failed before ("None is not true"), passes after. quorum: 33 ok, 0 not.

--- a/libs/quorum/src/cherryrudder/quorum/proposals.py
+++ b/libs/quorum/src/cherryrudder/quorum/proposals.py
@@ -74,4 +74,6 @@
 
 
 def _is_caught_up(node, peer):
-    return peer.match + MAX_BATCH_ENTRIES >= node.log.last_index
+    # On a short log one that has answered nothing would pass by the distance alone. A
+    # disk that nobody has (a mistyped id) would then vote and never answer.
+    return 0 < peer.match >= node.log.last_index - MAX_BATCH_ENTRIES
--- a/libs/quorum/test/test_core.py
+++ b/libs/quorum/test/test_core.py
@@ -273,6 +273,26 @@
         self.assertTrue(cluster.rejected[cluster.change("promote", absent)])
         cluster.settle()
 
+    def test_absent_learner_is_not_promoted_while_its_silence_is_short(self):
+        """A learner with a mistyped disk id is not promoted right after it was added.
+
+        An operator replaces a lost disk and names the wrong new one. Nobody has that
+        disk, so as a voter it never answers: with two of four voters gone no change
+        would be accepted ever again.
+        """
+        cluster = Cluster(3)
+        cluster.settle()
+        cluster.crash(next(vm for vm in "abc" if vm != cluster.leader()))
+        cluster.settle()
+        absent = ev.Voter("x", "disk-x", "x:1")
+        added = cluster.change("add-learner", absent)
+        cluster.run(0.1)
+        self.assertIn(added, cluster.accepted)
+        promoted = cluster.change("promote", absent)
+        cluster.run(0.1)
+        self.assertTrue(cluster.rejected.get(promoted))
+        cluster.settle()
+
     def test_leader_that_is_removed_steps_down(self):
         cluster = Cluster(3)
         leader = cluster.settle()
