Send the metrics that operators need

The daemon sent one count, refused completions by code. gauges.py adds counts where answers leave (outcomes, refusals and failures by code, faults of our own), and one task per process that sends gauges every ten seconds, as often as statsd servers flush. A completion also sends the time to its first token, and its tokens once at its end: one datagram per chunk would have cost a system call per token.

The count in completions.py moved to the wrapper of both surfaces, so that service calls and bad input are counted too and nothing twice.

--- a/libs/daemon/src/cherryrudder/daemon/completions.py
+++ b/libs/daemon/src/cherryrudder/daemon/completions.py
@@ -50,11 +50,13 @@
 
     def __init__(self, entry):
         self.entry = entry
+        self.metrics = entry.process.metrics
         self.in_flight = 0
 
     async def handle(self, request: Request):
         """Answer one request, whole or as a stream of events."""
-        caller = identify(request, self.entry.contracts, now_s())
+        arrived_s = now_s()
+        caller = identify(request, self.entry.contracts, arrived_s)
         body = await request.json(Completion)
         check(body, caller)
         if self.entry.is_closed:
@@ -64,12 +66,11 @@
             flow = await self._start(request, body, caller)
         except TurnedAway as error:
             self.in_flight -= 1
-            self.entry.process.metrics.incr(f"refused.{error.refusal.code}")
             return refuse(error.refusal)
         except BaseException:
             self.in_flight -= 1
             raise
-        chunks = self._tokens(flow, caller)
+        chunks = self._tokens(flow, caller, arrived_s)
         if body.stream:
             events = self._events(flow, body, chunks)
             return StreamReply(events, headers=_stream_headers())
@@ -103,6 +104,7 @@
         )
 
         def ended(core):
+            self.metrics.incr("tokens", len(core.tokens))
             used_tokens = len(prompt) + len(core.tokens)
             if len(core.tokens) == start.max_tokens:
                 took_s = now_s() - began_s
@@ -115,10 +117,11 @@
 
         return self.entry.plane.begin(start, find_stage, ended)
 
-    async def _tokens(self, flow, caller) -> AsyncIterator[list[str]]:
+    async def _tokens(self, flow, caller, arrived_s) -> AsyncIterator[list[str]]:
         """Yield tokens until the end, the deadline, or the caller's going away."""
         plane = self.entry.plane
         tokens = plane.tokens(flow)
+        is_first = True
         try:
             while True:
                 with anyio.move_on_after(caller.deadline_s - now_s()) as scope:
@@ -128,6 +131,9 @@
                         return
                 if scope.cancelled_caught:
                     raise Late
+                if is_first:
+                    self.metrics.timing("first_token", (now_s() - arrived_s) * 1000)
+                    is_first = False
                 yield chunk
         finally:
             # Frees the engines when the caller has gone; at the end it does nothing.
@@ -171,16 +177,22 @@
                 yield _event(request_id, body.model, text, None)
             # A stream tells its outcome at its end: its head is sent before anyone
             # can know.
+            self.metrics.incr(f"outcome.{Outcome.DONE}")
             yield _event(request_id, body.model, "", "length", Outcome.DONE)
             yield DONE_EVENT
         except Late:
-            yield _error_event("deadline", "the deadline has passed")
+            yield self._broken("deadline", "the deadline has passed")
         except PipelineBroken as error:
             # A stream cut short must never look like one that ended.
-            yield _error_event("pipeline-broken", str(error))
+            yield self._broken("pipeline-broken", str(error))
         finally:
             await chunks.aclose()
 
+    def _broken(self, code, message):
+        self.metrics.incr(f"outcome.{Outcome.UNKNOWN}")
+        self.metrics.incr(f"failed.{code}")
+        return _error_event(code, message)
+
 
 def check(body: Completion, caller: Caller) -> None:
     """Check a request against its contract; raises RequestError."""
--- a/libs/daemon/src/cherryrudder/daemon/controlrole.py
+++ b/libs/daemon/src/cherryrudder/daemon/controlrole.py
@@ -6,7 +6,7 @@
 from cherryrudder.membership import table as soft
 from cherryrudder.quorum.events import HandOver
 
-from . import controlapi, operatorapi
+from . import controlapi, gauges, operatorapi
 from .clock import new_id, now_s
 from .process import Process, dump_routes, probe_routes
 from .voter import Voter
@@ -33,6 +33,7 @@
     control = Control(process)
     control.voter.start()
     control.watches.start()
+    gauges.start(process, gauges.control_gauges(process.metrics, control))
     process.group.start_soon(_expire, control)
     routes = (
         controlapi.internal_routes(control)
--- a/libs/daemon/src/cherryrudder/daemon/entryrole.py
+++ b/libs/daemon/src/cherryrudder/daemon/entryrole.py
@@ -1,5 +1,7 @@
 """The entry role: callers' connections, admission, placement and streams."""
 
+from functools import partial
+
 import anyio
 from loguru import logger
 
@@ -8,6 +10,7 @@
 from cherryrudder.model.outcomes import Refusal
 from cherryrudder.policy import dispatch
 
+from . import gauges
 from .announcer import Announcer
 from .clock import now_s
 from .completions import Completions
@@ -117,9 +120,10 @@
     """Serve callers until a graceful shutdown."""
     entry = Entry(process)
     listen = process.settings.listen
+    count = partial(gauges.counted, process.metrics)
     routes = {
-        ("POST", "/v1/completions"): entry.completions.handle,
-        ("*", "/services/"): entry.services.handle,
+        ("POST", "/v1/completions"): count(entry.completions.handle),
+        ("*", "/services/"): count(entry.services.handle),
     }
     max_body_bytes = process.settings.entry.max_body_bytes
     process.listen(
@@ -130,6 +134,7 @@
     internal = entry.sharing.routes()
     internal |= dump_routes(process, lambda: dump(entry)) | probe_routes(entry.is_ready)
     process.listen(listen.internal, internal, process.internal_key)
+    gauges.start(process, lambda: gauges.entry_gauges(entry))
     entry.plane.start()
     entry.door.start()
     entry.credits.start()
--- a/libs/daemon/src/cherryrudder/daemon/sidecarrole.py
+++ b/libs/daemon/src/cherryrudder/daemon/sidecarrole.py
@@ -5,7 +5,7 @@
 
 from cherryrudder.model.endpoints import Announcement, Kind, stops_endpoint
 
-from . import enginehost, servicehost
+from . import enginehost, gauges, servicehost
 from .announcer import Announcer
 from .clock import now_s
 from .follower import Follower
@@ -76,6 +76,7 @@
         | probe_routes(sidecar.follower.is_ready)
     )
     process.listen(process.settings.listen.internal, routes, process.internal_key)
+    gauges.start(process, lambda: gauges.sidecar_gauges(sidecar))
     sidecar.host.start()
     sidecar.follower.start()
     # Not announced before the planned stops are known: an endpoint that is to be
