--- a/libs/daemon/src/cherryrudder/daemon/fleet.py
+++ b/libs/daemon/src/cherryrudder/daemon/fleet.py
@@ -62,5 +62,5 @@
 def queue_name(announcement: Announcement) -> str:
     """Return the name under which requests for an endpoint wait."""
     if announcement.kind == Kind.SERVICE:
-        return f"service/{announcement.service}"
+        return announcement.service
     return announcement.model
--- a/libs/daemon/src/cherryrudder/daemon/services.py
+++ b/libs/daemon/src/cherryrudder/daemon/services.py
@@ -223,7 +223,7 @@
     offer = Offer(
         request_id=new_id(),
         customer=customer,
-        model=f"service/{service}",
+        model=service,
         prompt_tokens=0,
         max_tokens=1,
         priority=0,
