Say why the leader refuses a proposal or a change of voters

A refusal by the leader and one by a follower that knows no leader looked alike to the shell: both are certain, and whether an address is given doesn't tell them apart. An operator's change of voters that the leader refused ended as "not confirmed in time". `Rejected.reason` is now set when the leader itself refuses, with the reasons that the core already had and dropped.

Ruled out: leaving the leader's address empty on its own refusal, since that is also what a follower without a leader gives. The field has a default, so callers that don't read it go on as before.

--- a/libs/quorum/src/cherryrudder/quorum/events.py
+++ b/libs/quorum/src/cherryrudder/quorum/events.py
@@ -115,11 +115,13 @@
     """The proposal or read was not taken here; `leader_address` may be empty.
 
     `certain` says that it was never appended, so that it cannot take effect later.
+    `reason` is set only when the leader itself refuses; trying again elsewhere is vain.
     """
 
     proposal_id: str
     leader_address: str
     certain: bool
+    reason: str = ""
 
 
 class ReadReady(NamedTuple):
--- a/libs/quorum/src/cherryrudder/quorum/proposals.py
+++ b/libs/quorum/src/cherryrudder/quorum/proposals.py
@@ -1,5 +1,7 @@
 """Commands and changes of the voter set, as the leader takes them in."""
 
+from expression import Error
+
 from . import voters
 from .election import is_active
 from .events import ChangeVoters, Entry, Propose, Rejected
@@ -14,21 +16,23 @@
 
 def on_propose(node: Node, event: Propose) -> None:
     """Append a command, or reject it before it is anywhere."""
-    waiting = node.log.last_index - node.commit
-    if node.role != LEADER or waiting >= MAX_UNCOMMITTED_ENTRIES:
+    if node.role != LEADER:
         _reject(node, event.proposal_id)
         return
+    if node.log.last_index - node.commit >= MAX_UNCOMMITTED_ENTRIES:
+        _reject(node, event.proposal_id, "too many changes wait to be committed")
+        return
     _append(node, event.proposal_id, "command", event.payload)
 
 
 def on_change_voters(node: Node, event: ChangeVoters, now_s: float) -> None:
     """Append a changed voter set if it is safe and would leave a working majority."""
-    if node.role != LEADER or not _may_change(node):
+    if node.role != LEADER:
         _reject(node, event.proposal_id)
         return
-    result = voters.change(node.voter_set, event.action, event.voter)
-    if result.is_error() or not _can_commit(node, event, result.ok, now_s):
-        _reject(node, event.proposal_id)
+    result = _changed_set(node, event, now_s)
+    if result.is_error():
+        _reject(node, event.proposal_id, result.error)
         return
     _append(node, event.proposal_id, "voters", voters.encode(result.ok))
     sync_peers(node, now_s)
@@ -40,8 +44,25 @@
     node.proposals[entry.index] = proposal_id
 
 
-def _reject(node, proposal_id):
-    emit(node, Rejected(proposal_id, leader_address(node), True))
+def _reject(node, proposal_id, reason=""):
+    emit(node, Rejected(proposal_id, leader_address(node), True, reason))
+
+
+def _changed_set(node, event, now_s):
+    """Return the changed voter set, or why the change must wait or not be made."""
+    if not _may_change(node):
+        return Error("another change of the voters is not committed yet")
+    result = voters.change(node.voter_set, event.action, event.voter)
+    if result.is_error() or event.action == voters.ADD_LEARNER:
+        return result
+    # Without these a repair could itself end the service: a removal that leaves
+    # mostly dead voters, or a promoted learner that is far behind, stops every
+    # change until they are back.
+    if not _has_live_majority(node, result.ok, now_s):
+        return Error("too few of the voters that would be left answer at present")
+    if event.action == voters.PROMOTE and not _is_caught_up(node, event.voter):
+        return Error("the learner does not have the whole log yet")
+    return result
 
 
 def _may_change(node):
@@ -55,23 +76,13 @@
     return settled and node.log.term_at(node.commit) == node.term
 
 
-def _can_commit(node, event, voter_set, now_s):
-    """Tell whether enough members of the changed set are at work and up to date.
-
-    Without this a repair could itself end the service: a promoted learner that is
-    far behind, or a removal that leaves mostly dead voters, stops every change.
-    """
-    if event.action == voters.ADD_LEARNER:
-        return True
+def _has_live_majority(node, voter_set, now_s):
     since_s = now_s - node.timing.election_min_s
     active = sum(is_active(node, voter, since_s) for voter in voter_set.voters)
-    if active < voters.quorum_size(voter_set):
-        return False
-    if event.action == voters.PROMOTE:
-        peer = node.peers.get(event.voter.disk_id)
-        return peer is not None and _is_caught_up(node, peer)
-    return True
+    return active >= voters.quorum_size(voter_set)
 
 
-def _is_caught_up(node, peer):
-    return peer.match + MAX_BATCH_ENTRIES >= node.log.last_index
+def _is_caught_up(node, voter):
+    peer = node.peers.get(voter.disk_id)
+    lacking = node.log.last_index - (peer.match if peer else 0)
+    return lacking <= MAX_BATCH_ENTRIES
--- a/libs/quorum/test/builders.py
+++ b/libs/quorum/test/builders.py
@@ -95,6 +95,7 @@
         self.leaders = {}
         self.accepted = {}
         self.rejected = {}
+        self.reasons = {}
         self.reads = {}
         self.ready = {}
         self.installed = []
@@ -308,6 +309,7 @@
                 self.accepted[effect.proposal_id] = effect.index
             case ev.Rejected():
                 self.rejected[effect.proposal_id] = effect.certain
+                self.reasons[effect.proposal_id] = effect.reason
             case ev.ReadReady():
                 self._read(member, effect)
         return []
--- a/libs/quorum/test/test_core.py
+++ b/libs/quorum/test/test_core.py
@@ -301,6 +301,7 @@
         cluster.run(1)
         self.assertIn(first, cluster.accepted)
         self.assertTrue(cluster.rejected[second])
+        self.assertIn("another change", cluster.reasons[second])
 
     def test_change_that_would_leave_no_working_majority_is_refused(self):
         """A repair in the wrong order doesn't end the service.
@@ -313,7 +314,9 @@
         absent = ev.Voter("x", "disk-x", "x:1")
         cluster.change("add-learner", absent)
         cluster.fill(70)
-        self.assertTrue(cluster.rejected[cluster.change("promote", absent)])
+        refused = cluster.change("promote", absent)
+        self.assertTrue(cluster.rejected[refused])
+        self.assertIn("the whole log", cluster.reasons[refused])
         cluster.crash(next(vm for vm in "abc" if vm != cluster.leader()))
         cluster.settle()
         alive = next(
