Take another epoch only from an answer asked from the present one

A control VM that restarts twice could stop a reader's view for good. The reader remembered the epochs it had left, but an answer of a run in between, which it never took in, was new to it. Taking that late answer put the run that goes on among the epochs left, and all its answers were then ignored. The new test saw this: merge said old where taken was due.

A delta now says from which epoch it was asked (TableDelta.asked, last field, with a default), and another epoch counts only if that is the view's present one. Ruled out: forgetting left epochs after some seconds, which only shortens the time that the view stands still.

--- a/libs/membership/src/cherryrudder/membership/reader.py
+++ b/libs/membership/src/cherryrudder/membership/reader.py
@@ -23,8 +23,6 @@
 # Credits and steps come over a live link many times a second; two seconds is the
 # lease that the announcements themselves have.
 LINK_S = 2.0
-# Epochs of earlier runs of a control VM, so that their late deltas are known as such.
-MAX_PAST_EPOCHS = 8
 
 
 class Merged(StrEnum):
@@ -52,7 +50,6 @@
         self.endpoints: dict[str, Announcement] = {}
         self.carried: dict[str, Announcement] = {}
         self.carried_s = 0.0
-        self.past: tuple[str, ...] = ()
 
 
 class Reader:
@@ -141,8 +138,10 @@
 
 
 def _judge(view, delta):
-    # A late answer of a control VM's earlier run would bring its old table back.
-    if delta.epoch in view.past:
+    # Epochs have no order. A late answer of a control VM's earlier run would bring its
+    # old table back; it is known by the epoch that it was asked from, which has been
+    # left since. The run that goes on always answers from the present epoch.
+    if delta.epoch != view.epoch and delta.asked != view.epoch:
         return Merged.OLD
     if delta.epoch != view.epoch:
         return Merged.TAKEN if delta.full else Merged.GAP
@@ -157,7 +156,6 @@
     # A control VM that restarted begins with an empty table. Its endpoints announce
     # again within a second; until then they would all be missing here.
     if view.epoch:
-        view.past = (*view.past, view.epoch)[-MAX_PAST_EPOCHS:]
         view.carried = view.carried | view.endpoints
         view.carried_s = now_s
     view.epoch = epoch
--- a/libs/membership/src/cherryrudder/membership/table.py
+++ b/libs/membership/src/cherryrudder/membership/table.py
@@ -35,7 +35,10 @@
 
 
 class TableDelta(NamedTuple):
-    """What changed after version `since` of an epoch; `full` replaces everything."""
+    """What changed after version `since` of an epoch; `full` replaces everything.
+
+    `asked` is the epoch that the reader asked from.
+    """
 
     epoch: str
     version: int
@@ -43,6 +46,7 @@
     announced: tuple[Announcement, ...] = ()
     gone: tuple[str, ...] = ()
     since: int = 0
+    asked: str = ""
 
 
 class Row(NamedTuple):
@@ -116,10 +120,13 @@
     """Return what changed after a version, or everything where that is unknown."""
     known = epoch == table.epoch and table.gone_floor <= version <= table.version
     if not known:
-        return TableDelta(table.epoch, table.version, True, live(table))
+        everything = live(table)
+        return TableDelta(table.epoch, table.version, True, everything, asked=epoch)
     announced = tuple(row.announcement for row in _newer(table.rows, version))
     gone = tuple(lost.announcement.endpoint for lost in _newer(table.gone, version))
-    return TableDelta(table.epoch, table.version, False, announced, gone, version)
+    return TableDelta(
+        table.epoch, table.version, False, announced, gone, version, epoch
+    )
 
 
 def live(table: Table) -> tuple[Announcement, ...]:
--- a/libs/membership/test/builders.py
+++ b/libs/membership/test/builders.py
@@ -42,7 +42,8 @@
 def naive_merge(reader, source, delta, now_s):
     """Lay every delta over what is known, whichever is newer."""
     view = reader.views[source]
-    view.past, view.epoch, view.version = (), delta.epoch, delta.since
+    view.epoch = delta.asked if delta.full else delta.epoch
+    view.version = delta.since
     return readers.merge(reader, source, delta, now_s)
 
 
--- a/libs/membership/test/test_reader.py
+++ b/libs/membership/test/test_reader.py
@@ -6,7 +6,7 @@
 
 from cherryrudder.membership import reader as readers
 from cherryrudder.membership.reader import KEEP_S, LINK_S, STALE_S, Merged, Reader
-from cherryrudder.membership.table import TableDelta
+from cherryrudder.membership.table import Table, TableDelta, announce, delta_since
 
 
 class ReaderTest(unittest.TestCase):
@@ -17,7 +17,8 @@
 
     def hear(self, source, *names, now_s, epoch="1", version=1, **changes):
         announced = tuple(an_announcement(name, **changes) for name in names)
-        delta = TableDelta(epoch, version, True, announced)
+        asked, _ = readers.position(self.reader, source)
+        delta = TableDelta(epoch, version, True, announced, asked=asked)
         return readers.merge(self.reader, source, delta, now_s)
 
     def names(self, now_s):
@@ -60,10 +61,26 @@
         for now_s in (3.0, 5.0, 7.0):
             self.hear("south", "desk-2", now_s=now_s, epoch="2", version=2)
         self.assertEqual(self.names(7.0), ["desk-2"])
-        late = self.hear("north", "desk-1", now_s=7.0, epoch="1", version=9)
-        self.assertEqual(late, Merged.OLD)
+        late = TableDelta("1", 9, True, (an_announcement("desk-1"),), asked="1")
+        self.assertEqual(readers.merge(self.reader, "north", late, 7.0), Merged.OLD)
         self.assertEqual(self.names(100.0), ["desk-2"])
 
+    def test_a_late_answer_of_a_run_in_between_changes_nothing(self):
+        """A control VM restarts twice; an answer of the run in between comes last.
+
+        Taking it would bring that run's table back, and the answers of the run that
+        goes on would then seem to be old ones: the view would stand still for ever.
+        """
+        between, last = Table("2"), Table("3")
+        announce(last, an_announcement("desk-3"), 2.0, 0.0)
+        asked = readers.position(self.reader, "north")
+        late = delta_since(between, *asked)
+        for delta in (delta_since(last, *asked), late):
+            readers.merge(self.reader, "north", delta, 0.1)
+        again = delta_since(last, *readers.position(self.reader, "north"))
+        self.assertEqual(readers.merge(self.reader, "north", again, 0.2), Merged.TAKEN)
+        self.assertEqual([*self.reader.views["north"].endpoints], ["desk-3"])
+
     def test_a_live_link_holds_an_endpoint_that_control_lost(self):
         """A cut parts the endpoints from the control VMs but not from the entries.
 
@@ -89,8 +106,8 @@
         self.assertFalse(readers.endpoints(self.reader, 0.0)[0].leaving)
 
     def test_a_gap_is_asked_for_again(self):
-        for delta in (TableDelta("1", 9, False, since=5), TableDelta("2", 9, False)):
-            self.assertEqual(
-                readers.merge(self.reader, "north", delta, 1.0), Merged.GAP
-            )
+        gaps = TableDelta("1", 9, False, since=5), TableDelta("2", 9, False, asked="1")
+        for delta in gaps:
+            verdict = readers.merge(self.reader, "north", delta, 1.0)
+            self.assertEqual(verdict, Merged.GAP)
         self.assertEqual(readers.position(self.reader, "north"), ("1", 1))
--- a/libs/membership/test/test_table.py
+++ b/libs/membership/test/test_table.py
@@ -48,7 +48,7 @@
     @stateful.rule(which=either)
     def restart_control(self, which):
         self.epochs += 1
-        self.tables[which] = Table(f"epoch-{self.epochs}")
+        self.tables[which] = Table(str(self.epochs))
         self.newest[which] = {}
 
     @stateful.precondition(lambda self: len(self.packets) % 4 == 3)
@@ -79,11 +79,13 @@
     def pass_time(self):
         self.now_s += 0.7
 
-    @stateful.rule(which=either)
-    def read(self, which):
+    @stateful.rule(which=either, is_late=st.booleans())
+    def read(self, which, is_late=False):
         table = self.tables[which]
         delta = tables.delta_since(table, *readers.position(self.reader, which))
         self.deltas.append((which, delta))
+        if is_late:
+            return
         view = self.reader.views.setdefault(which, readers.View())
         self.merge(self.reader, which, delta, self.now_s)
         assert contents(view.endpoints.values()) == contents(live(table))
@@ -98,7 +100,8 @@
         source, delta = self.deltas[-1 - which % len(self.deltas)]
         view = self.reader.views[source]
         known = dict(view.endpoints)
-        is_old = delta.epoch != view.epoch or delta.version < view.version
+        before = (int(view.epoch), view.version)
+        is_old = (int(delta.epoch), delta.version) < before
         self.merge(self.reader, source, delta, self.now_s)
         assert not is_old or view.endpoints == known
 
