--- a/libs/membership/src/cherryrudder/membership/incarnation.py
+++ b/libs/membership/src/cherryrudder/membership/incarnation.py
@@ -5,7 +5,8 @@
 from cherryrudder.model.endpoints import Announcement
 
 # Milliseconds since 1970 have 13 digits until the year 2286; padded, they sort as text.
-START_DIGITS = 13
+# Every incarnation must be padded alike, those that the daemon makes itself too.
+START_DIGITS = 14
 
 
 def make_incarnation(start_ms: int, rng: random.Random, after: str = "") -> str:
--- a/libs/membership/test/builders.py
+++ b/libs/membership/test/builders.py
@@ -28,7 +28,7 @@
 
 
 def an_announcement(endpoint="desk-1", start=1, sequence=1, **changes):
-    life = (Kind.SERVICE, f"{start:013d}-aa", sequence)
+    life = (Kind.SERVICE, f"{start:014d}-aa", sequence)
     return Announcement(endpoint, *life, PLACE, "10.0.0.1:7001")._replace(**changes)
 
 
