--- a/libs/membership/test/builders.py
+++ b/libs/membership/test/builders.py
@@ -28,7 +28,7 @@
 
 
 def an_announcement(endpoint="desk-1", start=1, sequence=1, **changes):
-    life = (Kind.SERVICE, f"{start:013d}-aa", sequence)
+    life = (Kind.SERVICE, f"{start:014d}-aa", sequence)
     return Announcement(endpoint, *life, PLACE, "10.0.0.1:7001")._replace(**changes)
 
 
@@ -42,7 +42,8 @@
 def naive_merge(reader, source, delta, now_s):
     """Lay every delta over what is known, whichever is newer."""
     view = reader.views[source]
-    view.past, view.epoch, view.version = (), delta.epoch, delta.since
+    view.epoch = delta.asked if delta.full else delta.epoch
+    view.version = delta.since
     return readers.merge(reader, source, delta, now_s)
 
 
