--- a/libs/policy/src/cherryrudder/policy/fleet.py
+++ b/libs/policy/src/cherryrudder/policy/fleet.py
@@ -269,17 +269,13 @@
 
 
 def _list(fleet, announcement, known, now_s):
-    if known is not None:
-        if known.announcement.incarnation != announcement.incarnation:
-            # Another process: what the one before it had in flight is lost.
-            _unlist(fleet, known, now_s)
-            fleet.members.pop(announcement.endpoint, None)
-            _forget_caches(fleet, announcement.endpoint)
-            known = None
-        elif _sort(known.announcement) != _sort(announcement):
-            _unlist(fleet, known, now_s)
-            fleet.members.pop(announcement.endpoint, None)
-            known = None
+    if known is not None and not _is_continued(known.announcement, announcement):
+        # Another process or another job: what was in flight before is lost, and what
+        # was learned doesn't hold.
+        _unlist(fleet, known, now_s)
+        fleet.members.pop(announcement.endpoint, None)
+        _forget_caches(fleet, announcement.endpoint)
+        known = None
     if known is None:
         group = _group(fleet, announcement)
         known = Member(announcement, group, _kind(fleet, announcement), now_s)
@@ -288,15 +284,25 @@
         known.credits = announcement.slots
     known.announcement = announcement
     known.is_listed = True
-    if announcement.endpoint not in known.group.members:
-        known.group.members[announcement.endpoint] = known
-        known.group.in_flight += known.in_flight
-        known.group.ranked.clear()
-        known.kind.members[announcement.endpoint] = known
+    _join_group(known)
     _set_leaving(fleet, known)
     refresh(known, now_s)
 
 
+def _is_continued(announcement, other):
+    is_same_process = announcement.incarnation == other.incarnation
+    return is_same_process and _sort(announcement) == _sort(other)
+
+
+def _join_group(member):
+    name = member.announcement.endpoint
+    if name not in member.group.members:
+        member.group.members[name] = member
+        member.group.in_flight += member.in_flight
+        member.group.ranked.clear()
+        member.kind.members[name] = member
+
+
 def _unlist(fleet, member, now_s):
     member.is_listed = False
     refresh(member, now_s)
--- a/libs/policy/src/cherryrudder/policy/shares.py
+++ b/libs/policy/src/cherryrudder/policy/shares.py
@@ -74,6 +74,15 @@
         self.reverts_s = now_s
 
 
+class Others(NamedTuple):
+    """What the other entries hold; the part that is reserved isn't to be shared."""
+
+    held: list[float]
+    reserved: list[float]
+    lenders: list[Part]
+    loans_end_s: float
+
+
 class Allocator:
     """All leases that one process has given; `name` differs after each start."""
 
@@ -188,12 +197,26 @@
 def _decide(allocator, customer, parts, entry, now_s):
     """Return the share and the end of an entry's next lease."""
     bound = allocator.bounds.get(customer, NOTHING)
-    floors = allocator.floors.get(customer, {})
     part = parts[entry]
-    lease_ends_s = until_s = now_s + allocator.lease_s
-    held = [0.0, 0.0, 0]
-    reserved = [0.0, 0.0, 0]
-    askers = [part]
+    lease_ends_s = now_s + allocator.lease_s
+    others = _others(allocator, customer, parts, entry, now_s)
+    available = [max(0, bound[field] - others.held[field]) for field in FIELDS]
+    # A new allocator doesn't know the leases of the one before it. Until those have
+    # lapsed only floors are safe: two allocators would lend the same part twice.
+    if now_s < allocator.started_s + allocator.lease_s:
+        return Share(*map(min, part.floor, available)), lease_ends_s
+    fair = _fair(bound, others.reserved, [part, *others.lenders])
+    share = Share(*map(min, fair, available))
+    if _exceeds(share, part.floor):
+        return share, min(lease_ends_s, others.loans_end_s)
+    return share, lease_ends_s
+
+
+def _others(allocator, customer, parts, entry, now_s):
+    """Return what the other entries hold, and until when they lend of it."""
+    floors = allocator.floors.get(customer, {})
+    held, reserved = [0.0, 0.0, 0], [0.0, 0.0, 0]
+    lenders, loans_end_s = [], math.inf
     for name in floors.keys() | parts.keys():
         if name == entry:
             continue
@@ -202,26 +225,21 @@
         if other.floor is not floor:
             floor = Share(*map(max, floor, other.floor))
         using = other.held if other.expires_s > now_s else NOTHING
-        lends = _lends(allocator, other, now_s)
-        if lends:
-            askers.append(other)
+        if _lends(allocator, other, now_s):
+            lenders.append(other)
+            _add(held, using)
             if _exceeds(floor, using):
-                until_s = min(until_s, other.reverts_s)
-        for field in FIELDS:
-            if lends:
-                held[field] += using[field]
-                continue
-            most = max(using[field], floor[field])
-            held[field] += most
-            reserved[field] += most
-    available = [max(0, bound[field] - held[field]) for field in FIELDS]
-    # A new allocator doesn't know the leases of the one before it. Until those have
-    # lapsed only floors are safe: two allocators would lend the same part twice.
-    if now_s < allocator.started_s + allocator.lease_s:
-        return Share(*map(min, part.floor, available)), lease_ends_s
-    fair = _fair(bound, reserved, askers)
-    share = Share(*map(min, fair, available))
-    return share, until_s if _exceeds(share, part.floor) else lease_ends_s
+                loans_end_s = min(loans_end_s, other.reverts_s)
+            continue
+        most = Share(*map(max, using, floor))
+        _add(held, most)
+        _add(reserved, most)
+    return Others(held, reserved, lenders, loans_end_s)
+
+
+def _add(total, share):
+    for field in FIELDS:
+        total[field] += share[field]
 
 
 def _fair(bound, reserved, askers):
