Call a repeated call uncertain, and find the contract in force by its key

Two faults met while the callers' guide was checked. A call that may be repeated and found no answer at any endpoint ended with 502 no-answer and the outcome not-run, although a service may have run it: on loopback a GET to three services that were killed while they worked was told not-run after 0.8 s. The front door is now told that only a claimed call has certainly not run; retries are decided as before, since such calls are idempotent.

And a key that passed from a retired contract to an older one found the retired one, so that the customer got 403. Entries now put contracts in force last into their table.

Both tests failed before ([True] != [False], the retired contract found) and pass after. Not mended here: a repeated call that waits for another endpoint and is then given up still gets 503 platform-full with not-run; on loopback a GET that stood in the service's ledger was told so after 31.2 s.

--- a/libs/daemon/src/cherryrudder/daemon/callers.py
+++ b/libs/daemon/src/cherryrudder/daemon/callers.py
@@ -1,5 +1,6 @@
 """What the callers' surface has in common: keys, contracts, deadlines, answers."""
 
+from collections.abc import Iterable
 from typing import NamedTuple
 
 from cherryrudder.model.contracts import Contract, digest_key
@@ -21,6 +22,16 @@
     deadline_s: float
 
 
+def by_key(contracts: Iterable[Contract]) -> dict[str, Contract]:
+    """Return contracts by their keys' digests; one in force goes before a retired one.
+
+    A key may pass from a retired contract to another. Were the retired one found, a
+    customer with a contract in force would be refused.
+    """
+    ordered = sorted(contracts, key=lambda contract: not contract.retired)
+    return {contract.key_sha256: contract for contract in ordered}
+
+
 def identify(request: Request, contracts: dict[str, Contract], now_s: float) -> Caller:
     """Return the caller by its key's digest; raises RequestError."""
     contract = contracts.get(digest_key(request.bearer()))
--- a/libs/daemon/src/cherryrudder/daemon/entryrole.py
+++ b/libs/daemon/src/cherryrudder/daemon/entryrole.py
@@ -12,6 +12,7 @@
 
 from . import gauges
 from .announcer import Announcer
+from .callers import by_key
 from .clock import now_s
 from .completions import Completions
 from .controlcalls import Controls
@@ -59,7 +60,7 @@
 
     def on_change(self) -> None:
         """Put what the follower has seen in force."""
-        self.contracts = {c.key_sha256: c for c in self.held_contracts()}
+        self.contracts = by_key(self.held_contracts())
         self.refresh()
 
     def held_contracts(self) -> list[Contract]:
--- a/libs/daemon/src/cherryrudder/daemon/services.py
+++ b/libs/daemon/src/cherryrudder/daemon/services.py
@@ -112,8 +112,12 @@
             if reply is not None:
                 self.entry.door.finish(request_id, 1, now_s() - began_s)
                 return reply
-            # An attempt without an answer has certainly not run, or may be repeated.
-            sent = await self.entry.door.retry(request_id, endpoint.endpoint, True)
+            # An attempt without an answer may be repeated, and then may have run, or it
+            # has certainly not run: its sidecar has said so.
+            is_certain = not work.is_idempotent
+            sent = await self.entry.door.retry(
+                request_id, endpoint.endpoint, is_certain
+            )
 
     async def _forward(self, announcement, call) -> Reply | None:
         try:
