--- a/libs/daemon/src/cherryrudder/daemon/entryrole.py
+++ b/libs/daemon/src/cherryrudder/daemon/entryrole.py
@@ -11,6 +11,7 @@
 
 from . import gauges
 from .announcer import Announcer
+from .callers import by_key
 from .clock import now_s
 from .completions import Completions
 from .controlcalls import Controls
@@ -59,7 +60,7 @@
     def on_change(self) -> None:
         """Put what the follower has seen in force."""
         contracts = [c.contract for c in self.follower.config.contracts.values()]
-        self.contracts = {contract.key_sha256: contract for contract in contracts}
+        self.contracts = by_key(contracts)
         self.sharing.see_contracts(contracts)
         self.refresh()
 
