Never call a refused retry not-run, and keep all endpoints in sight

Cause: four faults that the libraries' authors reported. A repeated call whose first attempt may have run and whose second was refused by the queue was told not-run: a guess (seen: 503 not-run after 31 s for a GET in the service's ledger). Sidecars announced to any of five control VMs while entries followed three: 112 of 1,100 endpoints unseen, by calculation; both now use the same five. A key opened 64 times was asked about in a loop. A contract's name could end in a line feed. Ruled out: following every control VM (15 polls a second an entry at the aim's size). Conclusion: not-run is again only what is certain.

--- a/libs/daemon/src/cherryrudder/daemon/announcer.py
+++ b/libs/daemon/src/cherryrudder/daemon/announcer.py
@@ -3,7 +3,7 @@
 import anyio
 from loguru import logger
 
-from cherryrudder.membership.subset import ControlVm, choose
+from cherryrudder.membership.subset import ControlVm, choose, table_addresses
 from cherryrudder.model.endpoints import Announcement
 from cherryrudder.wire.errors import WireError
 
@@ -39,7 +39,8 @@
         self._news.set()
 
     async def _renew(self):
-        vms = [ControlVm(a, "") for a in self.process.settings.control.addresses]
+        addresses = table_addresses(self.process.settings.control.addresses)
+        vms = [ControlVm(address, "") for address in addresses]
         while True:
             self._news = anyio.Event()
             # A later sequence wins, so that a renewal which was delayed on its way
--- a/libs/daemon/src/cherryrudder/daemon/follower.py
+++ b/libs/daemon/src/cherryrudder/daemon/follower.py
@@ -9,6 +9,7 @@
 
 from cherryrudder.membership import config as followed, reader as endpoints
 from cherryrudder.membership.config import Taken
+from cherryrudder.membership.subset import table_addresses
 from cherryrudder.membership.table import TableDelta
 from cherryrudder.model.revisions import ConfigDelta
 from cherryrudder.wire.errors import WireError
@@ -22,8 +23,8 @@
 # A poll that has not come back this long after its due time is taken for lost.
 GRACE_S = 2.0
 RETRY_S = 0.2
-# Three sources: one control VM may be frozen and another restarting at once.
-SOURCES = 3
+# Without the table: one control VM may be frozen and another restarting at once.
+CONFIG_SOURCES = 3
 
 log = logger.bind(part="follow")
 
@@ -48,7 +49,8 @@
 
     def start(self) -> None:
         """Start one task per control VM that is followed."""
-        for address in self.process.settings.control.addresses[:SOURCES]:
+        addresses = table_addresses(self.process.settings.control.addresses)
+        for address in addresses if self.with_table else addresses[:CONFIG_SOURCES]:
             self.process.group.start_soon(self._follow, address)
 
     def is_ready(self) -> bool:
--- a/libs/daemon/src/cherryrudder/daemon/services.py
+++ b/libs/daemon/src/cherryrudder/daemon/services.py
@@ -100,6 +100,7 @@
     async def _send(self, work, attempt):
         """Make attempts until one gives an answer; raises TurnedAway, GivenUp."""
         request_id = work.offer.request_id
+        may_have_run = False
         sent = await self.entry.door.enter(work)
         while True:
             began_s = now_s()
@@ -114,10 +115,18 @@
                 return reply
             # An attempt without an answer may be repeated, and then may have run, or it
             # has certainly not run: its sidecar has said so.
-            is_certain = not work.is_idempotent
-            sent = await self.entry.door.retry(
-                request_id, endpoint.endpoint, is_certain
-            )
+            may_have_run = may_have_run or work.is_idempotent
+            sent = await self._retry(request_id, endpoint.endpoint, may_have_run)
+
+    async def _retry(self, request_id, endpoint, may_have_run):
+        try:
+            return await self.entry.door.retry(request_id, endpoint, not may_have_run)
+        except TurnedAway as error:
+            # The second attempt was refused before it ran; of the first one nobody can
+            # say so, and "not run" would be a guess.
+            if may_have_run:
+                raise GivenUp(Outcome.UNKNOWN, str(error)) from error
+            raise
 
     async def _forward(self, announcement, call) -> Reply | None:
         try:
@@ -175,6 +184,9 @@
             return answer_of(Verdict("replay", claim.status, claim.body))
         if claim.outcome == Outcome.UNKNOWN:
             return unknown()
+        if claim.outcome == Outcome.NOT_RUN:
+            # The state opens a key again only so many times.
+            return not_run("this key has been tried too often; use another one")
         return await self._ask(claim)
 
     async def _ask(self, claim):
--- a/libs/membership/src/cherryrudder/membership/subset.py
+++ b/libs/membership/src/cherryrudder/membership/subset.py
@@ -10,6 +10,11 @@
 ANNOUNCE_TO = 2
 
 
+# Control VMs that hold the table of endpoints. Every entry follows all of them, or it
+# would miss the endpoints that announce to the others; five bear two losses.
+TABLE_VMS = 5
+
+
 class ControlVm(NamedTuple):
     """A control VM that takes announcements."""
 
@@ -17,6 +22,11 @@
     region: str
 
 
+def table_addresses(addresses: Collection[str]) -> list[str]:
+    """Return the control VMs that hold the table, the same for every process."""
+    return sorted(addresses)[:TABLE_VMS]
+
+
 def choose(
     control_vms: Collection[ControlVm],
     region: str,
--- a/libs/model/src/cherryrudder/model/contractfiles.py
+++ b/libs/model/src/cherryrudder/model/contractfiles.py
@@ -10,8 +10,8 @@
 from .errors import SettingsError
 
 SECTION = "contract"
-NAME = re.compile(r"^[a-z0-9][a-z0-9-]{0,62}$")
-SHA256 = re.compile(r"^[0-9a-f]{64}$")
+NAME = re.compile(r"[a-z0-9][a-z0-9-]{0,62}")
+SHA256 = re.compile(r"[0-9a-f]{64}")
 FLOATS = ("requests_per_s", "tokens_per_s", "max_wait_s", "burst_s")
 INTEGERS = ("concurrent_requests", "max_tokens", "priorities")
 LISTS = ("models", "services")
@@ -67,9 +67,9 @@
 def check_contract(contract: Contract) -> list[str]:
     """Return one message for every value that a contract must not have."""
     faults = []
-    if not NAME.match(contract.customer):
+    if not NAME.fullmatch(contract.customer):
         faults.append("customer: lower-case letters, digits and hyphens, 63 at most")
-    if not SHA256.match(contract.key_sha256):
+    if not SHA256.fullmatch(contract.key_sha256):
         faults.append("key_sha256: 64 lower-case hex digits")
     if not contract.models and not contract.services:
         faults.append("models, services: at least one is needed")
--- a/libs/model/test/test_contractfiles.py
+++ b/libs/model/test/test_contractfiles.py
@@ -25,3 +25,4 @@
     def test_values_out_of_range_are_named(self):
         contract = a_contract(customer="Petra Tours", tokens_per_s=0.0)
         self.assertEqual(len(check_contract(contract)), 2)
+        self.assertEqual(len(check_contract(a_contract(customer="petra\n"))), 1)
