Prove a lost disk, its repair and a second loss through real processes

A control VM's folder is wiped, it joins with a new disk, is promoted, the old disk is removed, and another control VM is killed; the two that are left hold all 20 changes and accept more.

--- a/libs/daemon/test/test_controlprocesses.py
+++ b/libs/daemon/test/test_controlprocesses.py
@@ -1,5 +1,8 @@
 """Contracts and the log through real control VMs: accepted is for ever, everywhere."""
 
+import re
+import shutil
+import subprocess
 import threading
 import time
 import unittest
@@ -244,5 +247,65 @@
         self.wait(lambda: self.put("nobody", 0, 0).status_code == 200, "back")
 
 
+class RepairTest(ControlCase):
+    def change_voters(self, action, voter):
+        """Change the voters by one through whichever control VM answers."""
+
+        def changed():
+            for control in range(self.controls):
+                node = self.deployment.controls[control]
+                if node.process.poll() is not None:
+                    continue
+                address = node.addresses["operator"]
+                try:
+                    answer = self.deployment.http.post(
+                        f"http://{address}/v1/voters",
+                        json={"action": action, "voter": voter},
+                        headers={"authorization": f"Bearer {OPERATOR_KEY}"},
+                    )
+                except httpx.ConnectError:
+                    continue
+                if answer.status_code == 200:
+                    return True
+            return False
+
+        self.wait(changed, action)
+
+    def join(self, node):
+        """Give a control VM a new disk and return its id."""
+        shutil.rmtree(self.deployment.folder / f"{node.name}.data")
+        command = [*node.command, "--join"]
+        text = subprocess.run(command, capture_output=True, text=True, check=True)
+        return re.search(r"disk (\S+) of VM", text.stdout).group(1)
+
+    def test_a_lost_disk_is_repaired_and_then_a_second_vm_is_lost(self):
+        """A control VM loses its disk, is replaced, and right after that another dies.
+
+        The wiped VM has no vote until it has caught up as a learner and was promoted.
+        Then the two that are left hold every accepted change and accept more.
+        """
+        for number in range(20):
+            self.assertEqual(self.put(f"repair-{number}", 0).status_code, 200)
+        lost = self.deployment.controls[0]
+        lost.kill()
+        disk_id = self.join(lost)
+        # Not ready before it is a member: it has nobody to confirm its log with.
+        lost.start()
+        frames = lost.addresses["frames"]
+        new = {"vm": lost.name, "disk_id": disk_id, "address": frames}
+        old = new | {"disk_id": f"{lost.name}-founder"}
+        self.change_voters("add-learner", new)
+        self.change_voters("promote", new)
+        self.change_voters("remove", old)
+        self.deployment.controls[1].kill()
+        self.wait(lambda: self.put("after-repair", 0, 2).status_code == 200, "accepted")
+        held = {
+            c["contract"]["customer"]
+            for c in self.ask("/v1/contracts", 0).json()["contracts"]
+        }
+        self.assertLessEqual({f"repair-{n}" for n in range(20)}, held)
+        self.assertIn("after-repair", held)
+
+
 if __name__ == "__main__":
     unittest.main()
