--- a/libs/daemon/src/cherryrudder/daemon/entryrole.py
+++ b/libs/daemon/src/cherryrudder/daemon/entryrole.py
@@ -5,7 +5,6 @@
 import anyio
 from loguru import logger
 
-from cherryrudder.model.contracts import Contract
 from cherryrudder.model.endpoints import Announcement, Kind
 from cherryrudder.model.outcomes import Refusal
 from cherryrudder.policy import dispatch
@@ -60,13 +59,11 @@
 
     def on_change(self) -> None:
         """Put what the follower has seen in force."""
-        self.contracts = by_key(self.held_contracts())
+        contracts = [c.contract for c in self.follower.config.contracts.values()]
+        self.contracts = by_key(contracts)
+        self.sharing.see_contracts(contracts)
         self.refresh()
 
-    def held_contracts(self) -> list[Contract]:
-        """Return every customer's contract, retired ones too."""
-        return [held.contract for held in self.follower.config.contracts.values()]
-
     def refresh(self) -> None:
         """Take the endpoints that are live now."""
         stops = [held.stop for held in self.follower.config.stops.values()]
@@ -159,6 +156,8 @@
     while True:
         await anyio.sleep(REFRESH_S)
         entry.refresh()
+        for endpoint in entry.fleet.leaving():
+            entry.plane.relieve(endpoint)
 
 
 async def leave(entry: Entry) -> None:
@@ -182,7 +181,7 @@
         "revision": entry.follower.config.revision,
         "contracts": sorted(entry.follower.config.contracts),
         "in_flight": entry.in_flight(),
-        "pipelines": sorted(entry.plane.flows),
+        "pipelines": entry.plane.dump(),
         "sharing": entry.sharing.dump(),
         **dispatch.dump(entry.door.dispatcher, now_s()),
     }
--- a/libs/membership/test/test_table.py
+++ b/libs/membership/test/test_table.py
@@ -4,9 +4,9 @@
 
 from builders import (
     LEASE_S,
-    SETTINGS,
-    UNSHRUNK,
     an_announcement,
+    find_failure,
+    fuzz,
     naive_announce,
     naive_merge,
 )
@@ -48,7 +48,7 @@
     @stateful.rule(which=either)
     def restart_control(self, which):
         self.epochs += 1
-        self.tables[which] = Table(f"epoch-{self.epochs}")
+        self.tables[which] = Table(str(self.epochs))
         self.newest[which] = {}
 
     @stateful.precondition(lambda self: len(self.packets) % 4 == 3)
@@ -79,11 +79,13 @@
     def pass_time(self):
         self.now_s += 0.7
 
-    @stateful.rule(which=either)
-    def read(self, which):
+    @stateful.rule(which=either, is_late=st.booleans())
+    def read(self, which, is_late=False):
         table = self.tables[which]
         delta = tables.delta_since(table, *readers.position(self.reader, which))
         self.deltas.append((which, delta))
+        if is_late:
+            return
         view = self.reader.views.setdefault(which, readers.View())
         self.merge(self.reader, which, delta, self.now_s)
         assert contents(view.endpoints.values()) == contents(live(table))
@@ -98,7 +100,8 @@
         source, delta = self.deltas[-1 - which % len(self.deltas)]
         view = self.reader.views[source]
         known = dict(view.endpoints)
-        is_old = delta.epoch != view.epoch or delta.version < view.version
+        before = (int(view.epoch), view.version)
+        is_old = (int(delta.epoch), delta.version) < before
         self.merge(self.reader, source, delta, self.now_s)
         assert not is_old or view.endpoints == known
 
@@ -124,15 +127,13 @@
         Work that is sent to it then would be cut off. Tables refuse what is older by
         incarnation and sequence, readers what is older by epoch and version.
         """
-        stateful.run_state_machine_as_test(TableMachine, settings=SETTINGS)
+        fuzz(TableMachine)
 
     def test_believing_the_last_message_fails(self):
         """The naive versions undo `leaving`, and bring lost endpoints back."""
         for naive in ({"announce": naive_announce}, {"merge": naive_merge}):
             with self.subTest(naive), self.assertRaises(AssertionError):
-                stateful.run_state_machine_as_test(
-                    lambda naive=naive: TableMachine(**naive), settings=UNSHRUNK
-                )
+                find_failure(lambda naive=naive: TableMachine(**naive))
 
     def test_a_superseded_process_cannot_come_back(self):
         """A frozen sidecar thaws after its VM was started again.
@@ -170,18 +171,7 @@
         delta = tables.delta_since(self.table, "epoch-1", version)
         self.assertEqual((delta.version, delta.announced), (version, ()))
 
-    def test_a_reader_from_before_the_kept_losses_gets_everything(self):
-        self.announce("desk-1")
-        self.announce("desk-2", now_s=1.5)
-        for now_s in (1.0, 2.0):
-            expire(self.table, now_s)
-        self.assertEqual(tables.delta_since(self.table, "epoch-1", 2).gone, ("desk-1",))
-        self.announce("desk-2", 1, 2, now_s=tables.FORGET_S + 1.9)
-        expire(self.table, tables.FORGET_S + 2.0)
-        delta = tables.delta_since(self.table, "epoch-1", 2)
-        self.assertEqual((delta.full, delta.announced), (True, live(self.table)))
-
-    def test_an_endpoint_that_is_lost_twice_is_named_again(self):
+    def test_losses_are_named_until_they_are_forgotten(self):
         self.announce("desk-1")
         self.announce("desk-2")
         expire(self.table, LEASE_S)
@@ -190,4 +180,6 @@
         for now_s in (LEASE_S + 1.0, LEASE_S * 2):
             expire(self.table, now_s)
         delta = tables.delta_since(self.table, "epoch-1", version)
-        self.assertEqual(delta.gone, ("desk-1",))
+        self.assertEqual((delta.gone, delta.full), (("desk-1",), False))
+        expire(self.table, LEASE_S * 2 + tables.FORGET_S)
+        self.assertTrue(tables.delta_since(self.table, "epoch-1", version).full)
--- a/libs/policy/src/cherryrudder/policy/admission.py
+++ b/libs/policy/src/cherryrudder/policy/admission.py
@@ -12,7 +12,6 @@
 
 import heapq
 import math
-from collections import Counter
 
 from cherryrudder.model.contracts import Contract
 from cherryrudder.model.outcomes import Refusal
@@ -42,7 +41,7 @@
     "Started",
     "cancel",
     "demand",
-    "dump",
+    "forget_contract",
     "offer",
     "put_back",
     "release",
@@ -79,8 +78,20 @@
     else:
         limits.set_share(known, contract, share, now_s)
     fairqueue.set_weight(admission.queue, contract.customer, contract.tokens_per_s)
-    if contract.retired:
-        cost.forget_customer(admission.costs, contract.customer)
+
+
+def forget_contract(admission: Admission, customer: str) -> bool:
+    """Drop a retired contract's state; tell whether nothing of it runs or waits."""
+    own = admission.limits.get(customer)
+    if own is None:
+        return True
+    if own.running or customer in admission.queue.active or not own.contract.retired:
+        return False
+    del admission.limits[customer]
+    fairqueue.remove_customer(admission.queue, customer)
+    cost.forget_customer(admission.costs, customer)
+    refusal.forget_customer(admission.turns, customer)
+    return True
 
 
 def offer(admission: Admission, asked: Offer, now_s) -> Admitted | Queued | Refusal:
@@ -88,6 +99,9 @@
     own = admission.limits.get(asked.customer)
     if own is None or own.contract.retired:
         return refusal.no_contract(asked.customer)
+    # Also keeps state from growing with every name that a caller makes up.
+    if asked.model not in own.contract.models + own.contract.services:
+        return refusal.not_covered(asked.model)
     if asked.deadline_s <= now_s:
         return refusal.too_late()
     max_tokens = min(asked.max_tokens, own.contract.max_tokens)
@@ -132,9 +146,12 @@
     admission.given_up = []
     for request in fairqueue.take_expired(admission.queue, now_s):
         results.append(_give_up(admission, request, now_s))
-    if lets_pass is not None:
-        results += _start_waiting(admission, now_s, can_place, lets_pass)
-    results += _start_waiting(admission, now_s, can_place, _never)
+    started, skipped = _start_waiting(admission, now_s, can_place, lets_pass)
+    if skipped:
+        # None of the others took the room: who let them go first takes it now.
+        more, _ = _start_waiting(admission, now_s, can_place, None)
+        started += more
+    results += started
     if now_s - admission.reviewed_s >= REVIEW_S:
         admission.reviewed_s = now_s
         results += _review(admission, now_s)
@@ -181,39 +198,6 @@
     return limits.demand_of(admission.limits[customer], waiting, tokens, now_s)
 
 
-def queued_by_model(admission: Admission) -> Counter:
-    """Return how many requests wait for each model."""
-    queued = Counter()
-    for flow in admission.queue.flows.values():
-        queued.update(flow.counts)
-    return queued
-
-
-def dump(admission: Admission) -> dict:
-    """Return the state as plain data."""
-    customers = {}
-    for name, own in admission.limits.items():
-        flow = admission.queue.flows[name]
-        customers[name] = {
-            "share": own.share._asdict(),
-            "retired": own.contract.retired,
-            "running": own.running,
-            "queued": sum(flow.counts.values()),
-            "queued_tokens": sum(flow.tokens.values()),
-            "token_level": own.tokens.level,
-        }
-    models = {
-        name: {
-            "running_tokens": drain.running_tokens,
-            "hold_s": refusal.hold_s(drain),
-            "customers_waiting": len(admission.queue.by_model.get(name, ())),
-        }
-        for name, drain in admission.drains.items()
-    }
-    queued = len(admission.queue.waiting)
-    return {"queued": queued, "customers": customers, "models": models}
-
-
 def _may_start(admission, asked, own, estimated, now_s):
     # With anyone waiting for the model the fair order decides, in `release`.
     if asked.model in admission.queue.by_model:
@@ -310,10 +294,6 @@
     return GaveUp(request.request_id, answer)
 
 
-def _never(request_id, waited_s):
-    return False
-
-
 def _start_waiting(admission, now_s, can_place, lets_pass):
     queue = admission.queue
     started, blocked, skipped = [], set(), set()
@@ -329,17 +309,18 @@
         flow.is_limited = not limits.is_within(own, request.cost_tokens, now_s)
         if flow.is_limited:
             continue
-        request_id, waited_s = request.request_id, now_s - request.arrived_s
-        if len(skipped) < MAX_SKIPPED and lets_pass(request_id, waited_s):
-            skipped.add(request_id)
-        elif can_place(request_id):
+        may_skip = lets_pass is not None and len(skipped) < MAX_SKIPPED
+        waited_s = now_s - request.arrived_s
+        if may_skip and lets_pass(request.request_id, waited_s):
+            skipped.add(request.request_id)
+        elif can_place(request.request_id):
             started.append(_start_queued(admission, request, now_s))
         else:
             blocked.add(request.model)
             refusal.note_blocked(_drain(admission, request.model), now_s)
         if customer in queue.active:
             heapq.heappush(order, (flow.start_tag, customer))
-    return started
+    return started, skipped
 
 
 def _start_queued(admission, request, now_s):
--- a/libs/policy/src/cherryrudder/policy/dispatch.py
+++ b/libs/policy/src/cherryrudder/policy/dispatch.py
@@ -17,6 +17,7 @@
 
 from . import admission as adm, cost, placement, retries
 from .admission import Admission, Offer
+from .admissionview import dump_admission
 from .fleet import Fleet
 from .placement import Chain, Need
 from .retries import RetryBudget, Verdict
@@ -103,6 +104,10 @@
     `own_s(endpoint, tokens)` gives an endpoint's own part of the time, where it is
     known; the whole time would blame every stage of a chain for its slowest one.
     """
+    # An answer may come after its request was cancelled or given up elsewhere. Counted
+    # again, it would give back a slot that another request holds by now.
+    if request_id not in dispatcher.placed:
+        return []
     work = dispatcher.works[request_id]
     answer_tokens = max(0.0, used_tokens - work.offer.prompt_tokens)
     for endpoint in dispatcher.placed.pop(request_id).stages:
@@ -122,6 +127,10 @@
     now_s: float,
 ) -> list:
     """End an attempt that an endpoint failed: send the request again, or answer it."""
+    placed = dispatcher.placed.get(request_id)
+    # Late news of an attempt that has been replaced must not end the one that runs.
+    if placed is None or endpoint not in placed.stages:
+        return []
     expected_s = _take_off(dispatcher, request_id, endpoint, now_s)
     work = dispatcher.works[request_id]
     tried = (*dispatcher.tried.get(request_id, ()), endpoint)
@@ -149,6 +158,8 @@
 
 def cancel(dispatcher: Dispatcher, request_id, used_tokens, now_s: float) -> list:
     """End a request whose caller has gone, with the tokens it has used so far."""
+    if request_id not in dispatcher.works:
+        return []
     if not adm.cancel(dispatcher.admission, request_id, now_s):
         _take_off(dispatcher, request_id, "", now_s)
         adm.settle(dispatcher.admission, request_id, used_tokens, now_s)
@@ -172,7 +183,9 @@
     found = placement.choose_stage(dispatcher.fleet, need, *layers, now_s)
     if found is None:
         return None
-    placement.failed(dispatcher.fleet, endpoint, now_s)
+    # One that is to stop is relieved by plan; that is no fault of its own.
+    take_off = placement.withdrawn if lost.is_leaving else placement.failed
+    take_off(dispatcher.fleet, endpoint, now_s)
     placement.began(dispatcher.fleet, found.endpoint, now_s)
     stages = tuple(
         found.endpoint if name == endpoint else name for name in placed.stages
@@ -211,7 +224,7 @@
 def dump(dispatcher: Dispatcher, now_s: float) -> dict:
     """Return the state as plain data."""
     return {
-        "admission": adm.dump(dispatcher.admission),
+        "admission": dump_admission(dispatcher.admission),
         "endpoints": placement.dump(dispatcher.fleet, now_s),
         "retries_saved": dispatcher.budget.saved,
         "placed": {name: one.stages for name, one in dispatcher.placed.items()},
@@ -229,19 +242,26 @@
     return Need(offer.model, work.version, tokens, work.prefix, tried)
 
 
-def _choose(dispatcher, work, now_s):
-    need = _need(dispatcher, work)
-    if not work.service:
+def _choose(dispatcher, need, service, now_s):
+    chain = _choose_once(dispatcher, need, service, now_s)
+    if chain is None and need.exclude:
+        # All that can serve it have failed it once, as the only endpoint of a service
+        # has after a lost connection: another try there beats waiting for others.
+        need = need._replace(exclude=frozenset())
+        return _choose_once(dispatcher, need, service, now_s)
+    return chain
+
+
+def _choose_once(dispatcher, need, service, now_s):
+    if not service:
         return placement.choose_chain(dispatcher.fleet, need, now_s)
-    found = placement.choose_service(
-        dispatcher.fleet, work.service, need.exclude, now_s
-    )
+    found = placement.choose_service(dispatcher.fleet, service, need.exclude, now_s)
     return Chain((found,), 0.0) if found else None
 
 
 def _place(dispatcher, request_id, now_s):
     work = dispatcher.works[request_id]
-    chain = _choose(dispatcher, work, now_s)
+    chain = _choose(dispatcher, _need(dispatcher, work), work.service, now_s)
     if chain is None:
         return False
     for stage in chain.stages:
--- a/libs/policy/src/cherryrudder/policy/refusal.py
+++ b/libs/policy/src/cherryrudder/policy/refusal.py
@@ -143,6 +143,11 @@
     return min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, turn - now_s))
 
 
+def forget_customer(turns: Turns, customer: str) -> None:
+    """Drop the turn of a customer whose contract has ended."""
+    turns.next_s.pop((customer, ""), None)
+
+
 def own_limit(retry_s: float) -> Refusal:
     """Return the refusal of a request past its customer's own limit."""
     message = "The contract's limit is used up; the request did not run."
@@ -161,6 +166,12 @@
     return Refusal(403, "no-contract", message, 0.0)
 
 
+def not_covered(model: str) -> Refusal:
+    """Return the refusal of a model or service that the contract doesn't name."""
+    message = f"The contract does not cover {model!r}; the request did not run."
+    return Refusal(403, "not-covered", message, 0.0)
+
+
 def too_late() -> Refusal:
     """Return the refusal of a request whose deadline has passed."""
     message = "The deadline has passed before the request could start; it did not run."
--- a/libs/policy/test/test_admission.py
+++ b/libs/policy/test/test_admission.py
@@ -5,6 +5,7 @@
 from cherryrudder.model.outcomes import Refusal
 from cherryrudder.policy import admission as adm
 from cherryrudder.policy.admission import Admitted, GaveUp, Queued, Started
+from cherryrudder.policy.admissionview import dump_admission
 
 
 def yes(request_id):
@@ -48,6 +49,19 @@
         self.assertEqual(adm.offer(admission, an_offer("new"), 1.0).status, 403)
         adm.settle(admission, "r0.0-0", 80, 1.0)
         self.assertEqual(len(adm.release(admission, 1.0, yes)), 1)
+        self.assertFalse(adm.forget_contract(admission, "petra"))
+        for request_id in list(admission.running):
+            adm.settle(admission, request_id, 80, 2.0)
+        self.assertTrue(adm.forget_contract(admission, "petra"))
+        self.assertEqual(dump_admission(admission)["customers"], {})
+
+    def test_only_what_the_contract_names_is_let_in(self):
+        admission = an_admission()
+        answer = adm.offer(admission, an_offer("a", model="made-up"), 0.0)
+        self.assertEqual((answer.status, admission.drains), (403, {}))
+        self.assertIsInstance(
+            adm.offer(admission, an_offer("b", model="slots"), 0.0), Admitted
+        )
 
     def test_put_back_keeps_its_turn_and_leaves_no_charge(self):
         admission = an_admission()
@@ -100,7 +114,7 @@
         self.assertFalse(adm.cancel(admission, "r0.0-0", 0.1))
         adm.settle(admission, "r0.0-0", 60, 0.2)
         self.assertEqual(admission.costs.answer_tokens, {})
-        self.assertEqual(adm.dump(admission)["customers"]["petra"]["running"], 7)
+        self.assertEqual(dump_admission(admission)["customers"]["petra"]["running"], 7)
 
     def test_a_model_without_room_holds_up_no_other(self):
         admission = an_admission()
@@ -109,3 +123,27 @@
         adm.offer(admission, an_offer("b", model="other"), 0.1)
         results = adm.release(admission, 0.1, lambda request_id: request_id == "b")
         self.assertEqual(results, [Started("b", 0.0)])
+
+    def test_urgent_requests_go_first_and_starve_no_others(self):
+        """A customer sends urgent requests at twice its limit, and a few others.
+
+        By strict priority the others would wait until they expire. Each is overtaken
+        only by those that arrive within its allowance, so all that are let in start.
+        """
+        admission = an_admission(a_contract(requests_per_s=1000.0))
+        waited, let_in = {0: [], 2: []}, set()
+        for step in range(600):
+            now_s = step / 20
+            for priority in (0, 2) if step % 10 == 0 else (0,):
+                asked = an_offer(f"{priority}-{step}", priority=priority)
+                if isinstance(adm.offer(admission, asked, now_s), Queued):
+                    let_in.add(asked.request_id)
+            for result in adm.release(admission, now_s, yes):
+                self.assertIsInstance(result, Started)
+                waited[int(result.request_id[0])].append(result.waited_s)
+                let_in.discard(result.request_id)
+            for request_id in list(admission.running):
+                adm.settle(admission, request_id, 100, now_s)
+        self.assertGreater(len(waited[2]), 20)
+        self.assertLess(max(waited[0]), min(waited[2][5:]))
+        self.assertTrue(all(float(n.split("-")[1]) > 520 for n in let_in))
