Wait for credits before a platform counts as full

Cause: an idle entry holds one or two credits for each endpoint. Of 256 callers that arrived at once 32 were started and 224 were refused as platform-full, although the endpoints had 512 slots: more credits were under way. A model that was not blocked for a second is now given 0.3 s for its credits to come before anyone is refused; where requests wait all the time nothing changes. Ruled out: larger credits for idle entries (they would be missing elsewhere); a grace after every start (nobody would be refused before its longest wait is over: tested). Both new tests failed before; 73 policy tests pass. Conclusion: a burst on an idle platform is served.

--- a/libs/policy/src/cherryrudder/policy/refusal.py
+++ b/libs/policy/src/cherryrudder/policy/refusal.py
@@ -30,6 +30,10 @@
 # A run half as long again as the mean is common (uncached prompts, long answers), and
 # a request that ends past its deadline has wasted its whole run.
 RUN_MARGIN = 1.5
+# Credits that are asked for come within a round trip, or with the next report.
+CREDIT_WAIT_S = 0.3
+# Without a blocked request for so long a model counts as idle.
+CALM_S = 1.0
 # A refusal always asks for some pause, the least that a caller's timer keeps.
 MIN_RETRY_AFTER_S = 0.1
 
@@ -41,6 +45,8 @@
         self.running_tokens = 0.0
         self.quiet_since_s = 0.0
         self.blocked_since_s: float | None = None
+        self.last_blocked_s = -math.inf
+        self.asking_until_s = -math.inf
         self.finished_tokens = 0.0
         self.finished_token_s = 0.0
         self.finished_s = 0.0
@@ -80,6 +86,12 @@
     """Note that no endpoint takes the model's next request."""
     if drain.blocked_since_s is None:
         drain.blocked_since_s = now_s
+    # A burst on an idle platform finds few credits, since an entry without load holds
+    # few; more are under way. Calling that full would refuse callers for whom there is
+    # room. Where requests wait all the time, credits are asked for all the time.
+    if now_s - drain.last_blocked_s > CALM_S:
+        drain.asking_until_s = now_s + CREDIT_WAIT_S
+    drain.last_blocked_s = now_s
 
 
 def hold_s(drain: Drain) -> float:
@@ -114,7 +126,7 @@
     # While endpoints have room, what runs is held down by customers' own limits and
     # says nothing of the platform's rate: callers past their own limit would be told
     # that the platform is full.
-    if drain.blocked_since_s is None:
+    if drain.blocked_since_s is None or now_s < drain.asking_until_s:
         return 0.0
     rate = drain_rate(drain, now_s)
     if rate is None:
--- /dev/null
+++ b/libs/policy/test/test_refusal.py
@@ -0,0 +1,42 @@
+"""Tests of what counts as a full platform."""
+
+import unittest
+
+from cherryrudder.policy import refusal
+from cherryrudder.policy.refusal import Drain
+
+
+class FullTest(unittest.TestCase):
+    def setUp(self):
+        self.drain = Drain()
+        refusal.note_start(self.drain, 100.0, 0.0)
+        refusal.note_finish(self.drain, 100.0, 3.0, 3.0)
+
+    def wait_s(self, now_s):
+        """Return the wait behind a hundred requests."""
+        return refusal.platform_wait_s(self.drain, 10_000.0, now_s)
+
+    def test_a_burst_on_an_idle_platform_waits_for_credits(self):
+        """A burst comes to an idle entry, which holds one credit for each endpoint.
+
+        The second request is blocked and credits are asked for. Until they can have
+        come nobody is refused; if none comes, the platform is full indeed.
+        """
+        refusal.note_start(self.drain, 100.0, 5.0)
+        refusal.note_blocked(self.drain, 5.0)
+        self.assertEqual(self.wait_s(5.1), 0.0)
+        refusal.note_blocked(self.drain, 5.2)
+        self.assertGreater(self.wait_s(5.5), 10.0)
+
+    def test_a_platform_that_stays_full_is_full_at_once(self):
+        """Requests wait all the time, and one starts whenever another ends.
+
+        Each start must not begin a new time of grace, or nobody would be refused
+        before its longest wait is over.
+        """
+        refusal.note_blocked(self.drain, 5.0)
+        for tenth in range(4, 50):
+            now_s = 5.0 + tenth / 10
+            refusal.note_start(self.drain, 100.0, now_s)
+            refusal.note_blocked(self.drain, now_s)
+            self.assertGreater(self.wait_s(now_s), 0.0)
