Turn from a lost leader at once, and tell bad input that it did not run

Claims without a quorum are refused after 3 s in place of 5 and never past the caller's deadline. Answers to bad input carry the outcome not-run; a refusal that no time will change has no Retry-After, and whole seconds round up. Ruled out: shorter elections (0.6 to 1.2 s are not what was waited for).

--- a/libs/daemon/src/cherryrudder/daemon/callers.py
+++ b/libs/daemon/src/cherryrudder/daemon/callers.py
@@ -1,12 +1,13 @@
 """What the callers' surface has in common: keys, contracts, deadlines, answers."""
 
+import math
 from collections.abc import Iterable
 from typing import NamedTuple
 
 from cherryrudder.model.contracts import Contract, digest_key
 from cherryrudder.model.errors import RequestError
 from cherryrudder.model.outcomes import Outcome, Refusal
-from cherryrudder.wire.asgi import Reply, Request, json_reply
+from cherryrudder.wire.asgi import Handler, Reply, Request, error_reply, json_reply
 
 OUTCOME = "cherryrudder-outcome"
 DEADLINE = "x-request-deadline-ms"
@@ -42,8 +43,10 @@
 
 def refuse(refusal: Refusal) -> Reply:
     """Return the final answer to a request that did not run."""
-    seconds = max(MIN_RETRY_AFTER_S, round(refusal.retry_after_s + 0.5))
-    headers = ((OUTCOME, Outcome.NOT_RUN), ("retry-after", str(seconds)))
+    headers = ((OUTCOME, Outcome.NOT_RUN),)
+    # A refusal that no time will change gives no time to come back.
+    if refusal.retry_after_s > 0:
+        headers += (("retry-after", str(math.ceil(refusal.retry_after_s))),)
     error = {
         "code": refusal.code,
         "message": refusal.message,
@@ -60,6 +63,18 @@
     return json_reply({"error": {"code": code, "message": message}}, status, headers)
 
 
+def with_outcome(handle: Handler) -> Handler:
+    """Return a handler whose answers to bad input say that the request did not run."""
+
+    async def run(request: Request):
+        try:
+            return await handle(request)
+        except RequestError as error:
+            return error_reply(error, ((OUTCOME, Outcome.NOT_RUN),))
+
+    return run
+
+
 def _deadline_s(request):
     text = request.headers.get(DEADLINE)
     if text is None:
--- a/libs/daemon/src/cherryrudder/daemon/controlcalls.py
+++ b/libs/daemon/src/cherryrudder/daemon/controlcalls.py
@@ -19,9 +19,10 @@
 from .clock import now_s
 from .errors import NoQuorum
 
-# Longer than an election, so that a call outlives the loss of the leader.
-CALL_S = 5.0
-TRY_S = 2.5
+# Longer than an election, so that a call outlives the loss of the leader; a caller
+# without a quorum is refused after it.
+CALL_S = 3.0
+TRY_S = 1.5
 HTTP_SERVER_FAULT = 500
 
 
@@ -58,9 +59,11 @@
                 self.addresses.append(address)
         raise NoQuorum("no control VM answered in time")
 
-    async def open_claim(self, command: OpenClaim) -> ClaimAnswer:
+    async def open_claim(self, command: OpenClaim, timeout_s: float) -> ClaimAnswer:
         """Claim a call for one attempt."""
-        return await self.call("POST", "/v1/claims/open", command, ClaimAnswer)
+        return await self.call(
+            "POST", "/v1/claims/open", command, ClaimAnswer, timeout_s
+        )
 
     async def close_claim(self, command: CloseClaim, timeout_s: float) -> Answer:
         """Record an attempt's outcome."""
--- a/libs/daemon/src/cherryrudder/daemon/entryrole.py
+++ b/libs/daemon/src/cherryrudder/daemon/entryrole.py
@@ -11,7 +11,7 @@
 
 from . import gauges
 from .announcer import Announcer
-from .callers import by_key
+from .callers import by_key, with_outcome
 from .clock import now_s
 from .completions import Completions
 from .controlcalls import Controls
@@ -120,8 +120,8 @@
     listen = process.settings.listen
     count = partial(gauges.counted, process.metrics)
     routes = {
-        ("POST", "/v1/completions"): count(entry.completions.handle),
-        ("*", "/services/"): count(entry.services.handle),
+        ("POST", "/v1/completions"): count(with_outcome(entry.completions.handle)),
+        ("*", "/services/"): count(with_outcome(entry.services.handle)),
     }
     max_body_bytes = process.settings.entry.max_body_bytes
     process.listen(
--- a/libs/daemon/src/cherryrudder/daemon/peers.py
+++ b/libs/daemon/src/cherryrudder/daemon/peers.py
@@ -7,14 +7,14 @@
 from collections.abc import Awaitable, Callable
 from typing import Any, NamedTuple
 
-import anyio
 import msgspec
 from loguru import logger
 
 from cherryrudder.model import jsoncodec
 
-from .clock import new_id, now_s
+from .clock import new_id
 from .frameport import FramePort
+from .pending import Pending
 
 log = logger.bind(part="peers")
 
@@ -54,11 +54,11 @@
         self.process = process
         self.address = process.settings.listen.frames
         kinds = (QuorumMessage, LeaderCall, LeaderReply)
-        self.port = FramePort(process, kinds, self._on_frames)
+        self.port = FramePort(process, kinds, self._on_frames, self._link_down)
         self.links = self.port.links
         self._on_message = on_message
         self._on_call = on_call
-        self._waiting: dict[str, list] = {}
+        self._waiting: dict[str, Pending] = {}
 
     def start(self) -> None:
         """Start listening for the other control VMs."""
@@ -72,16 +72,20 @@
     async def call(self, address: str, kind: str, value, deadline_s: float) -> Any:
         """Return the leader's answer, or None when there was none in time."""
         call_id = new_id()
-        slot = self._waiting[call_id] = [None, anyio.Event()]
+        pending = self._waiting[call_id] = Pending(address)
         text = jsoncodec.encode(value).decode()
         self.links.send(address, LeaderCall(call_id, self.address, kind, text))
         try:
-            with anyio.move_on_after(max(0.0, deadline_s - now_s())):
-                await slot[1].wait()
-            return slot[0]
+            return await pending.wait(deadline_s)
         finally:
             del self._waiting[call_id]
 
+    def _link_down(self, address):
+        # Callers of a killed leader try again now and not when their time is up.
+        for pending in self._waiting.values():
+            if pending.address == address:
+                pending.resolve(None)
+
     def _on_frames(self, peer, messages):
         for message in messages:
             match message:
@@ -90,10 +94,9 @@
                 case LeaderCall():
                     self.process.group.start_soon(self._answer, message)
                 case LeaderReply():
-                    slot = self._waiting.get(message.call_id)
-                    if slot is not None:
-                        slot[0] = jsoncodec.decode(message.value)
-                        slot[1].set()
+                    pending = self._waiting.get(message.call_id)
+                    if pending is not None:
+                        pending.resolve(jsoncodec.decode(message.value))
 
     async def _answer(self, call):
         try:
--- a/libs/daemon/src/cherryrudder/daemon/services.py
+++ b/libs/daemon/src/cherryrudder/daemon/services.py
@@ -21,6 +21,7 @@
 
 from .callers import OUTCOME, fail, identify, refuse
 from .clock import new_id, now_s
+from .controlcalls import CALL_S
 from .errors import NoQuorum
 from .frontdoor import GivenUp, TurnedAway
 from .gate import NO_ANSWER, Call, Run, Verdict
@@ -148,7 +149,8 @@
             address=announcement.address,
         )
         try:
-            answer = await self.entry.controls.open_claim(command)
+            timeout_s = min(CALL_S, filing.deadline_s - now_s())
+            answer = await self.entry.controls.open_claim(command, timeout_s)
         except NoQuorum as error:
             # The claim may be committed after this, but only this entry could ever
             # send its attempt, and it does not: "not run" is certain.
--- a/libs/daemon/src/cherryrudder/daemon/voter.py
+++ b/libs/daemon/src/cherryrudder/daemon/voter.py
@@ -23,11 +23,13 @@
 from .clock import new_id, now_s, wall_s
 from .errors import NoQuorum, StartError, VoterFailed
 from .peers import Peers
+from .pending import Pending
 
 # The leader puts the time of day into the log this often; retention needs no better.
 CLOCK_S = 10.0
-# One try at a leader; a new one is elected in about a second.
-TRY_S = 1.5
+# One try at a leader, some ten times a change's usual time. A frozen one is asked
+# again and again until its followers have elected another, in about a second.
+TRY_S = 0.4
 RETRY_S = 0.05
 # Answers to proposals that nobody here waits for, kept in case of a late waiter.
 KEPT_ANSWERS = 4096
@@ -56,7 +58,7 @@
         self._wake = anyio.Event()
         self._failure: VoterFailed | None = None
         self._answers: dict[int, Any] = {}
-        self._waiting: dict[str, Any] = {}
+        self._waiting: dict[str, Pending] = {}
 
     def start(self) -> None:
         """Start the tasks that drive the core."""
@@ -141,12 +143,10 @@
 
     async def _ask(self, make_event, deadline_s):
         name = new_id()
-        slot = self._waiting[name] = [None, anyio.Event()]
+        pending = self._waiting[name] = Pending()
         try:
             self.feed(make_event(name))
-            with anyio.move_on_after(max(0.0, deadline_s - now_s())):
-                await slot[1].wait()
-            return slot[0]
+            return await pending.wait(deadline_s)
         finally:
             del self._waiting[name]
 
@@ -231,10 +231,9 @@
         self.applied = anyio.Event()
 
     def _resolve(self, name, effect):
-        slot = self._waiting.get(name)
-        if slot is not None:
-            slot[0] = effect
-            slot[1].set()
+        pending = self._waiting.get(name)
+        if pending is not None:
+            pending.resolve(effect)
 
 
 def event_maker(kind: str, value):
--- a/libs/wire/src/cherryrudder/wire/asgi.py
+++ b/libs/wire/src/cherryrudder/wire/asgi.py
@@ -113,6 +113,10 @@
     body = {"code": error.code, "message": str(error)}
     if error.field:
         body["field"] = error.field
+    if error.status == BODY_TOO_LARGE:
+        # The rest of the body stays unread, so the listener closes the connection;
+        # without the header the caller's next request on it would be cut off.
+        headers = (*headers, ("connection", "close"))
     return json_reply({"error": body}, error.status, headers)
 
 
@@ -144,10 +148,7 @@
             raise RequestError(401, "wrong-key", "the key is missing or wrong")
         return await handler(request)
     except RequestError as error:
-        # The rest of the body stays unread, so the listener closes the connection;
-        # without the header the caller's next request on it would be cut off.
-        headers = (("connection", "close"),) if error.status == BODY_TOO_LARGE else ()
-        return error_reply(error, headers)
+        return error_reply(error)
     except Exception:
         # A fault in one handler must not take the process with it; the caller gets a
         # plain 500 and the log gets the traceback.
