Serve on while sidecars are cut off from the control VMs, and spread followers

Cause: an entry knew endpoints by their leases at the control VMs alone; were sidecars cut off from these, all would go at once although the entry hears them. Credits now name the incarnation and count as a sign of life, a broken link takes it back. Every follower took the first three control addresses; sidecars now follow three of all by their name. Ruled out: longer leases (a dead endpoint would stay in the tables for longer).

--- a/libs/daemon/src/cherryrudder/daemon/creditdesk.py
+++ b/libs/daemon/src/cherryrudder/daemon/creditdesk.py
@@ -12,7 +12,9 @@
 class CreditDesk:
     """The credits of one endpoint and the calls that it has not answered."""
 
-    def __init__(self, settings, links):
+    def __init__(self, process, links):
+        settings = process.settings.sidecar
+        self.incarnation = process.incarnation
         self.issuer = Issuer(settings.endpoint, settings.slots)
         self.links = links
         self.step_s = 0.0
@@ -45,5 +47,12 @@
 
     def _send(self, entry, given, at_s):
         oldest_s = at_s - min(self.calls.values(), default=at_s)
-        grant = CreditGrant(*given, self.step_s, oldest_s)
+        grant = CreditGrant(
+            given.endpoint,
+            self.incarnation,
+            given.number,
+            given.count,
+            self.step_s,
+            oldest_s,
+        )
         self.links.send(entry, grant)
--- a/libs/daemon/src/cherryrudder/daemon/dataplane.py
+++ b/libs/daemon/src/cherryrudder/daemon/dataplane.py
@@ -43,10 +43,16 @@
 class DataPlane:
     """All pipelines of one entry."""
 
-    def __init__(self, process, stall_s: float, on_grant: Callable):
+    def __init__(
+        self,
+        process,
+        on_grant: Callable[[CreditGrant], None],
+        on_link_down: Callable[[str], None],
+    ):
         self.process = process
         self.on_grant = on_grant
-        self.timing = driver.Timing(stall_s=stall_s)
+        self.on_link_down = on_link_down
+        self.timing = driver.Timing(stall_s=process.settings.entry.stall_s)
         self.flows: dict[str, Flow] = {}
         self.port = FramePort(
             process, DATA_MESSAGES, self._on_messages, self._link_down
@@ -123,9 +129,10 @@
             if flow is not None:
                 self._carry_out(flow, driver.receive(flow.core, message, at_s))
 
-    def _link_down(self, name):
+    def _link_down(self, address):
+        self.on_link_down(address)
         for flow in list(self.flows.values()):
-            self._carry_out(flow, driver.stage_lost(flow.core, name, now_s()))
+            self._carry_out(flow, driver.stage_lost(flow.core, address, now_s()))
 
     async def _tick(self):
         while True:
--- a/libs/daemon/src/cherryrudder/daemon/enginehost.py
+++ b/libs/daemon/src/cherryrudder/daemon/enginehost.py
@@ -63,7 +63,7 @@
             process, DATA_MESSAGES, self._on_messages, self._link_down
         )
         self.links = self.port.links
-        self.desk = CreditDesk(process.settings.sidecar, self.links)
+        self.desk = CreditDesk(process, self.links)
         self.leaving = False
         self._computes: list[Compute] = []
         self._wake = anyio.Event()
--- a/libs/daemon/src/cherryrudder/daemon/entryrole.py
+++ b/libs/daemon/src/cherryrudder/daemon/entryrole.py
@@ -43,7 +43,7 @@
         self.fleet = FleetView(process)
         self.controls = Controls(process)
         self.door = FrontDoor(process, self.fleet, self.ask_credits, self.lose_stage)
-        self.plane = DataPlane(process, process.settings.entry.stall_s, self.take_grant)
+        self.plane = DataPlane(process, self.take_grant, self.lose_link)
         self.credits = CreditLine(process, self.fleet, self.plane.links, self.door)
         self.follower = Follower(process, self.on_change)
         self.completions = Completions(self)
@@ -78,6 +78,12 @@
         """Ask for more credits: a request waits for some."""
         self.credits.kick()
 
+    def lose_link(self, frames_address: str) -> None:
+        """Let the lease alone count of an endpoint whose link broke."""
+        for announcement, _, _ in self.fleet.members():
+            if announcement.frames_address == frames_address:
+                self.follower.lost_link(announcement.endpoint)
+
     def lose_stage(self, request_id: str, endpoint: str) -> None:
         """Go on elsewhere with a request that an endpoint is silent on."""
         self.plane.lose(request_id, endpoint)
@@ -85,6 +91,8 @@
     def take_grant(self, grant) -> None:
         """Take in an endpoint's credits, and start what they make room for."""
         self.fleet.take_grant(grant)
+        # Sidecars cut off from the control VMs but not from here go on serving.
+        self.follower.saw_link(grant.endpoint, grant.incarnation)
         self.door.advance()
 
     def is_ready(self) -> bool:
--- a/libs/daemon/src/cherryrudder/daemon/follower.py
+++ b/libs/daemon/src/cherryrudder/daemon/follower.py
@@ -9,6 +9,7 @@
 
 from cherryrudder.membership import config as followed, reader as endpoints
 from cherryrudder.membership.config import Taken
+from cherryrudder.membership.rendezvous import rank
 from cherryrudder.membership.subset import table_addresses
 from cherryrudder.membership.table import TableDelta
 from cherryrudder.model.revisions import ConfigDelta
@@ -49,8 +50,14 @@
 
     def start(self) -> None:
         """Start one task per control VM that is followed."""
-        addresses = table_addresses(self.process.settings.control.addresses)
-        for address in addresses if self.with_table else addresses[:CONFIG_SOURCES]:
+        addresses = self.process.settings.control.addresses
+        if self.with_table:
+            sources = table_addresses(addresses)
+        else:
+            # Each follower has its own order, or three control VMs would carry all.
+            vm = self.process.settings.process.vm
+            sources = rank(list(addresses), vm)[:CONFIG_SOURCES]
+        for address in sources:
             self.process.group.start_soon(self._follow, address)
 
     def is_ready(self) -> bool:
@@ -61,6 +68,14 @@
         """Return the announcements of the endpoints that count as live now."""
         return endpoints.endpoints(self.reader, now_s())
 
+    def saw_link(self, endpoint: str, incarnation: str) -> None:
+        """Note that an endpoint was heard directly, whatever the control VMs say."""
+        endpoints.saw_link(self.reader, endpoint, incarnation, now_s())
+
+    def lost_link(self, endpoint: str) -> None:
+        """Note that the link to an endpoint broke; its lease alone counts now."""
+        endpoints.lost_link(self.reader, endpoint)
+
     async def _follow(self, address):
         # The first answer must be confirmed by a majority after it was asked for:
         # otherwise a process that restarts 500 changes behind could be ready with an
--- a/libs/daemon/src/cherryrudder/daemon/framemessages.py
+++ b/libs/daemon/src/cherryrudder/daemon/framemessages.py
@@ -22,6 +22,7 @@
     """
 
     endpoint: str
+    incarnation: str
     number: int
     count: int
     step_s: float
--- a/libs/daemon/src/cherryrudder/daemon/servicehost.py
+++ b/libs/daemon/src/cherryrudder/daemon/servicehost.py
@@ -35,7 +35,7 @@
         # The service knows nothing of the system's keys and must not see them.
         self.client = Client()
         self.port = FramePort(process, DATA_MESSAGES, self._on_messages)
-        self.desk = CreditDesk(process.settings.sidecar, self.port.links)
+        self.desk = CreditDesk(process, self.port.links)
         self.leaving = False
         self.forwarding = 0
         self._finished: dict[str, anyio.Event] = {}
