Cancel a whole answer whose caller has gone, and streams that never began

An answer that is not streamed watched its caller only until it was placed, so engines went on to the last token for nobody; and a stream whose caller left before its first part never ran its clean-up, since a generator that was not started has no finally, which also kept a stopping entry waiting. Ruled out: leaving it to hypercorn (it does not cancel the handler). A StreamReply names what is to be done at its end; the gauges' test builds one and gives it nothing to do. Conclusion: a caller that goes away frees its engines in every phase.

--- a/libs/daemon/src/cherryrudder/daemon/completions.py
+++ b/libs/daemon/src/cherryrudder/daemon/completions.py
@@ -1,6 +1,7 @@
 """`POST /v1/completions`: one request through a chain of engines."""
 
 from collections.abc import AsyncIterator
+from functools import partial
 from typing import NamedTuple
 
 import anyio
@@ -62,19 +63,27 @@
         if self.entry.is_closed:
             return refuse(self.entry.closed_refusal())
         self.in_flight += 1
+        flow, is_streamed = None, False
         try:
             flow = await self._start(request, body, caller)
+            chunks = self._tokens(flow, caller, arrived_s)
+            if not body.stream:
+                whole = self._whole(flow, body, chunks)
+                return await _while_connected(request, whole)
+            is_streamed = True
+            events = self._events(flow, body, chunks)
+            return StreamReply(events, partial(self._end, flow), _stream_headers())
         except TurnedAway as error:
-            self.in_flight -= 1
             return refuse(error.refusal)
-        except BaseException:
-            self.in_flight -= 1
-            raise
-        chunks = self._tokens(flow, caller, arrived_s)
-        if body.stream:
-            events = self._events(flow, body, chunks)
-            return StreamReply(events, headers=_stream_headers())
-        return await self._whole(flow, body, chunks)
+        finally:
+            if not is_streamed:
+                self._end(flow)
+
+    def _end(self, flow):
+        """Free the engines of a caller that has gone; at the end it frees nothing."""
+        if flow is not None:
+            self.entry.plane.cancel(flow)
+        self.in_flight -= 1
 
     async def _start(self, request, body, caller):
         prompt = tuple(body.prompt.split())
@@ -118,27 +127,21 @@
         return self.entry.plane.begin(start, find_stage, ended)
 
     async def _tokens(self, flow, caller, arrived_s) -> AsyncIterator[list[str]]:
-        """Yield tokens until the end, the deadline, or the caller's going away."""
-        plane = self.entry.plane
-        tokens = plane.tokens(flow)
+        """Yield tokens until the end or the deadline; raises Late, PipelineBroken."""
+        tokens = self.entry.plane.tokens(flow)
         is_first = True
-        try:
-            while True:
-                with anyio.move_on_after(caller.deadline_s - now_s()) as scope:
-                    try:
-                        chunk = await anext(tokens)
-                    except StopAsyncIteration:
-                        return
-                if scope.cancelled_caught:
-                    raise Late
-                if is_first:
-                    self.metrics.timing("first_token", (now_s() - arrived_s) * 1000)
-                    is_first = False
-                yield chunk
-        finally:
-            # Frees the engines when the caller has gone; at the end it does nothing.
-            plane.cancel(flow)
-            self.in_flight -= 1
+        while True:
+            with anyio.move_on_after(caller.deadline_s - now_s()) as scope:
+                try:
+                    chunk = await anext(tokens)
+                except StopAsyncIteration:
+                    return
+            if scope.cancelled_caught:
+                raise Late
+            if is_first:
+                self.metrics.timing("first_token", (now_s() - arrived_s) * 1000)
+                is_first = False
+            yield chunk
 
     async def _whole(self, flow, body, chunks):
         tokens = []
@@ -210,20 +213,20 @@
         raise RequestError(400, "bad-field", message, "priority")
 
 
-async def _while_connected(request, entering):
-    """Return what entering gives; a caller that goes away gives its turn up."""
+async def _while_connected(request, working):
+    """Return what the work gives; it is cancelled when the caller goes away."""
     result = []
     failure = []
 
-    async def enter():
+    async def work():
         try:
-            result.append(await entering)
+            result.append(await working)
         except TurnedAway as error:
             failure.append(error)
         group.cancel_scope.cancel()
 
     async with anyio.create_task_group() as group:
-        group.start_soon(enter)
+        group.start_soon(work)
         await request.disconnected()
         group.cancel_scope.cancel()
     if failure:
--- a/libs/daemon/test/test_gauges.py
+++ b/libs/daemon/test/test_gauges.py
@@ -66,7 +66,7 @@
         self.assertEqual(self.received(1), ["cr.entry.failed.internal:1|c"])
 
     def test_a_stream_is_not_counted_before_its_end(self):
-        self.answer(StreamReply(None))
+        self.answer(StreamReply(None, None))
         self.metrics.incr("next")
         self.assertEqual(self.received(1), ["cr.entry.next:1|c"])
 
--- a/libs/daemon/test/test_pipelineprocesses.py
+++ b/libs/daemon/test/test_pipelineprocesses.py
@@ -201,6 +201,16 @@
                 next(lines)
         self.assert_nothing_left()
 
+    def test_a_caller_that_gives_up_a_whole_answer_frees_every_stage(self):
+        """A caller that did not ask for a stream closes its connection early.
+
+        Nothing is sent before the end, so only the closed connection tells; the
+        engines must not go on with 4,000 tokens for nobody.
+        """
+        with self.assertRaises(httpx.ReadTimeout):
+            self.complete(max_tokens=4000, timeout_s=1.5)
+        self.assert_nothing_left()
+
     def test_many_streams_at_once_are_all_whole(self):
         streams = [
             Stream(self, entry=n % 2, max_tokens=20, prompt=f"{PROMPT} {n}")
--- a/libs/wire/src/cherryrudder/wire/asgi.py
+++ b/libs/wire/src/cherryrudder/wire/asgi.py
@@ -26,11 +26,12 @@
 
 
 class StreamReply(NamedTuple):
-    """An answer sent in parts as they come."""
+    """An answer sent in parts as they come; `on_end` is called however it ends."""
 
     chunks: AsyncIterator[bytes]
-    status: int = 200
+    on_end: Callable[[], None]
     headers: tuple[tuple[str, str], ...] = (("content-type", "text/event-stream"),)
+    status: int = 200
 
 
 class Request:
@@ -134,7 +135,12 @@
         request = Request(scope, receive, max_body_bytes)
         reply = await _answer(routes, key, request)
         if isinstance(reply, StreamReply):
-            return await _send_stream(reply, request, send)
+            # Not in the chunks' own `finally`: a generator that never started, since
+            # the caller was gone before its first part, runs none.
+            try:
+                return await _send_stream(reply, request, send)
+            finally:
+                reply.on_end()
         return await _send(reply, send)
 
     return app
