--- a/libs/daemon/src/cherryrudder/daemon/services.py
+++ b/libs/daemon/src/cherryrudder/daemon/services.py
@@ -262,9 +262,7 @@
     """Return a call that may not be repeated; raises RequestError without a key."""
     key = request.headers.get(KEY_HEADER, "")
     if not 0 < len(key) <= MAX_KEY_CHARS:
-        message = (
-            f"a call that may not be repeated needs 1 to {MAX_KEY_CHARS} characters"
-        )
+        message = f"this call needs a key of 1 to {MAX_KEY_CHARS} characters"
         raise RequestError(400, "bad-idempotency-key", message, KEY_HEADER)
     # The path is part of what was asked: the same key on another path is no resend.
     content = "\n".join((name, call.method, call.path, call.body))
--- a/libs/quorum/test/test_core.py
+++ b/libs/quorum/test/test_core.py
@@ -2,30 +2,11 @@
 
 import unittest
 
-from builders import TIMING, Cluster, make_voters, naive_read
+from builders import TIMING, Cluster, naive_read
 
 from cherryrudder.quorum import events as ev
 
 
-def old_voter(cluster, vm):
-    """Return the voter that a VM was when the cluster began."""
-    return next(v for v in make_voters(len(cluster.members)) if v.vm == vm)
-
-
-def repair(cluster, vm):
-    """Replace a lost disk: learner, promote, remove the old one."""
-    learner = cluster.wipe(vm)
-    names = []
-    for action, voter in (
-        ("add-learner", learner),
-        ("promote", learner),
-        ("remove", old_voter(cluster, vm)),
-    ):
-        names.append(cluster.change(action, voter))
-        cluster.run(1.0)
-    return names
-
-
 class ElectionTest(unittest.TestCase):
     def test_one_voter_serves_alone(self):
         cluster = Cluster(1)
--- a/libs/wire/src/cherryrudder/wire/frames.py
+++ b/libs/wire/src/cherryrudder/wire/frames.py
@@ -24,15 +24,11 @@
     address: str
 
 
-class Ping(NamedTuple):
-    """Keeps a quiet link known to be alive."""
-
-
 class FrameCodec:
     """Encodes and decodes batches of a fixed list of message types."""
 
     def __init__(self, kinds: Sequence[type]):
-        kinds = (Hello, Ping, *kinds)
+        kinds = (Hello, *kinds)
         self._tags = {kind: tag for tag, kind in enumerate(kinds)}
         self._decoders = [msgspec.msgpack.Decoder(kind) for kind in kinds]
         self._batch = msgspec.msgpack.Decoder(list[tuple[int, msgspec.Raw]])
--- a/libs/wire/src/cherryrudder/wire/links.py
+++ b/libs/wire/src/cherryrudder/wire/links.py
@@ -17,7 +17,7 @@
 from cherryrudder.model.settings import split_address
 
 from .errors import FrameError
-from .frames import FrameBuffer, FrameCodec, Hello, Ping
+from .frames import FrameBuffer, FrameCodec, Hello
 
 CONNECT_S = 1.0
 # A peer that takes no byte for this long is treated as lost: a frozen process keeps
@@ -149,7 +149,6 @@
             if peer is None:
                 peer = _greet(messages, key)
                 messages = messages[1:]
-            messages = [m for m in messages if not isinstance(m, Ping)]
             if messages:
                 on_messages(peer, messages)
 
