Tell the outcome of every answer to a caller

Bad input says not-run; a fault of our own says unknown, since nobody knows how far it came. Ruled out: an outcome on unknown paths, which reach no handler.

--- a/libs/daemon/src/cherryrudder/daemon/callers.py
+++ b/libs/daemon/src/cherryrudder/daemon/callers.py
@@ -4,6 +4,8 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
+from loguru import logger
+
 from cherryrudder.model.contracts import Contract, digest_key
 from cherryrudder.model.errors import RequestError
 from cherryrudder.model.outcomes import Outcome, Refusal
@@ -15,6 +17,8 @@
 # The shortest advice worth a header, which counts whole seconds.
 MIN_RETRY_AFTER_S = 1
 
+log = logger.bind(part="callers")
+
 
 class Caller(NamedTuple):
     """The contract under which a request came, and when its answer is due."""
@@ -64,13 +68,17 @@
 
 
 def with_outcome(handle: Handler) -> Handler:
-    """Return a handler whose answers to bad input say that the request did not run."""
+    """Return a handler whose every answer tells the request's outcome."""
 
     async def run(request: Request):
         try:
             return await handle(request)
         except RequestError as error:
+            # Raised for bad input only, before anything of the request has run.
             return error_reply(error, ((OUTCOME, Outcome.NOT_RUN),))
+        except Exception:
+            log.exception("{} {} failed.", request.method, request.path)
+            return fail(500, "internal", "an internal error", Outcome.UNKNOWN)
 
     return run
 
--- a/libs/daemon/test/test_surface.py
+++ b/libs/daemon/test/test_surface.py
@@ -26,6 +26,7 @@
         answer = self.post("/v1/completions", **options)
         self.assertEqual(answer.status_code, status, answer.text)
         self.assertEqual(answer.json()["error"]["code"], code)
+        self.assertEqual(answer.headers["cherryrudder-outcome"], "not-run")
         return answer.json()["error"]
 
     def test_broken_json(self):
