Pause between rounds of control VMs, and fail steps that an engine leaves out

Cause: read-through. With every control VM's port closed a call went round them without a pause for its 3 s; an error status of the claims' surface ended as an internal fault in place of not-run; an engine's answer without one of its steps held that stream for half a minute. Conclusion: small safeguards.

--- a/libs/daemon/src/cherryrudder/daemon/controlcalls.py
+++ b/libs/daemon/src/cherryrudder/daemon/controlcalls.py
@@ -7,6 +7,8 @@
 from typing import Any
 from urllib.parse import urlencode
 
+import anyio
+
 from cherryrudder.state.commands import (
     Answer,
     Claim,
@@ -23,6 +25,7 @@
 # without a quorum is refused after it.
 CALL_S = 3.0
 TRY_S = 1.5
+PAUSE_S = 0.05
 HTTP_SERVER_FAULT = 500
 
 
@@ -38,17 +41,13 @@
         deadline_s = now_s() + timeout_s
         while now_s() < deadline_s:
             for address in list(self.addresses):
-                left_s = deadline_s - now_s()
-                if left_s <= 0:
+                try_s = min(TRY_S, deadline_s - now_s())
+                if try_s <= 0:
                     break
+                url = f"http://{address}{path}"
                 try:
-                    return await self.process.client.call(
-                        method,
-                        f"http://{address}{path}",
-                        value,
-                        kind,
-                        min(TRY_S, left_s),
-                    )
+                    client = self.process.client
+                    return await client.call(method, url, value, kind, try_s)
                 except StatusError as error:
                     if error.status < HTTP_SERVER_FAULT:
                         raise
@@ -57,6 +56,8 @@
                 # Ask the others first from now on: this one is away or isolated.
                 self.addresses.remove(address)
                 self.addresses.append(address)
+            # Refused connections fail at once; without a pause this would spin.
+            await anyio.sleep(PAUSE_S)
         raise NoQuorum("no control VM answered in time")
 
     async def open_claim(self, command: OpenClaim, timeout_s: float) -> ClaimAnswer:
--- a/libs/daemon/src/cherryrudder/daemon/enginehost.py
+++ b/libs/daemon/src/cherryrudder/daemon/enginehost.py
@@ -173,12 +173,14 @@
             answer = await self.client.call("POST", url, value, StepAnswer, STEP_S)
         except WireError as error:
             log.warning("The engine gave no answer: {}.", error)
-            outputs = [
-                StepOutput(c.request, c.position, (), str(error)) for c in computes
-            ]
+            outputs = failures(computes, str(error))
             self.desk.call_ended(call, 0, now_s())
         else:
-            outputs = answer.outputs
+            # A step that the engine left out would otherwise hold its stream until the
+            # stage's own limit for a compute, half a minute.
+            answered = {(one.request, one.position) for one in answer.outputs}
+            left_out = [c for c in computes if (c.request, c.position) not in answered]
+            outputs = (*answer.outputs, *failures(left_out, "no output"))
             # One call is one step of the engine's batch, unless it fills a prompt.
             decodes = all(len(compute.inputs) == 1 for compute in computes)
             self.desk.call_ended(call, int(decodes), now_s())
@@ -232,6 +234,11 @@
         done.set()
 
 
+def failures(computes, error: str) -> list[StepOutput]:
+    """Return an output with an error for each step."""
+    return [StepOutput(c.request, c.position, (), error) for c in computes]
+
+
 def batch_size(requests: int) -> int:
     """Return how many steps one call to the engine may carry.
 
--- a/libs/daemon/src/cherryrudder/daemon/services.py
+++ b/libs/daemon/src/cherryrudder/daemon/services.py
@@ -151,7 +151,7 @@
         try:
             timeout_s = min(CALL_S, filing.deadline_s - now_s())
             answer = await self.entry.controls.open_claim(command, timeout_s)
-        except NoQuorum as error:
+        except (NoQuorum, StatusError) as error:
             # The claim may be committed after this, but only this entry could ever
             # send its attempt, and it does not: "not run" is certain.
             return not_run(str(error))
