Give the fleet's dump a module of its own

No behaviour and no test changed. Ruled out: splitting the fleet's state, which every function here works on.

--- a/libs/policy/src/cherryrudder/policy/fleet.py
+++ b/libs/policy/src/cherryrudder/policy/fleet.py
@@ -243,22 +243,6 @@
     return max(0, allowed - member.in_flight)
 
 
-def dump(fleet: Fleet, now_s: float) -> dict:
-    """Return the state as plain data."""
-    return {
-        name: {
-            "in_flight": member.in_flight,
-            "credits": member.credits,
-            "leaving": member.is_leaving,
-            "ejected": ejection.is_ejected(member.health, now_s),
-            "probing": ejection.is_probing(member.health),
-            "token_s": list(member.health.token_s),
-            "failure_part": member.health.failure_part,
-        }
-        for name, member in fleet.members.items()
-    }
-
-
 def _token_cost_s(member, size):
     health, announcement = member.health, member.announcement
     token_s = health.token_s[size] if health.samples[size] else 0.0
--- a/libs/policy/src/cherryrudder/policy/placement.py
+++ b/libs/policy/src/cherryrudder/policy/placement.py
@@ -28,7 +28,6 @@
     Member,
     began,
     cut_off,
-    dump,
     ended,
     failed,
     free_slots,
@@ -40,6 +39,7 @@
     update,
     withdrawn,
 )
+from .fleetdump import dump
 
 __all__ = [
     "Chain",
