Do not call a whole answer not-run when its caller has gone

A caller that closed its connection while its whole answer was being made was counted as bad input, with the outcome not-run, although layers had run; only one that had no place yet has certainly not run. It says unknown now. Ruled out: a caller that is told so (its connection is closed); the counts by outcome were false.

--- a/libs/daemon/src/cherryrudder/daemon/completions.py
+++ b/libs/daemon/src/cherryrudder/daemon/completions.py
@@ -46,6 +46,10 @@
     """The caller's deadline has passed while the answer was being made."""
 
 
+class CallerGone(Exception):
+    """The caller closed its connection before its answer."""
+
+
 class Completions:
     """The completions of one entry."""
 
@@ -75,6 +79,10 @@
             return StreamReply(events, partial(self._end, flow), _stream_headers())
         except TurnedAway as error:
             return refuse(error.refusal)
+        except CallerGone:
+            # Only a request that had no place yet has certainly not run.
+            outcome = Outcome.NOT_RUN if flow is None else Outcome.UNKNOWN
+            return fail(400, "disconnected", "the caller went away", outcome)
         finally:
             if not is_streamed:
                 self._end(flow)
@@ -232,7 +240,7 @@
     if failure:
         raise failure[0]
     if not result:
-        raise RequestError(400, "disconnected", "the caller went away")
+        raise CallerGone
     return result[0]
 
 
