--- a/libs/layers/src/cherryrudder/layers/chains.py
+++ b/libs/layers/src/cherryrudder/layers/chains.py
@@ -237,5 +237,3 @@
         if part.address == address:
             return index
     return None
-
-
--- /dev/null
+++ b/libs/node/src/cherryrudder/node/__init__.py
@@ -0,0 +1,1 @@
+"""The entry and control processes on the users' platform."""
--- /dev/null
+++ b/libs/node/src/cherryrudder/node/attempts.py
@@ -0,0 +1,67 @@
+"""One attempt of a request at one engine, over one connection."""
+
+from cherryrudder.platform import messages
+from cherryrudder.platform.messages import AnswerFacts, Sending
+from cherryrudder.relay import pool
+from cherryrudder.relay.client import EngineConnection, Head
+from cherryrudder.relay.errors import AnswerBroken
+from cherryrudder.replica.clock import now_s
+
+from .job import Job
+
+# A connection in the same region is there within some milliseconds. One lost packet is
+# repeated after a second; another endpoint is there sooner.
+CONNECT_S = 0.3
+# A success without the engine's seal is none of its answers.
+FIRST_OK, LAST_OK = 200, 299
+
+
+async def open_for(job: Job, address: str) -> EngineConnection:
+    """Return a connection for one attempt; raises ConnectFailed.
+
+    A request that may not be repeated never goes out on a kept connection: the engine
+    may close it at that moment, and nobody could tell whether the request has run.
+    """
+    timeout_s = max(0.0, min(CONNECT_S, job.left_s()))
+    if not job.is_idempotent:
+        return await pool.take_new(job.state.pool, address, timeout_s, now_s())
+    connection, _ = await pool.take(job.state.pool, address, timeout_s, now_s())
+    return connection
+
+
+async def send(job: Job, connection: EngineConnection, sending: Sending) -> None:
+    """Send the request; raises AnswerBroken."""
+    request = job.exchange.request
+    headers = job.engine_headers(sending)
+    await connection.send(request.method, request.target, headers, request.body)
+
+
+def is_foreign(job: Job, facts: AnswerFacts) -> bool:
+    """Tell whether an answer names another request than this one."""
+    return bool(facts.request_id) and facts.request_id != job.facts.request_id
+
+
+def check_seal(head: Head, facts: AnswerFacts) -> None:
+    """Refuse a success that its engine has not sealed; raises AnswerBroken."""
+    if FIRST_OK <= head.status <= LAST_OK and not facts.is_sealed:
+        raise AnswerBroken("a success without a seal")
+
+
+async def read_own_head(
+    job: Job, connection: EngineConnection, timeout_s: float
+) -> tuple[Head, AnswerFacts]:
+    """Return the answer's head, past late answers to other requests.
+
+    Raises AnswerBroken, AnswerLate.
+    """
+    end_s = now_s() + timeout_s
+    while True:
+        head = await connection.read_head(end_s - now_s())
+        facts = messages.read_answer(head.headers)
+        if not is_foreign(job, facts):
+            check_seal(head, facts)
+            return head, facts
+        job.note("foreign-answer", address=connection.address)
+        while await connection.read() is not None:
+            pass
+        connection.skip_answer()
--- /dev/null
+++ b/libs/node/src/cherryrudder/node/controlbeats.py
@@ -0,0 +1,227 @@
+"""The control VM's gossip: answers to entries, beats to other control VMs, news."""
+
+import anyio
+from loguru import logger
+
+from cherryrudder.replica.clock import now_s
+from cherryrudder.replica.errors import ReplicaError
+from cherryrudder.wire.frames import FrameCodec
+from cherryrudder.wire.links import Links, listen_frames
+
+from . import gossip, roster, tablesync
+from .controlstate import ControlState
+from .gossip import (
+    Accusation,
+    ConfigurationNews,
+    ControlAnswer,
+    ControlBeat,
+    EndpointNews,
+    EntryBeat,
+    TableMark,
+    Usage,
+)
+
+BEAT_S = 0.5
+# The leader answers a confirmation after one round of the log's heartbeats, some
+# milliseconds; an election takes a second.
+CONFIRM_S = 0.8
+# Another data centre's control VM sends a configuration only to entries that still
+# lack it after this long; their own has sent it at once. It keeps a configuration of
+# 40 KB from crossing between data centres three times.
+FAR_WAIT_S = 0.4
+
+log = logger.bind(part="control")
+
+
+class ControlBeats:
+    """The frame links of one control process."""
+
+    def __init__(self, state: ControlState, group):
+        self.state = state
+        self.group = group
+        codec = FrameCodec(gossip.KINDS)
+        self.links = Links(group, codec, gossip.KEY, state.address, self._on_down)
+        self._codec = codec
+        # Entries' beats that wait for the next confirmation.
+        self._waiting: dict[str, EntryBeat] = {}
+        self._wake = anyio.Event()
+        self._changed_s = 0.0
+        self._seen: dict[str, TableMark] = {}
+
+    def start(self) -> None:
+        """Start listening, beating and answering."""
+        state = self.state
+        self.group.start_soon(
+            listen_frames,
+            state.address,
+            self._codec,
+            gossip.KEY,
+            self._on_frames,
+            state.stopping,
+        )
+        self.group.start_soon(self._beat)
+        self.group.start_soon(self._confirm)
+
+    def on_applied(self) -> None:
+        """Send a configuration that was accepted to the entries nearby, at once."""
+        version = self.state.version
+        if not version:
+            return
+        self._changed_s = now_s()
+        news = ConfigurationNews(version, self.state.voter.state.text)
+        for beat in roster.beats(self.state.entries, now_s()):
+            if beat.vm_zone == self.state.settings.vm_zone and beat.version < version:
+                self.links.send(beat.address, news)
+
+    def spread(self, engine_ids) -> None:
+        """Tell everybody of endpoints that changed just now."""
+        news = EndpointNews(
+            tablesync.news_of(self.state.endpoints, engine_ids, now_s())
+        )
+        if not news.endpoints:
+            return
+        for address in self._everybody():
+            self.links.send(address, news)
+
+    def _everybody(self):
+        state, now = self.state, now_s()
+        return [
+            *roster.present(state.roster, now),
+            *roster.present(state.entries, now),
+        ]
+
+    def _on_down(self, address):
+        self.state.sink.write("control", "link-down", peer=address)
+
+    def _on_frames(self, peer, messages):
+        for message in messages:
+            match message:
+                case EntryBeat():
+                    self._on_entry(message)
+                case ControlBeat():
+                    self._on_control(message)
+                case EndpointNews():
+                    self._take_endpoints(message.endpoints)
+                case Accusation():
+                    self._on_accusation(message)
+
+    def _on_entry(self, beat):
+        state, now = self.state, now_s()
+        if roster.hear(state.entries, beat.address, beat, now):
+            state.sink.write("control", "entry-found", vm=beat.vm, address=beat.address)
+        self._waiting[beat.address] = beat
+        self._wake.set()
+
+    def _on_control(self, beat):
+        state, now = self.state, now_s()
+        if roster.hear(state.roster, beat.address, beat, now):
+            state.sink.write(
+                "control", "control-found", True, vm=beat.vm, address=beat.address
+            )
+        roster.tell(state.roster, beat.controls, now)
+        self._seen[beat.address] = TableMark(beat.boot, beat.table_version)
+        # No news of it to others: they hear the same beats or news themselves.
+        tablesync.take(state.endpoints, beat.endpoints, now)
+        tablesync.take_alive(state.endpoints, beat.alive, now)
+
+    def _take_endpoints(self, endpoints):
+        now = now_s()
+        news = tablesync.take(self.state.endpoints, endpoints, now)
+        # An entry that the sender doesn't reach hears it from here.
+        for address in roster.present(self.state.entries, now) if news else ():
+            told = tablesync.news_of(self.state.endpoints, news, now)
+            self.links.send(address, EndpointNews(told))
+
+    def _on_accusation(self, accusation):
+        for address in roster.present(self.state.entries, now_s()):
+            if address != accusation.sender:
+                self.links.send(address, accusation)
+
+    async def _beat(self):
+        state = self.state
+        while not state.stopping.is_set():
+            now = now_s()
+            for address in roster.targets(state.roster, now):
+                self.links.send(address, self._own_beat(address, now))
+            roster.sweep(state.roster, now)
+            roster.sweep(state.entries, now)
+            tablesync.sweep(state.endpoints, now)
+            await anyio.sleep(BEAT_S)
+
+    def _own_beat(self, address, now):
+        state = self.state
+        known = state.roster.heard.get(address)
+        seen = known.beat.seen if known else TableMark("", 0)
+        return ControlBeat(
+            boot=state.boot,
+            vm=state.settings.vm,
+            address=state.address,
+            log_address=state.log_address,
+            disk_id=state.disk_id,
+            has_disk=bool(state.settings.data_folder),
+            is_founding=state.settings.is_founding,
+            controls=tuple(roster.present(state.roster, now)),
+            seen=self._seen.get(address, TableMark("", 0)),
+            table_version=state.endpoints.table.version,
+            endpoints=tablesync.news_since(state.endpoints, seen, now),
+            alive=tablesync.signs(state.endpoints, now),
+        )
+
+    async def _confirm(self):
+        """Answer the beats that came before each confirmation, all together."""
+        while True:
+            await self._wake.wait()
+            self._wake = anyio.Event()
+            waiting, self._waiting = self._waiting, {}
+            asked_s = now_s()
+            version = await self._confirmed_version()
+            if version >= 0:
+                self.state.confirmed_s = asked_s
+            for beat in waiting.values():
+                self._answer(beat, version)
+
+    async def _confirmed_version(self):
+        voter = self.state.voter
+        if voter is None:
+            return -1
+        try:
+            await voter.confirm(CONFIRM_S)
+        except ReplicaError as error:
+            log.debug("No confirmation: {}.", error)
+            return -1
+        return self.state.version
+
+    def _answer(self, beat, version):
+        state, now = self.state, now_s()
+        if beat.version < version:
+            is_near = beat.vm_zone == state.settings.vm_zone
+            if is_near or now - self._changed_s > FAR_WAIT_S:
+                news = ConfigurationNews(version, state.voter.state.text)
+                self.links.send(beat.address, news)
+        answer = ControlAnswer(
+            boot=state.boot,
+            address=state.address,
+            sent_s=beat.sent_s,
+            version=version,
+            controls=(state.address, *roster.present(state.roster, now)),
+            table_version=state.endpoints.table.version,
+            endpoints=tablesync.news_since(state.endpoints, beat.seen, now),
+            alive=tablesync.signs(state.endpoints, now),
+            usage=self._usage_of_others(beat, now),
+        )
+        self.links.send(beat.address, answer)
+
+    def _usage_of_others(self, beat, now):
+        """Sum up what the other entries have running, by engine."""
+        if beat.vm_zone != self.state.settings.vm_zone:
+            return ()
+        sums: dict[str, Usage] = {}
+        for other in roster.beats(self.state.entries, now):
+            if other.address == beat.address:
+                continue
+            for one in other.usage:
+                known = sums.get(one.address, Usage(one.address, 0, 0))
+                sums[one.address] = Usage(
+                    one.address, known.running + one.running, known.tokens + one.tokens
+                )
+        return tuple(sums.values())
--- /dev/null
+++ b/libs/node/src/cherryrudder/node/controlstate.py
@@ -0,0 +1,70 @@
+"""What a control process knows, shared by its parts."""
+
+from typing import TYPE_CHECKING
+
+import anyio
+
+from cherryrudder.platform.settings import NodeSettings
+from cherryrudder.quorum import core
+from cherryrudder.quorum.events import Voter as VoterName
+from cherryrudder.replica.clock import new_id
+
+from . import gossip
+from .council import Member
+from .linesink import LineSink
+from .metrics import Metrics
+from .roster import Roster
+from .tablesync import SharedTable
+
+if TYPE_CHECKING:
+    from cherryrudder.replica.voter import Voter
+
+
+class ControlState:
+    """The settings, tables and voter of one control process."""
+
+    def __init__(self, settings: NodeSettings, sink: LineSink, metrics: Metrics):
+        self.settings = settings
+        self.sink = sink
+        self.metrics = metrics
+        self.boot = new_id()
+        self.ports = gossip.ports(settings.first_port)
+        self.address = f"{settings.ip}:{self.ports.control}"
+        self.log_address = f"{settings.ip}:{self.ports.log}"
+        self.seed_addresses = seed_addresses(settings)
+        # Other control processes, and entries.
+        self.roster = Roster(self.address, self.seed_addresses)
+        self.entries = Roster()
+        self.endpoints = SharedTable(self.boot)
+        self.voter: Voter | None = None
+        self.disk_id = ""
+        # Set once the process is to end.
+        self.stopping = anyio.Event()
+        # When a majority last confirmed what is in force; see `controlbeats`.
+        self.confirmed_s = float("-inf")
+
+    @property
+    def version(self) -> int:
+        """Return the version of the newest configuration that was applied here."""
+        return self.voter.state.version if self.voter else 0
+
+    def is_leader(self) -> bool:
+        """Tell whether this VM leads, as far as it knows."""
+        return self.voter is not None and self.voter.node.role == core.LEADER
+
+    def members(self, now_s: float) -> list[Member]:
+        """Return the control processes that tell of themselves, this one included."""
+        own = VoterName(self.settings.vm, self.disk_id, self.log_address)
+        found = [Member(own, bool(self.settings.data_folder), now_s)]
+        for present in self.roster.heard.values():
+            beat = present.beat
+            if beat.disk_id:
+                name = VoterName(beat.vm, beat.disk_id, beat.log_address)
+                found.append(Member(name, beat.has_disk, present.heard_s))
+        return found
+
+
+def seed_addresses(settings: NodeSettings) -> tuple[str, ...]:
+    """Return where the seeds' control processes take frames."""
+    port = gossip.ports(settings.first_port).control
+    return tuple(gossip.at_port(seed, port) for seed in settings.seeds)
--- /dev/null
+++ b/libs/node/src/cherryrudder/node/entry.py
@@ -0,0 +1,85 @@
+"""The entry process: clients' connections and the platform's question of readiness."""
+
+import anyio
+
+from cherryrudder.platform import calls
+from cherryrudder.platform.settings import NodeSettings
+from cherryrudder.relay import pool
+from cherryrudder.relay.server import Exchange, Limits
+from cherryrudder.replica.clock import now_s
+from cherryrudder.routing import endpoints, gatekeeping
+from cherryrudder.routing.configuration import DEFAULT_LIMITS
+
+from . import httpserver
+from .entrystate import EntryState
+from .frontdoor import FrontDoor
+from .httpserver import HttpServer
+from .linesink import LineSink
+from .metrics import Metrics
+from .uplink import Uplink
+
+# The platform asks once a second and needs two misses to send nobody here any more;
+# until then new connections go on coming, and are served.
+OUT_OF_ROTATION_S = 2.6
+# Left of the platform's patience for closing what has still not ended.
+LAST_S = 0.4
+SWEEP_S = 1.0
+
+
+async def run(
+    settings: NodeSettings, sink: LineSink, metrics: Metrics, leaving: anyio.Event
+) -> None:
+    """Serve clients until `leaving` is set and their requests have ended."""
+    state = EntryState(settings, sink, metrics)
+    async with anyio.create_task_group() as group:
+        uplink = Uplink(state, group)
+        uplink.start()
+        server = HttpServer(FrontDoor(state, uplink).handle)
+        server.limits = Limits(*DEFAULT_LIMITS)
+        group.start_soon(httpserver.serve, server, settings.client_address)
+        group.start_soon(_answer_readiness, state, leaving)
+        group.start_soon(_tidy, state, server)
+        await leaving.wait()
+        await _stop(server, settings.bounds.grace_s)
+        group.cancel_scope.cancel()
+
+
+async def _answer_readiness(state, leaving):
+    async def answer(exchange: Exchange):
+        path = exchange.request.target.decode("latin-1").partition("?")[0]
+        if path != calls.READINESS_PATH:
+            await exchange.answer(404, [])
+            return
+        is_ready = _is_ready(state) and not leaving.is_set()
+        await exchange.answer(200 if is_ready else 503, [])
+
+    server = HttpServer(answer)
+    await httpserver.serve(server, state.settings.readiness_address)
+
+
+def _is_ready(state):
+    """Tell whether clients are better off here than elsewhere."""
+    if state.table is None:
+        return False
+    age_s = now_s() - state.confirmed_s
+    return age_s < gatekeeping.TRUSTED_SHARE * state.settings.bounds.revoke_s
+
+
+async def _tidy(state, server):
+    """Follow the configured limits, and close connections that grew old."""
+    while True:
+        await anyio.sleep(SWEEP_S)
+        if state.table is not None:
+            server.limits = Limits(*state.table.configuration.limits)
+        now = now_s()
+        live = endpoints.live(state.endpoints.table, now)
+        await pool.sweep(state.pool, {a.address for a in live}, now)
+
+
+async def _stop(server, grace_s):
+    """Serve on until the platform sends nobody, then until all requests have ended."""
+    server.is_closing = True
+    deadline_s = now_s() + grace_s - LAST_S
+    await anyio.sleep(min(OUT_OF_ROTATION_S, grace_s / 2))
+    while server.busy() and now_s() < deadline_s:
+        await anyio.sleep(0.02)
--- /dev/null
+++ b/libs/node/src/cherryrudder/node/entrystate.py
@@ -0,0 +1,139 @@
+"""What an entry process knows, shared by its parts."""
+
+import random
+from typing import NamedTuple
+
+import anyio
+
+from cherryrudder.layers.chains import Candidate, Chain
+from cherryrudder.platform.settings import NodeSettings
+from cherryrudder.policy.retries import RetryBudget
+from cherryrudder.relay.pool import Pool
+from cherryrudder.replica.clock import new_id
+from cherryrudder.routing import endpoints, suspicion
+from cherryrudder.routing.endpoints import Announcement
+from cherryrudder.routing.routetable import RouteTable
+from cherryrudder.routing.suspicion import Suspicions
+
+from . import gossip
+from .controlstate import seed_addresses
+from .gossip import Usage
+from .linesink import LineSink
+from .metrics import Metrics
+from .roster import Roster
+from .tablesync import SharedTable
+
+# The users' retry budget is one for all entries. Their number is not told; a share of
+# one in sixteen keeps within it up to 32 entries of which half spend all at once.
+BUDGET_PARTS = 16
+
+
+class ToldLoad(NamedTuple):
+    """What an endpoint said of its load in an answer."""
+
+    load: float
+    told_s: float
+
+
+class EntryState:
+    """The settings, tables and counts of one entry process."""
+
+    def __init__(self, settings: NodeSettings, sink: LineSink, metrics: Metrics):
+        self.settings = settings
+        self.sink = sink
+        self.metrics = metrics
+        self.boot = new_id()
+        self.rng = random.Random(self.boot)
+        self.ports = gossip.ports(settings.first_port)
+        self.address = f"{settings.ip}:{self.ports.entry}"
+        self.controls = Roster("", seed_addresses(settings))
+        self.endpoints = SharedTable(self.boot)
+        self.suspicions = Suspicions()
+        self.table: RouteTable | None = None
+        # When the question was asked whose answer last confirmed the configuration.
+        self.confirmed_s = float("-inf")
+        self.pool = Pool()
+        bounds = settings.bounds
+        self.budget = RetryBudget(
+            earned_per_request=bounds.retry_share / 2,
+            max_saved=max(1.0, bounds.retry_slack / BUDGET_PARTS),
+        )
+        # By engine address: requests and tokens of this entry, and of the others.
+        self.running: dict[str, int] = {}
+        self.tokens: dict[str, int] = {}
+        self.others: dict[str, Usage] = {}
+        self.told: dict[str, ToldLoad] = {}
+        # Set once the process is to end.
+        self.stopping = anyio.Event()
+
+    @property
+    def version(self) -> int:
+        """Return the version of the configuration in force, 0 for none."""
+        return self.table.version if self.table else 0
+
+
+def began(state: EntryState, chain: Chain, tokens: int) -> None:
+    """Count a request in on every engine of its chain."""
+    for part in chain:
+        state.running[part.address] = state.running.get(part.address, 0) + 1
+        state.tokens[part.address] = state.tokens.get(part.address, 0) + tokens
+
+
+def ended(state: EntryState, chain: Chain, tokens: int) -> None:
+    """Count a request out again."""
+    for part in chain:
+        state.running[part.address] -= 1
+        state.tokens[part.address] -= tokens
+        if not state.running[part.address]:
+            del state.running[part.address]
+            del state.tokens[part.address]
+
+
+def usage(state: EntryState) -> tuple[Usage, ...]:
+    """Return what this entry has running, for the other entries."""
+    return tuple(
+        Usage(address, count, state.tokens[address])
+        for address, count in state.running.items()
+    )
+
+
+def serving(state: EntryState, service: str, now_s: float) -> list[Announcement]:
+    """Return the endpoints of a service that may get new work."""
+    return [
+        announcement
+        for announcement in endpoints.live(state.endpoints.table, now_s)
+        if announcement.service == service and endpoints.may_take_work(announcement)
+    ]
+
+
+def candidates(state: EntryState, service: str, now_s: float) -> list[Candidate]:
+    """Return the engines that hold layers and aren't known to be dead."""
+    return [
+        _candidate(state, announcement)
+        for announcement in serving(state, service, now_s)
+        if announcement.holding.end
+        and not suspicion.is_resting(state.suspicions, announcement.engine_id, now_s)
+    ]
+
+
+def _candidate(state, announcement):
+    address = announcement.address
+    others = state.others.get(address)
+    return Candidate(
+        address=address,
+        engine_id=announcement.engine_id,
+        vm_zone=announcement.vm_zone,
+        kind=announcement.kind,
+        first=announcement.holding.first,
+        end=announcement.holding.end,
+        running=state.running.get(address, 0) + (others.running if others else 0),
+        tokens=state.tokens.get(address, 0) + (others.tokens if others else 0),
+    )
+
+
+def engine_at(state: EntryState, address: str, now_s: float) -> str:
+    """Return the boot that is thought to be at an address, or nothing."""
+    for announcement in endpoints.live(state.endpoints.table, now_s):
+        if announcement.address == address:
+            return announcement.engine_id
+    return ""
--- /dev/null
+++ b/libs/node/src/cherryrudder/node/frontdoor.py
@@ -0,0 +1,82 @@
+"""Where clients' requests come in: route, key and service, then the relay."""
+
+from cherryrudder.platform import messages
+from cherryrudder.policy import retries
+from cherryrudder.relay.server import Exchange
+from cherryrudder.replica.clock import now_s
+from cherryrudder.routing import gatekeeping
+from cherryrudder.routing.gatekeeping import Admitted, Asked, Refused
+from cherryrudder.routing.routetable import pick_service
+
+from . import plainrelay, streamrelay
+from .entrystate import EntryState
+from .job import Job, refuse
+from .stalls import StallDesk
+from .uplink import Uplink
+
+
+class FrontDoor:
+    """Takes requests and sees each to its one final answer."""
+
+    def __init__(self, state: EntryState, uplink: Uplink):
+        self.state = state
+        self.stalls = StallDesk(state, uplink)
+
+    async def handle(self, exchange: Exchange) -> None:
+        """Serve or refuse one request."""
+        state, request = self.state, exchange.request
+        facts = messages.read_request(request.headers)
+        asked = Asked(facts.host, request.target.decode("latin-1"), facts.key)
+        decision = gatekeeping.decide(
+            state.table,
+            asked,
+            now_s() - state.confirmed_s,
+            state.settings.bounds.revoke_s,
+        )
+        if isinstance(decision, Refused):
+            await refuse(state, exchange, facts, decision)
+            return
+        await self._serve(exchange, facts, decision)
+
+    async def _serve(self, exchange, facts, admitted: Admitted):
+        state = self.state
+        name = pick_service(admitted.route, state.rng.random())
+        service = state.table.service(name)
+        job = Job(state, exchange, facts, admitted, service)
+        retries.note_request(state.budget)
+        job.note(
+            "admitted",
+            route=admitted.route.name,
+            version=state.version,
+            account=admitted.account,
+            service=name,
+        )
+        try:
+            if service.model is not None and service.model.layers:
+                await streamrelay.serve(job, self.stalls)
+            else:
+                await plainrelay.serve(job)
+        finally:
+            _record(job)
+
+
+def _record(job):
+    """Count the request's end; failures keep their line also when lines are short."""
+    state, kind = job.state, str(job.route.kind)
+    if job.exchange.is_gone:
+        job.outcome = f"client left ({job.outcome})"
+    total_s = now_s() - job.arrived_s
+    first_s = job.first_byte_s - job.arrived_s if job.first_byte_s else None
+    state.metrics.requests.labels(kind, job.outcome).inc()
+    state.metrics.total_s.labels(kind).observe(total_s)
+    if first_s is not None:
+        state.metrics.first_byte_s.labels(kind).observe(first_s)
+    is_failure = not job.outcome.startswith(("status 2", "client left"))
+    job.note(
+        "ended",
+        is_failure,
+        outcome=job.outcome,
+        attempts=job.attempts,
+        first_byte_s=first_s and round(first_s, 3),
+        total_s=round(total_s, 3),
+    )
--- /dev/null
+++ b/libs/node/src/cherryrudder/node/gossip.py
@@ -0,0 +1,144 @@
+"""What entries and control VMs tell one another, over frame links.
+
+Each entry sends a beat to every control VM that it knows, and each control VM answers.
+News goes out at once besides; a beat only repairs what was lost on the way, so any of
+these messages may be lost, doubled or late.
+"""
+
+from typing import NamedTuple
+
+from cherryrudder.routing.endpoints import Announcement
+
+
+class Heard(NamedTuple):
+    """An endpoint as the sender knows it; `age_s` is since it was last heard."""
+
+    announcement: Announcement
+    age_s: float
+    is_gone: bool
+
+
+class Alive(NamedTuple):
+    """A sign of life that brings no other news."""
+
+    engine_id: str
+    number: int
+    age_s: float
+
+
+class Usage(NamedTuple):
+    """What runs through an engine, as those who sent it count."""
+
+    address: str
+    running: int
+    tokens: int
+
+
+class TableMark(NamedTuple):
+    """How far a reader has followed the endpoints' table of one control process."""
+
+    boot: str
+    version: int
+
+
+class EntryBeat(NamedTuple):
+    """An entry's regular message to each control VM."""
+
+    vm: str
+    vm_zone: str
+    # Frame address at which the entry takes answers and news.
+    address: str
+    # The sender's clock, echoed: a late answer then shows its age.
+    sent_s: float
+    # Version of the configuration that is in force at the entry, 0 for none.
+    version: int
+    seen: TableMark
+    usage: tuple[Usage, ...]
+
+
+class ControlAnswer(NamedTuple):
+    """A control VM's answer to an entry's beat."""
+
+    boot: str
+    address: str
+    sent_s: float
+    # Newest version as of the beat's arrival, confirmed by a majority of the voters;
+    # -1 when that couldn't be had.
+    version: int
+    controls: tuple[str, ...]
+    table_version: int
+    endpoints: tuple[Heard, ...]
+    alive: tuple[Alive, ...]
+    # Of all other entries together.
+    usage: tuple[Usage, ...]
+
+
+class ControlBeat(NamedTuple):
+    """A control VM's regular message to each other."""
+
+    boot: str
+    vm: str
+    # Frame address for this gossip, and the one for the log's messages.
+    address: str
+    log_address: str
+    disk_id: str
+    # False for a copy in memory, which can never become a voter.
+    has_disk: bool
+    is_founding: bool
+    controls: tuple[str, ...]
+    seen: TableMark
+    table_version: int
+    endpoints: tuple[Heard, ...]
+    alive: tuple[Alive, ...]
+
+
+class EndpointNews(NamedTuple):
+    """Endpoints that changed just now."""
+
+    endpoints: tuple[Heard, ...]
+
+
+class ConfigurationNews(NamedTuple):
+    """A configuration that was accepted, as the operator sent it."""
+
+    version: int
+    text: str
+
+
+class Accusation(NamedTuple):
+    """An entry saw an engine dead; the others needn't find out by themselves."""
+
+    engine_id: str
+    sender: str
+
+
+KINDS = (
+    EntryBeat,
+    ControlAnswer,
+    ControlBeat,
+    EndpointNews,
+    ConfigurationNews,
+    Accusation,
+)
+
+# Nobody but this system's processes knows the internal ports; the key only keeps a
+# stray connection of something else from being taken for one of them.
+KEY = "cherryrudder"
+
+
+class Ports(NamedTuple):
+    """The ports of the machine that this system's processes use among themselves."""
+
+    log: int
+    control: int
+    entry: int
+
+
+def ports(first_port: int) -> Ports:
+    """Return the ports, counted from the first that the platform leaves free."""
+    return Ports(first_port, first_port + 1, first_port + 2)
+
+
+def at_port(address: str, port: int) -> str:
+    """Return the address of another port on the same machine."""
+    return f"{address.rpartition(':')[0]}:{port}"
--- /dev/null
+++ b/libs/node/src/cherryrudder/node/job.py
@@ -0,0 +1,146 @@
+"""One client's request at an entry: its limits, its log lines and its answer."""
+
+from typing import NamedTuple
+
+from cherryrudder.platform import messages
+from cherryrudder.platform.messages import RequestFacts, Sending
+from cherryrudder.relay.server import Exchange
+from cherryrudder.replica.clock import now_s
+from cherryrudder.routing.configuration import RouteKind, Service
+from cherryrudder.routing.gatekeeping import Admitted, Refused
+
+from .entrystate import EntryState
+
+# An answer of this system's own is sent this long before the client or the route gives
+# up, so that it arrives in time.
+ANSWER_MARGIN_S = 0.02
+
+
+class Whole(NamedTuple):
+    """A whole answer of an engine."""
+
+    status: int
+    headers: messages.Headers
+    body: bytes
+
+
+class Failed(NamedTuple):
+    """An attempt that brought no answer to pass on."""
+
+    reason: str
+    # True only when the engine has certainly not run the request and never will.
+    is_not_run: bool
+    # The request reached an engine, which counts against the route's attempts.
+    is_sent: bool = True
+    is_late: bool = False
+    # An engine's own failure, to be passed on if nothing better comes.
+    whole: Whole | None = None
+
+
+class Job:
+    """A request that was admitted, while it is served."""
+
+    def __init__(
+        self,
+        state: EntryState,
+        exchange: Exchange,
+        facts: RequestFacts,
+        admitted: Admitted,
+        service: Service,
+    ):
+        self.state = state
+        self.exchange = exchange
+        self.facts = facts
+        self.admitted = admitted
+        self.route = admitted.route
+        self.service = service
+        self.attempts = 0
+        self.outcome = "cut"
+        self.first_byte_s: float | None = None
+        self.arrived_s = exchange.request.arrived_s
+        limit_s = self.route.timeout_s
+        if facts.deadline_s is not None:
+            limit_s = min(limit_s, facts.deadline_s)
+        self.end_s = self.arrived_s + limit_s
+
+    @property
+    def is_idempotent(self) -> bool:
+        """Tell whether the request may run more than once."""
+        if self.route.kind is RouteKind.STREAM:
+            return self.route.is_resumable
+        return self.route.kind is RouteKind.SAFE
+
+    def left_s(self) -> float:
+        """Return the time until the client or the route gives up."""
+        return self.end_s - now_s() - ANSWER_MARGIN_S
+
+    def note(self, event: str, is_kept: bool = False, **fields) -> None:
+        """Write a log line about this request."""
+        self.state.sink.write(
+            "request", event, is_kept, request_id=self.facts.request_id, **fields
+        )
+
+    def engine_headers(self, sending: Sending) -> messages.Headers:
+        """Return the request's headers on their way to an engine."""
+        request = self.exchange.request
+        return messages.engine_headers(request.headers, sending, len(request.body))
+
+    def sending(self, engine_id: str, **fields) -> Sending:
+        """Return what this system adds to the request for an engine."""
+        return Sending(engine_id, self.end_s - now_s(), self.admitted.account, **fields)
+
+    async def pass_on(self, whole: Whole) -> None:
+        """Send an engine's whole answer to the client, unchanged."""
+        self.outcome = f"status {whole.status}"
+        self.first_byte_s = now_s()
+        headers = messages.answer_headers(whole.headers)
+        headers = [pair for pair in headers if pair[0] != b"content-length"]
+        await self.exchange.answer(whole.status, headers, whole.body)
+
+    async def refuse(self, refused: Refused) -> None:
+        """Send an answer of this system's own."""
+        self.outcome = f"refused {refused.status}"
+        await refuse(self.state, self.exchange, self.facts, refused, self.route.kind)
+
+    async def fail(self, failed: Failed) -> None:
+        """Send the final answer after attempts that brought none.
+
+        Only an engine's word, or that nothing was sent, makes it a "not run".
+        """
+        if failed.whole is not None:
+            await self.pass_on(failed.whole)
+            return
+        if failed.is_not_run:
+            refused = Refused(503, failed.reason, self.retry_after_s())
+        elif failed.is_late:
+            refused = Refused(504, failed.reason)
+        else:
+            refused = Refused(502, failed.reason)
+        await self.refuse(refused)
+
+    def retry_after_s(self) -> float:
+        """Return when the client may come back: after about one usual answer."""
+        return max(0.1, min(1.0, self.route.objective_s))
+
+
+async def refuse(
+    state: EntryState,
+    exchange: Exchange,
+    facts: RequestFacts,
+    refused: Refused,
+    kind: str = "none",
+) -> None:
+    """Answer a request without an engine, and say why in the log."""
+    state.metrics.refusals.labels(kind, refused.reason).inc()
+    state.sink.write(
+        "request",
+        "refused",
+        request_id=facts.request_id,
+        status=refused.status,
+        reason=refused.reason,
+        retry_after_s=refused.retry_after_s,
+        version=state.version,
+        confirmed_age_s=round(now_s() - state.confirmed_s, 3),
+    )
+    headers = messages.own_headers(facts.request_id, refused.retry_after_s)
+    await exchange.answer(refused.status, headers)
--- /dev/null
+++ b/libs/node/src/cherryrudder/node/layerkeeper.py
@@ -0,0 +1,171 @@
+"""The leader's care for the layers: it plans ranges and orders engines to hold them.
+
+Only the log's leader gives orders, with its term as the fence, so that the orders of a
+leader that was replaced are refused. Each order names the count of orders that the
+engine has begun: one that is carried out seconds late, after others, is refused too.
+"""
+
+from typing import NamedTuple
+
+import anyio
+from loguru import logger
+
+from cherryrudder.layers import planner
+from cherryrudder.layers.planner import Holder, Placement
+from cherryrudder.layers.profile import NOTHING, Holding, ModelProfile
+from cherryrudder.platform import configuration, engines
+from cherryrudder.replica.clock import now_s
+from cherryrudder.routing import endpoints
+from cherryrudder.routing.configuration import Service
+from cherryrudder.routing.endpoints import Announcement
+
+from . import enginecalls
+from .controlstate import ControlState
+from .errors import EngineCallFailed
+
+REVIEW_S = 0.25
+# At the first start the engines announce themselves one after the other; a plan made
+# from some of them gives each too many layers. They are planned once nobody new has
+# come for longer than one heartbeat (1.2 s).
+SETTLE_S = 1.5
+# A load that takes this many times its nominal time is not waited for any longer.
+PATIENCE = 4.0
+PATIENCE_MORE_S = 3.0
+# After a refused or failed order the engine is left alone for one of its heartbeats.
+RETRY_S = 1.2
+
+log = logger.bind(part="layers")
+
+
+class Ordered(NamedTuple):
+    """An order whose end was not seen yet."""
+
+    holding: Holding
+    until_s: float
+
+
+class LayerKeeper:
+    """The orders of one control process while it leads."""
+
+    def __init__(self, state: ControlState):
+        self.state = state
+        self._ordered: dict[str, Ordered] = {}
+        self._not_before_s: dict[str, float] = {}
+        self._known: frozenset[str] = frozenset()
+        self._changed_s = 0.0
+        self._services: tuple[int, tuple[Service, ...]] = (0, ())
+
+    async def run(self) -> None:
+        """Review the plan as long as this process runs."""
+        while True:
+            await anyio.sleep(REVIEW_S)
+            if not self.state.is_leader():
+                # What another leader orders meanwhile is seen in the heartbeats.
+                self._ordered.clear()
+                continue
+            for service in self._model_services():
+                await self._review(service)
+
+    def _model_services(self):
+        voter = self.state.voter
+        version, services = self._services
+        if version != voter.state.version:
+            result = configuration.read_configuration(voter.state.text.encode())
+            if result.is_error():
+                log.error("The accepted configuration is unreadable: {}.", result.error)
+                return ()
+            services = tuple(
+                s for s in result.ok.services if s.model is not None and s.model.layers
+            )
+            self._services = (voter.state.version, services)
+        return services
+
+    async def _review(self, service):
+        now = now_s()
+        live = [
+            a
+            for a in endpoints.live(self.state.endpoints.table, now)
+            if a.service == service.name
+        ]
+        self._settle(live, now)
+        if not self._is_settled(live, now):
+            return
+        holders = [self._holder(a, now) for a in live]
+        placements = planner.plan(service.model, holders)
+        async with anyio.create_task_group() as group:
+            for placement in placements:
+                not_before_s = self._not_before_s.get(placement.holder.engine_id, 0.0)
+                if now >= not_before_s:
+                    group.start_soon(self._order, service.model, placement)
+
+    def _settle(self, live, now):
+        """Take note of who came, and of orders whose end the heartbeats show."""
+        known = frozenset(a.engine_id for a in live)
+        if known - self._known:
+            self._changed_s = now
+        self._known = known
+        for announcement in live:
+            ordered = self._ordered.get(announcement.engine_id)
+            if ordered is None:
+                continue
+            if announcement.holding == ordered.holding or now > ordered.until_s:
+                del self._ordered[announcement.engine_id]
+
+    def _is_settled(self, live, now):
+        is_first = all(a.holding == NOTHING for a in live) and not self._ordered
+        return bool(live) and (not is_first or now - self._changed_s > SETTLE_S)
+
+    def _holder(self, announcement: Announcement, now):
+        ordered = self._ordered.get(announcement.engine_id)
+        holding = ordered.holding if ordered else announcement.holding
+        return Holder(
+            address=announcement.address,
+            engine_id=announcement.engine_id,
+            vm_zone=announcement.vm_zone,
+            kind=announcement.kind,
+            holding=holding,
+            is_busy=ordered is not None,
+            is_leaving=announcement.is_leaving,
+        )
+
+    async def _order(self, profile: ModelProfile, placement: Placement):
+        holder, holding = placement
+        self._not_before_s[holder.engine_id] = now_s() + RETRY_S
+        fence = self.state.voter.node.term
+        try:
+            outcome = await _place(placement, fence)
+        except EngineCallFailed as error:
+            outcome = f"failed: {error}"
+        self.state.metrics.orders.labels(outcome.partition(":")[0]).inc()
+        self.state.sink.write(
+            "layers",
+            "order",
+            True,
+            engine_id=holder.engine_id,
+            address=holder.address,
+            kind=holder.kind,
+            had=list(holder.holding),
+            layers=list(holding),
+            fence=fence,
+            outcome=outcome,
+        )
+        if outcome in ("begun", "held"):
+            share = (holding.end - holding.first) / profile.layers
+            patience_s = PATIENCE * profile.load_s * share + PATIENCE_MORE_S
+            ordered = Ordered(holding, now_s() + patience_s)
+            self._ordered[holder.engine_id] = ordered
+
+
+async def _place(placement: Placement, fence: int) -> str:
+    """Order one placement and return its outcome; raises EngineCallFailed."""
+    holder, holding = placement
+    report = await enginecalls.get_report(holder.address)
+    if report.is_loading:
+        return "busy"
+    if report.holding != holder.holding:
+        return "changed"
+    order = engines.Order(holding, fence, report.orders_begun)
+    status = await enginecalls.send_order(holder.address, order)
+    return {202: "begun", 200: "held", 409: "refused", 412: "old fence"}.get(
+        status, f"refused: status {status}"
+    )
--- /dev/null
+++ b/libs/node/src/cherryrudder/node/main.py
@@ -0,0 +1,124 @@
+"""Starts the role that the platform's settings name."""
+
+import os
+import signal
+import sys
+from pathlib import Path
+
+import anyio
+from loguru import logger
+
+from cherryrudder.platform.settings import SETTINGS_VARIABLE, read_settings
+from cherryrudder.relay.server import Exchange
+
+from . import control, entry, httpserver
+from .errors import StartError
+from .httpserver import HttpServer
+from .linesink import LineSink, take_over_logs
+from .metrics import Metrics
+
+ROLES = {"entry": entry.run, "control": control.run}
+# Where each role shows its metrics, on its own machine's address.
+METRICS_PORTS = {"entry": 9464, "control": 9465}
+METRICS_PATH = "/metrics"
+FLUSH_S = 0.25
+
+log = logger.bind(part="process")
+
+
+def load_settings(path: str):
+    """Return the settings of a file; raises StartError."""
+    try:
+        text = Path(path).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise StartError(f"settings {path}: {error}") from error
+    result = read_settings(text)
+    if result.is_error():
+        raise StartError(f"settings {path}: {result.error}")
+    return result.ok
+
+
+async def run(role: str, path: str) -> None:
+    """Run a role until SIGTERM; raises StartError."""
+    settings = load_settings(path)
+    sink = LineSink(vm=settings.vm, role=role)
+    take_over_logs(sink)
+    metrics = Metrics()
+    leaving = anyio.Event()
+    sink.write(
+        "process",
+        "start",
+        True,
+        address=settings.ip,
+        seeds=list(settings.seeds),
+        is_founding=settings.is_founding,
+        has_disk=bool(settings.data_folder),
+    )
+    async with anyio.create_task_group() as group:
+        group.start_soon(_signals, leaving, sink, path)
+        group.start_soon(_flush, sink)
+        group.start_soon(_show_metrics, role, settings.ip, metrics)
+        await ROLES[role](settings, sink, metrics, leaving)
+        group.cancel_scope.cancel()
+    sink.write("process", "stop", True)
+    sink.flush()
+
+
+async def _signals(leaving, sink, path):
+    kinds = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+    with anyio.open_signal_receiver(*kinds) as signals:
+        async for number in signals:
+            if number == signal.SIGHUP:
+                _reload(sink, path)
+            else:
+                sink.write("process", "leaving", True, signal=number)
+                leaving.set()
+
+
+def _reload(sink, path):
+    """Read changed settings; what is in force stays when they can't be read.
+
+    Only the seeds change while a process runs, and a running process knows its peers
+    better than they do; the next start reads them.
+    """
+    try:
+        settings = load_settings(path)
+    except StartError as error:
+        sink.write("process", "reload-failed", True, error=str(error))
+        return
+    sink.write("process", "reload", True, seeds=list(settings.seeds))
+
+
+async def _flush(sink):
+    while True:
+        await anyio.sleep(FLUSH_S)
+        sink.flush()
+
+
+async def _show_metrics(role, ip, metrics):
+    async def answer(exchange: Exchange):
+        if exchange.request.target.decode("latin-1") != METRICS_PATH:
+            await exchange.answer(404, [])
+            return
+        headers = [(b"content-type", b"text/plain; version=0.0.4")]
+        await exchange.answer(200, headers, metrics.render())
+
+    server = HttpServer(answer)
+    await httpserver.serve(server, f"{ip}:{METRICS_PORTS[role]}")
+
+
+def main() -> int:
+    """Run the role named on the command line and return the exit code."""
+    role = sys.argv[1] if len(sys.argv) > 1 else ""
+    path = os.environ.get(SETTINGS_VARIABLE, "")
+    if role not in ROLES or not path:
+        print(f"usage: {SETTINGS_VARIABLE}=FILE ... {' | '.join(ROLES)}")
+        return 2
+    failures = []
+    try:
+        anyio.run(run, role, path)
+    except* StartError as group:
+        failures += group.exceptions
+    for error in failures:
+        log.error("{}", error)
+    return 2 if failures else 0
--- /dev/null
+++ b/libs/node/src/cherryrudder/node/metrics.py
@@ -0,0 +1,38 @@
+"""Counters and latency histograms as text, for whoever asks at the metrics address."""
+
+from prometheus_client import CollectorRegistry, Counter, Histogram, generate_latest
+
+# Upper bounds in seconds. They part the users' objectives (0.1 to 0.6 s) and limits
+# (0.6 to 20 s) finely enough to tell which was missed.
+BUCKETS_S = (0.005, 0.02, 0.05, 0.1, 0.15, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 20.0)
+
+
+class Metrics:
+    """The counters and histograms of one process; labels are few and fixed."""
+
+    def __init__(self):
+        self.registry = CollectorRegistry()
+        self.requests = self._counter("requests", "Requests ended", "kind", "outcome")
+        self.refusals = self._counter("refusals", "Own refusals", "kind", "reason")
+        self.attempts = self._counter("attempts", "Sends to engines", "kind", "cause")
+        self.reroutes = self._counter("reroutes", "Streams carried on", "outcome")
+        self.orders = self._counter("orders", "Orders to engines", "outcome")
+        self.beliefs = self._counter("beliefs", "Changes of belief", "event")
+        self.first_byte_s = self._histogram("first_byte_seconds", "To the first byte")
+        self.total_s = self._histogram("total_seconds", "To the end of the answer")
+
+    def render(self) -> bytes:
+        """Return all metrics in the text format that scrapers read."""
+        return generate_latest(self.registry)
+
+    def _counter(self, name, text, *labels):
+        return Counter(f"cherryrudder_{name}", text, labels, registry=self.registry)
+
+    def _histogram(self, name, text):
+        return Histogram(
+            f"cherryrudder_{name}",
+            text,
+            ("kind",),
+            buckets=BUCKETS_S,
+            registry=self.registry,
+        )
--- /dev/null
+++ b/libs/node/src/cherryrudder/node/plainrelay.py
@@ -0,0 +1,163 @@
+"""Requests to plain services: whole answers, and another attempt only where it is safe.
+
+An answer is passed on once it is there in full, so that one which breaks off can still
+be repeated for an idempotent request.
+"""
+
+from cherryrudder.policy import retries
+from cherryrudder.relay import pool
+from cherryrudder.relay.errors import AnswerBroken, AnswerLate, ConnectFailed
+from cherryrudder.replica.clock import now_s
+from cherryrudder.routing import picking, suspicion
+from cherryrudder.routing.picking import Place
+
+from . import attempts
+from .entrystate import ToldLoad, serving
+from .job import Failed, Job, Whole
+
+# Part of the time left that an idempotent request waits for one endpoint while another
+# could still answer in time.
+PATIENCE_SHARE = 0.4
+# Time that a second attempt needs to be worth sending: the work is 20 to 70 ms.
+EXPECTED_S = 0.05
+NO_ENDPOINT = Failed("no endpoint", is_not_run=True, is_sent=False)
+
+
+async def serve(job: Job) -> None:
+    """See a request to its answer."""
+    excluded: set[str] = set()
+    failed = NO_ENDPOINT
+    has_run = False
+    while True:
+        place = picking.pick(
+            _places(job), job.state.settings.vm_zone, excluded, job.state.rng
+        )
+        if place is None:
+            break
+        result = await _attempt(job, place)
+        if isinstance(result, Whole):
+            await job.pass_on(result)
+            return
+        has_run = has_run or not result.is_not_run
+        failed = result._replace(
+            is_not_run=not has_run, whole=result.whole or failed.whole
+        )
+        excluded.add(place.engine_id)
+        if not _may_retry(job, result):
+            break
+    await job.fail(failed)
+
+
+def _may_retry(job, failed):
+    if not failed.is_sent:
+        # Nothing has left; another endpoint costs no retry.
+        return job.left_s() > EXPECTED_S
+    attempt = retries.Attempt(
+        attempts=job.attempts,
+        is_idempotent=job.is_idempotent,
+        is_certain_not_run=failed.is_not_run,
+        expected_s=EXPECTED_S,
+        deadline_s=job.end_s,
+        max_attempts=job.route.max_attempts,
+    )
+    verdict = retries.may_retry(job.state.budget, attempt, now_s())
+    job.note("retry", verdict=str(verdict), reason=failed.reason)
+    return verdict is retries.Verdict.RETRY
+
+
+def _places(job):
+    state, now = job.state, now_s()
+    return [
+        _place(state, announcement, now)
+        for announcement in serving(state, job.service.name, now)
+    ]
+
+
+def _place(state, announcement, now):
+    engine_id = announcement.engine_id
+    told = state.told.get(engine_id, ToldLoad(0.0, now))
+    return Place(
+        engine_id=engine_id,
+        address=announcement.address,
+        vm_zone=announcement.vm_zone,
+        slots=announcement.slots,
+        own_running=state.running.get(announcement.address, 0),
+        told_load=told.load,
+        told_age_s=now - told.told_s,
+        is_suspect=suspicion.is_resting(state.suspicions, engine_id, now),
+    )
+
+
+async def _attempt(job: Job, place: Place) -> Whole | Failed:
+    state = job.state
+    state.running[place.address] = state.running.get(place.address, 0) + 1
+    state.tokens.setdefault(place.address, 0)
+    try:
+        result = await _exchange(job, place)
+    finally:
+        state.running[place.address] -= 1
+        if not state.running[place.address]:
+            del state.running[place.address], state.tokens[place.address]
+    _judge(job, place, result)
+    return result
+
+
+async def _exchange(job, place):
+    try:
+        connection = await attempts.open_for(job, place.address)
+    except ConnectFailed as error:
+        return Failed(str(error), is_not_run=True, is_sent=False)
+    job.attempts += 1
+    is_kept = False
+    try:
+        job.note("sent", address=place.address, engine_id=place.engine_id)
+        await attempts.send(job, connection, job.sending(place.engine_id))
+        result = await _read(job, connection, place)
+        is_kept = True
+        return result
+    except AnswerLate as error:
+        return Failed(str(error), is_not_run=False, is_late=True)
+    except AnswerBroken as error:
+        return Failed(str(error), is_not_run=False)
+    finally:
+        if is_kept:
+            await pool.give_back(job.state.pool, connection, now_s())
+        else:
+            await connection.close()
+
+
+async def _read(job, connection, place):
+    timeout_s = job.left_s()
+    if job.is_idempotent and job.attempts < job.route.max_attempts:
+        timeout_s *= PATIENCE_SHARE
+    head, facts = await attempts.read_own_head(job, connection, timeout_s)
+    body = await _read_body(connection)
+    if facts.load is not None:
+        running, waiting, _ = facts.load
+        job.state.told[place.engine_id] = ToldLoad(running + waiting, now_s())
+    if facts.is_not_run:
+        return Failed(f"status {head.status} from the endpoint", is_not_run=True)
+    whole = Whole(head.status, head.headers, body)
+    if head.status >= 500 and job.is_idempotent:
+        return Failed(f"status {head.status}", is_not_run=False, whole=whole)
+    if head.status in (408, 421, 429, 503):
+        # To the client these would promise that the request has not run.
+        return Failed(f"status {head.status} after a run", is_not_run=False)
+    return whole
+
+
+async def _read_body(connection):
+    pieces = []
+    while (data := await connection.read()) is not None:
+        pieces.append(data)
+    return b"".join(pieces)
+
+
+def _judge(job, place, result):
+    """Take what the attempt tells of the endpoint."""
+    suspicions, engine_id, now = job.state.suspicions, place.engine_id, now_s()
+    if isinstance(result, Failed) and not result.is_sent:
+        suspicion.died(suspicions, engine_id, now)
+    else:
+        is_good = isinstance(result, Whole) or result.is_not_run
+        suspicion.answered(suspicions, engine_id, is_good, now)
--- /dev/null
+++ b/libs/node/src/cherryrudder/node/seatkeeper.py
@@ -0,0 +1,182 @@
+"""The voter of a control VM, from finding or creating its disk to replacing it.
+
+The log's part runs by itself inside the process: a disk that stops working takes the
+voter down, not the answers to heartbeats, and is tried again.
+"""
+
+from collections.abc import Callable
+
+import anyio
+from loguru import logger
+
+from cherryrudder.quorum import core, events, voters
+from cherryrudder.quorum.errors import DiskError
+from cherryrudder.quorum.saved import Timing
+from cherryrudder.replica.clock import new_id, now_s
+from cherryrudder.replica.errors import NoQuorum, ReplicaError, VoterFailed
+from cherryrudder.replica.seat import Machine, Seat
+from cherryrudder.replica.voter import Voter
+from cherryrudder.routing import configlog
+
+from . import council, gossip, voterdisk
+from .controlstate import ControlState
+
+# Between data centres a message takes 0.25 ms and a sync 1 ms, 28 ms on a slow disk.
+# An election begins after five silent heartbeats, and the leader is back within the
+# three seconds that the users give the core to become stable again.
+HEARTBEAT_S = 0.12
+ELECTION_MIN_S = 0.6
+ELECTION_MAX_S = 1.2
+# A configuration takes some 40 KB and all are of one kind: the log is cut short often,
+# so that 64 MB of disk hold twice this many of the largest that a call may carry.
+SNAPSHOT_ENTRIES = 6
+REVIEW_S = 0.3
+RETRY_S = 0.5
+# A change of the voter set is one commit; a lost one is tried at the next review.
+CHANGE_S = 1.0
+FOUNDING_POLL_S = 0.05
+
+log = logger.bind(part="voter")
+
+MACHINE = Machine(
+    configlog.new_state, configlog.apply, configlog.snapshot, configlog.restore
+)
+
+
+async def run(state: ControlState, on_applied: Callable[[], None]) -> None:
+    """Hold this VM's seat in the log until the process ends."""
+    while True:
+        try:
+            await _sit(state, on_applied)
+        except* (DiskError, ReplicaError) as group:
+            for error in group.exceptions:
+                state.sink.write("voter", "lost", True, error=str(error))
+        state.voter = None
+        await anyio.sleep(RETRY_S)
+
+
+async def _sit(state, on_applied):
+    disk = await _open_disk(state)
+    state.disk_id = disk.saved.identity.disk_id
+    try:
+        async with anyio.create_task_group() as group:
+            voter = Voter(_seat(state), disk, MACHINE, group)
+            voter.start(state.stopping)
+            state.voter = voter
+            state.sink.write("voter", "open", True, disk_id=state.disk_id)
+            group.start_soon(_watch_applied, voter, on_applied)
+            group.start_soon(_watch_leader, state, voter)
+            group.start_soon(_review, state, voter)
+    finally:
+        disk.close()
+
+
+def _seat(state):
+    timing = Timing(HEARTBEAT_S, ELECTION_MIN_S, ELECTION_MAX_S, SNAPSHOT_ENTRIES)
+    settings = state.settings
+    return Seat(settings.vm, state.log_address, gossip.KEY, timing, new_id())
+
+
+async def _open_disk(state):
+    settings = state.settings
+    folder, vm, address = settings.data_folder, settings.vm, state.log_address
+    if not folder:
+        return voterdisk.MemoryDisk(vm, address)
+    if not voterdisk.is_created(folder):
+        founders = await _founders(state) if settings.is_founding else ()
+        if any(founder.vm == vm for founder in founders):
+            voterdisk.found(folder, vm, address, founders)
+        else:
+            voterdisk.join(folder, vm, address)
+    return voterdisk.open_or_replace(folder, vm, address, state.sink)
+
+
+async def _founders(state):
+    """Return the first voters: the seeds' VMs with a disk, once all were heard.
+
+    All founders have to name the same voters. Each waits until it knows all seeds, so
+    what it finds is the same whatever the order of starts.
+    """
+    seeds = set(state.roster.seeds)
+    is_seed = state.address in state.seed_addresses
+    if not is_seed:
+        return ()
+    while not seeds <= set(state.roster.heard):
+        await anyio.sleep(FOUNDING_POLL_S)
+    beats = [state.roster.heard[seed].beat for seed in seeds]
+    founders = [
+        events.Voter(beat.vm, f"{beat.vm}-founder", beat.log_address)
+        for beat in beats
+        if beat.has_disk and beat.is_founding
+    ]
+    own = events.Voter(
+        state.settings.vm, f"{state.settings.vm}-founder", state.log_address
+    )
+    return tuple(sorted([*founders, own]))
+
+
+async def _watch_applied(voter, on_applied):
+    while True:
+        on_applied()
+        await voter.applied.wait()
+
+
+async def _watch_leader(state, voter):
+    """Log each change of what this VM believes about the leader."""
+    believed = None
+    while True:
+        node = voter.node
+        belief = (node.term, node.role, node.leader.vm if node.leader else "")
+        if belief != believed:
+            believed = belief
+            state.sink.write(
+                "voter",
+                "leader",
+                True,
+                term=belief[0],
+                role=belief[1],
+                leader=belief[2],
+            )
+        await anyio.sleep(HEARTBEAT_S)
+
+
+async def _review(state, voter):
+    """As the leader, change the voter set where the council asks for it."""
+    target = council.target_voters(state.settings.tolerated_losses)
+    while True:
+        await anyio.sleep(REVIEW_S)
+        if voter.node.role != core.LEADER:
+            continue
+        change = council.next_change(
+            voter.node.voter_set, state.members(now_s()), target, now_s()
+        )
+        if change is not None:
+            await _make(state, voter, change)
+
+
+async def _make(state, voter, change):
+    try:
+        is_done = await voter.change_voters(change.action, change.voter, CHANGE_S)
+    except NoQuorum as error:
+        log.info("A change of the voters was not confirmed: {}.", error)
+        return
+    if is_done or change.action != voters.PROMOTE:
+        state.sink.write(
+            "voter",
+            "change",
+            True,
+            action=change.action,
+            vm=change.voter.vm,
+            disk_id=change.voter.disk_id,
+            is_done=is_done,
+        )
+
+
+def hand_over(state: ControlState) -> None:
+    """Let another voter lead before this process stops; saves an election."""
+    if state.voter is None:
+        return
+    try:
+        state.voter.feed(events.HandOver())
+    except VoterFailed as error:
+        log.warning("The leadership was not handed over: {}.", error)
--- /dev/null
+++ b/libs/node/src/cherryrudder/node/streamrelay.py
@@ -0,0 +1,266 @@
+"""Streams through chains of engines, carried on inside one answer when an engine dies.
+
+Three ways to go on, in this order: the first engine carries the request on over another
+chain, so that only the new parts read it again; another chain goes on behind the last
+event that the client has; a request without any event yet is sent once more.
+"""
+
+import math
+
+from cherryrudder.layers import chains
+from cherryrudder.layers.chains import Chain, Need
+from cherryrudder.platform import engines, messages
+from cherryrudder.policy import retries
+from cherryrudder.relay import events, pool
+from cherryrudder.relay.errors import AnswerBroken, AnswerLate, ConnectFailed
+from cherryrudder.replica.clock import now_s
+from cherryrudder.routing.gatekeeping import Refused
+
+from . import attempts, entrystate, supervision
+from .job import Failed, Job, Whole
+from .stalls import StallDesk
+
+# A second attempt is worth sending while this much is left: a prompt is read within
+# 0.1 s, and some events are better than none.
+EXPECTED_S = 0.3
+# The chains that a hole in the layers leaves without are back after a load: a part of
+# 14 s for all layers, 1 to 2 s for one engine's range.
+HOLE_RETRY_S = 1.5
+# Attempts beyond the route's own that deaths of engines may cost; those don't count
+# against the route, but each is work for the engines that are left.
+MAX_DEATHS = 4
+
+
+class Stream:
+    """A stream on its way from engines to its client."""
+
+    def __init__(self, job: Job, stalls: StallDesk):
+        self.job = job
+        self.stalls = stalls
+        self.tokens = expected_tokens(job)
+        self.chain: Chain = ()
+        self.splitter = events.EventSplitter()
+        # Number of the last event that was passed on, None before the first.
+        self.last_event: int | None = None
+        self.has_begun = False
+        self.deaths = 0
+        # Engines that this request is not to meet again.
+        self.excluded: set[str] = set()
+
+
+def expected_tokens(job: Job) -> int:
+    """Return the room that a request will take: its prompt and a likely answer."""
+    facts, model = job.facts, job.service.model
+    answer = facts.guessed_answer_tokens or model.usual_answer_tokens
+    if facts.max_answer_tokens:
+        answer = min(answer, facts.max_answer_tokens)
+    return math.ceil(facts.prompt_tokens + answer)
+
+
+async def serve(job: Job, stalls: StallDesk) -> None:
+    """See a stream to its end."""
+    stream = Stream(job, stalls)
+    failed = Failed("no chain", is_not_run=True, is_sent=False)
+    has_run = False
+    while True:
+        chain = _choose(stream)
+        if chain is None:
+            break
+        result = await _attempt(stream, chain)
+        if result is None:
+            return
+        has_run = has_run or not result.is_not_run
+        failed = result._replace(is_not_run=not has_run)
+        if not _may_retry(stream, result):
+            break
+    await _give_up(stream, failed)
+
+
+def _choose(stream):
+    """Return a chain, or None when there is none with room."""
+    job, now = stream.job, now_s()
+    usable = [
+        engine
+        for engine in entrystate.candidates(job.state, job.service.name, now)
+        if engine.address not in stream.excluded
+    ]
+    need = Need(stream.tokens, job.state.settings.vm_zone)
+    chain = chains.choose_chain(job.service.model, usable, need)
+    if chain is None:
+        job.note("no-chain", engines=len(usable), tokens=stream.tokens)
+        return None
+    if not chains.covers(chain, job.service.model.layers):
+        # Checked again where it is sent: a layer left out or run twice spoils every
+        # token, and nothing behind would notice.
+        job.note("bad-chain", True, chain=[list(part) for part in chain])
+        return None
+    return chain
+
+
+def _may_retry(stream, failed):
+    job = stream.job
+    attempt = retries.Attempt(
+        attempts=job.attempts,
+        is_idempotent=job.is_idempotent,
+        is_certain_not_run=failed.is_not_run,
+        expected_s=EXPECTED_S,
+        deadline_s=job.end_s,
+        max_attempts=job.route.max_attempts + min(stream.deaths, MAX_DEATHS),
+    )
+    if not failed.is_sent:
+        return job.left_s() > EXPECTED_S
+    verdict = retries.may_retry(job.state.budget, attempt, now_s())
+    job.note("retry", verdict=str(verdict), reason=failed.reason)
+    return verdict is retries.Verdict.RETRY
+
+
+async def _give_up(stream, failed):
+    job = stream.job
+    if stream.has_begun:
+        # The connection closes without an end, so that the answer can't look complete.
+        job.outcome = f"broken off: {failed.reason}"
+        return
+    if not failed.is_sent and failed.is_not_run:
+        await job.refuse(Refused(503, failed.reason, HOLE_RETRY_S))
+        return
+    await job.fail(failed)
+
+
+async def _attempt(stream: Stream, chain: Chain) -> Failed | None:
+    """Run the stream over a chain; return None once its answer has ended."""
+    state = stream.job.state
+    stream.chain = chain
+    entrystate.began(state, chain, stream.tokens)
+    try:
+        return await _exchange(stream)
+    finally:
+        entrystate.ended(state, stream.chain, stream.tokens)
+
+
+async def _exchange(stream):
+    job, first = stream.job, stream.chain[0]
+    try:
+        connection = await attempts.open_for(job, first.address)
+    except ConnectFailed as error:
+        supervision.lose_first(stream, str(error))
+        return Failed(str(error), is_not_run=True, is_sent=False)
+    job.attempts += 1
+    is_kept = False
+    try:
+        sending = job.sending(
+            first.engine_id, last_event=_last_event(stream), chain=stream.chain
+        )
+        job.note(
+            "sent",
+            chain=engines.write_chain(stream.chain),
+            engine_id=first.engine_id,
+            last_event=sending.last_event,
+        )
+        await attempts.send(job, connection, sending)
+        failed = await _relay(stream, connection)
+        is_kept = failed is None or failed.is_not_run
+        return failed
+    except AnswerLate as error:
+        return Failed(str(error), is_not_run=False, is_late=True)
+    except AnswerBroken as error:
+        return Failed(str(error), is_not_run=False)
+    finally:
+        if is_kept:
+            await pool.give_back(job.state.pool, connection, now_s())
+        else:
+            await connection.close()
+
+
+def _last_event(stream):
+    if stream.last_event is None:
+        return stream.job.facts.last_event
+    return str(stream.last_event)
+
+
+async def _relay(stream, connection):
+    """Pass an engine's answer on; return what kept it from its end, if anything."""
+    job = stream.job
+    head, facts = await supervision.read_head(stream, connection)
+    if facts.is_not_run:
+        await _read_rest(connection)
+        if facts.fault_address:
+            stream.excluded.add(facts.fault_address)
+        elif head.status == 421:
+            stream.excluded.add(stream.chain[0].address)
+        _note_refusal(stream, head, facts)
+        return Failed(f"status {head.status} from the engine", is_not_run=True)
+    if head.status != 200:
+        body = await _read_rest(connection)
+        return await _pass_failure(stream, Whole(head.status, head.headers, body))
+    if not stream.has_begun:
+        await _begin(stream, head)
+    await _pass_events(stream, connection)
+    job.outcome = "status 200"
+    return None
+
+
+async def _begin(stream, head):
+    job = stream.job
+    headers = messages.answer_headers(head.headers)
+    # A stream that is carried on by another engine may have another length.
+    headers = [pair for pair in headers if pair[0] != b"content-length"]
+    stream.has_begun = True
+    await job.exchange.begin(head.status, headers)
+
+
+async def _pass_failure(stream, whole):
+    """Pass an engine's own failure on, unless an answer has begun or may be repeated."""
+    job = stream.job
+    if stream.has_begun:
+        return Failed(f"status {whole.status} in a resumed stream", is_not_run=False)
+    if whole.status >= 500 and job.is_idempotent:
+        return Failed(f"status {whole.status}", is_not_run=False, whole=whole)
+    if whole.status in (408, 421, 429, 503):
+        return Failed(f"status {whole.status} after a run", is_not_run=False)
+    await job.pass_on(whole)
+    return None
+
+
+async def _pass_events(stream, connection):
+    """Pass whole events on until the stream's complete end."""
+    job = stream.job
+    stream.splitter = events.EventSplitter()
+    while True:
+        data = await supervision.read(stream, connection)
+        if data is None:
+            break
+        fresh = [e for e in events.split(stream.splitter, data) if _is_new(stream, e)]
+        if not fresh:
+            continue
+        if job.first_byte_s is None:
+            job.first_byte_s = now_s()
+        await job.exchange.send(b"".join(event.data for event in fresh))
+    if stream.splitter.rest:
+        raise AnswerBroken("the stream ended inside an event")
+    await job.exchange.end()
+
+
+def _is_new(stream, event):
+    """Tell whether the client lacks an event, and take note that it gets it."""
+    if event.number is None:
+        return True
+    if stream.last_event is not None and event.number <= stream.last_event:
+        return False
+    stream.last_event = event.number
+    return True
+
+
+def _note_refusal(stream, head, facts):
+    stream.job.note(
+        "engine-refused",
+        status=head.status,
+        fault_address=facts.fault_address,
+        chain=engines.write_chain(stream.chain),
+    )
+
+
+async def _read_rest(connection):
+    pieces = []
+    while (data := await connection.read()) is not None:
+        pieces.append(data)
+    return b"".join(pieces)
--- /dev/null
+++ b/libs/node/src/cherryrudder/node/uplink.py
@@ -0,0 +1,169 @@
+"""An entry's line to the control VMs: beats out, configuration and endpoints in.
+
+Every control VM that is known gets each beat, so that one which is cut off, frozen or
+slow costs nothing but its answer. The newest confirmed answer counts.
+"""
+
+import anyio
+from loguru import logger
+
+from cherryrudder.platform import configuration
+from cherryrudder.replica.clock import now_s
+from cherryrudder.routing import endpoints, suspicion
+from cherryrudder.routing.routetable import RouteTable
+from cherryrudder.wire.frames import FrameCodec
+from cherryrudder.wire.links import Links, listen_frames
+
+from . import entrystate, gossip, roster, tablesync
+from .entrystate import EntryState
+from .gossip import (
+    Accusation,
+    ConfigurationNews,
+    ControlAnswer,
+    EndpointNews,
+    EntryBeat,
+    TableMark,
+)
+
+BEAT_S = 0.5
+# Before the first configuration every moment counts: callers may be waiting already.
+FIRST_BEAT_S = 0.1
+
+log = logger.bind(part="uplink")
+
+
+class Uplink:
+    """The frame links of one entry process."""
+
+    def __init__(self, state: EntryState, group):
+        self.state = state
+        self.group = group
+        self._codec = FrameCodec(gossip.KINDS)
+        self.links = Links(group, self._codec, gossip.KEY, state.address, self._on_down)
+        self._seen: dict[str, TableMark] = {}
+
+    def start(self) -> None:
+        """Start listening and beating."""
+        self.group.start_soon(
+            listen_frames,
+            self.state.address,
+            self._codec,
+            gossip.KEY,
+            self._on_frames,
+            self.state.stopping,
+        )
+        self.group.start_soon(self._beat)
+
+    def accuse(self, engine_id: str) -> None:
+        """Tell the other entries of an engine that was seen dead."""
+        accusation = Accusation(engine_id, self.state.address)
+        for address in roster.present(self.state.controls, now_s())[:2]:
+            self.links.send(address, accusation)
+
+    def _on_down(self, address):
+        self.state.sink.write("uplink", "link-down", peer=address)
+
+    async def _beat(self):
+        state = self.state
+        while True:
+            now = now_s()
+            for address in roster.targets(state.controls, now):
+                self.links.send(address, self._own_beat(address, now))
+            for address in roster.sweep(state.controls, now):
+                state.sink.write("uplink", "control-lost", True, address=address)
+            for engine_id in tablesync.sweep(state.endpoints, now):
+                state.sink.write("uplink", "endpoint-lost", True, engine_id=engine_id)
+            suspicion.forget(state.suspicions, set(state.endpoints.table.entries))
+            await anyio.sleep(BEAT_S if state.table else FIRST_BEAT_S)
+
+    def _own_beat(self, address, now):
+        state = self.state
+        return EntryBeat(
+            vm=state.settings.vm,
+            vm_zone=state.settings.vm_zone,
+            address=state.address,
+            sent_s=now,
+            version=state.version,
+            seen=self._seen.get(address, TableMark("", 0)),
+            usage=entrystate.usage(state),
+        )
+
+    def _on_frames(self, peer, messages):
+        for message in messages:
+            match message:
+                case ControlAnswer():
+                    self._on_answer(message)
+                case ConfigurationNews():
+                    self._on_configuration(message)
+                case EndpointNews():
+                    self._take_endpoints(message.endpoints)
+                case Accusation():
+                    self._on_accusation(message)
+
+    def _on_answer(self, answer):
+        state, now = self.state, now_s()
+        if roster.hear(state.controls, answer.address, answer, now):
+            state.sink.write("uplink", "control-found", True, address=answer.address)
+        roster.tell(state.controls, answer.controls, now)
+        self._take_endpoints(answer.endpoints)
+        tablesync.take_alive(state.endpoints, answer.alive, now)
+        self._seen[answer.address] = TableMark(answer.boot, answer.table_version)
+        if answer.usage:
+            state.others = {one.address: one for one in answer.usage}
+        # A version that is not here yet confirms nothing; the next answer will.
+        if 0 < answer.version <= state.version:
+            self._confirm(answer.sent_s, now)
+
+    def _confirm(self, sent_s, now):
+        state = self.state
+        was_age_s = now - state.confirmed_s
+        state.confirmed_s = max(state.confirmed_s, sent_s)
+        if was_age_s > state.settings.bounds.revoke_s:
+            state.sink.write("uplink", "confirmed", True, version=state.version)
+
+    def _on_configuration(self, news):
+        state = self.state
+        if news.version <= state.version:
+            # Never back within one run of the process, whatever comes late.
+            return
+        result = configuration.read_configuration(news.text.encode())
+        if result.is_error():
+            log.error("An accepted configuration is unreadable: {}.", result.error)
+            return
+        old = state.version
+        state.table = RouteTable(result.ok)
+        state.sink.write(
+            "uplink", "configuration", True, old_version=old, version=news.version
+        )
+
+    def _take_endpoints(self, heard):
+        state, now = self.state, now_s()
+        for engine_id in tablesync.take(state.endpoints, heard, now):
+            entry = state.endpoints.table.entries.get(engine_id)
+            if entry is not None:
+                self._log_endpoint(entry)
+
+    def _log_endpoint(self, entry: endpoints.Entry):
+        announcement = entry.announcement
+        self.state.sink.write(
+            "uplink",
+            "endpoint",
+            True,
+            engine_id=announcement.engine_id,
+            address=announcement.address,
+            is_leaving=announcement.is_leaving,
+            is_gone=entry.is_gone,
+            layers=list(announcement.holding),
+        )
+
+    def _on_accusation(self, accusation):
+        state, now = self.state, now_s()
+        if not suspicion.is_resting(state.suspicions, accusation.engine_id, now):
+            suspicion.died(state.suspicions, accusation.engine_id, now)
+            state.sink.write(
+                "uplink",
+                "engine-accused",
+                True,
+                engine_id=accusation.engine_id,
+                sender=accusation.sender,
+            )
--- a/libs/policy/src/cherryrudder/policy/retries.py
+++ b/libs/policy/src/cherryrudder/policy/retries.py
@@ -41,18 +41,26 @@
     is_certain_not_run: bool
     expected_s: float
     deadline_s: float
+    max_attempts: int = MAX_ATTEMPTS
 
 
 class RetryBudget:
     """How many retries the requests so far have earned."""
 
-    def __init__(self):
-        self.saved = FIRST_SAVED
+    def __init__(
+        self,
+        earned_per_request: float = EARNED_PER_REQUEST,
+        max_saved: float = MAX_SAVED,
+    ):
+        self.earned_per_request = earned_per_request
+        self.max_saved = max_saved
+        self.saved = min(FIRST_SAVED, max_saved)
 
 
 def note_request(budget: RetryBudget) -> None:
     """Earn a part of a retry for a first attempt."""
-    budget.saved = min(MAX_SAVED, budget.saved + EARNED_PER_REQUEST)
+    earned = budget.saved + budget.earned_per_request
+    budget.saved = min(budget.max_saved, earned)
 
 
 def may_retry(budget: RetryBudget, attempt: Attempt, now_s: float) -> Verdict:
@@ -61,7 +69,7 @@
         return Verdict.MAY_HAVE_RUN
     if now_s + attempt.expected_s >= attempt.deadline_s:
         return Verdict.TOO_LATE
-    if attempt.attempts >= MAX_ATTEMPTS:
+    if attempt.attempts >= attempt.max_attempts:
         return Verdict.TOO_MANY
     if budget.saved < 1.0:
         return Verdict.NO_BUDGET
--- a/libs/quorum/src/cherryrudder/quorum/errors.py
+++ b/libs/quorum/src/cherryrudder/quorum/errors.py
@@ -13,3 +13,7 @@
 
 class DiskError(QuorumError):
     """The data folder cannot be used, or a write to it failed."""
+
+
+class DiskUnavailable(DiskError):
+    """The system refused to read or write; what the disk holds may be sound."""
--- a/libs/quorum/src/cherryrudder/quorum/files.py
+++ b/libs/quorum/src/cherryrudder/quorum/files.py
@@ -18,7 +18,7 @@
 from expression import Error, Ok, Result
 
 from . import logfile
-from .errors import DiskError
+from .errors import DiskError, DiskUnavailable
 from .events import Persist, SaveSnapshot, Voter
 from .filesystem import FileSystem, real_filesystem
 from .log import Log
@@ -157,7 +157,7 @@
     try:
         return Ok(_open(fs, folder, vm))
     except OSError as error:
-        return Error(DiskError(f"{folder}: {error}"))
+        return Error(DiskUnavailable(f"{folder}: {error}"))
     except DiskError as error:
         return Error(error)
 
@@ -185,7 +185,7 @@
         # Last, so that a folder whose creation was cut short is never opened.
         write_whole(fs, folder, IDENTITY, [msgspec.json.encode(identity)])
     except OSError as error:
-        return Error(DiskError(f"{folder}: {error}"))
+        return Error(DiskUnavailable(f"{folder}: {error}"))
     return Ok(identity)
 
 
--- a/libs/relay/src/cherryrudder/relay/server.py
+++ b/libs/relay/src/cherryrudder/relay/server.py
@@ -57,7 +57,6 @@
         self.has_begun = False
         self.is_done = False
         self.is_gone = False
-        self.gone = anyio.Event()
 
     async def answer(self, status: int, headers: Headers, body: bytes = b"") -> None:
         """Send a whole answer; raises ClientGone."""
@@ -84,11 +83,6 @@
         await self.connection.write(h11.EndOfMessage())
         self.is_done = True
 
-    def leave(self) -> None:
-        """Take note that the client has gone."""
-        self.is_gone = True
-        self.gone.set()
-
 
 Handler = Callable[[Exchange], Awaitable[None]]
 
@@ -153,19 +147,26 @@
         return self._http.our_state is h11.DONE and self._http.their_state is h11.DONE
 
     async def _answer(self, handler, exchange):
-        async with anyio.create_task_group() as group:
-            group.start_soon(self._watch, exchange)
-            await handler(exchange)
-            group.cancel_scope.cancel()
-
-    async def _watch(self, exchange):
-        """Read on while the answer is made, to see the client leave."""
+        try:
+            async with anyio.create_task_group() as group:
+                group.start_soon(self._watch, exchange, group.cancel_scope)
+                await handler(exchange)
+                group.cancel_scope.cancel()
+        except* (ClientGone, anyio.BrokenResourceError, anyio.ClosedResourceError):
+            exchange.is_gone = True
+
+    async def _watch(self, exchange, scope):
+        """Read on while the answer is made, and end the work when the client leaves.
+
+        An engine would otherwise work on for nobody, on a place that others wait for.
+        """
         ahead = 0
         while ahead < MAX_AHEAD_BYTES:
             try:
                 data = await self._stream.receive(READ_BYTES)
             except (anyio.EndOfStream, anyio.BrokenResourceError, OSError):
-                exchange.leave()
+                exchange.is_gone = True
+                scope.cancel()
                 return
             ahead += len(data)
             self._http.receive_data(data)
@@ -188,9 +189,7 @@
         arrived_s = self._now_s()
         body = await self._read_body(head)
         headers = [(bytes(name), bytes(value)) for name, value in head.headers]
-        return Request(
-            bytes(head.method), bytes(head.target), headers, body, arrived_s
-        )
+        return Request(bytes(head.method), bytes(head.target), headers, body, arrived_s)
 
     async def _read_head(self):
         limits = self._limits
--- a/libs/replica/src/cherryrudder/replica/clock.py
+++ b/libs/replica/src/cherryrudder/replica/clock.py
@@ -5,8 +5,12 @@
 
 
 def now_s() -> float:
-    """Return the monotonic time that deciding functions are given."""
-    return time.monotonic()
+    """Return the monotonic time that deciding functions are given.
+
+    It goes on while the VM is suspended: a lease or a confirmation would otherwise
+    still seem fresh after a suspension of any length.
+    """
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
 def wall_s() -> float:
--- a/libs/replica/src/cherryrudder/replica/peers.py
+++ b/libs/replica/src/cherryrudder/replica/peers.py
@@ -60,9 +60,7 @@
         self._seat = seat
         self._group = group
         self._codec = FrameCodec((QuorumMessage, LeaderCall, LeaderReply))
-        self.links = Links(
-            group, self._codec, seat.key, seat.address, self._link_down
-        )
+        self.links = Links(group, self._codec, seat.key, seat.address, self._link_down)
         self._on_message = on_message
         self._on_call = on_call
         self._waiting: dict[str, Pending] = {}
--- a/libs/replica/src/cherryrudder/replica/voter.py
+++ b/libs/replica/src/cherryrudder/replica/voter.py
@@ -205,9 +205,7 @@
     def _apply(self, entries):
         for entry in entries:
             if entry.kind == "command":
-                answer = self.machine.apply(
-                    self.state, entry.index, entry.payload
-                )
+                answer = self.machine.apply(self.state, entry.index, entry.payload)
                 if self._waiting:
                     self._answers[entry.index] = answer
         self._moved_to(entries[-1].index)
--- /dev/null
+++ b/libs/routing/src/cherryrudder/routing/gatekeeping.py
@@ -0,0 +1,72 @@
+"""Whether a request may go on, by the configuration in force and how sure that is.
+
+Failure: an entry that is cut off from the control VMs goes on with an old configuration,
+so that a key works long after it was taken away. An entry that could not confirm its
+configuration for most of the time that a revocation may take refuses what needs a key.
+"""
+
+from typing import NamedTuple
+
+from .configuration import Account, Route
+from .routetable import RouteTable
+
+# Part of the time that a revocation may take until an entry stops trusting its
+# configuration; the rest is for a request to reach its engine.
+TRUSTED_SHARE = 0.8
+# Part of it until "no such route" and "no such key" are no longer answered for sure.
+CERTAIN_SHARE = 0.3
+# The control VMs elect a new leader in about a second.
+RECONNECT_S = 1.0
+
+
+class Asked(NamedTuple):
+    """What a request asks for."""
+
+    host: str
+    target: str
+    key: str
+
+
+class Admitted(NamedTuple):
+    """The request may go on; `account` is empty for an anonymous one."""
+
+    route: Route
+    account: str
+    priority: int
+
+
+class Refused(NamedTuple):
+    """The answer that this system gives itself; `retry_after_s` with a 503 or 429."""
+
+    status: int
+    reason: str
+    retry_after_s: float | None = None
+
+
+UNKNOWN = Refused(503, "no configuration yet", RECONNECT_S)
+UNCONFIRMED = Refused(503, "configuration unconfirmed", RECONNECT_S)
+
+
+def decide(
+    table: RouteTable | None, asked: Asked, confirmed_age_s: float, revoke_s: float
+) -> Admitted | Refused:
+    """Return the request's route and account, or the answer that ends it here."""
+    if table is None:
+        return UNKNOWN
+    is_trusted = confirmed_age_s < TRUSTED_SHARE * revoke_s
+    is_certain = confirmed_age_s < CERTAIN_SHARE * revoke_s
+    route = table.route(asked.host, asked.target)
+    if route is None:
+        return Refused(404, "no route") if is_certain else UNCONFIRMED
+    if route.is_anonymous or not table.has_accounts:
+        return Admitted(route, "", route.priority)
+    if not is_trusted:
+        return UNCONFIRMED
+    account = table.account(asked.key)
+    if account is None:
+        return Refused(401, "unknown key") if is_certain else UNCONFIRMED
+    return Admitted(route, account.name, _priority(account, route))
+
+
+def _priority(account: Account, route: Route):
+    return route.priority if account.priority is None else account.priority
