--- a/libs/node/src/cherryrudder/node/controlbeats.py
+++ b/libs/node/src/cherryrudder/node/controlbeats.py
@@ -75,9 +75,8 @@
 
     def spread(self, engine_ids) -> None:
         """Tell everybody of endpoints that changed just now."""
-        news = EndpointNews(
-            tablesync.news_of(self.state.endpoints, engine_ids, now_s())
-        )
+        told = tablesync.news_of(self.state.endpoints, engine_ids, now_s())
+        news = EndpointNews(told)
         if not news.endpoints:
             return
         for address in self._everybody():
--- a/libs/node/src/cherryrudder/node/streamrelay.py
+++ b/libs/node/src/cherryrudder/node/streamrelay.py
@@ -209,7 +209,7 @@
 
 
 async def _pass_failure(stream, whole):
-    """Pass an engine's own failure on, unless an answer has begun or may be repeated."""
+    """Pass an engine's own failure on, unless it is to be tried once more."""
     job = stream.job
     if stream.has_begun:
         return Failed(f"status {whole.status} in a resumed stream", is_not_run=False)
--- a/libs/node/src/cherryrudder/node/supervision.py
+++ b/libs/node/src/cherryrudder/node/supervision.py
@@ -49,7 +49,7 @@
 
 
 async def read(stream: "Stream", connection: EngineConnection) -> bytes | None:
-    """Return a piece of the answer, None at its end; raises AnswerBroken, AnswerLate."""
+    """Return a piece of the answer or None at its end; raises like `read_head`."""
 
     async def read(limit_s):
         try:
--- a/libs/routing/src/cherryrudder/routing/gatekeeping.py
+++ b/libs/routing/src/cherryrudder/routing/gatekeeping.py
@@ -1,8 +1,9 @@
 """Whether a request may go on, by the configuration in force and how sure that is.
 
-Failure: an entry that is cut off from the control VMs goes on with an old configuration,
-so that a key works long after it was taken away. An entry that could not confirm its
-configuration for most of the time that a revocation may take refuses what needs a key.
+Failure: an entry that is cut off from the control VMs goes on with an old
+configuration, and a key works long after it was taken away. An entry that could not
+confirm its configuration for most of the time that a revocation may take refuses what
+needs a key.
 """
 
 from typing import NamedTuple
