--- a/libs/node/src/cherryrudder/node/controlbeats.py
+++ b/libs/node/src/cherryrudder/node/controlbeats.py
@@ -25,6 +25,10 @@
 # The leader answers a confirmation after one round of the log's heartbeats, some
 # milliseconds; an election takes a second.
 CONFIRM_S = 0.8
+# Beats that come within this time share one confirmation. Each takes a message to the
+# leader and one to every voter; at once for each beat they were half of this process's
+# work.
+CONFIRM_EVERY_S = 0.2
 # Another data centre's control VM sends a configuration only to entries that still
 # lack it after this long; their own has sent it at once. It keeps a configuration of
 # 40 KB from crossing between data centres three times.
@@ -132,6 +136,7 @@
             self.links.send(address, EndpointNews(told))
 
     def _on_accusation(self, accusation):
+        self.state.accused[accusation.engine_id] = now_s()
         for address in roster.present(self.state.entries, now_s()):
             if address != accusation.sender:
                 self.links.send(address, accusation)
@@ -178,6 +183,7 @@
                 self.state.confirmed_s = asked_s
             for beat in waiting.values():
                 self._answer(beat, version)
+            await anyio.sleep(CONFIRM_EVERY_S)
 
     async def _confirmed_version(self):
         voter = self.state.voter
--- a/libs/node/src/cherryrudder/node/controlstate.py
+++ b/libs/node/src/cherryrudder/node/controlstate.py
@@ -36,6 +36,8 @@
         self.roster = Roster(self.address, self.seed_addresses)
         self.entries = Roster()
         self.endpoints = SharedTable(self.boot)
+        # When entries last found an engine dead, by its boot.
+        self.accused: dict[str, float] = {}
         self.voter: Voter | None = None
         self.disk_id = ""
         # Set once the process is to end.
--- a/libs/node/src/cherryrudder/node/enginecalls.py
+++ b/libs/node/src/cherryrudder/node/enginecalls.py
@@ -66,7 +66,7 @@
         head = await connection.read_head(timeout_s)
         return head.status, await _read_body(connection)
     finally:
-        await connection.close()
+        connection.close()
 
 
 async def _read_body(connection):
--- a/libs/node/src/cherryrudder/node/entry.py
+++ b/libs/node/src/cherryrudder/node/entry.py
@@ -34,11 +34,13 @@
     async with anyio.create_task_group() as group:
         uplink = Uplink(state, group)
         uplink.start()
-        server = HttpServer(FrontDoor(state, uplink).handle)
+        door = FrontDoor(state, uplink)
+        group.start_soon(door.watch.run)
+        server = HttpServer(door.handle)
         server.limits = Limits(*DEFAULT_LIMITS)
         group.start_soon(httpserver.serve, server, settings.client_address)
         group.start_soon(_answer_readiness, state, leaving)
-        group.start_soon(_tidy, state, server)
+        group.start_soon(_tidy, state, server, door)
         await leaving.wait()
         await _stop(server, settings.bounds.grace_s)
         group.cancel_scope.cancel()
@@ -65,7 +67,7 @@
     return age_s < gatekeeping.TRUSTED_SHARE * state.settings.bounds.revoke_s
 
 
-async def _tidy(state, server):
+async def _tidy(state, server, door):
     """Follow the configured limits, and close connections that grew old."""
     while True:
         await anyio.sleep(SWEEP_S)
@@ -73,7 +75,9 @@
             server.limits = Limits(*state.table.configuration.limits)
         now = now_s()
         live = endpoints.live(state.endpoints.table, now)
-        await pool.sweep(state.pool, {a.address for a in live}, now)
+        known = {announcement.address for announcement in live}
+        pool.sweep(state.pool, known, now)
+        door.watch.stalls.forget(known)
 
 
 async def _stop(server, grace_s):
--- a/libs/node/src/cherryrudder/node/frontdoor.py
+++ b/libs/node/src/cherryrudder/node/frontdoor.py
@@ -12,6 +12,7 @@
 from .entrystate import EntryState
 from .job import Job, refuse
 from .stalls import StallDesk
+from .supervision import Watch
 from .uplink import Uplink
 
 
@@ -20,7 +21,7 @@
 
     def __init__(self, state: EntryState, uplink: Uplink):
         self.state = state
-        self.stalls = StallDesk(state, uplink)
+        self.watch = Watch(state, StallDesk(state, uplink))
 
     async def handle(self, exchange: Exchange) -> None:
         """Serve or refuse one request."""
@@ -53,7 +54,7 @@
         )
         try:
             if service.model is not None and service.model.layers:
-                await streamrelay.serve(job, self.stalls)
+                await streamrelay.serve(job, self.watch)
             else:
                 await plainrelay.serve(job)
         finally:
--- a/libs/node/src/cherryrudder/node/httpserver.py
+++ b/libs/node/src/cherryrudder/node/httpserver.py
@@ -30,7 +30,6 @@
 
 async def serve(server: HttpServer, address: str) -> None:
     """Answer requests at an address until cancelled."""
-    listener = await sockets.listen(address)
 
     async def handle(stream):
         connection = ClientConnection(
@@ -46,5 +45,9 @@
         finally:
             server.connections.discard(connection)
 
-    async with listener, anyio.create_task_group() as group:
-        await listener.serve(handle, group)
+    async with anyio.create_task_group() as group:
+        listener = await sockets.listen(address, handle, group)
+        try:
+            await anyio.sleep_forever()
+        finally:
+            listener.close()
--- a/libs/node/src/cherryrudder/node/layerkeeper.py
+++ b/libs/node/src/cherryrudder/node/layerkeeper.py
@@ -28,6 +28,9 @@
 # from some of them gives each too many layers. They are planned once nobody new has
 # come for longer than one heartbeat (1.2 s).
 SETTLE_S = 1.5
+# An engine that lives is heard within this time of being accused. Waiting for three
+# missed heartbeats instead leaves a hole in the layers for 3 s more.
+ONE_HEARTBEAT_S = 1.3
 # A load that takes this many times its nominal time is not waited for any longer.
 PATIENCE = 4.0
 PATIENCE_MORE_S = 3.0
@@ -85,7 +88,7 @@
         live = [
             a
             for a in endpoints.live(self.state.endpoints.table, now)
-            if a.service == service.name
+            if a.service == service.name and not self._is_dead(a.engine_id, now)
         ]
         self._settle(live, now)
         if not self._is_settled(live, now):
@@ -98,6 +101,16 @@
                 if now >= not_before_s:
                     group.start_soon(self._order, service.model, placement)
 
+    def _is_dead(self, engine_id, now):
+        """Tell whether an engine that entries found dead has not been heard since."""
+        accused_s = self.state.accused.get(engine_id)
+        if accused_s is None:
+            return False
+        if self.state.endpoints.table.entries[engine_id].heard_s > accused_s:
+            del self.state.accused[engine_id]
+            return False
+        return now - accused_s > ONE_HEARTBEAT_S
+
     def _settle(self, live, now):
         """Take note of who came, and of orders whose end the heartbeats show."""
         known = frozenset(a.engine_id for a in live)
--- a/libs/node/src/cherryrudder/node/plainrelay.py
+++ b/libs/node/src/cherryrudder/node/plainrelay.py
@@ -121,9 +121,9 @@
         return Failed(str(error), is_not_run=False)
     finally:
         if is_kept:
-            await pool.give_back(job.state.pool, connection, now_s())
+            pool.give_back(job.state.pool, connection, now_s())
         else:
-            await connection.close()
+            connection.close()
 
 
 async def _read(job, connection, place):
--- a/libs/node/src/cherryrudder/node/seatkeeper.py
+++ b/libs/node/src/cherryrudder/node/seatkeeper.py
@@ -137,7 +137,7 @@
                 role=belief[1],
                 leader=belief[2],
             )
-        await anyio.sleep(HEARTBEAT_S)
+        await anyio.sleep(REVIEW_S)
 
 
 async def _review(state, voter):
--- a/libs/node/src/cherryrudder/node/stalls.py
+++ b/libs/node/src/cherryrudder/node/stalls.py
@@ -1,4 +1,11 @@
-"""Finding out why a stream is silent, once for all streams behind one engine."""
+"""Finding out which engine a silent stream waits for, once for all streams.
+
+Failure: an engine in the middle of a chain dies; the first one holds the stream and says
+nothing for seconds. Its own report names the engine it waits for, but 200 ms late, and
+a pause of 200 ms makes the stream late already. So every engine of the chain is asked
+for its report at the same moment: within a data centre the living answer in a few
+milliseconds, and the one that doesn't is dead.
+"""
 
 from typing import NamedTuple
 
@@ -14,10 +21,12 @@
 from .errors import EngineCallFailed
 from .uplink import Uplink
 
-# A report tells what was some 200 ms ago; asking again sooner brings nothing, and each
-# costs the engine work.
-REPORT_AGE_S = 0.1
-REPORT_S = 0.4
+# What one look found is good for all streams that are silent at the same moment.
+LOOK_AGE_S = 0.1
+# A report takes 2 ms between data centres, and some 15 from a busy engine. Twice in a
+# row over the first figure is taken as death; a busy entry needs longer itself.
+REPORT_S = 0.06
+SECOND_REPORT_S = 0.15
 
 log = logger.bind(part="stalls")
 
@@ -30,7 +39,7 @@
 
 
 class StallDesk:
-    """The newest reports of first engines, shared by the streams that asked."""
+    """The newest reports of engines, shared by the streams that are silent."""
 
     def __init__(self, state: EntryState, uplink: Uplink):
         self.state = state
@@ -38,31 +47,47 @@
         self._looks: dict[str, Look] = {}
         self._locks: dict[str, anyio.Lock] = {}
 
-    async def look(self, address: str) -> Report | None:
-        """Return an engine's report, None when it doesn't answer."""
+    async def look(self, addresses: list[str]) -> dict[str, Look]:
+        """Ask engines for their reports, all at the same time."""
+        async with anyio.create_task_group() as group:
+            for address in addresses:
+                group.start_soon(self._look, address)
+        return {address: self._looks[address] for address in addresses}
+
+    async def _look(self, address):
         lock = self._locks.setdefault(address, anyio.Lock())
         async with lock:
             known = self._looks.get(address)
-            if known is not None and now_s() - known.asked_s < REPORT_AGE_S:
-                return known.report
+            if known is not None and now_s() - known.asked_s < LOOK_AGE_S:
+                return
             asked_s = now_s()
-            try:
-                report = await enginecalls.get_report(address, REPORT_S)
-            except EngineCallFailed as error:
-                log.info("No report: {}.", error)
-                report = None
+            report = await self._report(address, REPORT_S)
+            if report is None:
+                report = await self._report(address, SECOND_REPORT_S)
             self._looks[address] = Look(report, asked_s)
-            return report
+
+    async def _report(self, address, timeout_s):
+        try:
+            return await enginecalls.get_report(address, timeout_s)
+        except EngineCallFailed as error:
+            log.info("No report: {}.", error)
+            return None
+
+    def forget(self, known: set[str]) -> None:
+        """Drop what was found about addresses that are no longer known."""
+        for address in set(self._looks) - known:
+            del self._looks[address]
+            self._locks.pop(address, None)
 
     def accuse(self, address: str, why: str) -> None:
-        """Take an engine as dead, and tell the other entries."""
-        now = now_s()
-        engine_id = entrystate.engine_at(self.state, address, now)
-        if not engine_id or suspicion.is_resting(self.state.suspicions, engine_id, now):
+        """Take an engine as dead, and tell the others."""
+        state, now = self.state, now_s()
+        engine_id = entrystate.engine_at(state, address, now)
+        if not engine_id or suspicion.is_resting(state.suspicions, engine_id, now):
             return
-        suspicion.died(self.state.suspicions, engine_id, now)
+        suspicion.died(state.suspicions, engine_id, now)
         self.uplink.accuse(engine_id)
-        self.state.metrics.beliefs.labels("engine-dead").inc()
-        self.state.sink.write(
+        state.metrics.beliefs.labels("engine-dead").inc()
+        state.sink.write(
             "stalls", "engine-dead", True, address=address, engine_id=engine_id, why=why
         )
--- a/libs/node/src/cherryrudder/node/streamrelay.py
+++ b/libs/node/src/cherryrudder/node/streamrelay.py
@@ -12,13 +12,14 @@
 from cherryrudder.platform import engines, messages
 from cherryrudder.policy import retries
 from cherryrudder.relay import events, pool
+from cherryrudder.relay.client import EngineConnection
 from cherryrudder.relay.errors import AnswerBroken, AnswerLate, ConnectFailed
 from cherryrudder.replica.clock import now_s
 from cherryrudder.routing.gatekeeping import Refused
 
 from . import attempts, entrystate, supervision
 from .job import Failed, Job, Whole
-from .stalls import StallDesk
+from .supervision import Watch
 
 # A second attempt is worth sending while this much is left: a prompt is read within
 # 0.1 s, and some events are better than none.
@@ -34,9 +35,10 @@
 class Stream:
     """A stream on its way from engines to its client."""
 
-    def __init__(self, job: Job, stalls: StallDesk):
+    def __init__(self, job: Job, watch: Watch):
         self.job = job
-        self.stalls = stalls
+        self.watch = watch
+        self.stalls = watch.stalls
         self.tokens = expected_tokens(job)
         self.chain: Chain = ()
         self.splitter = events.EventSplitter()
@@ -44,9 +46,23 @@
         self.last_event: int | None = None
         self.has_begun = False
         self.deaths = 0
+        # The connection of the present attempt.
+        self.connection: EngineConnection | None = None
+        self.progressed_s = now_s()
+        self.silence_s = supervision.FIRST_SILENCE_S
+        self.is_looked_at = False
+        # Why the watch broke the present attempt off, and whether for want of time.
+        self.broken = ""
+        self.is_late = False
         # Engines that this request is not to meet again.
         self.excluded: set[str] = set()
 
+    def break_off(self, why: str) -> None:
+        """End the present attempt; its reader finds the connection closed."""
+        self.broken = why
+        if self.connection is not None:
+            self.connection.close()
+
 
 def expected_tokens(job: Job) -> int:
     """Return the room that a request will take: its prompt and a likely answer."""
@@ -57,9 +73,9 @@
     return math.ceil(facts.prompt_tokens + answer)
 
 
-async def serve(job: Job, stalls: StallDesk) -> None:
+async def serve(job: Job, watch: Watch) -> None:
     """See a stream to its end."""
-    stream = Stream(job, stalls)
+    stream = Stream(job, watch)
     failed = Failed("no chain", is_not_run=True, is_sent=False)
     has_run = False
     while True:
@@ -146,6 +162,7 @@
         return Failed(str(error), is_not_run=True, is_sent=False)
     job.attempts += 1
     is_kept = False
+    _watch(stream, connection)
     try:
         sending = job.sending(
             first.engine_id, last_event=_last_event(stream), chain=stream.chain
@@ -160,15 +177,23 @@
         failed = await _relay(stream, connection)
         is_kept = failed is None or failed.is_not_run
         return failed
-    except AnswerLate as error:
-        return Failed(str(error), is_not_run=False, is_late=True)
-    except AnswerBroken as error:
-        return Failed(str(error), is_not_run=False)
+    except (AnswerLate, AnswerBroken) as error:
+        reason = stream.broken or str(error)
+        return Failed(reason, is_not_run=False, is_late=stream.is_late)
     finally:
+        stream.connection = None
+        stream.watch.streams.discard(stream)
         if is_kept:
-            await pool.give_back(job.state.pool, connection, now_s())
+            pool.give_back(job.state.pool, connection, now_s())
         else:
-            await connection.close()
+            connection.close()
+
+
+def _watch(stream, connection):
+    stream.connection = connection
+    stream.broken = ""
+    supervision.progressed(stream, now_s())
+    stream.watch.streams.add(stream)
 
 
 def _last_event(stream):
@@ -180,7 +205,7 @@
 async def _relay(stream, connection):
     """Pass an engine's answer on; return what kept it from its end, if anything."""
     job = stream.job
-    head, facts = await supervision.read_head(stream, connection)
+    head, facts = await attempts.read_own_head(job, connection, job.left_s())
     if facts.is_not_run:
         await _read_rest(connection)
         if facts.fault_address:
@@ -226,9 +251,10 @@
     job = stream.job
     stream.splitter = events.EventSplitter()
     while True:
-        data = await supervision.read(stream, connection)
+        data = await connection.read()
         if data is None:
             break
+        supervision.progressed(stream, now_s())
         fresh = [e for e in events.split(stream.splitter, data) if _is_new(stream, e)]
         if not fresh:
             continue
--- a/libs/node/src/cherryrudder/node/supervision.py
+++ b/libs/node/src/cherryrudder/node/supervision.py
@@ -1,10 +1,9 @@
-"""Watching a stream's silence, and carrying it on when an engine of its chain died.
+"""Watching all streams for silence, and carrying them on when an engine has died.
 
-Failure: an engine in the middle of a chain dies; the first one holds the stream and
-says nothing for seconds, and the client gives up on it. Symptom: a silence far above
-the usual pause of some 25 ms. The first engine knows which engine it waits for; with
-that one replaced the survivors keep their memory, and the stream goes on in the time
-that the new part takes to read it.
+One task looks at every stream some twenty times a second; a timer for each event of
+each stream would cost a quarter of the time that an entry spends on it. A silent
+stream's chain is looked into (`stalls`), and its dead part is replaced: the survivors
+keep their memory, and the stream goes on once the new part has read it.
 """
 
 from typing import TYPE_CHECKING
@@ -14,83 +13,116 @@
 from cherryrudder.layers import chains
 from cherryrudder.layers.chains import Need
 from cherryrudder.platform import engines
-from cherryrudder.relay.client import EngineConnection
-from cherryrudder.relay.errors import AnswerBroken, AnswerLate
 from cherryrudder.replica.clock import now_s
 
-from . import attempts, enginecalls, entrystate
+from . import enginecalls, entrystate
+from .entrystate import EntryState
 from .errors import EngineCallFailed
+from .stalls import StallDesk
 
 if TYPE_CHECKING:
     from .streamrelay import Stream
 
+REVIEW_S = 0.04
 # A prompt of usual size is read in less than 0.1 s; the objective is 0.5 s.
-FIRST_SILENCE_S = 0.3
+FIRST_SILENCE_S = 0.25
 # Events come every 25 ms; while an engine reads long prompts in between, some 60 ms.
 # The users count a pause of 200 ms as late.
-SILENCE_S = 0.12
+SILENCE_S = 0.09
+# A chain with an engine that was found dead by another stream needs less proof.
+ACCUSED_SILENCE_S = 0.06
 # Each further look at a stream that is slow but not stalled waits longer.
-BACK_OFF = 1.5
+BACK_OFF = 1.6
 MOST_SILENCE_S = 1.0
 # The engines themselves give up on a dead neighbour after 2.5 s; past this the first
 # engine is lost as well.
 LOST_AFTER_S = 4.0
 # New chains tried for one stall: each may name another engine as missing.
 MAX_REROUTES = 3
-
-
-async def read_head(stream: "Stream", connection: EngineConnection):
-    """Return the answer's head; raises AnswerBroken, AnswerLate."""
-
-    async def read(limit_s):
-        return await attempts.read_own_head(stream.job, connection, limit_s)
-
-    return await _watched(stream, read, FIRST_SILENCE_S)
-
-
-async def read(stream: "Stream", connection: EngineConnection) -> bytes | None:
-    """Return a piece of the answer or None at its end; raises like `read_head`."""
-
-    async def read(limit_s):
-        try:
-            with anyio.fail_after(limit_s):
-                return await connection.read()
-        except TimeoutError as error:
-            raise AnswerLate("the stream is silent") from error
-
-    return await _watched(stream, read, SILENCE_S)
-
-
-async def _watched(stream, read, silence_s):
-    began_s = now_s()
-    while True:
-        left_s = stream.job.left_s()
-        if left_s <= 0:
-            raise AnswerLate("the time is up")
+# A round that comes this late says that this process itself stood still, and not that
+# the engines did: what they sent meanwhile is yet to be read.
+LATE_ROUND_S = 0.1
+
+
+class Watch:
+    """The streams of one entry that are under way."""
+
+    def __init__(self, state: EntryState, stalls: StallDesk):
+        self.state = state
+        self.stalls = stalls
+        self.streams: set[Stream] = set()
+
+    async def run(self) -> None:
+        """Look at the streams again and again."""
+        async with anyio.create_task_group() as group:
+            last_s = now_s()
+            while True:
+                await anyio.sleep(REVIEW_S)
+                now = now_s()
+                is_late = now - last_s > REVIEW_S + LATE_ROUND_S
+                last_s = now
+                for stream in tuple(self.streams):
+                    if is_late:
+                        progressed(stream, now)
+                    elif self._is_due(stream, now):
+                        stream.is_looked_at = True
+                        group.start_soon(self._look, stream)
+
+    def _is_due(self, stream, now):
+        if stream.is_looked_at or stream.connection is None:
+            return False
+        if now >= stream.job.end_s:
+            stream.is_late = True
+            stream.break_off("the time is up")
+            return False
+        silent_s = now - stream.progressed_s
+        if silent_s > LOST_AFTER_S:
+            lose_first(stream, "silent")
+            stream.break_off("the first engine is silent")
+            return False
+        if silent_s > stream.silence_s:
+            return True
+        return silent_s > ACCUSED_SILENCE_S and bool(self._accused(stream, now))
+
+    def _accused(self, stream, now):
+        usable = entrystate.candidates(self.state, stream.job.service.name, now)
+        known = {engine.address for engine in usable}
+        return {part.address for part in stream.chain} - known
+
+    async def _look(self, stream):
         try:
-            return await read(min(silence_s, left_s))
-        except AnswerLate:
-            if now_s() - began_s > LOST_AFTER_S:
-                lose_first(stream, "silent")
-                raise AnswerBroken("the engine is silent") from None
-        await _look(stream)
-        silence_s = min(MOST_SILENCE_S, silence_s * BACK_OFF)
-
-
-async def _look(stream):
-    """Ask the first engine what a silent stream waits for; raises AnswerBroken."""
-    first = stream.chain[0]
-    report = await stream.stalls.look(first.address)
-    if report is None:
-        lose_first(stream, "no report")
-        raise AnswerBroken("the first engine is gone")
-    request_id = stream.job.facts.request_id
-    for stalled in report.stalled:
-        if stalled.request_id == request_id:
-            stream.stalls.accuse(stalled.address, "stalled")
-            if any(part.address == stalled.address for part in stream.chain):
-                await _reroute(stream, {stalled.address})
-            return
+            stream.silence_s = min(MOST_SILENCE_S, stream.silence_s * BACK_OFF)
+            lost = await self._find_lost(stream)
+            if lost and stream.connection is not None:
+                await _go_on_without(stream, lost)
+        finally:
+            stream.is_looked_at = False
+
+    async def _find_lost(self, stream):
+        """Return the addresses of the chain's engines that are dead or cut off."""
+        accused = self._accused(stream, now_s())
+        if accused:
+            return accused
+        addresses = [part.address for part in stream.chain]
+        looks = await self.stalls.look(addresses)
+        silent = {a for a, look in looks.items() if look.report is None}
+        if len(silent) * 2 > len(addresses):
+            # Rather this machine than most engines at once.
+            return set()
+        first = looks[addresses[0]].report
+        request_id = stream.job.facts.request_id
+        for stalled in first.stalled if first else ():
+            if stalled.request_id == request_id and stalled.address in addresses:
+                silent.add(stalled.address)
+        for address in silent:
+            self.stalls.accuse(address, "silent or stalled")
+        return silent
+
+
+def progressed(stream: "Stream", now: float) -> None:
+    """Take note that a stream is alive."""
+    stream.progressed_s = now
+    stream.silence_s = SILENCE_S if stream.has_begun else FIRST_SILENCE_S
 
 
 def lose_first(stream: "Stream", why: str) -> None:
@@ -101,8 +133,8 @@
     stream.stalls.accuse(first.address, why)
 
 
-async def _reroute(stream, lost):
-    """Replace the lost parts of the chain; raises AnswerBroken when none can."""
+async def _go_on_without(stream, lost):
+    """Replace the lost parts of the chain; break the attempt off when none can be."""
     job = stream.job
     stream.deaths += 1
     stream.excluded |= lost
@@ -110,14 +142,7 @@
         chain = _without(stream, lost)
         if chain is None:
             break
-        try:
-            status, missing = await enginecalls.reroute(
-                chain[0].address, job.facts.request_id, chain
-            )
-        except EngineCallFailed as error:
-            job.note("reroute-failed", error=str(error))
-            break
-        _log(stream, chain, lost, status)
+        status, missing = await _order(stream, chain)
         if status in (200, 202):
             _take(stream, chain)
             return
@@ -126,7 +151,26 @@
         lost = lost | {missing}
         stream.excluded.add(missing)
     job.state.metrics.reroutes.labels("failed").inc()
-    raise AnswerBroken("an engine of the chain died")
+    stream.break_off("an engine of the chain died")
+
+
+async def _order(stream, chain):
+    job = stream.job
+    try:
+        status, missing = await enginecalls.reroute(
+            chain[0].address, job.facts.request_id, chain
+        )
+    except EngineCallFailed as error:
+        job.note("reroute-failed", error=str(error))
+        return 0, ""
+    job.note(
+        "reroute",
+        status=status,
+        chain=engines.write_chain(chain),
+        last_event=stream.last_event,
+        silent_s=round(now_s() - stream.progressed_s, 3),
+    )
+    return status, missing
 
 
 def _without(stream, lost):
@@ -151,14 +195,7 @@
     entrystate.ended(state, stream.chain, stream.tokens)
     entrystate.began(state, chain, stream.tokens)
     stream.chain = chain
+    # The new part reads the whole request first.
+    stream.progressed_s = now_s()
+    stream.silence_s = FIRST_SILENCE_S
     state.metrics.reroutes.labels("done").inc()
-
-
-def _log(stream, chain, lost, status):
-    stream.job.note(
-        "reroute",
-        status=status,
-        lost=sorted(lost),
-        chain=engines.write_chain(chain),
-        last_event=stream.last_event,
-    )
--- a/libs/node/src/cherryrudder/node/uplink.py
+++ b/libs/node/src/cherryrudder/node/uplink.py
@@ -57,7 +57,7 @@
     def accuse(self, engine_id: str) -> None:
         """Tell the other entries of an engine that was seen dead."""
         accusation = Accusation(engine_id, self.state.address)
-        for address in roster.present(self.state.controls, now_s())[:2]:
+        for address in roster.present(self.state.controls, now_s()):
             self.links.send(address, accusation)
 
     def _on_down(self, address):
--- a/libs/relay/src/cherryrudder/relay/client.py
+++ b/libs/relay/src/cherryrudder/relay/client.py
@@ -5,15 +5,17 @@
 without a length ended or was reset.
 """
 
-import select
 from typing import NamedTuple
 
 import anyio
 import h11
-from anyio.abc import SocketAttribute, SocketStream
 
 from cherryrudder.wire import sockets
-from cherryrudder.wire.errors import ConnectFailed as NotConnected
+from cherryrudder.wire.errors import (
+    ConnectFailed as NotConnected,
+    StreamBroken,
+    StreamEnded,
+)
 
 from .errors import AnswerBroken, AnswerLate, ConnectFailed
 
@@ -34,13 +36,12 @@
 class EngineConnection:
     """One connection to an engine."""
 
-    def __init__(self, address: str, stream: SocketStream, opened_s: float):
+    def __init__(self, address: str, stream: sockets.Stream, opened_s: float):
         self.address = address
         self.used_s = opened_s
         # Idle time after which the engine closes; set by its answers.
         self.keep_alive_s: float | None = None
         self._stream = stream
-        self._raw = stream.extra(SocketAttribute.raw_socket)
         self._http = _new_http()
         self._sent: list = []
         self._has_length = True
@@ -60,7 +61,7 @@
         data = b"".join(self._http.send(event) for event in self._sent)
         try:
             await self._stream.send(data)
-        except (anyio.BrokenResourceError, anyio.ClosedResourceError, OSError) as error:
+        except StreamBroken as error:
             raise AnswerBroken("the engine closed the connection") from error
 
     async def read_head(self, timeout_s: float) -> Head:
@@ -110,17 +111,11 @@
 
     def has_news(self) -> bool:
         """Tell whether the idle connection was closed or got bytes nobody asked for."""
-        poll = select.poll()
-        try:
-            poll.register(self._raw.fileno(), select.POLLIN)
-            return bool(poll.poll(0))
-        except (OSError, ValueError):
-            return True
+        return self._stream.has_news()
 
-    async def close(self) -> None:
+    def close(self) -> None:
         """Close at once, also in the middle of an answer."""
-        with anyio.CancelScope(shield=True):
-            await anyio.aclose_forcefully(self._stream)
+        self._stream.abort()
 
     def _take_head(self, event):
         headers = [(bytes(name), bytes(value)) for name, value in event.headers]
@@ -140,15 +135,11 @@
                 if event is not h11.NEED_DATA:
                     return event
                 data = await self._stream.receive(READ_BYTES)
-            except anyio.EndOfStream:
+            except StreamEnded:
                 data = b""
             except h11.RemoteProtocolError as error:
                 raise AnswerBroken(f"no HTTP: {error}") from error
-            except (
-                anyio.BrokenResourceError,
-                anyio.ClosedResourceError,
-                OSError,
-            ) as error:
+            except StreamBroken as error:
                 raise AnswerBroken("the connection was reset") from error
             self._receive(data)
 
--- a/libs/relay/src/cherryrudder/relay/pool.py
+++ b/libs/relay/src/cherryrudder/relay/pool.py
@@ -29,7 +29,7 @@
         connection = waiting.pop()
         if _is_fresh(connection, now_s) and not connection.has_news():
             return connection, False
-        await connection.close()
+        connection.close()
     return await take_new(pool, address, timeout_s, now_s), True
 
 
@@ -41,16 +41,16 @@
     return await open_connection(address, timeout_s, now_s)
 
 
-async def give_back(pool: Pool, connection: EngineConnection, now_s: float) -> None:
+def give_back(pool: Pool, connection: EngineConnection, now_s: float) -> None:
     """Keep a connection whose answer was read in full, or close it."""
     waiting = pool.idle.setdefault(connection.address, [])
     if connection.finish(now_s) and len(waiting) < MAX_IDLE:
         waiting.append(connection)
     else:
-        await connection.close()
+        connection.close()
 
 
-async def sweep(pool: Pool, known: set[str], now_s: float) -> None:
+def sweep(pool: Pool, known: set[str], now_s: float) -> None:
     """Close what is too old, and all to addresses that are no longer known."""
     for address, waiting in list(pool.idle.items()):
         is_known = address in known
@@ -58,7 +58,7 @@
         dropped = [c for c in waiting if c not in kept]
         pool.idle[address] = kept
         for connection in dropped:
-            await connection.close()
+            connection.close()
         if not pool.idle[address]:
             del pool.idle[address]
 
--- a/libs/relay/src/cherryrudder/relay/server.py
+++ b/libs/relay/src/cherryrudder/relay/server.py
@@ -10,10 +10,10 @@
 
 import anyio
 import h11
-from anyio.abc import SocketStream
 from loguru import logger
 
-from cherryrudder.wire.sockets import set_options
+from cherryrudder.wire.errors import StreamBroken, StreamEnded, WireError
+from cherryrudder.wire.sockets import Stream
 
 from .errors import BadRequest, ClientGone
 
@@ -92,7 +92,7 @@
 
     def __init__(
         self,
-        stream: SocketStream,
+        stream: Stream,
         limits: Limits,
         now_s: Callable[[], float],
         is_closing: Callable[[], bool],
@@ -109,27 +109,43 @@
 
     async def run(self, handler: Handler) -> None:
         """Answer requests until the client or this side ends the connection."""
-        set_options(self._stream)
         try:
             while await self._next(handler):
                 self._http.start_next_cycle()
-        except (ClientGone, anyio.BrokenResourceError, anyio.ClosedResourceError):
+        except (ClientGone, WireError):
+            # What it left unfinished was logged with its request.
             pass
         finally:
-            with anyio.CancelScope(shield=True):
-                await anyio.aclose_forcefully(self._stream)
+            self._end()
+
+    def _end(self):
+        """Close; an answer that was cut short is reset, so that it can't look whole."""
+        if self._http.our_state is h11.SEND_BODY:
+            self._stream.abort()
+        else:
+            self._stream.close()
 
     async def write(self, event) -> None:
         """Write one HTTP event; raises ClientGone."""
         data = self._http.send(event)
         if not data:
             return
+        if not self._stream.is_full:
+            # The usual case, without the cost of a timer for each event.
+            self._write_now(data)
+            return
         try:
             with anyio.fail_after(WRITE_S):
                 await self._stream.send(data)
-        except (TimeoutError, anyio.BrokenResourceError, OSError) as error:
+        except (TimeoutError, StreamBroken) as error:
             raise ClientGone("the client takes nothing more") from error
 
+    def _write_now(self, data):
+        try:
+            self._stream.write(data)
+        except StreamBroken as error:
+            raise ClientGone("the client has gone") from error
+
     async def _next(self, handler):
         """Answer one request; tell whether another may follow."""
         try:
@@ -152,7 +168,7 @@
                 group.start_soon(self._watch, exchange, group.cancel_scope)
                 await handler(exchange)
                 group.cancel_scope.cancel()
-        except* (ClientGone, anyio.BrokenResourceError, anyio.ClosedResourceError):
+        except* (ClientGone, WireError):
             exchange.is_gone = True
 
     async def _watch(self, exchange, scope):
@@ -164,7 +180,7 @@
         while ahead < MAX_AHEAD_BYTES:
             try:
                 data = await self._stream.receive(READ_BYTES)
-            except (anyio.EndOfStream, anyio.BrokenResourceError, OSError):
+            except (StreamEnded, StreamBroken):
                 exchange.is_gone = True
                 scope.cancel()
                 return
@@ -244,7 +260,7 @@
         """Read some bytes; false when the client has ended."""
         try:
             data = await self._stream.receive(READ_BYTES)
-        except (anyio.EndOfStream, anyio.BrokenResourceError, OSError):
+        except (StreamEnded, StreamBroken):
             return False
         self._http.receive_data(data)
         return True
--- a/libs/replica/src/cherryrudder/replica/voter.py
+++ b/libs/replica/src/cherryrudder/replica/voter.py
@@ -159,7 +159,7 @@
     async def _tick(self):
         while True:
             self.feed(events.Tick())
-            await anyio.sleep(self._heartbeat_s / 3)
+            await anyio.sleep(self._heartbeat_s / 2)
 
     async def _carry_out(self):
         while True:
--- a/libs/wire/src/cherryrudder/wire/errors.py
+++ b/libs/wire/src/cherryrudder/wire/errors.py
@@ -28,6 +28,14 @@
     """Bytes on a frame link that are no frame, or a peer without the key."""
 
 
+class StreamEnded(WireError):
+    """The peer has ended its side of a connection."""
+
+
+class StreamBroken(WireError):
+    """A connection was reset, timed out or closed."""
+
+
 class ConnectFailed(WireError):
     """No connection came about: nothing has left this process."""
 
--- a/libs/wire/src/cherryrudder/wire/links.py
+++ b/libs/wire/src/cherryrudder/wire/links.py
@@ -14,7 +14,7 @@
 from loguru import logger
 
 from . import sockets
-from .errors import ConnectFailed, FrameError
+from .errors import FrameError, StreamBroken, StreamEnded, WireError
 from .frames import FrameBuffer, FrameCodec, Hello
 
 CONNECT_S = 1.0
@@ -76,21 +76,22 @@
     async def _run(self, address, link):
         try:
             stream = await sockets.connect(address, CONNECT_S)
-            async with stream, anyio.create_task_group() as group:
-                group.start_soon(self._watch_end, stream, group.cancel_scope)
-                await self._write(address, link, stream)
-        except* (OSError, ConnectFailed, anyio.BrokenResourceError):
+            try:
+                async with anyio.create_task_group() as group:
+                    group.start_soon(self._watch_end, stream, group.cancel_scope)
+                    await self._write(address, link, stream)
+            finally:
+                stream.abort()
+        except* WireError:
             # `_drop` tells of it.
             pass
-        except* anyio.ClosedResourceError:
-            pass
         self._drop(address, link)
 
     async def _watch_end(self, stream, scope):
         # The peer never writes on this connection: anything but silence is its end.
         try:
             await stream.receive(1)
-        except (anyio.EndOfStream, anyio.BrokenResourceError):
+        except WireError:
             pass
         scope.cancel()
 
@@ -102,7 +103,7 @@
             with anyio.move_on_after(WRITE_S) as scope:
                 await stream.send(self._codec.encode(messages))
             if scope.cancelled_caught:
-                raise anyio.BrokenResourceError
+                raise StreamBroken("the peer takes nothing more")
             messages = []
             if not link.waiting:
                 link.wake = anyio.Event()
@@ -117,21 +118,24 @@
     stopping: anyio.Event,
 ) -> None:
     """Accept links and hand each frame's messages on until `stopping` is set."""
-    listener = await sockets.listen(address)
 
     async def handle(stream):
-        async with stream:
-            sockets.set_options(stream)
-            try:
-                await _read(stream, codec, key, on_messages)
-            except FrameError as error:
-                log.warning("A link was refused: {}.", error)
-            except (anyio.EndOfStream, anyio.BrokenResourceError):
-                pass
-
-    async with listener, anyio.create_task_group() as group:
-        group.start_soon(listener.serve, handle)
-        await stopping.wait()
+        try:
+            await _read(stream, codec, key, on_messages)
+        except FrameError as error:
+            log.warning("A link was refused: {}.", error)
+        except (StreamEnded, StreamBroken):
+            # The peer's own side tells why.
+            pass
+        finally:
+            stream.abort()
+
+    async with anyio.create_task_group() as group:
+        server = await sockets.listen(address, handle, group)
+        try:
+            await stopping.wait()
+        finally:
+            server.close()
         group.cancel_scope.cancel()
 
 
