--- a/libs/layers/src/cherryrudder/layers/chains.py
+++ b/libs/layers/src/cherryrudder/layers/chains.py
@@ -26,6 +26,9 @@
 # faster engine there (a whole copy on the slowest kind takes 13.6 ms a token), since
 # the pipe between them is shared by all requests.
 CROSSING_S = 0.05
+# Cost per token of a whole chain in another data centre. Its activations cross no
+# pipe, only the answer does: it is worth it once the home engines are two thirds full.
+FOREIGN_S = 0.02
 
 
 class Candidate(NamedTuple):
@@ -99,12 +102,19 @@
 def choose_chain(
     profile: ModelProfile, engines: Iterable[Candidate], need: Need
 ) -> Chain | None:
-    """Return the cheapest chain inside the home zone, else over all, else None."""
+    """Return the cheapest chain inside one data centre, else over all, else None."""
     usable = [e for e in engines if has_room(profile, e, need.tokens)]
-    home = [e for e in usable if e.vm_zone == need.home_zone]
-    return cheapest(profile, home, need.home_zone) or cheapest(
-        profile, usable, need.home_zone
-    )
+    best = None
+    for zone in sorted({e.vm_zone for e in usable}):
+        found = _cheapest(profile, [e for e in usable if e.vm_zone == zone], zone)
+        if found is None:
+            continue
+        cost = found[0] + (FOREIGN_S if zone != need.home_zone else 0.0)
+        if best is None or cost < best[0]:
+            best = (cost, found[1])
+    if best is not None:
+        return best[1]
+    return cheapest(profile, usable, need.home_zone)
 
 
 def replace_parts(
@@ -152,14 +162,21 @@
     span: tuple[int, int] | None = None,
 ) -> Chain | None:
     """Return the cheapest chain over a span of layers, or None if it has a hole."""
+    found = _cheapest(profile, engines, home_zone, span)
+    return found and found[1]
+
+
+def _cheapest(profile, engines, home_zone, span=None):
+    """Return the cost per token and the chain, or None."""
     first, end = span or (0, profile.layers)
     ends = _boundaries(engines, first, end)
     best = _relax(profile, engines, home_zone, ends)
     arrivals = [(cost, key) for key, (cost, _, _) in best.items() if key[0] == end]
     if not arrivals:
         return None
-    chain = _merge(_walk_back(best, min(arrivals)[1]))
-    return chain if len(chain) <= MAX_PARTS else None
+    cost, key = min(arrivals)
+    chain = _merge(_walk_back(best, key))
+    return (cost, chain) if len(chain) <= MAX_PARTS else None
 
 
 def _boundaries(engines, first, end):
--- a/libs/layers/src/cherryrudder/layers/planner.py
+++ b/libs/layers/src/cherryrudder/layers/planner.py
@@ -1,31 +1,44 @@
 """Which layers each engine is to hold.
 
 Load pattern: engines of several sizes start empty, die with their layers, leave and
-come back empty, while requests go on. Without a plan each range has as many copies as
-chance gives: one engine's death then stops a whole data centre, with memory idle
-beside it.
+come back empty, while requests go on. What an engine's memory has left beside its
+layers holds requests, and the range with the least room bounds its data centre.
+Without a plan some ranges have room for three times the requests of others, and one
+engine's death stops a data centre with memory idle beside it.
 
 Each data centre is planned by itself as far as its engines hold one whole copy, since
-the pipes between them are shared and slow. Every empty engine takes the range that is
-held least; an engine whose layers others hold as well moves only to close a hole.
+the pipes between them are shared and slow. The engines get just enough layers for one
+copy, so that each keeps the most room; another centre's copy stands in for a hole until
+the neighbours of the lost range have taken it over.
 """
 
 from collections.abc import Iterable
 from typing import NamedTuple
 
-from .profile import NOTHING, Holding, ModelProfile, kind_of, most_layers
-
-# Tokens that an engine keeps room for beside its layers. A data centre has some 25
-# streams of 950 tokens under way at once in the usual hour (11 a second, 2.2 s each);
-# with bursts of 1.7 times this is 40,000, of which two copies share a part.
-RESERVE_TOKENS = 30_000.0
-# What one more copy of a layer is worth, by the number of copies there are. A hole
-# stops the data centre, a second copy saves it from one loss, a third rarely counts.
-COPY_VALUES = (100.0, 1.0, 0.05)
-FURTHER_COPY_VALUE = 0.01
-# A move costs seconds of loading and leaves its old range thinner. Only a hole of one
-# layer or more, less the second copies that are given up, outweighs it.
-MOVE_GAIN = 50.0
+from .profile import (
+    NOTHING,
+    Holding,
+    KindProfile,
+    ModelProfile,
+    kind_of,
+    most_layers,
+    room_tokens,
+)
+
+# Layers in all over one copy: the last range rarely ends just at the last layer.
+SPARE_SHARE = 1.04
+# More room than this is not worth having fewer copies for. A data centre has some 25
+# streams of 950 tokens under way in the usual hour (11 a second, 2.2 s each), and twice
+# that while it stands in for another.
+MOST_ROOM_TOKENS = 60_000.0
+# The least room beside its layers that an engine may be left with. It is a dozen
+# usual requests; with less a burst stops every stream through it.
+LEAST_ROOM_TOKENS = 12_000.0
+# What a layer that nobody holds is worth, against 1 for one with the planned room: it
+# stops the data centre.
+HOLE_VALUE = 1000.0
+# A move takes an engine's range away from where it was, so it has to close a hole.
+MOVE_GAIN = HOLE_VALUE / 2
 
 
 class Holder(NamedTuple):
@@ -48,38 +61,54 @@
     holding: Holding
 
 
+class Engine(NamedTuple):
+    """A holder that stays, with what its kind can hold."""
+
+    holder: Holder
+    kind: KindProfile
+
+
 def plan(profile: ModelProfile, holders: Iterable[Holder]) -> list[Placement]:
     """Return the placements to order now; none when all is as it should be."""
-    known = [h for h in holders if kind_of(profile, h.kind) is not None]
+    engines = [
+        Engine(holder, kind)
+        for holder in holders
+        if not holder.is_leaving and (kind := kind_of(profile, holder.kind)) is not None
+    ]
     placements = []
-    for group in _groups(profile, known):
+    for group in _groups(profile, engines):
         placements += _plan_group(profile, group)
     return placements
 
 
-def reserve_tokens(profile: ModelProfile, holders: Iterable[Holder]) -> float:
-    """Return the room that leaves enough layers for one whole copy.
+def planned_room(profile: ModelProfile, engines: Iterable[Engine]) -> float:
+    """Return the most room in tokens that leaves enough layers for one whole copy."""
+    engines = list(engines)
+    room = MOST_ROOM_TOKENS
+    while room > 500.0:
+        layers = sum(most_layers(profile, e.kind, room) for e in engines)
+        if layers >= profile.layers * SPARE_SHARE:
+            return room
+        room /= 1.05
+    return room
 
-    With few or small engines a whole copy goes before room for many requests.
-    """
-    kinds = [kind_of(profile, h.kind) for h in holders]
-    reserve = RESERVE_TOKENS
-    while reserve > 500.0:
-        if sum(most_layers(profile, k, reserve) for k in kinds) >= profile.layers:
-            return reserve
-        reserve /= 1.5
-    return reserve
 
+def rooms(profile: ModelProfile, engines: Iterable[Engine]) -> list[float]:
+    """Return the room in tokens that each layer has on all engines that hold it."""
+    sums = [0.0] * profile.layers
+    for engine in engines:
+        _add(profile, sums, engine, engine.holder.holding, 1)
+    return sums
 
-def _groups(profile, holders):
+
+def _groups(profile, engines):
     """Return the engines by data centre; centres without a whole copy share one."""
-    zones: dict[str, list[Holder]] = {}
-    for holder in holders:
-        zones.setdefault(holder.vm_zone, []).append(holder)
+    zones: dict[str, list[Engine]] = {}
+    for engine in engines:
+        zones.setdefault(engine.holder.vm_zone, []).append(engine)
     groups, pooled = [], []
     for _, group in sorted(zones.items()):
-        kinds = [kind_of(profile, h.kind) for h in group if not h.is_leaving]
-        least = sum(most_layers(profile, kind, 500.0) for kind in kinds)
+        least = sum(most_layers(profile, e.kind, LEAST_ROOM_TOKENS) for e in group)
         if least >= profile.layers:
             groups.append(group)
         else:
@@ -88,75 +117,131 @@
 
 
 def _plan_group(profile, group):
-    staying = [h for h in group if not h.is_leaving]
-    reserve = reserve_tokens(profile, staying)
-    copies = count_copies(profile, staying)
+    room = planned_room(profile, group)
+    sums = rooms(profile, group)
     placements = []
-    empty = [h for h in staying if h.holding == NOTHING and not h.is_busy]
-    empty.sort(key=lambda h: (-kind_of(profile, h.kind).size_mb, h.address))
-    for holder in empty:
-        holding = _best_range(profile, holder, copies, reserve)
+    empty = [e for e in group if e.holder.holding == NOTHING and not e.holder.is_busy]
+    empty.sort(key=lambda e: (-e.kind.size_mb, e.holder.address))
+    for engine in empty:
+        holding = _best_range(profile, engine, sums, room)
         if holding != NOTHING:
-            placements.append(Placement(holder, holding))
-            _add(copies, holding, 1)
-    if 0 in copies:
-        placements += _close_holes(profile, staying, copies, reserve)
-    return placements
-
-
-def count_copies(profile: ModelProfile, holders: Iterable[Holder]) -> list[int]:
-    """Return how many engines hold each layer."""
-    copies = [0] * profile.layers
-    for holder in holders:
-        _add(copies, holder.holding, 1)
-    return copies
+            placements.append(Placement(engine.holder, holding))
+            _add(profile, sums, engine, holding, 1)
+    if 0.0 not in sums:
+        return placements
+    movable = [e for e in group if e.holder.holding != NOTHING and not e.holder.is_busy]
+    placements += _extend(profile, movable, sums)
+    placed = {placement.holder.engine_id for placement in placements}
+    movable = [e for e in movable if e.holder.engine_id not in placed]
+    return placements + _move(profile, movable, sums, room)
+
+
+def _add(profile, sums, engine, holding, sign):
+    room = room_tokens(profile, engine.kind, holding.end - holding.first)
+    # A layer that is held counts as held however little room is beside it.
+    room = max(1.0, room)
+    for layer in range(holding.first, holding.end):
+        # Rounded, so that taking a range away again leaves a true zero.
+        sums[layer] = max(0.0, round(sums[layer] + sign * room))
 
 
-def _add(copies, holding, count):
-    for layer in range(holding.first, holding.end):
-        copies[layer] += count
+def _value(room, planned):
+    if room <= 0.0:
+        return HOLE_VALUE
+    return (planned / room) ** 2
 
 
-def _value(copies):
-    if copies < len(COPY_VALUES):
-        return COPY_VALUES[copies]
-    return FURTHER_COPY_VALUE
+def _worth(sums, holding, planned):
+    layers = range(holding.first, holding.end)
+    return sum(_value(sums[layer], planned) for layer in layers)
 
 
-def _best_range(profile, holder, copies, reserve):
-    length = most_layers(profile, kind_of(profile, holder.kind), reserve)
+def _best_range(profile, engine, sums, room):
+    """Return the range with the least room, as long as the planned room allows."""
+    length = most_layers(profile, engine.kind, room)
     if length < 1:
-        return NOTHING
+        length = min(1, most_layers(profile, engine.kind, LEAST_ROOM_TOKENS))
     best, best_worth = NOTHING, -1.0
-    for first in range(0, profile.layers - length + 1):
-        worth = sum(_value(copies[layer]) for layer in range(first, first + length))
+    for first in range(0, profile.layers - length + 1) if length else ():
+        holding = Holding(first, first + length)
+        worth = _worth(sums, holding, room)
         if worth > best_worth + 1e-9:
-            best, best_worth = Holding(first, first + length), worth
+            best, best_worth = holding, worth
     return best
 
 
-def _close_holes(profile, staying, copies, reserve):
+def _extend(profile, movable, sums):
+    """Let the neighbours of each hole take it over beside what they hold.
+
+    They go on serving their own range while the new layers load.
+    """
+    held = {e.holder.engine_id: e.holder.holding for e in movable}
+    while (hole := _first_hole(sums)) is not None:
+        step = _best_extension(profile, movable, held, hole)
+        if step is None:
+            break
+        engine, holding = step
+        _add(profile, sums, engine, held[engine.holder.engine_id], -1)
+        _add(profile, sums, engine, holding, 1)
+        held[engine.holder.engine_id] = holding
+    return [
+        Placement(e.holder, held[e.holder.engine_id])
+        for e in movable
+        if held[e.holder.engine_id] != e.holder.holding
+    ]
+
+
+def _first_hole(sums):
+    if 0.0 not in sums:
+        return None
+    first = sums.index(0.0)
+    end = first
+    while end < len(sums) and sums[end] == 0.0:
+        end += 1
+    return Holding(first, end)
+
+
+def _best_extension(profile, movable, held, hole):
+    """Return the extension by one layer that leaves the most room, or None."""
+    best = None
+    for engine in movable:
+        old = held[engine.holder.engine_id]
+        for new in _wider(old, hole):
+            length = new.end - new.first
+            if length > most_layers(profile, engine.kind, LEAST_ROOM_TOKENS):
+                continue
+            room = room_tokens(profile, engine.kind, length)
+            if best is None or room > best[0]:
+                best = (room, engine, new)
+    return best and best[1:]
+
+
+def _wider(old, hole):
+    if old.first <= hole.first <= old.end:
+        yield Holding(old.first, max(old.end, hole.first + 1))
+    if old.first <= hole.end <= old.end:
+        yield Holding(min(old.first, hole.end - 1), old.end)
+
+
+def _move(profile, movable, sums, room):
     """Move engines whose layers others hold to where nobody holds any."""
     placements = []
-    movable = [h for h in staying if h.holding != NOTHING and not h.is_busy]
-    while 0 in copies:
+    while 0.0 in sums:
         best = None
-        for holder in movable:
-            _add(copies, holder.holding, -1)
-            holding = _best_range(profile, holder, copies, reserve)
-            gain = _worth(copies, holding) - _worth(copies, holder.holding)
-            _add(copies, holder.holding, 1)
+        for engine in movable:
+            _add(profile, sums, engine, engine.holder.holding, -1)
+            holding = _best_range(profile, engine, sums, room)
+            gain = _worth(sums, holding, room) - _worth(
+                sums, engine.holder.holding, room
+            )
+            _add(profile, sums, engine, engine.holder.holding, 1)
             if gain > MOVE_GAIN and (best is None or gain > best[0]):
-                best = (gain, holder, holding)
+                best = (gain, engine, holding)
         if best is None:
             return placements
-        _, holder, holding = best
-        movable.remove(holder)
-        _add(copies, holder.holding, -1)
-        _add(copies, holding, 1)
-        placements.append(Placement(holder, holding))
+        _, engine, holding = best
+        movable.remove(engine)
+        _add(profile, sums, engine, engine.holder.holding, -1)
+        _add(profile, sums, engine, holding, 1)
+        placements.append(Placement(engine.holder, holding))
     return placements
-
-
-def _worth(copies, holding):
-    return sum(_value(copies[layer]) for layer in range(holding.first, holding.end))
--- a/libs/node/src/cherryrudder/node/controlbeats.py
+++ b/libs/node/src/cherryrudder/node/controlbeats.py
@@ -94,7 +94,7 @@
         ]
 
     def _on_down(self, address):
-        self.state.sink.write("control", "link-down", peer=address)
+        """Leave it to the beats, which tell what was lost and who was."""
 
     def _on_frames(self, peer, messages):
         for message in messages:
@@ -147,8 +147,10 @@
             now = now_s()
             for address in roster.targets(state.roster, now):
                 self.links.send(address, self._own_beat(address, now))
-            roster.sweep(state.roster, now)
-            roster.sweep(state.entries, now)
+            for address in roster.sweep(state.roster, now):
+                state.sink.write("control", "control-lost", True, address=address)
+            for address in roster.sweep(state.entries, now):
+                state.sink.write("control", "entry-lost", True, address=address)
             tablesync.sweep(state.endpoints, now)
             await anyio.sleep(BEAT_S)
 
@@ -213,6 +215,7 @@
             endpoints=tablesync.news_since(state.endpoints, beat.seen, now),
             alive=tablesync.signs(state.endpoints, now),
             usage=self._usage_of_others(beat, now),
+            entries=len(roster.present(state.entries, now)),
         )
         self.links.send(beat.address, answer)
 
--- a/libs/node/src/cherryrudder/node/enginecalls.py
+++ b/libs/node/src/cherryrudder/node/enginecalls.py
@@ -4,8 +4,9 @@
 
 from cherryrudder.layers.chains import Chain
 from cherryrudder.platform import calls, engines
-from cherryrudder.relay.client import open_connection
+from cherryrudder.relay import pool
 from cherryrudder.relay.errors import RelayError
+from cherryrudder.relay.pool import Pool
 from cherryrudder.replica.clock import now_s
 
 from .errors import EngineCallFailed
@@ -16,9 +17,15 @@
 MAX_ANSWER_BYTES = 1024 * 1024
 
 
-async def get_report(address: str, timeout_s: float = CALL_S) -> engines.Report:
-    """Return an engine's report; raises EngineCallFailed."""
-    status, body = await _call(address, b"GET", calls.REPORT_PATH, b"", timeout_s)
+async def get_report(
+    address: str, timeout_s: float = CALL_S, kept: Pool | None = None
+) -> engines.Report:
+    """Return an engine's report; raises EngineCallFailed.
+
+    With a pool, the connection is taken from there and kept for the next call.
+    """
+    call = (b"GET", calls.REPORT_PATH, b"")
+    status, body = await _call(address, call, timeout_s, kept)
     if status != 200:
         raise EngineCallFailed(f"{address}: report: status {status}")
     result = engines.read_report(body)
@@ -33,7 +40,7 @@
     Without an answer the order may still be carried out seconds later.
     """
     body = engines.write_order(order)
-    status, _ = await _call(address, b"POST", calls.ORDER_PATH, body, CALL_S)
+    status, _ = await _call(address, (b"POST", calls.ORDER_PATH, body), CALL_S)
     return status
 
 
@@ -43,30 +50,38 @@
     Raises EngineCallFailed.
     """
     body = engines.write_reroute(request_id, chain)
-    status, answer = await _call(address, b"POST", calls.ORDER_PATH, body, CALL_S)
+    call = (b"POST", calls.ORDER_PATH, body)
+    status, answer = await _call(address, call, CALL_S)
     return status, engines.read_fault_address(answer)
 
 
-async def _call(address, method, path, body, timeout_s):
+async def _call(address, call, timeout_s, kept=None):
     try:
         with anyio.fail_after(timeout_s):
-            return await _exchange(address, method, path, body, timeout_s)
+            return await _exchange(address, call, timeout_s, kept or Pool())
     except (RelayError, TimeoutError) as error:
-        raise EngineCallFailed(f"{address}: {path}: {error or 'timeout'}") from error
+        raise EngineCallFailed(f"{address}: {call[1]}: {error or 'timeout'}") from error
 
 
-async def _exchange(address, method, path, body, timeout_s):
-    connection = await open_connection(address, timeout_s, now_s())
+async def _exchange(address, call, timeout_s, kept):
+    method, path, body = call
+    connection, _ = await pool.take(kept, address, timeout_s, now_s())
+    is_done = False
     try:
-        headers = [(b"host", address.encode()), (b"connection", b"close")]
+        headers = [(b"host", address.encode())]
         if body:
             headers.append((b"content-type", b"application/json"))
             headers.append((b"content-length", b"%d" % len(body)))
         await connection.send(method, path.encode(), headers, body)
         head = await connection.read_head(timeout_s)
-        return head.status, await _read_body(connection)
+        answer = await _read_body(connection)
+        is_done = True
+        return head.status, answer
     finally:
-        connection.close()
+        if is_done and method == b"GET":
+            pool.give_back(kept, connection, now_s())
+        else:
+            connection.close()
 
 
 async def _read_body(connection):
--- a/libs/node/src/cherryrudder/node/entrystate.py
+++ b/libs/node/src/cherryrudder/node/entrystate.py
@@ -23,9 +23,11 @@
 from .roster import Roster
 from .tablesync import SharedTable
 
-# The users' retry budget is one for all entries. Their number is not told; a share of
-# one in sixteen keeps within it up to 32 entries of which half spend all at once.
-BUDGET_PARTS = 16
+# The users' retry budget is one for all entries, which share it evenly. A part stays
+# unspent: the entries' windows don't begin together, and a new entry brings its own.
+BUDGET_SHARE = 0.8
+# Entries assumed until the control VMs tell how many there are.
+FIRST_ENTRIES = 32
 
 
 class ToldLoad(NamedTuple):
@@ -55,8 +57,8 @@
         self.pool = Pool()
         bounds = settings.bounds
         self.budget = RetryBudget(
-            earned_per_request=bounds.retry_share / 2,
-            max_saved=max(1.0, bounds.retry_slack / BUDGET_PARTS),
+            earned_per_request=BUDGET_SHARE * bounds.retry_share,
+            max_saved=BUDGET_SHARE * bounds.retry_slack / FIRST_ENTRIES,
         )
         # By engine address: requests and tokens of this entry, and of the others.
         self.running: dict[str, int] = {}
@@ -72,6 +74,12 @@
         return self.table.version if self.table else 0
 
 
+def share_budget(state: EntryState, entries: int) -> None:
+    """Take this entry's even part of the retries that all may send."""
+    slack = state.settings.bounds.retry_slack
+    state.budget.max_saved = BUDGET_SHARE * slack / max(1, entries)
+
+
 def began(state: EntryState, chain: Chain, tokens: int) -> None:
     """Count a request in on every engine of its chain."""
     for part in chain:
@@ -112,10 +120,17 @@
         _candidate(state, announcement)
         for announcement in serving(state, service, now_s)
         if announcement.holding.end
-        and not suspicion.is_resting(state.suspicions, announcement.engine_id, now_s)
+        and not is_suspect(state, announcement.engine_id, now_s)
     ]
 
 
+def is_suspect(state: EntryState, engine_id: str, now_s: float) -> bool:
+    """Tell whether this entry has evidence against an endpoint."""
+    entry = state.endpoints.table.entries.get(engine_id)
+    heard_s = entry.heard_s if entry else now_s
+    return suspicion.is_resting(state.suspicions, engine_id, heard_s, now_s)
+
+
 def _candidate(state, announcement):
     address = announcement.address
     others = state.others.get(address)
--- a/libs/node/src/cherryrudder/node/gossip.py
+++ b/libs/node/src/cherryrudder/node/gossip.py
@@ -71,6 +71,8 @@
     alive: tuple[Alive, ...]
     # Of all other entries together.
     usage: tuple[Usage, ...]
+    # How many entries there are.
+    entries: int
 
 
 class ControlBeat(NamedTuple):
--- a/libs/node/src/cherryrudder/node/layerkeeper.py
+++ b/libs/node/src/cherryrudder/node/layerkeeper.py
@@ -31,6 +31,9 @@
 # An engine that lives is heard within this time of being accused. Waiting for three
 # missed heartbeats instead leaves a hole in the layers for 3 s more.
 ONE_HEARTBEAT_S = 1.3
+# A process that has just started hears of the engines one by one, within two of their
+# heartbeats. What it doesn't know yet would look like holes.
+LISTEN_S = 3.0
 # A load that takes this many times its nominal time is not waited for any longer.
 PATIENCE = 4.0
 PATIENCE_MORE_S = 3.0
@@ -56,6 +59,7 @@
         self._not_before_s: dict[str, float] = {}
         self._known: frozenset[str] = frozenset()
         self._changed_s = 0.0
+        self._started_s = now_s()
         self._services: tuple[int, tuple[Service, ...]] = (0, ())
 
     async def run(self) -> None:
@@ -126,7 +130,9 @@
 
     def _is_settled(self, live, now):
         is_first = all(a.holding == NOTHING for a in live) and not self._ordered
-        return bool(live) and (not is_first or now - self._changed_s > SETTLE_S)
+        if is_first:
+            return bool(live) and now - self._changed_s > SETTLE_S
+        return now - self._started_s > LISTEN_S
 
     def _holder(self, announcement: Announcement, now):
         ordered = self._ordered.get(announcement.engine_id)
--- a/libs/node/src/cherryrudder/node/plainrelay.py
+++ b/libs/node/src/cherryrudder/node/plainrelay.py
@@ -12,7 +12,7 @@
 from cherryrudder.routing.picking import Place
 
 from . import attempts
-from .entrystate import ToldLoad, serving
+from .entrystate import ToldLoad, is_suspect, serving
 from .job import Failed, Job, Whole
 
 # Part of the time left that an idempotent request waits for one endpoint while another
@@ -84,7 +84,7 @@
         own_running=state.running.get(announcement.address, 0),
         told_load=told.load,
         told_age_s=now - told.told_s,
-        is_suspect=suspicion.is_resting(state.suspicions, engine_id, now),
+        is_suspect=is_suspect(state, engine_id, now),
     )
 
 
--- a/libs/node/src/cherryrudder/node/roster.py
+++ b/libs/node/src/cherryrudder/node/roster.py
@@ -8,8 +8,9 @@
 
 # Beats come every half second; an address that was silent this long is told to nobody.
 PRESENT_S = 3.0
-# Then it isn't sent to any more either: a replaced machine never comes back.
-FORGET_S = 30.0
+# Then it isn't sent to any more either: a replaced machine never comes back, and one
+# that does beats by itself.
+FORGET_S = 10.0
 
 Beat = TypeVar("Beat")
 
--- a/libs/node/src/cherryrudder/node/stalls.py
+++ b/libs/node/src/cherryrudder/node/stalls.py
@@ -1,10 +1,10 @@
 """Finding out which engine a silent stream waits for, once for all streams.
 
-Failure: an engine in the middle of a chain dies; the first one holds the stream and says
-nothing for seconds. Its own report names the engine it waits for, but 200 ms late, and
-a pause of 200 ms makes the stream late already. So every engine of the chain is asked
-for its report at the same moment: within a data centre the living answer in a few
-milliseconds, and the one that doesn't is dead.
+Failure: an engine in the middle of a chain dies; the first one holds the stream and
+says nothing for seconds. Its own report names the engine it waits for, but 200 ms late,
+and a pause of 200 ms makes the stream late already. So every engine of the chain is
+asked for its report at the same moment: within a data centre the living answer in a
+few milliseconds, and the one that doesn't is dead.
 """
 
 from typing import NamedTuple
@@ -21,8 +21,10 @@
 from .errors import EngineCallFailed
 from .uplink import Uplink
 
-# What one look found is good for all streams that are silent at the same moment.
-LOOK_AGE_S = 0.1
+# What one look found is good for all streams that are silent at the same moment. That
+# an engine lives is good for longer: streams that are merely slow ask again and again.
+DEAD_AGE_S = 0.1
+ALIVE_AGE_S = 0.3
 # A report takes 2 ms between data centres, and some 15 from a busy engine. Twice in a
 # row over the first figure is taken as death; a busy entry needs longer itself.
 REPORT_S = 0.06
@@ -58,7 +60,7 @@
         lock = self._locks.setdefault(address, anyio.Lock())
         async with lock:
             known = self._looks.get(address)
-            if known is not None and now_s() - known.asked_s < LOOK_AGE_S:
+            if known is not None and _is_fresh(known, now_s()):
                 return
             asked_s = now_s()
             report = await self._report(address, REPORT_S)
@@ -68,7 +70,7 @@
 
     async def _report(self, address, timeout_s):
         try:
-            return await enginecalls.get_report(address, timeout_s)
+            return await enginecalls.get_report(address, timeout_s, self.state.pool)
         except EngineCallFailed as error:
             log.info("No report: {}.", error)
             return None
@@ -83,7 +85,7 @@
         """Take an engine as dead, and tell the others."""
         state, now = self.state, now_s()
         engine_id = entrystate.engine_at(state, address, now)
-        if not engine_id or suspicion.is_resting(state.suspicions, engine_id, now):
+        if not engine_id or entrystate.is_suspect(state, engine_id, now):
             return
         suspicion.died(state.suspicions, engine_id, now)
         self.uplink.accuse(engine_id)
@@ -91,3 +93,8 @@
         state.sink.write(
             "stalls", "engine-dead", True, address=address, engine_id=engine_id, why=why
         )
+
+
+def _is_fresh(look, now):
+    limit_s = DEAD_AGE_S if look.report is None else ALIVE_AGE_S
+    return now - look.asked_s < limit_s
--- a/libs/node/src/cherryrudder/node/streamrelay.py
+++ b/libs/node/src/cherryrudder/node/streamrelay.py
@@ -7,6 +7,8 @@
 
 import math
 
+import anyio
+
 from cherryrudder.layers import chains
 from cherryrudder.layers.chains import Chain, Need
 from cherryrudder.platform import engines, messages
@@ -26,11 +28,19 @@
 EXPECTED_S = 0.3
 # The chains that a hole in the layers leaves without are back after a load: a part of
 # 14 s for all layers, 1 to 2 s for one engine's range.
-HOLE_RETRY_S = 1.5
+HOLE_RETRY_S = 2.5
+# How long a request waits for room: streams end all the time, one in some 90 ms in each
+# data centre, and the objective leaves 0.4 s beside the prompt's own reading.
+ROOM_WAIT_S = 0.35
+ROOM_POLL_S = 0.025
 # Attempts beyond the route's own that deaths of engines may cost; those don't count
 # against the route, but each is work for the engines that are left.
 MAX_DEATHS = 4
 
+# Some layers are held by no engine that may be used, or by none with room.
+NO_CHAIN = "no chain"
+NO_ROOM = "no room"
+
 
 class Stream:
     """A stream on its way from engines to its client."""
@@ -49,8 +59,12 @@
         # The connection of the present attempt.
         self.connection: EngineConnection | None = None
         self.progressed_s = now_s()
+        # The usual pause between pieces.
+        self.pause_s = 0.0
         self.silence_s = supervision.FIRST_SILENCE_S
         self.is_looked_at = False
+        # Why there was no chain.
+        self.refusal = ""
         # Why the watch broke the present attempt off, and whether for want of time.
         self.broken = ""
         self.is_late = False
@@ -76,11 +90,12 @@
 async def serve(job: Job, watch: Watch) -> None:
     """See a stream to its end."""
     stream = Stream(job, watch)
-    failed = Failed("no chain", is_not_run=True, is_sent=False)
+    failed = Failed(NO_CHAIN, is_not_run=True, is_sent=False)
     has_run = False
     while True:
-        chain = _choose(stream)
+        chain = await _wait_for_chain(stream)
         if chain is None:
+            failed = failed._replace(reason=stream.refusal or failed.reason)
             break
         result = await _attempt(stream, chain)
         if result is None:
@@ -92,8 +107,19 @@
     await _give_up(stream, failed)
 
 
+async def _wait_for_chain(stream):
+    """Return a chain, or None when there is none and none will be free in time."""
+    until_s = min(now_s() + ROOM_WAIT_S, stream.job.end_s)
+    while (chain := _choose(stream)) is None:
+        if stream.refusal != NO_ROOM or now_s() > until_s:
+            stream.job.note("no-chain", reason=stream.refusal, tokens=stream.tokens)
+            return None
+        await anyio.sleep(ROOM_POLL_S)
+    return chain
+
+
 def _choose(stream):
-    """Return a chain, or None when there is none with room."""
+    """Return a chain, or None and why there is none in `refusal`."""
     job, now = stream.job, now_s()
     usable = [
         engine
@@ -103,7 +129,9 @@
     need = Need(stream.tokens, job.state.settings.vm_zone)
     chain = chains.choose_chain(job.service.model, usable, need)
     if chain is None:
-        job.note("no-chain", engines=len(usable), tokens=stream.tokens)
+        roomless = [engine._replace(tokens=0) for engine in usable]
+        is_whole = chains.choose_chain(job.service.model, roomless, need) is not None
+        stream.refusal = NO_ROOM if is_whole else NO_CHAIN
         return None
     if not chains.covers(chain, job.service.model.layers):
         # Checked again where it is sent: a layer left out or run twice spoils every
@@ -136,8 +164,8 @@
         # The connection closes without an end, so that the answer can't look complete.
         job.outcome = f"broken off: {failed.reason}"
         return
-    if not failed.is_sent and failed.is_not_run:
-        await job.refuse(Refused(503, failed.reason, HOLE_RETRY_S))
+    if failed.is_not_run and failed.reason == NO_CHAIN:
+        await job.refuse(Refused(503, NO_CHAIN, HOLE_RETRY_S))
         return
     await job.fail(failed)
 
--- a/libs/node/src/cherryrudder/node/supervision.py
+++ b/libs/node/src/cherryrudder/node/supervision.py
@@ -31,6 +31,10 @@
 SILENCE_S = 0.09
 # A chain with an engine that was found dead by another stream needs less proof.
 ACCUSED_SILENCE_S = 0.06
+# A stream whose usual pause is longer is silent only after some of them.
+USUAL_PAUSES = 4.0
+# Weight of the newest pause in a stream's usual one.
+PAUSE_MEMORY = 0.2
 # Each further look at a stream that is slow but not stalled waits longer.
 BACK_OFF = 1.6
 MOST_SILENCE_S = 1.0
@@ -121,8 +125,13 @@
 
 def progressed(stream: "Stream", now: float) -> None:
     """Take note that a stream is alive."""
+    if stream.has_begun:
+        pause_s = now - stream.progressed_s
+        stream.pause_s += PAUSE_MEMORY * (pause_s - stream.pause_s)
+        stream.silence_s = max(SILENCE_S, USUAL_PAUSES * stream.pause_s)
+    else:
+        stream.silence_s = FIRST_SILENCE_S
     stream.progressed_s = now
-    stream.silence_s = SILENCE_S if stream.has_begun else FIRST_SILENCE_S
 
 
 def lose_first(stream: "Stream", why: str) -> None:
--- a/libs/node/src/cherryrudder/node/uplink.py
+++ b/libs/node/src/cherryrudder/node/uplink.py
@@ -61,7 +61,7 @@
             self.links.send(address, accusation)
 
     def _on_down(self, address):
-        self.state.sink.write("uplink", "link-down", peer=address)
+        """Leave it to the beats, which tell what was lost and who was."""
 
     async def _beat(self):
         state = self.state
@@ -108,6 +108,7 @@
         self._take_endpoints(answer.endpoints)
         tablesync.take_alive(state.endpoints, answer.alive, now)
         self._seen[answer.address] = TableMark(answer.boot, answer.table_version)
+        entrystate.share_budget(state, answer.entries)
         if answer.usage:
             state.others = {one.address: one for one in answer.usage}
         # A version that is not here yet confirms nothing; the next answer will.
@@ -158,7 +159,7 @@
 
     def _on_accusation(self, accusation):
         state, now = self.state, now_s()
-        if not suspicion.is_resting(state.suspicions, accusation.engine_id, now):
+        if not entrystate.is_suspect(state, accusation.engine_id, now):
             suspicion.died(state.suspicions, accusation.engine_id, now)
             state.sink.write(
                 "uplink",
--- a/libs/routing/src/cherryrudder/routing/suspicion.py
+++ b/libs/routing/src/cherryrudder/routing/suspicion.py
@@ -7,10 +7,9 @@
 
 from typing import NamedTuple
 
-# After one sign of death an endpoint is left alone for so long, then tried again. It
-# is just over the time that an engine's callers are held (2.5 s on the users' sheets),
-# so that a test never piles up behind another.
-FIRST_REST_S = 3.0
+# After one sign of death an endpoint is left alone for so long, and until it is heard
+# again. It announces itself every 1.2 s, so one that lives is heard within it.
+FIRST_REST_S = 2.0
 MOST_REST_S = 12.0
 # Failures among recent answers that make an endpoint suspect. Sound plain services fail
 # up to 14 in 100 of their requests by themselves.
@@ -24,6 +23,7 @@
 class Record(NamedTuple):
     """What one entry has seen of one boot of an endpoint."""
 
+    died_s: float = float("-inf")
     rests_until_s: float = 0.0
     rest_s: float = 0.0
     failed_share: float = 0.0
@@ -37,20 +37,22 @@
         self.records: dict[str, Record] = {}
 
 
-def is_resting(suspicions: Suspicions, engine_id: str, now_s: float) -> bool:
-    """Tell whether an endpoint is to be left alone."""
+def is_resting(
+    suspicions: Suspicions, engine_id: str, heard_s: float, now_s: float
+) -> bool:
+    """Tell whether an endpoint, last heard at a time, is to be left alone."""
     record = suspicions.records.get(engine_id)
-    return record is not None and now_s < record.rests_until_s
+    if record is None:
+        return False
+    return now_s < record.rests_until_s or heard_s < record.died_s
 
 
 def died(suspicions: Suspicions, engine_id: str, now_s: float) -> None:
     """Take note of a sign of death: silence, a refused connection, a reset."""
     record = suspicions.records.get(engine_id, Record())
-    if now_s < record.rests_until_s:
-        return
     rest_s = min(MOST_REST_S, max(FIRST_REST_S, 2 * record.rest_s))
     suspicions.records[engine_id] = record._replace(
-        rests_until_s=now_s + rest_s, rest_s=rest_s
+        died_s=now_s, rests_until_s=now_s + rest_s, rest_s=rest_s
     )
 
 
@@ -65,7 +67,7 @@
         record = record._replace(rest_s=0.0)
     is_bad = record.answers >= FEWEST_ANSWERS and share > WORST_FAILED_SHARE
     if is_bad:
-        record = Record(now_s + FIRST_REST_S, FIRST_REST_S)
+        record = Record(rests_until_s=now_s + FIRST_REST_S, rest_s=FIRST_REST_S)
     suspicions.records[engine_id] = record
     return is_bad
 
--- a/libs/wire/src/cherryrudder/wire/links.py
+++ b/libs/wire/src/cherryrudder/wire/links.py
@@ -70,7 +70,7 @@
     def _drop(self, address, link):
         if self._links.get(address) is link:
             del self._links[address]
-            log.info("Link to {} is down.", address)
+            log.debug("Link to {} is down.", address)
             self._on_down(address)
 
     async def _run(self, address, link):
--- a/libs/wire/src/cherryrudder/wire/sockets.py
+++ b/libs/wire/src/cherryrudder/wire/sockets.py
@@ -66,7 +66,8 @@
 
     def write(self, data: bytes) -> None:
         """Write bytes without waiting; raises StreamBroken."""
-        if self._is_lost:
+        # The loop tells of a lost connection one turn later than its transport knows.
+        if self._is_lost or self._transport.is_closing():
             raise StreamBroken("the connection is lost")
         self._transport.write(data)
 
