--- a/libs/layers/src/cherryrudder/layers/chains.py
+++ b/libs/layers/src/cherryrudder/layers/chains.py
@@ -179,6 +179,20 @@
     return (cost, chain) if len(chain) <= MAX_PARTS else None
 
 
+def tightest(profile: ModelProfile, engines: Iterable[Candidate]) -> tuple[int, float]:
+    """Return the layer with the least free room on all engines, and the free tokens."""
+    free = [0.0] * profile.layers
+    for engine in engines:
+        kind = kind_of(profile, engine.kind)
+        if kind is None:
+            continue
+        room = room_tokens(profile, kind, engine.end - engine.first)
+        for layer in range(engine.first, engine.end):
+            free[layer] += max(0.0, FULL_SHARE * room - engine.tokens)
+    layer = min(range(profile.layers), key=free.__getitem__)
+    return layer, free[layer]
+
+
 def _boundaries(engines, first, end):
     marks = {first, end}
     for engine in engines:
--- a/libs/node/src/cherryrudder/node/streamrelay.py
+++ b/libs/node/src/cherryrudder/node/streamrelay.py
@@ -112,7 +112,7 @@
     until_s = min(now_s() + ROOM_WAIT_S, stream.job.end_s)
     while (chain := _choose(stream)) is None:
         if stream.refusal != NO_ROOM or now_s() > until_s:
-            stream.job.note("no-chain", reason=stream.refusal, tokens=stream.tokens)
+            _note_no_chain(stream)
             return None
         await anyio.sleep(ROOM_POLL_S)
     return chain
@@ -141,6 +141,22 @@
     return chain
 
 
+def _note_no_chain(stream):
+    """Log what a stream lacked: which layer is held by too few, or too full."""
+    job = stream.job
+    usable = entrystate.candidates(job.state, job.service.name, now_s())
+    layer, free = chains.tightest(job.service.model, usable)
+    job.note(
+        "no-chain",
+        reason=stream.refusal,
+        tokens=stream.tokens,
+        engines=len(usable),
+        tightest_layer=layer,
+        free_tokens=round(free),
+        own_streams=len(stream.watch.streams),
+    )
+
+
 def _may_retry(stream, failed):
     job = stream.job
     attempt = retries.Attempt(
--- a/libs/node/src/cherryrudder/node/supervision.py
+++ b/libs/node/src/cherryrudder/node/supervision.py
@@ -98,7 +98,7 @@
             stream.silence_s = min(MOST_SILENCE_S, stream.silence_s * BACK_OFF)
             lost = await self._find_lost(stream)
             if lost and stream.connection is not None:
-                await _go_on_without(stream, lost)
+                await _go_on_without(stream, stream.connection, lost)
         finally:
             stream.is_looked_at = False
 
@@ -142,7 +142,7 @@
     stream.stalls.accuse(first.address, why)
 
 
-async def _go_on_without(stream, lost):
+async def _go_on_without(stream, connection, lost):
     """Replace the lost parts of the chain; break the attempt off when none can be."""
     job = stream.job
     stream.deaths += 1
@@ -152,6 +152,9 @@
         if chain is None:
             break
         status, missing = await _order(stream, chain)
+        if stream.connection is not connection:
+            # The attempt ended meanwhile, and its chain was counted out already.
+            return
         if status in (200, 202):
             _take(stream, chain)
             return
