--- a/libs/layers/src/cherryrudder/layers/chains.py
+++ b/libs/layers/src/cherryrudder/layers/chains.py
@@ -19,9 +19,10 @@
 # One hop costs at least this beside the transfer: the delay inside a data centre
 # (0.1 ms on the users' sheets) and the engine's own hand-over.
 HOP_S = 0.0002
-# How much more memory of an engine counts as full: reports lag, and what an engine
-# can't hold it pushes out in the middle of a stream.
-FULL_SHARE = 0.9
+# How much of an engine's room counts as full. What it can't hold it pushes out in the
+# middle of a stream; but each stream counts here with its whole answer from the start,
+# about a tenth more than it holds on the average.
+FULL_SHARE = 1.0
 # Cost per token of a crossing between data centres. It has to outweigh any gain of a
 # faster engine there (a whole copy on the slowest kind takes 13.6 ms a token), since
 # the pipe between them is shared by all requests.
--- a/libs/node/src/cherryrudder/node/controlbeats.py
+++ b/libs/node/src/cherryrudder/node/controlbeats.py
@@ -214,6 +214,7 @@
             table_version=state.endpoints.table.version,
             endpoints=tablesync.news_since(state.endpoints, beat.seen, now),
             alive=tablesync.signs(state.endpoints, now),
+            vm_zone=state.settings.vm_zone,
             usage=self._usage_of_others(beat, now),
             entries=len(roster.present(state.entries, now)),
         )
@@ -221,8 +222,8 @@
 
     def _usage_of_others(self, beat, now):
         """Sum up what the other entries have running, by engine."""
-        if beat.vm_zone != self.state.settings.vm_zone:
-            return ()
+        if not beat.wants_usage:
+            return None
         sums: dict[str, Usage] = {}
         for other in roster.beats(self.state.entries, now):
             if other.address == beat.address:
--- a/libs/node/src/cherryrudder/node/entry.py
+++ b/libs/node/src/cherryrudder/node/entry.py
@@ -42,7 +42,7 @@
         group.start_soon(_answer_readiness, state, leaving)
         group.start_soon(_tidy, state, server, door)
         await leaving.wait()
-        await _stop(server, settings.bounds.grace_s)
+        await _stop(door, server, settings.bounds.grace_s)
         group.cancel_scope.cancel()
 
 
@@ -80,10 +80,12 @@
         door.watch.stalls.forget(known)
 
 
-async def _stop(server, grace_s):
+async def _stop(door, server, grace_s):
     """Serve on until the platform sends nobody, then until all requests have ended."""
     server.is_closing = True
     deadline_s = now_s() + grace_s - LAST_S
     await anyio.sleep(min(OUT_OF_ROTATION_S, grace_s / 2))
+    door.is_closed = True
+    server.close_idle()
     while server.busy() and now_s() < deadline_s:
         await anyio.sleep(0.02)
--- a/libs/node/src/cherryrudder/node/frontdoor.py
+++ b/libs/node/src/cherryrudder/node/frontdoor.py
@@ -15,18 +15,27 @@
 from .supervision import Watch
 from .uplink import Uplink
 
+# A request that comes in the last seconds may not end in time: most streams take 2 to 5
+# of the 8 s that a process has. Told at once that it has not run, it goes elsewhere.
+LEAVING = Refused(503, "leaving", 0.05)
+
 
 class FrontDoor:
     """Takes requests and sees each to its one final answer."""
 
     def __init__(self, state: EntryState, uplink: Uplink):
         self.state = state
+        # Set in the last seconds before the process ends.
+        self.is_closed = False
         self.watch = Watch(state, StallDesk(state, uplink))
 
     async def handle(self, exchange: Exchange) -> None:
         """Serve or refuse one request."""
         state, request = self.state, exchange.request
         facts = messages.read_request(request.headers)
+        if self.is_closed:
+            await refuse(state, exchange, facts, LEAVING)
+            return
         asked = Asked(facts.host, request.target.decode("latin-1"), facts.key)
         decision = gatekeeping.decide(
             state.table,
--- a/libs/node/src/cherryrudder/node/gossip.py
+++ b/libs/node/src/cherryrudder/node/gossip.py
@@ -54,6 +54,8 @@
     version: int
     seen: TableMark
     usage: tuple[Usage, ...]
+    # One control VM is asked for what the other entries have running.
+    wants_usage: bool
 
 
 class ControlAnswer(NamedTuple):
@@ -69,8 +71,9 @@
     table_version: int
     endpoints: tuple[Heard, ...]
     alive: tuple[Alive, ...]
-    # Of all other entries together.
-    usage: tuple[Usage, ...]
+    vm_zone: str
+    # Of all other entries together; None when it wasn't asked for.
+    usage: tuple[Usage, ...] | None
     # How many entries there are.
     entries: int
 
--- a/libs/node/src/cherryrudder/node/httpserver.py
+++ b/libs/node/src/cherryrudder/node/httpserver.py
@@ -23,6 +23,15 @@
         self.is_closing = False
         self.connections: set[ClientConnection] = set()
 
+    def close_idle(self) -> None:
+        """Close the connections that no request is under way on.
+
+        A request that crosses the close was not read, and its client knows.
+        """
+        for connection in tuple(self.connections):
+            if not connection.is_busy:
+                connection.close()
+
     def busy(self) -> int:
         """Return how many requests are being read or answered."""
         return sum(connection.is_busy for connection in self.connections)
--- a/libs/node/src/cherryrudder/node/uplink.py
+++ b/libs/node/src/cherryrudder/node/uplink.py
@@ -86,8 +86,19 @@
             version=state.version,
             seen=self._seen.get(address, TableMark("", 0)),
             usage=entrystate.usage(state),
+            wants_usage=address == self._near_control(now),
         )
 
+    def _near_control(self, now):
+        """Return the control VM that tells of the other entries: the nearest there is.
+
+        Only one does, as this is the largest part of an answer.
+        """
+        zone = self.state.settings.vm_zone
+        answers = roster.beats(self.state.controls, now)
+        ranked = sorted((a.vm_zone != zone, a.address) for a in answers)
+        return ranked[0][1] if ranked else ""
+
     def _on_frames(self, peer, messages):
         for message in messages:
             match message:
@@ -109,7 +120,7 @@
         tablesync.take_alive(state.endpoints, answer.alive, now)
         self._seen[answer.address] = TableMark(answer.boot, answer.table_version)
         entrystate.share_budget(state, answer.entries)
-        if answer.usage:
+        if answer.usage is not None:
             state.others = {one.address: one for one in answer.usage}
         # A version that is not here yet confirms nothing; the next answer will.
         if 0 < answer.version <= state.version:
--- a/libs/relay/src/cherryrudder/relay/server.py
+++ b/libs/relay/src/cherryrudder/relay/server.py
@@ -125,6 +125,10 @@
         else:
             self._stream.close()
 
+    def close(self) -> None:
+        """Close once what was written has left."""
+        self._stream.close()
+
     async def write(self, event) -> None:
         """Write one HTTP event; raises ClientGone."""
         data = self._http.send(event)
