--- a/libs/layers/src/cherryrudder/layers/chains.py
+++ b/libs/layers/src/cherryrudder/layers/chains.py
@@ -103,7 +103,7 @@
 def choose_chain(
     profile: ModelProfile, engines: Iterable[Candidate], need: Need
 ) -> Chain | None:
-    """Return the cheapest chain inside one data centre, else over all, else None."""
+    """Return the cheapest chain inside one data centre, or None."""
     usable = [e for e in engines if has_room(profile, e, need.tokens)]
     best = None
     for zone in sorted({e.vm_zone for e in usable}):
@@ -113,8 +113,19 @@
         cost = found[0] + (FOREIGN_S if zone != need.home_zone else 0.0)
         if best is None or cost < best[0]:
             best = (cost, found[1])
-    if best is not None:
-        return best[1]
+    return best and best[1]
+
+
+def choose_mixed_chain(
+    profile: ModelProfile, engines: Iterable[Candidate], need: Need
+) -> Chain | None:
+    """Return the cheapest chain over all data centres, or None.
+
+    Only for want of a whole copy in any of them. A prompt of usual size takes 33 ms of
+    the pipe at each crossing (772 tokens of 59 KB at 11 Gbit/s), and all requests share
+    it: a chain that crosses to make up for want of room delays all others beyond use.
+    """
+    usable = [e for e in engines if has_room(profile, e, need.tokens)]
     return cheapest(profile, usable, need.home_zone)
 
 
@@ -128,13 +139,16 @@
     """Return a chain that keeps every surviving part and fills the lost ones anew.
 
     Surviving parts keep the memory of the request, so only the new ones read it again.
-    The first part stays, as the request is held there.
+    The first part stays, as the request is held there. The new parts are in its data
+    centre: reading a request again over the pipe between two takes longer than reading
+    it whole in the other, and all streams of a dead engine would do so at once.
     """
     kept = {part.address for part in chain} - lost
     spare = [
         e
         for e in engines
-        if e.address not in kept
+        if e.vm_zone == need.home_zone
+        and e.address not in kept
         and e.address not in lost
         and has_room(profile, e, need.tokens)
     ]
@@ -143,11 +157,8 @@
         if part.address not in lost:
             filled.append(part)
             continue
-        home = [e for e in spare if e.vm_zone == need.home_zone]
         span = (part.first, part.end)
-        found = cheapest(profile, home, need.home_zone, span) or cheapest(
-            profile, spare, need.home_zone, span
-        )
+        found = cheapest(profile, spare, need.home_zone, span)
         if found is None:
             return None
         used = {p.address for p in found}
--- a/libs/node/src/cherryrudder/node/control.py
+++ b/libs/node/src/cherryrudder/node/control.py
@@ -28,7 +28,7 @@
         beats = ControlBeats(state, group)
         beats.start()
         group.start_soon(seatkeeper.run, state, beats.on_applied)
-        group.start_soon(LayerKeeper(state).run)
+        group.start_soon(LayerKeeper(state, beats, group).run)
         server = HttpServer(ControlApi(state, beats).handle)
         group.start_soon(httpserver.serve, server, settings.control_address)
         await leaving.wait()
--- a/libs/node/src/cherryrudder/node/layerkeeper.py
+++ b/libs/node/src/cherryrudder/node/layerkeeper.py
@@ -19,7 +19,8 @@
 from cherryrudder.routing.configuration import Service
 from cherryrudder.routing.endpoints import Announcement
 
-from . import enginecalls
+from . import enginecalls, tablesync
+from .controlbeats import ControlBeats
 from .controlstate import ControlState
 from .errors import EngineCallFailed
 
@@ -37,6 +38,8 @@
 # A load that takes this many times its nominal time is not waited for any longer.
 PATIENCE = 4.0
 PATIENCE_MORE_S = 3.0
+# Between looks at an engine that loads; a layer takes 0.2 s, and each look is a call.
+FOLLOW_S = 0.3
 # After a refused or failed order the engine is left alone for one of its heartbeats.
 RETRY_S = 1.2
 
@@ -53,8 +56,10 @@
 class LayerKeeper:
     """The orders of one control process while it leads."""
 
-    def __init__(self, state: ControlState):
+    def __init__(self, state: ControlState, beats: ControlBeats, group):
         self.state = state
+        self.beats = beats
+        self.group = group
         self._ordered: dict[str, Ordered] = {}
         self._not_before_s: dict[str, float] = {}
         self._known: frozenset[str] = frozenset()
@@ -173,6 +178,31 @@
             patience_s = PATIENCE * profile.load_s * share + PATIENCE_MORE_S
             ordered = Ordered(holding, now_s() + patience_s)
             self._ordered[holder.engine_id] = ordered
+            self.group.start_soon(self._follow, holder, ordered)
+
+    async def _follow(self, holder: Holder, ordered: Ordered):
+        """Tell everybody what an engine holds as soon as a load has changed it.
+
+        Its own word comes with the next heartbeat, up to 1.2 s later; until then
+        entries send requests to layers that it gave up, and none to the new ones.
+        """
+        while now_s() < ordered.until_s:
+            try:
+                report = await enginecalls.get_report(holder.address)
+            except EngineCallFailed as error:
+                log.info("The end of a load was not seen: {}.", error)
+                return
+            self._observe(holder.engine_id, report.holding)
+            if report.holding == ordered.holding and not report.is_loading:
+                return
+            await anyio.sleep(FOLLOW_S)
+
+    def _observe(self, engine_id, holding):
+        if tablesync.observe(self.state.endpoints, engine_id, holding, now_s()):
+            self.state.sink.write(
+                "layers", "seen", True, engine_id=engine_id, layers=list(holding)
+            )
+            self.beats.spread([engine_id])
 
 
 async def _place(placement: Placement, fence: int) -> str:
--- a/libs/node/src/cherryrudder/node/streamrelay.py
+++ b/libs/node/src/cherryrudder/node/streamrelay.py
@@ -130,8 +130,12 @@
     chain = chains.choose_chain(job.service.model, usable, need)
     if chain is None:
         roomless = [engine._replace(tokens=0) for engine in usable]
-        is_whole = chains.choose_chain(job.service.model, roomless, need) is not None
-        stream.refusal = NO_ROOM if is_whole else NO_CHAIN
+        if chains.choose_chain(job.service.model, roomless, need) is not None:
+            stream.refusal = NO_ROOM
+            return None
+        chain = chains.choose_mixed_chain(job.service.model, usable, need)
+    if chain is None:
+        stream.refusal = NO_CHAIN
         return None
     if not chains.covers(chain, job.service.model.layers):
         # Checked again where it is sent: a layer left out or run twice spoils every
--- a/libs/node/src/cherryrudder/node/supervision.py
+++ b/libs/node/src/cherryrudder/node/supervision.py
@@ -194,7 +194,9 @@
         for engine in entrystate.candidates(job.state, job.service.name, now_s())
         if engine.address not in stream.excluded
     ]
-    need = Need(stream.tokens, job.state.settings.vm_zone)
+    # The zone of the chain, which is not always this entry's.
+    zones = {e.address: e.vm_zone for e in usable}
+    need = Need(stream.tokens, zones.get(stream.chain[0].address, ""))
     model = job.service.model
     chain = chains.replace_parts(model, stream.chain, usable, lost, need)
     if chain is None or not chains.covers(chain, model.layers):
--- a/libs/node/src/cherryrudder/node/tablesync.py
+++ b/libs/node/src/cherryrudder/node/tablesync.py
@@ -4,6 +4,7 @@
 signs of life. The reader that missed some news thus gets them with the next beat.
 """
 
+from cherryrudder.layers.profile import Holding
 from cherryrudder.routing import endpoints
 from cherryrudder.routing.endpoints import Announcement, EndpointTable, Entry
 
@@ -37,6 +38,16 @@
     return is_news
 
 
+def observe(
+    shared: SharedTable, engine_id: str, holding: Holding, now_s: float
+) -> bool:
+    """Take the layers that an endpoint was seen to hold; tell whether it is news."""
+    is_news = endpoints.observe(shared.table, engine_id, holding, now_s)
+    if is_news:
+        note(shared, engine_id)
+    return is_news
+
+
 def depart(shared: SharedTable, engine_id: str, now_s: float) -> bool:
     """Take a departure; tell whether it is news."""
     is_news = endpoints.depart(shared.table, engine_id, now_s)
--- a/libs/routing/src/cherryrudder/routing/endpoints.py
+++ b/libs/routing/src/cherryrudder/routing/endpoints.py
@@ -27,7 +27,8 @@
     vm_zone: str
     version: str
     slots: int
-    # Rises with each heartbeat of this boot.
+    # Rises with each heartbeat of this boot; even for the endpoint's own word, odd for
+    # what a leader saw after it.
     number: int
     is_leaving: bool = False
     cold_s: float = 0.0
@@ -72,6 +73,22 @@
     return is_news
 
 
+def observe(
+    table: EndpointTable, engine_id: str, holding: Holding, now_s: float
+) -> bool:
+    """Take the layers that an endpoint was seen to hold between two heartbeats."""
+    known = table.entries.get(engine_id)
+    if known is None or known.is_gone:
+        return False
+    number = known.announcement.number | 1
+    seen = known.announcement._replace(holding=holding, number=number)
+    if seen == known.announcement:
+        return False
+    table.entries[engine_id] = Entry(seen, now_s)
+    table.version += 1
+    return True
+
+
 def depart(table: EndpointTable, engine_id: str, now_s: float) -> bool:
     """Take a departure; tell whether it is news."""
     known = table.entries.get(engine_id)
