--- a/libs/layers/src/cherryrudder/layers/planner.py
+++ b/libs/layers/src/cherryrudder/layers/planner.py
@@ -34,10 +34,8 @@
 # The least room beside its layers that an engine may be left with. It is a dozen
 # usual requests; with less a burst stops every stream through it.
 LEAST_ROOM_TOKENS = 12_000.0
-# Neighbours take a hole over while they keep this part of the planned room. With less
-# they would bound their data centre from then on; moving all boundaries a little takes
-# a second of loading and leaves everybody about the same.
-EXTENDED_ROOM_SHARE = 0.5
+# A move takes an engine's range away from where it was, so it has to close a hole.
+MOVE_GAIN = 500.0
 # What a layer that nobody holds is worth, against 1 for one with the planned room: it
 # stops the data centre.
 HOLE_VALUE = 1000.0
@@ -132,10 +130,8 @@
     if 0.0 not in sums:
         return placements
     movable = [e for e in group if e.holder.holding != NOTHING and not e.holder.is_busy]
-    extended = _extend(profile, movable, sums, EXTENDED_ROOM_SHARE * room)
-    if 0.0 not in sums:
-        return placements + extended
-    return placements or _lay_out(profile, group, movable)
+    placements += _move(profile, movable, sums, room)
+    return placements + _extend(profile, movable, sums)
 
 
 def _add(profile, sums, engine, holding, sign):
@@ -172,14 +168,14 @@
     return best
 
 
-def _extend(profile, movable, sums, least_room):
+def _extend(profile, movable, sums):
     """Let the neighbours of each hole take it over beside what they hold.
 
     They go on serving their own range while the new layers load.
     """
     held = {e.holder.engine_id: e.holder.holding for e in movable}
     while (hole := _first_hole(sums)) is not None:
-        step = _best_extension(profile, movable, held, hole, least_room)
+        step = _best_extension(profile, movable, held, hole)
         if step is None:
             break
         engine, holding = step
@@ -203,14 +199,14 @@
     return Holding(first, end)
 
 
-def _best_extension(profile, movable, held, hole, least_room):
+def _best_extension(profile, movable, held, hole):
     """Return the extension by one layer that leaves the most room, or None."""
     best = None
     for engine in movable:
         old = held[engine.holder.engine_id]
         for new in _wider(old, hole):
             length = new.end - new.first
-            if length > most_layers(profile, engine.kind, least_room):
+            if length > most_layers(profile, engine.kind, LEAST_ROOM_TOKENS):
                 continue
             room = room_tokens(profile, engine.kind, length)
             if best is None or room > best[0]:
@@ -225,28 +221,24 @@
         yield Holding(min(old.first, hole.end - 1), old.end)
 
 
-def _lay_out(profile, group, movable):
-    """Lay all ranges of a data centre out anew, in their present order.
-
-    It has a hole, so that nothing is served through it as a whole; each engine loads
-    only the few layers by which its range moves. Waits while any engine is loading.
-    """
-    if len(movable) < len(group):
-        return []
-    room = planned_room(profile, group)
-    movable.sort(key=lambda e: (sum(e.holder.holding), e.holder.address))
+def _move(profile, movable, sums, room):
+    """Move engines whose layers others hold to where nobody holds any."""
     placements = []
-    position = 0
-    for engine in movable:
-        length = most_layers(profile, engine.kind, room)
-        if not length:
-            continue
-        if position >= profile.layers:
-            # Past one whole copy: a second one from the start.
-            position = 0
-        first = min(position, profile.layers - length)
-        holding = Holding(first, first + length)
-        position = holding.end
-        if holding != engine.holder.holding:
-            placements.append(Placement(engine.holder, holding))
+    while 0.0 in sums:
+        best = None
+        for engine in movable:
+            old = engine.holder.holding
+            _add(profile, sums, engine, old, -1)
+            holding = _best_range(profile, engine, sums, room)
+            gain = _worth(sums, holding, room) - _worth(sums, old, room)
+            _add(profile, sums, engine, old, 1)
+            if gain > MOVE_GAIN and (best is None or gain > best[0]):
+                best = (gain, engine, holding)
+        if best is None:
+            break
+        _, engine, holding = best
+        movable.remove(engine)
+        _add(profile, sums, engine, engine.holder.holding, -1)
+        _add(profile, sums, engine, holding, 1)
+        placements.append(Placement(engine.holder, holding))
     return placements
--- a/libs/node/src/cherryrudder/node/gossip.py
+++ b/libs/node/src/cherryrudder/node/gossip.py
@@ -22,7 +22,6 @@
     """A sign of life that brings no other news."""
 
     engine_id: str
-    number: int
     age_s: float
 
 
--- a/libs/node/src/cherryrudder/node/layerkeeper.py
+++ b/libs/node/src/cherryrudder/node/layerkeeper.py
@@ -186,14 +186,16 @@
         Its own word comes with the next heartbeat, up to 1.2 s later; until then
         entries send requests to layers that it gave up, and none to the new ones.
         """
+        self._observe(holder.engine_id, _kept(holder.holding, ordered.holding))
         while now_s() < ordered.until_s:
             try:
                 report = await enginecalls.get_report(holder.address)
             except EngineCallFailed as error:
                 log.info("The end of a load was not seen: {}.", error)
                 return
-            self._observe(holder.engine_id, report.holding)
-            if report.holding == ordered.holding and not report.is_loading:
+            # Anything else may be older than the engine's own last word.
+            if report.holding == ordered.holding:
+                self._observe(holder.engine_id, report.holding)
                 return
             await anyio.sleep(FOLLOW_S)
 
@@ -205,6 +207,12 @@
             self.beats.spread([engine_id])
 
 
+def _kept(old: Holding, new: Holding) -> Holding:
+    """Return the layers that an engine goes on serving while it loads others."""
+    first, end = max(old.first, new.first), min(old.end, new.end)
+    return Holding(first, end) if first < end else NOTHING
+
+
 async def _place(placement: Placement, fence: int) -> str:
     """Order one placement and return its outcome; raises EngineCallFailed."""
     holder, holding = placement
--- a/libs/node/src/cherryrudder/node/tablesync.py
+++ b/libs/node/src/cherryrudder/node/tablesync.py
@@ -77,9 +77,9 @@
         heard_s = now_s - sign.age_s
         if heard_s <= known.heard_s:
             continue
-        number = max(sign.number, known.announcement.number)
-        announcement = known.announcement._replace(number=number)
-        shared.table.entries[sign.engine_id] = Entry(announcement, heard_s)
+        # It brings no number: what it came with may differ from what is known here,
+        # and that news would then seem to be old when it comes.
+        shared.table.entries[sign.engine_id] = known._replace(heard_s=heard_s)
 
 
 def news_since(shared: SharedTable, seen: TableMark, now_s: float) -> tuple[Heard, ...]:
@@ -95,7 +95,7 @@
 def signs(shared: SharedTable, now_s: float) -> tuple[Alive, ...]:
     """Return the recent signs of life."""
     return tuple(
-        Alive(engine_id, entry.announcement.number, now_s - entry.heard_s)
+        Alive(engine_id, now_s - entry.heard_s)
         for engine_id, entry in shared.table.entries.items()
         if not entry.is_gone and now_s - entry.heard_s < ALIVE_S
     )
