--- /dev/null
+++ b/libs/relay/test/builders.py
@@ -0,0 +1,123 @@
+"""Builders of test data for the tests of the relay: raw peers on loopback."""
+
+import asyncio
+import contextlib
+import socket
+
+import anyio
+
+from cherryrudder.relay.server import ClientConnection, Limits
+from cherryrudder.wire import sockets
+
+LIMITS = Limits(4096, 10_000, 0.3, 1.0)
+END = b"\r\n\r\n"
+
+
+def free_address():
+    """Return an address on loopback that nobody uses."""
+    with socket.create_server(("127.0.0.1", 0)) as server:
+        return f"127.0.0.1:{server.getsockname()[1]}"
+
+
+@contextlib.asynccontextmanager
+async def serving(handler, limits=LIMITS, is_closing=lambda: False):
+    """Serve a handler and give its address."""
+    address = free_address()
+    clock = asyncio.get_running_loop().time
+
+    async def handle(stream):
+        await ClientConnection(stream, limits, clock, is_closing).run(handler)
+
+    async with anyio.create_task_group() as group:
+        server = await sockets.listen(address, handle, group)
+        yield address
+        server.close()
+        group.cancel_scope.cancel()
+
+
+class RawPeer:
+    """A client's side of a connection, byte by byte."""
+
+    def __init__(self, reader, writer):
+        self.reader = reader
+        self.writer = writer
+
+    async def ask(self, data):
+        """Send bytes and return all that comes until the other side closes."""
+        self.writer.write(data)
+        await self.writer.drain()
+        return await self.rest()
+
+    async def rest(self):
+        """Return all that comes until the other side closes or resets."""
+        got = b""
+        with contextlib.suppress(ConnectionResetError):
+            while data := await asyncio.wait_for(self.reader.read(65536), 5):
+                got += data
+        return got
+
+    async def head(self):
+        """Return one message's head."""
+        return await asyncio.wait_for(self.reader.readuntil(END), 5)
+
+    def close(self):
+        """Close the connection."""
+        self.writer.close()
+
+
+async def connected(address):
+    """Return a raw client of an address."""
+    host, _, port = address.rpartition(":")
+    return RawPeer(*await asyncio.open_connection(host, int(port)))
+
+
+@contextlib.asynccontextmanager
+async def scripted_engine(*answers):
+    """Serve one scripted answer (bytes, or a function of the writer) per request."""
+    address = free_address()
+    host, _, port = address.rpartition(":")
+    asked = []
+    left = list(answers)
+
+    async def handle(reader, writer):
+        with contextlib.suppress(
+            asyncio.IncompleteReadError, ConnectionResetError, IndexError
+        ):
+            while True:
+                asked.append(await reader.readuntil(END))
+                answer = left.pop(0)
+                if callable(answer):
+                    await answer(writer)
+                else:
+                    writer.write(answer)
+                    await writer.drain()
+        writer.close()
+
+    server = await asyncio.start_server(handle, host, int(port))
+    try:
+        yield address, asked
+    finally:
+        server.close()
+
+
+def a_reset(data=b""):
+    """Return a scripted answer that sends some bytes and resets the connection."""
+
+    async def answer(writer):
+        writer.write(data)
+        await writer.drain()
+        await asyncio.sleep(0.05)
+        writer.transport.abort()
+
+    return answer
+
+
+def an_end(data=b""):
+    """Return a scripted answer that sends some bytes and ends the connection."""
+
+    async def answer(writer):
+        writer.write(data)
+        await writer.drain()
+        writer.write_eof()
+
+    return answer
--- /dev/null
+++ b/libs/relay/test/test_client.py
@@ -0,0 +1,132 @@
+import asyncio
+import unittest
+
+from builders import a_reset, an_end, free_address, scripted_engine
+
+from cherryrudder.relay import pool
+from cherryrudder.relay.client import open_connection
+from cherryrudder.relay.errors import AnswerBroken, AnswerLate, ConnectFailed
+from cherryrudder.relay.pool import Pool
+
+OK = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"
+CHUNKED = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
+HEADERS = [(b"host", b"h")]
+
+
+async def ask(connection, timeout_s=2.0):
+    """Send a request and return the answer's status and whole body."""
+    await connection.send(b"GET", b"/", HEADERS, b"")
+    head = await connection.read_head(timeout_s)
+    body = b""
+    while (data := await connection.read()) is not None:
+        body += data
+    return head.status, body
+
+
+class AnswerTest(unittest.IsolatedAsyncioTestCase):
+    async def ask(self, *answers):
+        async with scripted_engine(*answers) as (address, _):
+            connection = await open_connection(address, 1.0, 0.0)
+            try:
+                return await ask(connection)
+            finally:
+                connection.close()
+
+    async def test_whole_answers_of_each_framing(self):
+        chunked = CHUNKED + b"2\r\nok\r\n0\r\n\r\n"
+        self.assertEqual(await self.ask(OK), (200, b"ok"))
+        self.assertEqual(await self.ask(chunked), (200, b"ok"))
+        unframed = an_end(b"HTTP/1.1 200 OK\r\n\r\nok")
+        self.assertEqual(await self.ask(unframed), (200, b"ok"))
+
+    async def test_answers_that_break_off_are_never_whole(self):
+        """An engine dies inside its answer, in each way that the answer may end.
+
+        The client would take the part for the whole if the end of the connection
+        counted as the end of the answer.
+        """
+        cut = b"HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nok"
+        for answer in (
+            an_end(cut),
+            a_reset(cut),
+            an_end(CHUNKED + b"2\r\nok\r\n"),
+            a_reset(b"HTTP/1.1 200 OK\r\n\r\nok"),
+            an_end(b"HTTP/1.1 200"),
+            b"this is no answer\r\n\r\n",
+        ):
+            with self.subTest(answer=answer), self.assertRaises(AnswerBroken):
+                await self.ask(answer)
+
+    async def test_silence_is_told_in_time(self):
+        async with scripted_engine(b"") as (address, _):
+            connection = await open_connection(address, 1.0, 0.0)
+            with self.assertRaises(AnswerLate):
+                await ask(connection, 0.1)
+            connection.close()
+
+    async def test_nothing_left_when_nobody_listens(self):
+        with self.assertRaises(ConnectFailed):
+            await open_connection(free_address(), 1.0, 0.0)
+
+
+class ReuseTest(unittest.IsolatedAsyncioTestCase):
+    """An engine sends a second answer behind a complete one, or closes when idle.
+
+    The next client on that connection would get an answer to another request, or none.
+    """
+
+    async def test_a_clean_connection_is_used_again(self):
+        async with scripted_engine(OK, OK) as (address, _):
+            kept = Pool()
+            for expected in (True, False):
+                connection, is_new = await pool.take(kept, address, 1.0, 0.0)
+                self.assertEqual(is_new, expected)
+                self.assertEqual(await ask(connection), (200, b"ok"))
+                pool.give_back(kept, connection, 0.0)
+
+    async def test_bytes_behind_an_answer_end_the_connection(self):
+        async with scripted_engine(OK + OK) as (address, _):
+            kept = Pool()
+            connection, _ = await pool.take(kept, address, 1.0, 0.0)
+            await ask(connection)
+            pool.give_back(kept, connection, 0.0)
+            self.assertEqual(kept.idle[address], [])
+
+    async def test_bytes_that_come_later_end_it_too(self):
+        async def late(writer):
+            writer.write(OK)
+            await writer.drain()
+            await asyncio.sleep(0.05)
+            writer.write(OK)
+
+        async with scripted_engine(late, OK) as (address, _):
+            kept = Pool()
+            connection, _ = await pool.take(kept, address, 1.0, 0.0)
+            await ask(connection)
+            pool.give_back(kept, connection, 0.0)
+            while not connection.has_news():
+                await asyncio.sleep(0.01)
+            _, is_new = await pool.take(kept, address, 1.0, 0.0)
+            self.assertTrue(is_new)
+
+    async def test_the_engines_idle_time_is_kept(self):
+        answer = OK.replace(b"\r\n\r\n", b"\r\nkeep-alive: timeout=5\r\n\r\n")
+        async with scripted_engine(answer) as (address, _):
+            kept = Pool()
+            connection, _ = await pool.take(kept, address, 1.0, 0.0)
+            await ask(connection)
+            pool.give_back(kept, connection, 0.0)
+            pool.sweep(kept, {address}, 3.9)
+            self.assertIn(address, kept.idle)
+            pool.sweep(kept, {address}, 4.1)
+            self.assertNotIn(address, kept.idle)
+
+    async def test_an_answer_to_another_request_can_be_skipped(self):
+        late = OK.replace(b"ok", b"no")
+        async with scripted_engine(late + OK) as (address, _):
+            connection = await open_connection(address, 1.0, 0.0)
+            self.assertEqual(await ask(connection), (200, b"no"))
+            connection.skip_answer()
+            head = await connection.read_head(1.0)
+            self.assertEqual((head.status, await connection.read()), (200, b"ok"))
+            connection.close()
--- /dev/null
+++ b/libs/relay/test/test_events.py
@@ -0,0 +1,31 @@
+import unittest
+
+from hypothesis import given, settings, strategies as st
+
+from cherryrudder.relay import events
+from cherryrudder.relay.events import EventSplitter
+
+STREAM = b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n: a comment\n\nid: x\n\n"
+
+
+class SplitTest(unittest.TestCase):
+    def test_events_come_whole_with_their_numbers(self):
+        found = events.split(EventSplitter(), STREAM)
+        self.assertEqual([event.number for event in found], [1, 2, None, None])
+        self.assertEqual(b"".join(event.data for event in found), STREAM)
+
+    @settings(max_examples=200, deadline=None, derandomize=True)
+    @given(st.lists(st.integers(1, 9), max_size=30))
+    def test_cuts_anywhere_change_nothing(self, sizes):
+        splitter, found, rest = EventSplitter(), [], STREAM
+        for size in [*sizes, len(STREAM)]:
+            found += events.split(splitter, rest[:size])
+            rest = rest[size:]
+        self.assertEqual(found, events.split(EventSplitter(), STREAM))
+        self.assertEqual(splitter.rest, b"")
+
+    def test_an_event_cut_short_is_kept_back(self):
+        splitter = EventSplitter()
+        found = events.split(splitter, STREAM[:20])
+        self.assertEqual([event.number for event in found], [1])
+        self.assertEqual(splitter.rest, STREAM[15:20])
--- /dev/null
+++ b/libs/relay/test/test_server.py
@@ -0,0 +1,118 @@
+import asyncio
+import unittest
+
+import anyio
+from builders import connected, serving
+
+GET = b"GET /a HTTP/1.1\r\nhost: h\r\n\r\n"
+
+
+async def echo(exchange):
+    """Answer with the request's body."""
+    await exchange.answer(200, [(b"x-from", b"test")], exchange.request.body)
+
+
+async def cut_short(exchange):
+    """Begin an answer and leave it at that."""
+    await exchange.begin(200, [])
+    await exchange.send(b"half")
+
+
+def statuses(data):
+    """Return the statuses of the answers in some bytes."""
+    parts = data.split(b"HTTP/1.1 ")[1:]
+    return [int(part[:3]) for part in parts]
+
+
+class ReadTest(unittest.IsolatedAsyncioTestCase):
+    async def ask(self, data, handler=echo, **options):
+        async with serving(handler, **options) as address:
+            client = await connected(address)
+            answer = await client.ask(data)
+            client.close()
+            return answer
+
+    async def test_a_body_with_a_length_and_one_in_chunks_are_the_same(self):
+        plain = b"POST / HTTP/1.1\r\nhost: h\r\nconnection: close\r\n"
+        whole = await self.ask(plain + b"content-length: 5\r\n\r\nhello")
+        chunks = b"transfer-encoding: chunked\r\n\r\n2\r\nhe\r\n3\r\nllo\r\n0\r\n\r\n"
+        parts = await self.ask(plain + chunks)
+        self.assertTrue(whole.endswith(b"hello"))
+        self.assertTrue(parts.endswith(b"hello"))
+
+    async def test_requests_sent_ahead_are_answered_in_order(self):
+        last = b"GET /b HTTP/1.1\r\nhost: h\r\nconnection: close\r\n\r\n"
+        answer = await self.ask(GET + GET + last)
+        self.assertEqual(statuses(answer), [200, 200, 200])
+
+    async def test_limits_are_told_by_status(self):
+        post = b"POST / HTTP/1.1\r\nhost: h\r\n"
+        cases = {
+            431: b"GET / HTTP/1.1\r\nx: " + b"y" * 8000 + b"\r\n\r\n",
+            413: post + b"content-length: 20000\r\n\r\n",
+            400: b"nonsense\r\n\r\n",
+            408: b"GET / HTTP/1.1\r\nhost:",
+        }
+        for status, data in cases.items():
+            with self.subTest(status=status):
+                self.assertEqual(statuses(await self.ask(data)), [status])
+
+    async def test_a_long_body_in_chunks_is_refused(self):
+        head = b"POST / HTTP/1.1\r\nhost: h\r\ntransfer-encoding: chunked\r\n\r\n"
+        chunk = b"1000\r\n" + b"x" * 4096 + b"\r\n"
+        self.assertEqual(statuses(await self.ask(head + chunk * 4)), [413])
+
+    async def test_a_request_hidden_in_another_is_part_of_its_body(self):
+        """Two lengths in one head let two readers see different requests.
+
+        An engine would run the hidden one, which nobody sent; so it is refused.
+        """
+        data = (
+            b"POST / HTTP/1.1\r\nhost: h\r\ncontent-length: 5\r\n"
+            b"content-length: 6\r\n\r\nhello" + GET
+        )
+        self.assertEqual(statuses(await self.ask(data)), [400])
+
+    async def test_a_stopping_server_says_that_the_connection_ends(self):
+        answer = await self.ask(GET, is_closing=lambda: True)
+        self.assertIn(b"connection: close", answer.lower())
+
+
+class EndTest(unittest.IsolatedAsyncioTestCase):
+    async def test_an_answer_cut_short_does_not_look_complete(self):
+        """An engine dies in the middle of its answer.
+
+        The client must not take what it has for the whole: no last chunk may come.
+        """
+        async with serving(cut_short) as address:
+            client = await connected(address)
+            answer = await client.ask(GET)
+        self.assertIn(b"chunked", answer)
+        self.assertNotIn(b"0\r\n\r\n", answer)
+
+    async def test_a_client_that_leaves_ends_the_work_at_once(self):
+        begun, ended = asyncio.Event(), asyncio.Event()
+        exchanges = []
+
+        async def wait(exchange):
+            exchanges.append(exchange)
+            begun.set()
+            try:
+                await anyio.sleep_forever()
+            finally:
+                ended.set()
+
+        async with serving(wait) as address:
+            client = await connected(address)
+            client.writer.write(GET)
+            await begun.wait()
+            client.close()
+            await asyncio.wait_for(ended.wait(), 5)
+        self.assertTrue(exchanges[0].is_gone)
+
+    async def test_a_fault_of_one_answer_leaves_others_alone(self):
+        async with serving(echo) as address:
+            first, second = await connected(address), await connected(address)
+            first.close()
+            last = b"GET /b HTTP/1.1\r\nhost: h\r\nconnection: close\r\n\r\n"
+            self.assertEqual(statuses(await second.ask(last)), [200])
