Number what a leader sees between two heartbeats, and test the node's parts

An engine's own numbers are now 16 apart, with the looks between.

Ruled out: telling only the end of a load; entries would go on sending to layers that were given up, and are refused there.

--- /dev/null
+++ b/libs/node/test/test_linesink.py
@@ -0,0 +1,42 @@
+import json
+import unittest
+
+from builders import PipedSink
+
+from cherryrudder.node import linesink
+
+
+class LineSinkTest(unittest.TestCase):
+    def setUp(self):
+        self.pipe = PipedSink()
+        self.addCleanup(self.pipe.close)
+
+    def test_a_line_is_one_json_object(self):
+        self.pipe.sink.write("request", "sent", request_id="q", chain=("a", "b"))
+        line = json.loads(self.pipe.text())
+        self.assertEqual((line["vm"], line["part"]), ("vm-1", "request"))
+        self.assertEqual((line["event"], line["request_id"]), ("sent", "q"))
+
+    def test_past_the_budget_failures_are_kept(self):
+        """A flood of refusals comes while one filing fails.
+
+        The operators look for the filing; its line must be there, and the flood must
+        not cost more than serving does.
+        """
+        for _ in range(linesink.LINES_PER_S + 100):
+            self.pipe.sink.write("request", "refused")
+        self.pipe.sink.write("request", "ended", True, outcome="refused 502")
+        lines = self.pipe.text().splitlines()
+        self.assertLessEqual(len(lines), 2 * linesink.LINES_PER_S + 1)
+        self.assertIn("refused 502", lines[-1])
+        self.assertGreater(self.pipe.sink.dropped, 0)
+
+    def test_a_reader_that_stops_holds_nothing_up(self):
+        text = "x" * 1000
+        for number in range(2000):
+            # Each in a second of its own, so that the bytes are the only bound.
+            self.pipe.sink._second = -number
+            self.pipe.sink.write("request", "sent", True, text=text)
+        waiting = len(self.pipe.sink._waiting)
+        self.assertLessEqual(waiting, linesink.MAX_WAITING_BYTES)
+        self.assertGreater(self.pipe.sink.dropped, 0)
--- /dev/null
+++ b/libs/node/test/test_tablesync.py
@@ -0,0 +1,94 @@
+import random
+import unittest
+
+from builders import an_announcement
+from hypothesis import given, settings, strategies as st
+
+from cherryrudder.layers.profile import Holding
+from cherryrudder.node import tablesync
+from cherryrudder.node.gossip import Alive, TableMark
+from cherryrudder.node.tablesync import SharedTable
+from cherryrudder.routing import endpoints
+
+
+def held(shared):
+    """Return what each usable endpoint holds."""
+    return {a.engine_id: a.holding for a in endpoints.live(shared.table, 0.0)}
+
+
+class AliveTest(unittest.TestCase):
+    """An engine's layers load; the sign of its life overtakes the news of its layers.
+
+    Had the sign raised the number of what the reader knows, the news would seem old
+    when it comes, and the engine would never get a request: a data centre stood idle.
+    """
+
+    def test_a_sign_of_life_does_not_hide_news(self):
+        source, reader = SharedTable("source"), SharedTable("reader")
+        tablesync.hear(source, an_announcement(number=2), 0.0)
+        tablesync.take(reader, tablesync.news_since(source, TableMark("", 0), 0.0), 0.0)
+        tablesync.hear(source, an_announcement(number=4, layers=(0, 8)), 0.1)
+        tablesync.take_alive(reader, (Alive("boot-1", 0.0),), 0.1)
+        news = tablesync.news_of(source, ["boot-1"], 0.1)
+        self.assertEqual(tablesync.take(reader, news, 0.1), ["boot-1"])
+        self.assertEqual(held(reader), {"boot-1": (0, 8)})
+
+    def test_a_sign_of_life_keeps_an_endpoint(self):
+        reader = SharedTable("reader")
+        tablesync.hear(reader, an_announcement(), 0.0)
+        tablesync.take_alive(reader, (Alive("boot-1", 0.5),), 6.0)
+        self.assertEqual(len(endpoints.live(reader.table, 6.0)), 1)
+
+    def test_the_gone_stay_gone(self):
+        reader = SharedTable("reader")
+        tablesync.hear(reader, an_announcement(), 0.0)
+        tablesync.depart(reader, "boot-1", 0.1)
+        tablesync.take_alive(reader, (Alive("boot-1", 0.0),), 0.2)
+        self.assertEqual(endpoints.live(reader.table, 0.2), [])
+
+
+class RestartTest(unittest.TestCase):
+    def test_a_reader_of_another_boot_gets_everything(self):
+        source = SharedTable("new")
+        tablesync.hear(source, an_announcement(), 0.0)
+        self.assertEqual(
+            len(tablesync.news_since(source, TableMark("old", 99), 0.0)), 1
+        )
+        mark = TableMark("new", source.table.version)
+        self.assertEqual(tablesync.news_since(source, mark, 0.0), ())
+
+
+class LostNewsTest(unittest.TestCase):
+    @settings(max_examples=150, deadline=None, derandomize=True)
+    @given(st.integers(0, 2**32))
+    def test_beats_make_good_whatever_news_was_lost(self, seed):
+        """Half of the news is lost or late; then one beat is answered.
+
+        After it the reader knows what the source knows.
+        """
+        rng = random.Random(seed)
+        source, reader = SharedTable("source"), SharedTable("reader")
+        numbers = {}
+        late = []
+        for _ in range(20):
+            engine_id = f"boot-{rng.randrange(4)}"
+            numbers[engine_id] = numbers.get(engine_id, 0) + endpoints.WORD
+            kind = rng.randrange(10)
+            if kind == 0:
+                tablesync.depart(source, engine_id, 0.0)
+            elif kind < 3:
+                layers = Holding(0, rng.randrange(1, 9))
+                tablesync.observe(source, engine_id, layers, 0.0)
+            else:
+                layers = (0, rng.randrange(1, 9))
+                heard = an_announcement(engine_id, numbers[engine_id], layers)
+                tablesync.hear(source, heard, 0.0)
+            news = tablesync.news_of(source, [engine_id], 0.0)
+            (late if rng.random() < 0.5 else []).append(news)
+            tablesync.take_alive(reader, tablesync.signs(source, 0.0), 0.0)
+        rng.shuffle(late)
+        for news in late:
+            tablesync.take(reader, news, 0.0)
+        answer = tablesync.news_since(source, TableMark("", 0), 0.0)
+        tablesync.take(reader, answer, 0.0)
+        self.assertEqual(held(reader), held(source))
--- /dev/null
+++ b/libs/node/test/test_voterdisk.py
@@ -0,0 +1,56 @@
+import os
+import tempfile
+import unittest
+
+from builders import PipedSink, a_voter
+
+from cherryrudder.node import voterdisk
+
+
+class DiskTest(unittest.TestCase):
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = f"{folder.name}/data"
+        self.pipe = PipedSink()
+        self.addCleanup(self.pipe.close)
+
+    def open(self):
+        return voterdisk.open_or_replace(self.folder, "a", "a:7000", self.pipe.sink)
+
+    def test_founders_name_the_same_voters(self):
+        founders = tuple(a_voter(vm) for vm in "abc")
+        voterdisk.found(self.folder, "a", "a:7000", founders)
+        self.assertTrue(voterdisk.is_created(self.folder))
+        disk = self.open()
+        self.assertEqual(disk.saved.identity.voters, founders)
+        disk.close()
+
+    def test_a_creation_that_was_cut_short_begins_again(self):
+        """The power goes while a disk is created; the folder holds parts of it.
+
+        Without its identity it never voted, so it may be created anew; left as it was,
+        the VM would refuse to start for ever.
+        """
+        os.makedirs(self.folder)
+        with open(f"{self.folder}/log", "wb") as file:
+            file.write(b"torn")
+        voterdisk.join(self.folder, "a", "a:7000")
+        self.open().close()
+
+    def test_a_damaged_disk_joins_as_a_new_one(self):
+        """A disk comes back with damage before its end: accepted entries are gone.
+
+        Were it to vote on under its name, two majorities could disagree. It counts as
+        lost, and the VM joins with another disk.
+        """
+        voterdisk.join(self.folder, "a", "a:7000")
+        disk = self.open()
+        before = disk.saved.identity.disk_id
+        disk.close()
+        with open(f"{self.folder}/identity", "wb") as file:
+            file.write(b"damage")
+        disk = self.open()
+        self.assertNotEqual(disk.saved.identity.disk_id, before)
+        disk.close()
+        self.assertIn("disk-damaged", self.pipe.text())
--- a/libs/routing/src/cherryrudder/routing/endpoints.py
+++ b/libs/routing/src/cherryrudder/routing/endpoints.py
@@ -16,6 +16,10 @@
 # would otherwise bring the endpoint back.
 FORGET_AFTER_S = 60.0
 
+# Distance of an endpoint's own numbers. A leader looks a few times between two of its
+# heartbeats at most.
+WORD = 16
+
 
 class Announcement(NamedTuple):
     """What one boot of an endpoint last said of itself."""
@@ -27,8 +31,8 @@
     vm_zone: str
     version: str
     slots: int
-    # Rises with each heartbeat of this boot; even for the endpoint's own word, odd for
-    # what a leader saw after it.
+    # Rises with each heartbeat of this boot by `WORD`; the numbers between are for what
+    # a leader saw after it.
     number: int
     is_leaving: bool = False
     cold_s: float = 0.0
@@ -92,10 +96,10 @@
     known = table.entries.get(engine_id)
     if known is None or known.is_gone:
         return False
-    number = known.announcement.number | 1
-    seen = known.announcement._replace(holding=holding, number=number)
-    if seen == known.announcement:
+    number = known.announcement.number + 1
+    if number % WORD == 0 or holding == known.announcement.holding:
         return False
+    seen = known.announcement._replace(holding=holding, number=number)
     table.entries[engine_id] = Entry(seen, now_s)
     table.version += 1
     return True
--- a/libs/routing/test/test_endpoints.py
+++ b/libs/routing/test/test_endpoints.py
@@ -73,13 +73,25 @@
 
 
 class ObserveTest(unittest.TestCase):
+    def test_two_looks_between_heartbeats_both_count(self):
+        """An engine gives its old layers up, then has loaded the new ones.
+
+        A reader that took the first look must take the second one, too.
+        """
+        table, reader = EndpointTable(), EndpointTable()
+        endpoints.hear(table, an_announcement(number=16, layers=(0, 8)), 0.0)
+        for holding in (Holding(0, 0), Holding(8, 16)):
+            endpoints.observe(table, "boot-1", holding, 0.3)
+            endpoints.merge(reader, table.entries["boot-1"], 0.0, 0.3)
+        self.assertEqual(endpoints.live(reader, 0.3)[0].holding, (8, 16))
+
     def test_what_a_leader_saw_stands_until_the_next_word(self):
         table = EndpointTable()
-        endpoints.hear(table, an_announcement(number=2), 0.0)
+        endpoints.hear(table, an_announcement(number=16), 0.0)
         self.assertTrue(endpoints.observe(table, "boot-1", Holding(0, 8), 0.3))
-        endpoints.hear(table, an_announcement(number=2), 0.4)
+        endpoints.hear(table, an_announcement(number=16), 0.4)
         self.assertEqual(endpoints.live(table, 0.4)[0].holding, (0, 8))
-        endpoints.hear(table, an_announcement(number=4, layers=(8, 16)), 1.2)
+        endpoints.hear(table, an_announcement(number=32, layers=(8, 16)), 1.2)
         self.assertEqual(endpoints.live(table, 1.2)[0].holding, (8, 16))
 
 
