--- a/libs/node/src/cherryrudder/node/controlbeats.py
+++ b/libs/node/src/cherryrudder/node/controlbeats.py
@@ -111,7 +111,9 @@
     def _on_entry(self, beat):
         state, now = self.state, now_s()
         if roster.hear(state.entries, beat.address, beat, now):
-            state.sink.write("control", "entry-found", vm=beat.vm, address=beat.address)
+            state.sink.write(
+                "control", "entry-found", peer=beat.vm, address=beat.address
+            )
         self._waiting[beat.address] = beat
         self._wake.set()
 
@@ -119,7 +121,7 @@
         state, now = self.state, now_s()
         if roster.hear(state.roster, beat.address, beat, now):
             state.sink.write(
-                "control", "control-found", True, vm=beat.vm, address=beat.address
+                "control", "control-found", True, peer=beat.vm, address=beat.address
             )
         roster.tell(state.roster, beat.controls, now)
         self._seen[beat.address] = TableMark(beat.boot, beat.table_version)
--- a/libs/node/src/cherryrudder/node/linesink.py
+++ b/libs/node/src/cherryrudder/node/linesink.py
@@ -39,7 +39,8 @@
             self.dropped += 1
             return
         line = {"time": round(wall_s, 3), **self._head, "part": part, "event": event}
-        self._put(encode(line | fields) + b"\n")
+        # The line's own head stands even if a field has one of its names.
+        self._put(encode(line | fields | line) + b"\n")
 
     def flush(self) -> None:
         """Write what the reader takes without waiting for it."""
--- a/libs/node/src/cherryrudder/node/seatkeeper.py
+++ b/libs/node/src/cherryrudder/node/seatkeeper.py
@@ -166,7 +166,7 @@
             "change",
             True,
             action=change.action,
-            vm=change.voter.vm,
+            peer=change.voter.vm,
             disk_id=change.voter.disk_id,
             is_done=is_done,
         )
--- a/libs/node/test/test_roster.py
+++ b/libs/node/test/test_roster.py
@@ -5,7 +5,7 @@
 
 
 class RosterTest(unittest.TestCase):
-    """Seeds are the only start, and grow old; machines are replaced at new addresses."""
+    """Seeds grow old, and machines are replaced at new addresses."""
 
     def test_seeds_are_tried_for_ever(self):
         known = Roster("own", ("own", "seed"))
