--- a/libs/node/src/cherryrudder/node/streamrelay.py
+++ b/libs/node/src/cherryrudder/node/streamrelay.py
@@ -28,7 +28,10 @@
 EXPECTED_S = 0.3
 # The chains that a hole in the layers leaves without are back after a load: a part of
 # 14 s for all layers, 1 to 2 s for one engine's range.
-HOLE_RETRY_S = 2.5
+HOLE_RETRY_S = 3.0
+# Room comes back as streams end; one lasts 2.2 s on the average. Most clients come back
+# once only, so that a time which is too short to help costs them the answer.
+ROOM_RETRY_S = 2.0
 # How long a request waits for room: streams end all the time, one in some 90 ms in each
 # data centre, and the objective leaves 0.4 s beside the prompt's own reading.
 ROOM_WAIT_S = 0.35
@@ -40,6 +43,7 @@
 # Some layers are held by no engine that may be used, or by none with room.
 NO_CHAIN = "no chain"
 NO_ROOM = "no room"
+RETRY_AFTER_S = {NO_CHAIN: HOLE_RETRY_S, NO_ROOM: ROOM_RETRY_S}
 
 
 class Stream:
@@ -184,8 +188,9 @@
         # The connection closes without an end, so that the answer can't look complete.
         job.outcome = f"broken off: {failed.reason}"
         return
-    if failed.is_not_run and failed.reason == NO_CHAIN:
-        await job.refuse(Refused(503, NO_CHAIN, HOLE_RETRY_S))
+    if failed.is_not_run and failed.reason in RETRY_AFTER_S:
+        retry_after_s = RETRY_AFTER_S[failed.reason]
+        await job.refuse(Refused(503, failed.reason, retry_after_s))
         return
     await job.fail(failed)
 
