--- a/libs/layers/src/cherryrudder/layers/planner.py
+++ b/libs/layers/src/cherryrudder/layers/planner.py
@@ -34,8 +34,14 @@
 # The least room beside its layers that an engine may be left with. It is a dozen
 # usual requests; with less a burst stops every stream through it.
 LEAST_ROOM_TOKENS = 12_000.0
+# A neighbour takes over a hole at once while it keeps this much room, some 25 usual
+# requests: it goes on serving its own range, and loads only what it lacks.
+EASY_ROOM_TOKENS = 25_000.0
 # A move takes an engine's range away from where it was, so it has to close a hole.
 MOVE_GAIN = 500.0
+# What loading one layer takes off the worth of a move: among moves that close as much,
+# the one that is done first.
+LOAD_COST = 2.0
 # What a layer that nobody holds is worth, against 1 for one with the planned room: it
 # stops the data centre.
 HOLE_VALUE = 1000.0
@@ -52,6 +58,8 @@
     # Told to load and not done yet, or not to be moved for another reason.
     is_busy: bool = False
     is_leaving: bool = False
+    # Came just now; see `_plan_group`.
+    is_fresh: bool = False
 
 
 class Placement(NamedTuple):
@@ -117,10 +125,23 @@
 
 
 def _plan_group(profile, group):
+    """Return the placements for one data centre.
+
+    An engine that has just come waits while nothing is missing: when engines are
+    replaced one by one the new one comes first, and the old one says a second later
+    that it leaves. Placed at once, the new one would be elsewhere by then.
+    """
     room = planned_room(profile, group)
     sums = rooms(profile, group)
     placements = []
-    empty = [e for e in group if e.holder.holding == NOTHING and not e.holder.is_busy]
+    has_hole = 0.0 in sums
+    empty = [
+        e
+        for e in group
+        if e.holder.holding == NOTHING
+        and not e.holder.is_busy
+        and (has_hole or not e.holder.is_fresh)
+    ]
     empty.sort(key=lambda e: (-e.kind.size_mb, e.holder.address))
     for engine in empty:
         holding = _best_range(profile, engine, sums, room)
@@ -130,8 +151,17 @@
     if 0.0 not in sums:
         return placements
     movable = [e for e in group if e.holder.holding != NOTHING and not e.holder.is_busy]
-    placements += _move(profile, movable, sums, room)
-    return placements + _extend(profile, movable, sums)
+    extended = _extend(profile, movable, sums, EASY_ROOM_TOKENS)
+    movable = _without(movable, extended)
+    moved = _move(profile, movable, sums, room)
+    movable = _without(movable, moved)
+    stretched = _extend(profile, movable, sums, LEAST_ROOM_TOKENS)
+    return placements + extended + moved + stretched
+
+
+def _without(engines, placements):
+    placed = {placement.holder.engine_id for placement in placements}
+    return [e for e in engines if e.holder.engine_id not in placed]
 
 
 def _add(profile, sums, engine, holding, sign):
@@ -168,14 +198,14 @@
     return best
 
 
-def _extend(profile, movable, sums):
+def _extend(profile, movable, sums, least_room):
     """Let the neighbours of each hole take it over beside what they hold.
 
     They go on serving their own range while the new layers load.
     """
     held = {e.holder.engine_id: e.holder.holding for e in movable}
     while (hole := _first_hole(sums)) is not None:
-        step = _best_extension(profile, movable, held, hole)
+        step = _best_extension(profile, movable, held, hole, least_room)
         if step is None:
             break
         engine, holding = step
@@ -199,14 +229,14 @@
     return Holding(first, end)
 
 
-def _best_extension(profile, movable, held, hole):
+def _best_extension(profile, movable, held, hole, least_room):
     """Return the extension by one layer that leaves the most room, or None."""
     best = None
     for engine in movable:
         old = held[engine.holder.engine_id]
         for new in _wider(old, hole):
             length = new.end - new.first
-            if length > most_layers(profile, engine.kind, LEAST_ROOM_TOKENS):
+            if length > most_layers(profile, engine.kind, least_room):
                 continue
             room = room_tokens(profile, engine.kind, length)
             if best is None or room > best[0]:
@@ -221,6 +251,11 @@
         yield Holding(min(old.first, hole.end - 1), old.end)
 
 
+def _new_layers(old, new):
+    common = min(old.end, new.end) - max(old.first, new.first)
+    return new.end - new.first - max(0, common)
+
+
 def _move(profile, movable, sums, room):
     """Move engines whose layers others hold to where nobody holds any."""
     placements = []
@@ -231,13 +266,14 @@
             _add(profile, sums, engine, old, -1)
             holding = _best_range(profile, engine, sums, room)
             gain = _worth(sums, holding, room) - _worth(sums, old, room)
+            gain -= LOAD_COST * _new_layers(old, holding)
             _add(profile, sums, engine, old, 1)
             if gain > MOVE_GAIN and (best is None or gain > best[0]):
                 best = (gain, engine, holding)
         if best is None:
             break
         _, engine, holding = best
-        movable.remove(engine)
+        movable = [e for e in movable if e is not engine]
         _add(profile, sums, engine, engine.holder.holding, -1)
         _add(profile, sums, engine, holding, 1)
         placements.append(Placement(engine.holder, holding))
--- a/libs/node/src/cherryrudder/node/layerkeeper.py
+++ b/libs/node/src/cherryrudder/node/layerkeeper.py
@@ -40,6 +40,9 @@
 PATIENCE_MORE_S = 3.0
 # Between looks at an engine that loads; a layer takes 0.2 s, and each look is a call.
 FOLLOW_S = 0.3
+# An engine that has just come is not placed where nothing is missing: in a rolling
+# replacement the old one says within one heartbeat that it leaves.
+FRESH_S = 2.0
 # After a refused or failed order the engine is left alone for one of its heartbeats.
 RETRY_S = 1.2
 
@@ -63,6 +66,7 @@
         self._ordered: dict[str, Ordered] = {}
         self._not_before_s: dict[str, float] = {}
         self._known: frozenset[str] = frozenset()
+        self._came_s: dict[str, float] = {}
         self._changed_s = 0.0
         self._started_s = now_s()
         self._services: tuple[int, tuple[Service, ...]] = (0, ())
@@ -126,6 +130,7 @@
         if known - self._known:
             self._changed_s = now
         self._known = known
+        self._came_s = {name: self._came_s.get(name, now) for name in known}
         for announcement in live:
             ordered = self._ordered.get(announcement.engine_id)
             if ordered is None:
@@ -150,6 +155,7 @@
             holding=holding,
             is_busy=ordered is not None,
             is_leaving=announcement.is_leaving,
+            is_fresh=now - self._came_s[announcement.engine_id] < FRESH_S,
         )
 
     async def _order(self, profile: ModelProfile, placement: Placement):
