--- a/libs/layers/src/cherryrudder/layers/chains.py
+++ b/libs/layers/src/cherryrudder/layers/chains.py
@@ -27,6 +27,8 @@
 # faster engine there (a whole copy on the slowest kind takes 13.6 ms a token), since
 # the pipe between them is shared by all requests.
 CROSSING_S = 0.05
+# There and back once: what one hole or one full range in a data centre asks for.
+MAX_CROSSINGS = 2
 # Cost per token of a whole chain in another data centre. Its activations cross no
 # pipe, only the answer does: it is worth it once the home engines are two thirds full.
 FOREIGN_S = 0.02
@@ -121,12 +123,23 @@
 ) -> Chain | None:
     """Return the cheapest chain over all data centres, or None.
 
-    Only for want of a whole copy in any of them. A prompt of usual size takes 33 ms of
-    the pipe at each crossing (772 tokens of 59 KB at 11 Gbit/s), and all requests share
-    it: a chain that crosses to make up for want of room delays all others beyond use.
+    Only when none of them has a whole copy with room, and with few crossings: each
+    takes the request over a pipe that all share (see `pipes`). With a crossing for
+    every few layers, as the cheapest way through many small gaps has it, all streams
+    on the pipe stood still for two seconds.
     """
     usable = [e for e in engines if has_room(profile, e, need.tokens)]
-    return cheapest(profile, usable, need.home_zone)
+    chain = cheapest(profile, usable, need.home_zone)
+    if chain is None or crossings(chain, usable) > MAX_CROSSINGS:
+        return None
+    return chain
+
+
+def crossings(chain: Chain, engines: Iterable[Candidate]) -> int:
+    """Return how often a chain goes from one data centre to another."""
+    zones = {engine.address: engine.vm_zone for engine in engines}
+    way = [zones[part.address] for part in chain]
+    return sum(a != b for a, b in zip(way, way[1:], strict=False))
 
 
 def replace_parts(
--- a/libs/node/src/cherryrudder/node/entrystate.py
+++ b/libs/node/src/cherryrudder/node/entrystate.py
@@ -6,6 +6,7 @@
 import anyio
 
 from cherryrudder.layers.chains import Candidate, Chain
+from cherryrudder.layers.pipes import PipeBudget
 from cherryrudder.platform.settings import NodeSettings
 from cherryrudder.policy.retries import RetryBudget
 from cherryrudder.relay.pool import Pool
@@ -65,6 +66,9 @@
         self.tokens: dict[str, int] = {}
         self.others: dict[str, Usage] = {}
         self.told: dict[str, ToldLoad] = {}
+        self.pipes = PipeBudget()
+        # How many entries there are, as the control VMs tell.
+        self.entries = FIRST_ENTRIES
         # Set once the process is to end.
         self.stopping = anyio.Event()
 
@@ -76,6 +80,7 @@
 
 def share_budget(state: EntryState, entries: int) -> None:
     """Take this entry's even part of the retries that all may send."""
+    state.entries = entries
     slack = state.settings.bounds.retry_slack
     state.budget.max_saved = BUDGET_SHARE * slack / max(1, entries)
 
--- a/libs/node/src/cherryrudder/node/streamrelay.py
+++ b/libs/node/src/cherryrudder/node/streamrelay.py
@@ -9,7 +9,7 @@
 
 import anyio
 
-from cherryrudder.layers import chains
+from cherryrudder.layers import chains, pipes
 from cherryrudder.layers.chains import Chain, Need
 from cherryrudder.platform import engines, messages
 from cherryrudder.policy import retries
@@ -133,13 +133,11 @@
     need = Need(stream.tokens, job.state.settings.vm_zone)
     chain = chains.choose_chain(job.service.model, usable, need)
     if chain is None:
-        roomless = [engine._replace(tokens=0) for engine in usable]
-        if chains.choose_chain(job.service.model, roomless, need) is not None:
-            stream.refusal = NO_ROOM
-            return None
-        chain = chains.choose_mixed_chain(job.service.model, usable, need)
+        chain = _choose_mixed(stream, usable, need, now)
     if chain is None:
-        stream.refusal = NO_CHAIN
+        roomless = [engine._replace(tokens=0) for engine in usable]
+        is_whole = chains.choose_chain(job.service.model, roomless, need) is not None
+        stream.refusal = NO_ROOM if is_whole else NO_CHAIN
         return None
     if not chains.covers(chain, job.service.model.layers):
         # Checked again where it is sent: a layer left out or run twice spoils every
@@ -149,6 +147,20 @@
     return chain
 
 
+def _choose_mixed(stream, usable, need, now):
+    """Return a chain over several data centres, as far as the pipes allow."""
+    state, model = stream.job.state, stream.job.service.model
+    chain = chains.choose_mixed_chain(model, usable, need)
+    if chain is None:
+        return None
+    count = chains.crossings(chain, usable)
+    cost_s = pipes.crossing_s(model, stream.job.facts.prompt_tokens, count)
+    if not pipes.may_cross(state.pipes, cost_s, state.entries, now):
+        return None
+    stream.job.note("crossing", crossings=count, debt_s=round(state.pipes.debt_s, 3))
+    return chain
+
+
 def _note_no_chain(stream):
     """Log what a stream lacked: which layer is held by too few, or too full."""
     job = stream.job
--- a/libs/routing/src/cherryrudder/routing/gatekeeping.py
+++ b/libs/routing/src/cherryrudder/routing/gatekeeping.py
@@ -16,8 +16,12 @@
 TRUSTED_SHARE = 0.8
 # Part of it until "no such route" and "no such key" are no longer answered for sure.
 CERTAIN_SHARE = 0.3
+# When everything starts at once, the control VMs have elected a leader and an entry
+# has its configuration about two seconds after its start. Most clients come back once
+# only: told a shorter time, they would be refused for good.
+FIRST_CONFIGURATION_S = 2.5
 # The control VMs elect a new leader in about a second.
-RECONNECT_S = 1.0
+RECONNECT_S = 1.5
 
 
 class Asked(NamedTuple):
@@ -44,7 +48,7 @@
     retry_after_s: float | None = None
 
 
-UNKNOWN = Refused(503, "no configuration yet", RECONNECT_S)
+UNKNOWN = Refused(503, "no configuration yet", FIRST_CONFIGURATION_S)
 UNCONFIRMED = Refused(503, "configuration unconfirmed", RECONNECT_S)
 
 
