--- a/libs/node/src/cherryrudder/node/controlapi.py
+++ b/libs/node/src/cherryrudder/node/controlapi.py
@@ -18,7 +18,7 @@
 # to hear the reason.
 ANSWER_S = 0.85
 # Without a confirmation for this long, a VM may be cut off from the others. It then
-# sends an engine that leaves to another one, so that every entry hears of it.
+# sends engines to another one, so that every entry hears of them.
 CUT_OFF_S = 1.6
 JSON = [(b"content-type", b"application/json")]
 
@@ -63,7 +63,9 @@
         if tablesync.hear(self.state.endpoints, heard, now_s()):
             self._log_endpoint("endpoint", heard)
             self.beats.spread([engine_id])
-        if heard.is_leaving and self._is_cut_off():
+        if self._is_cut_off():
+            # Heard all the same; but the others should hear it, too. Were it content
+            # here, they would take it for lost, and its layers for a hole.
             await _fail(exchange, 503, "cut off from the other control VMs")
             return
         await exchange.answer(200, JSON, engines.HEARTBEAT_ANSWER)
