Let a look at a silent stream outlive its engine's address

The look now keeps what it found to itself, and a fault in looking after one stream is logged and ends with it. The control VM's answers and orders no longer take for granted that its voter still has its disk.

Ruled out: forgetting later; the same race with rarer odds.

--- a/libs/node/src/cherryrudder/node/controlbeats.py
+++ b/libs/node/src/cherryrudder/node/controlbeats.py
@@ -202,10 +202,12 @@
 
     def _answer(self, beat, version):
         state, now = self.state, now_s()
-        if beat.version < version:
+        # The voter may have lost its disk since it confirmed.
+        voter = state.voter
+        if voter is not None and beat.version < version:
             is_near = beat.vm_zone == state.settings.vm_zone
             if is_near or now - self._changed_s > FAR_WAIT_S:
-                news = ConfigurationNews(version, state.voter.state.text)
+                news = ConfigurationNews(voter.state.version, voter.state.text)
                 self.links.send(beat.address, news)
         answer = ControlAnswer(
             boot=state.boot,
--- a/libs/node/src/cherryrudder/node/layerkeeper.py
+++ b/libs/node/src/cherryrudder/node/layerkeeper.py
@@ -161,6 +161,8 @@
     async def _order(self, profile: ModelProfile, placement: Placement):
         holder, holding = placement
         self._not_before_s[holder.engine_id] = now_s() + RETRY_S
+        if not self.state.is_leader():
+            return
         fence = self.state.voter.node.term
         try:
             outcome = await _place(placement, fence)
--- a/libs/node/src/cherryrudder/node/stalls.py
+++ b/libs/node/src/cherryrudder/node/stalls.py
@@ -51,22 +51,29 @@
 
     async def look(self, addresses: list[str]) -> dict[str, Look]:
         """Ask engines for their reports, all at the same time."""
+        # Kept apart from the shared ones: an address may be forgotten meanwhile.
+        found: dict[str, Look] = {}
+
+        async def look(address):
+            found[address] = await self._look(address)
+
         async with anyio.create_task_group() as group:
             for address in addresses:
-                group.start_soon(self._look, address)
-        return {address: self._looks[address] for address in addresses}
+                group.start_soon(look, address)
+        return found
 
     async def _look(self, address):
         lock = self._locks.setdefault(address, anyio.Lock())
         async with lock:
             known = self._looks.get(address)
             if known is not None and _is_fresh(known, now_s()):
-                return
+                return known
             asked_s = now_s()
             report = await self._report(address, REPORT_S)
             if report is None:
                 report = await self._report(address, SECOND_REPORT_S)
-            self._looks[address] = Look(report, asked_s)
+            fresh = self._looks[address] = Look(report, asked_s)
+            return fresh
 
     async def _report(self, address, timeout_s):
         try:
--- a/libs/node/src/cherryrudder/node/supervision.py
+++ b/libs/node/src/cherryrudder/node/supervision.py
@@ -9,6 +9,7 @@
 from typing import TYPE_CHECKING
 
 import anyio
+from loguru import logger
 
 from cherryrudder.layers import chains
 from cherryrudder.layers.chains import Need
@@ -23,6 +24,8 @@
 if TYPE_CHECKING:
     from .streamrelay import Stream
 
+log = logger.bind(part="streams")
+
 REVIEW_S = 0.04
 # A prompt of usual size is read in less than 0.1 s; the objective is 0.5 s.
 FIRST_SILENCE_S = 0.25
@@ -99,6 +102,10 @@
             lost = await self._find_lost(stream)
             if lost and stream.connection is not None:
                 await _go_on_without(stream, stream.connection, lost)
+        except Exception as error:
+            # A fault in looking after one stream must not end the process, and with
+            # it all others; the stream itself still ends by its time limit.
+            log.opt(exception=error).error("A silent stream was not looked after.")
         finally:
             stream.is_looked_at = False
 
--- /dev/null
+++ b/libs/node/test/test_stalls.py
@@ -0,0 +1,48 @@
+import unittest
+
+import anyio
+
+from cherryrudder.node import enginecalls
+from cherryrudder.node.errors import EngineCallFailed
+from cherryrudder.node.stalls import StallDesk
+from cherryrudder.platform.engines import Report
+
+
+class EntryStub:
+    """What the desk needs of an entry's state."""
+
+    pool = None
+
+
+class ForgetTest(unittest.TestCase):
+    """An engine leaves while an entry waits for its report about a silent stream.
+
+    Its address is forgotten in between. The look must still end: an error there ended
+    the whole entry, with every stream that it had.
+    """
+
+    def look(self, address, forget):
+        desk = StallDesk(EntryStub(), None)
+
+        async def get_report(address, timeout_s, kept):
+            await anyio.sleep(0)
+            if forget:
+                desk.forget(set())
+            if address == "dead":
+                raise EngineCallFailed(address)
+            return Report(0, False, 0, 0, 0.0, 0.0, 1.0, (0, 8), ())
+
+        kept = enginecalls.get_report
+        enginecalls.get_report = get_report
+        try:
+            return anyio.run(desk.look, [address, "other"])
+        finally:
+            enginecalls.get_report = kept
+
+    def test_a_forgotten_address_is_still_answered(self):
+        self.assertIsNotNone(self.look("e", forget=True)["e"].report)
+
+    def test_an_engine_that_gives_no_report_is_told(self):
+        found = self.look("dead", forget=False)
+        self.assertIsNone(found["dead"].report)
+        self.assertIsNotNone(found["other"].report)
