Never pass a 503 on that its engine did not vouch for

Cause: an engine's own 503, 429, 421 or 408 without its word that the request has not run was passed on for a request that may be repeated, once no other attempt helped. To the client it promises that the request has not run: a guess. The check for these statuses came after the one for failures of idempotent requests, and stood twice. It comes first now and stands once, for plain services and streams.

Ruled out: filings; for them such a status was answered with 502 before as well.

--- a/libs/node/src/cherryrudder/node/attempts.py
+++ b/libs/node/src/cherryrudder/node/attempts.py
@@ -7,7 +7,7 @@
 from cherryrudder.relay.errors import AnswerBroken
 from cherryrudder.replica.clock import now_s
 
-from .job import Job
+from .job import Failed, Job, Whole
 
 # A connection in the same region is there within some milliseconds. One lost packet is
 # repeated after a second; another endpoint is there sooner.
@@ -15,6 +15,9 @@
 # A success without the engine's seal is none of its answers.
 FIRST_OK, LAST_OK = 200, 299
 
+# To clients these statuses promise that the request has not run and never will.
+PROMISES_NOT_RUN = frozenset({408, 421, 429, 503})
+
 
 async def open_for(job: Job, address: str) -> EngineConnection:
     """Return a connection for one attempt; raises ConnectFailed.
@@ -65,3 +68,17 @@
         while await connection.read() is not None:
             pass
         connection.skip_answer()
+
+
+def failure_of(whole: Whole, is_idempotent: bool) -> Failed | None:
+    """Return why an engine's answer is not passed on at once, None when it is.
+
+    For an engine that doesn't vouch that the request has not run. A status that would
+    promise so to the client never passes, also for a request that may be repeated: the
+    promise would be a guess.
+    """
+    if whole.status in PROMISES_NOT_RUN:
+        return Failed(f"status {whole.status} after a run", is_not_run=False)
+    if whole.status >= 500 and is_idempotent:
+        return Failed(f"status {whole.status}", is_not_run=False, whole=whole)
+    return None
--- a/libs/node/src/cherryrudder/node/plainrelay.py
+++ b/libs/node/src/cherryrudder/node/plainrelay.py
@@ -138,12 +138,7 @@
     if facts.is_not_run:
         return Failed(f"status {head.status} from the endpoint", is_not_run=True)
     whole = Whole(head.status, head.headers, body)
-    if head.status >= 500 and job.is_idempotent:
-        return Failed(f"status {head.status}", is_not_run=False, whole=whole)
-    if head.status in (408, 421, 429, 503):
-        # To the client these would promise that the request has not run.
-        return Failed(f"status {head.status} after a run", is_not_run=False)
-    return whole
+    return attempts.failure_of(whole, job.is_idempotent) or whole
 
 
 async def _read_body(connection):
--- a/libs/node/src/cherryrudder/node/streamrelay.py
+++ b/libs/node/src/cherryrudder/node/streamrelay.py
@@ -303,10 +303,9 @@
     job = stream.job
     if stream.has_begun:
         return Failed(f"status {whole.status} in a resumed stream", is_not_run=False)
-    if whole.status >= 500 and job.is_idempotent:
-        return Failed(f"status {whole.status}", is_not_run=False, whole=whole)
-    if whole.status in (408, 421, 429, 503):
-        return Failed(f"status {whole.status} after a run", is_not_run=False)
+    failed = attempts.failure_of(whole, job.is_idempotent)
+    if failed is not None:
+        return failed
     await job.pass_on(whole)
     return None
 
