Pack a configuration where it is accepted

Cause: on the grown deployment a change of the configuration with 1,280 routes is 334 KB of text, sent to each entry by two control VMs over links of 10 Mbit/s, and by the leader to five voters. Ruled out: sending only what changed, which needs both sides to hold the same base. Figures: 1,300 routes of the operator's form: 334,323 B as text, 31 KB packed; packing 3.5 ms, unpacking 0.5 ms; measured in one process of this machine.

--- a/libs/node/src/cherryrudder/node/controlapi.py
+++ b/libs/node/src/cherryrudder/node/controlapi.py
@@ -120,7 +120,7 @@
             # Applied here means committed: nothing lower can take effect any more.
             return 200, configlog.Taken.SUPERSEDED
         try:
-            payload = configlog.encode(configlog.Put(version, text))
+            payload = configlog.encode(configlog.Put(version, configlog.pack(text)))
             outcome = await voter.propose(payload, ANSWER_S)
         except ReplicaError as error:
             return 503, str(error)
--- a/libs/node/src/cherryrudder/node/controlbeats.py
+++ b/libs/node/src/cherryrudder/node/controlbeats.py
@@ -30,8 +30,8 @@
 # work.
 CONFIRM_EVERY_S = 0.2
 # Another data centre's control VM sends a configuration only to entries that still
-# lack it after this long; their own has sent it at once. It keeps a configuration of
-# 40 KB from crossing between data centres three times.
+# lack it after this long; their own has sent it at once. It keeps a large configuration
+# from crossing between data centres three times.
 FAR_WAIT_S = 0.4
 
 log = logger.bind(part="control")
@@ -72,7 +72,7 @@
         if not version:
             return
         self._changed_s = now_s()
-        news = ConfigurationNews(version, self.state.voter.state.text)
+        news = ConfigurationNews(version, self.state.voter.state.packed)
         for beat in roster.beats(self.state.entries, now_s()):
             if beat.vm_zone == self.state.settings.vm_zone and beat.version < version:
                 self.links.send(beat.address, news)
@@ -207,7 +207,7 @@
         if voter is not None and beat.version < version:
             is_near = beat.vm_zone == state.settings.vm_zone
             if is_near or now - self._changed_s > FAR_WAIT_S:
-                news = ConfigurationNews(voter.state.version, voter.state.text)
+                news = ConfigurationNews(voter.state.version, voter.state.packed)
                 self.links.send(beat.address, news)
         answer = ControlAnswer(
             boot=state.boot,
--- a/libs/node/src/cherryrudder/node/gossip.py
+++ b/libs/node/src/cherryrudder/node/gossip.py
@@ -103,10 +103,10 @@
 
 
 class ConfigurationNews(NamedTuple):
-    """A configuration that was accepted, as the operator sent it."""
+    """A configuration that was accepted, packed as it is in the log."""
 
     version: int
-    text: str
+    packed: str
 
 
 class Accusation(NamedTuple):
--- a/libs/node/src/cherryrudder/node/uplink.py
+++ b/libs/node/src/cherryrudder/node/uplink.py
@@ -9,7 +9,7 @@
 
 from cherryrudder.platform import configuration
 from cherryrudder.replica.clock import now_s
-from cherryrudder.routing import endpoints, suspicion
+from cherryrudder.routing import configlog, endpoints, suspicion
 from cherryrudder.routing.routetable import RouteTable
 from cherryrudder.wire.frames import FrameCodec
 from cherryrudder.wire.links import Links, listen_frames
@@ -138,7 +138,8 @@
         if news.version <= state.version:
             # Never back within one run of the process, whatever comes late.
             return
-        result = configuration.read_configuration(news.text.encode())
+        text = configlog.unpack(news.packed)
+        result = configuration.read_configuration(text.encode())
         if result.is_error():
             log.error("An accepted configuration is unreadable: {}.", result.error)
             return
--- a/libs/routing/src/cherryrudder/routing/configlog.py
+++ b/libs/routing/src/cherryrudder/routing/configlog.py
@@ -2,8 +2,15 @@
 
 The same log gives the same state and answers on every voter. A configuration that is
 sent again finds its own version and is answered as the first time.
+
+Load pattern: a configuration grows by a thousand routes, and each further change sends
+all of it to every entry over links of 10 Mbit/s. As plain text (334 KB for 1,300 routes)
+one change filled such a link for 0.27 s from each control VM that sent it, and streams
+stood still meanwhile. It is packed once, where it is accepted: to 31 KB, in 4 ms.
 """
 
+import base64
+import zlib
 from enum import StrEnum
 from typing import NamedTuple
 
@@ -21,18 +28,33 @@
 
 
 class Put(NamedTuple):
-    """A configuration to be accepted; `text` is the operator's own, checked already."""
+    """A configuration to be accepted; `packed` is the operator's own text, checked."""
 
     version: int
-    text: str
+    packed: str
 
 
 class ConfigState:
     """The newest configuration that was accepted; version 0 before the first."""
 
-    def __init__(self, version: int = 0, text: str = ""):
+    def __init__(self, version: int = 0, packed: str = ""):
         self.version = version
-        self.text = text
+        self.packed = packed
+
+    @property
+    def text(self) -> str:
+        """Return the operator's own text."""
+        return unpack(self.packed)
+
+
+def pack(text: str) -> str:
+    """Return a text as it is kept in the log and sent between processes."""
+    return base64.b64encode(zlib.compress(text.encode())).decode()
+
+
+def unpack(packed: str) -> str:
+    """Return the text that was packed."""
+    return zlib.decompress(base64.b64decode(packed)).decode() if packed else ""
 
 
 def new_state() -> ConfigState:
@@ -50,16 +72,18 @@
     put = msgspec.json.decode(payload, type=Put)
     if put.version > state.version:
         state.version = put.version
-        state.text = put.text
+        state.packed = put.packed
         return Taken.IN_FORCE
     if put.version < state.version:
         return Taken.SUPERSEDED
-    return Taken.IN_FORCE if put.text == state.text else Taken.CONFLICT
+    # Another release of the compressor may have packed the same text otherwise.
+    is_same = put.packed == state.packed or unpack(put.packed) == state.text
+    return Taken.IN_FORCE if is_same else Taken.CONFLICT
 
 
 def snapshot(state: ConfigState) -> str:
     """Return the whole state as text."""
-    return msgspec.json.encode(Put(state.version, state.text)).decode()
+    return msgspec.json.encode(Put(state.version, state.packed)).decode()
 
 
 def restore(text: str) -> ConfigState:
