Add a fault soak of the project's own

The real programs run as separate processes on loopback, before stand-in engines behind proxies of the soak's own. Faults drawn from a seed strike from outside: processes killed, stopped, frozen and started again, disks wiped and torn, engines that die, leave and come, links held, delayed, cut one way and reset, and changes of the configuration that race. What callers, engines and the operator see is checked against the promises; each check is shown to find its own fault (libs/soak/test/test_promises.py). Not covered: links between the system's own processes (they tell the address at which they listen, so no proxy fits between), and clocks (nothing decides by the time of day).

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 PYTHON ?= python3
 VENV ?= .venv
 BIN = $(VENV)/bin
-LIBS = model policy quorum state membership pipeline wire replica layers routing relay node fakes daemon cli
+LIBS = model policy quorum state membership pipeline wire replica layers routing relay node fakes daemon cli soak
 STAMP = $(VENV)/.installed
 
 .PHONY: all install test demo format lint check unit clean
--- /dev/null
+++ b/libs/soak/src/cherryrudder/soak/__main__.py
@@ -0,0 +1,58 @@
+"""Runs seeds of the soak, some at a time, and prints what broke."""
+
+import sys
+import time
+from concurrent.futures import ProcessPoolExecutor
+from pathlib import Path
+
+import defopt
+
+from .run import run
+
+# A run starts six processes and takes about half a core.
+MOST_AT_ONCE = 8
+
+
+def soak(
+    *,
+    first_seed: int = 0,
+    seeds: int = 1,
+    length_s: float = 12.0,
+    at_once: int = 2,
+    keep_in: str = "",
+) -> int:
+    """Play seeds one after the other, or some at once.
+
+    :param first_seed: the first seed; 0 takes fresh ones from the clock
+    :param seeds: how many
+    :param length_s: how long faults strike in each
+    :param at_once: how many runs at the same time
+    :param keep_in: where the logs of broken runs stay
+    """
+    first = first_seed or int(time.time())
+    if keep_in:
+        Path(keep_in).mkdir(parents=True, exist_ok=True)
+    chosen = range(first, first + seeds)
+    failed = []
+    with ProcessPoolExecutor(min(at_once, MOST_AT_ONCE)) as workers:
+        lengths, folders = [length_s] * seeds, [keep_in] * seeds
+        for outcome in workers.map(run, chosen, lengths, folders):
+            state = "broken" if outcome.broken else "kept"
+            counts = f"{outcome.answered} of {outcome.asked} answered"
+            print(f"seed {outcome.seed}: {state}, {counts}", flush=True)
+            for line in outcome.broken:
+                print(f"  {line}")
+            if outcome.broken:
+                failed.append(outcome.seed)
+                print(f"  logs: {outcome.folder}")
+    print(f"{seeds} seeds, {len(failed)} broken: {failed}")
+    return 1 if failed else 0
+
+
+def main() -> int:
+    """Run the command line's seeds and return the exit code."""
+    return defopt.run(soak)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/libs/soak/src/cherryrudder/soak/callers.py
@@ -0,0 +1,87 @@
+"""Callers that keep their connections open until the other side closes them."""
+
+import random
+import time
+import uuid
+
+import anyio
+
+from cherryrudder.relay.client import EngineConnection, open_connection
+from cherryrudder.relay.errors import AnswerBroken, AnswerLate, ConnectFailed
+from cherryrudder.standin import requests
+
+from .promises import Answer
+
+WAIT_S = 12.0
+CONNECT_S = 1.0
+# So that a caller whose entry is down doesn't try without a pause.
+PAUSE_S = 0.05
+KINDS = ("stream", "stream", "filing", "filing", "query")
+
+
+class Caller:
+    """One caller of one entry, and what it got."""
+
+    def __init__(self, node: str, address: str, events: int, rng: random.Random):
+        self.node = node
+        self.address = address
+        self.events = events
+        self.rng = rng
+        self.answers: list[Answer] = []
+        self._connection: EngineConnection | None = None
+
+    async def run(self, keys: list[str], is_over: anyio.Event) -> None:
+        """Ask one thing after the other, each with one of the keys."""
+        while not is_over.is_set():
+            kind = self.rng.choice(KINDS)
+            answer = await self.ask(kind, self.rng.choice(keys))
+            if answer is None or answer.status != 200:
+                await anyio.sleep(PAUSE_S)
+        self.close()
+
+    async def ask(self, kind: str, key: str) -> Answer | None:
+        """Return what came of a request, None when there was no connection."""
+        try:
+            connection = await self._connect()
+        except ConnectFailed:
+            return None
+        answer = await self._exchange(connection, kind, key)
+        self.answers.append(answer)
+        return answer
+
+    def close(self) -> None:
+        """Close the kept connection."""
+        if self._connection is not None:
+            self._connection.close()
+            self._connection = None
+
+    async def _connect(self):
+        if self._connection is None or self._connection.has_news():
+            self.close()
+            opened = await open_connection(self.address, CONNECT_S, time.monotonic())
+            self._connection = opened
+        return self._connection
+
+    async def _exchange(self, connection, kind, key):
+        request_id = uuid.UUID(int=self.rng.getrandbits(128)).hex
+        sent = requests.request(kind, request_id, key, self.events, WAIT_S)
+        answer = Answer(request_id, kind, key, self.node, time.monotonic(), 0.0, 0)
+        pieces = []
+        is_kept = False
+        try:
+            with anyio.fail_after(WAIT_S):
+                await connection.send(
+                    sent.method.encode(), sent.path.encode(), sent.headers, sent.body
+                )
+                head = await connection.read_head(WAIT_S)
+                answer = answer._replace(status=head.status)
+                while (piece := await connection.read()) is not None:
+                    pieces.append(piece)
+            answer = answer._replace(is_whole=True)
+            is_kept = connection.finish(time.monotonic())
+        except (AnswerBroken, AnswerLate, TimeoutError):
+            # It stays an answer that isn't whole, which the checks look at.
+            pass
+        if not is_kept:
+            self.close()
+        return answer._replace(body=b"".join(pieces), ended_s=time.monotonic())
--- /dev/null
+++ b/libs/soak/src/cherryrudder/soak/faults.py
@@ -0,0 +1,88 @@
+"""Which faults strike when: drawn from a seed, so that a run can be played again.
+
+Faults come in series and overlap, but for those on control VMs: one of three may be
+lost at a time, and one that comes back needs some seconds to catch up.
+"""
+
+import random
+from enum import StrEnum
+from typing import NamedTuple
+
+from .proxy import Mode
+
+
+class Kind(StrEnum):
+    """What happens."""
+
+    KILL_ENTRY = "kill-entry"
+    STOP_ENTRY = "stop-entry"
+    FREEZE_ENTRY = "freeze-entry"
+    KILL_CONTROL = "kill-control"
+    STOP_CONTROL = "stop-control"
+    FREEZE_CONTROL = "freeze-control"
+    # Killed, and its disk is empty when it is back.
+    WIPE_CONTROL = "wipe-control"
+    # Killed, and its newest file ends in a piece of a record when it is back.
+    TEAR_CONTROL = "tear-control"
+    KILL_ALL_CONTROLS = "kill-all-controls"
+    ENGINE_DIES = "engine-dies"
+    ENGINE_LEAVES = "engine-leaves"
+    ENGINE_LINK = "engine-link"
+    ENGINE_RESET = "engine-reset"
+    CALLER_LINK = "caller-link"
+    CALLER_RESET = "caller-reset"
+    CHANGE = "change"
+    RACE = "race"
+    BAD_CHANGE = "bad-change"
+    REVOKE = "revoke"
+
+
+ON_CONTROL = (
+    Kind.KILL_CONTROL,
+    Kind.STOP_CONTROL,
+    Kind.FREEZE_CONTROL,
+    Kind.WIPE_CONTROL,
+    Kind.TEAR_CONTROL,
+    Kind.KILL_ALL_CONTROLS,
+)
+CHANGES = (Kind.CHANGE, Kind.CHANGE, Kind.RACE, Kind.BAD_CHANGE, Kind.REVOKE)
+ELSEWHERE = tuple(kind for kind in Kind if kind not in (*ON_CONTROL, *CHANGES))
+LINK_MODES = (Mode.DELAY, Mode.SILENT, Mode.HOLD_REQUESTS, Mode.HOLD_ANSWERS)
+# Until a control VM that was lost counts as back; the users' pages give four seconds.
+CATCH_UP_S = 4.0
+LONGEST_S = 3.0
+
+
+class Fault(NamedTuple):
+    """One fault; `pick` chooses among the things that it may strike."""
+
+    at_s: float
+    kind: Kind
+    for_s: float
+    pick: float
+    mode: Mode = Mode.PASS
+
+
+def draw(seed: int, length_s: float) -> list[Fault]:
+    """Return the faults of a run, in order."""
+    rng = random.Random(seed)
+    faults = _on_controls(rng, length_s)
+    for kinds, count in ((ELSEWHERE, 5), (CHANGES, 3)):
+        for _ in range(rng.randrange(1, count + 1)):
+            faults.append(_fault(rng, rng.choice(kinds), rng.uniform(0, length_s)))
+    return sorted(faults)
+
+
+def _on_controls(rng, length_s):
+    faults = []
+    at_s = rng.uniform(0, length_s)
+    while at_s < length_s:
+        fault = _fault(rng, rng.choice(ON_CONTROL), at_s)
+        faults.append(fault)
+        at_s += fault.for_s + CATCH_UP_S + rng.uniform(0, 3)
+    return faults
+
+
+def _fault(rng, kind, at_s):
+    for_s = rng.uniform(0.2, LONGEST_S)
+    return Fault(at_s, kind, for_s, rng.random(), rng.choice(LINK_MODES))
--- /dev/null
+++ b/libs/soak/src/cherryrudder/soak/field.py
@@ -0,0 +1,136 @@
+"""The deployment under test: real processes, stand-in engines, proxies in between."""
+
+import random
+import shutil
+import signal
+from pathlib import Path
+
+import anyio
+from anyio.abc import TaskGroup
+
+from cherryrudder.standin import requests
+from cherryrudder.standin.deployment import CLIENT_PORT, Deployment, Node
+from cherryrudder.standin.engine import Engine
+
+from .callers import Caller
+from .promises import Answer
+from .proxy import Proxy
+
+MODEL_ENGINES = 6
+PLAIN_ENGINES = 2
+CALLERS_PER_ENTRY = 3
+EVENTS = 20
+# Loopback addresses of the proxies before the entries, behind those of the engines.
+FIRST_PROXY = 230
+
+
+class Field:
+    """What the faults strike."""
+
+    def __init__(self, folder: str, seed: int, group: TaskGroup):
+        self.rng = random.Random(f"field-{seed}")
+        self.group = group
+        self.deployment = Deployment(folder, requests.LAYERS)
+        self.deployment.group = group
+        self.engines: list[Engine] = []
+        self.engine_proxies: dict[str, Proxy] = {}
+        self.caller_proxies: dict[str, Proxy] = {}
+        self.callers: list[Caller] = []
+        # To requests that only look whether all is served.
+        self.first_answers: list[Answer] = []
+        self._named = 0
+
+    async def start(self) -> None:
+        """Start all processes, engines, proxies and callers."""
+        for node in self.deployment.nodes:
+            self.deployment.start(node, "control", True)
+            self.deployment.start(node, "entry", True)
+        for _ in range(MODEL_ENGINES):
+            await self.add_engine("llm", "l4")
+        for _ in range(PLAIN_ENGINES):
+            await self.add_engine("desk", "")
+        for number, node in enumerate(self.deployment.nodes):
+            address = f"{self.deployment.net}.{FIRST_PROXY + number}:{CLIENT_PORT}"
+            proxy = Proxy(address, node.at(CLIENT_PORT))
+            await proxy.serve(self.group)
+            self.caller_proxies[node.name] = proxy
+            self.callers += [
+                Caller(node.name, address, EVENTS, random.Random(self.rng.random()))
+                for _ in range(CALLERS_PER_ENTRY)
+            ]
+
+    async def add_engine(self, service: str, kind: str) -> Engine:
+        """Start one more engine behind a proxy."""
+        self._named += 1
+        name = f"{service}-{self._named}"
+        engine = self.deployment.add_engine(name, service, kind, is_proxied=True)
+        proxy = Proxy(engine.address, engine.listen_address)
+        await proxy.serve(self.group)
+        self.engine_proxies[engine.engine_id] = proxy
+        await self.deployment.run_engine(engine)
+        self.engines.append(engine)
+        return engine
+
+    def remove_engine(self, engine: Engine) -> None:
+        """End an engine without a word."""
+        engine.die()
+        self.engine_proxies[engine.engine_id].reset()
+        self.engines.remove(engine)
+
+    def restart(self, node: Node, role: str) -> None:
+        """Start a process again that was ended."""
+        self.deployment.start(node, role, False)
+
+    def signal(self, node: Node, role: str, number: int) -> None:
+        """Send a signal to a process, if it runs."""
+        process = node.processes.get(role)
+        if process is not None and process.poll() is None:
+            process.send_signal(number)
+
+    async def end(self, node: Node, role: str, number: int) -> None:
+        """End a process with a signal and wait for it."""
+        process = node.processes.pop(role, None)
+        if process is None:
+            return
+        process.send_signal(number)
+        with anyio.move_on_after(10.0):
+            while process.poll() is None:
+                await anyio.sleep(0.02)
+        if process.poll() is None:
+            process.kill()
+
+    def disk(self, node: Node) -> Path:
+        """Return the folder that is a node's disk."""
+        return self.deployment.folder / f"{node.name}-disk"
+
+    def wipe(self, node: Node) -> None:
+        """Empty a node's disk."""
+        shutil.rmtree(self.disk(node), ignore_errors=True)
+
+    def tear(self, node: Node) -> None:
+        """Leave a piece of a record at the end of the newest log file."""
+        files = [path for path in self.disk(node).rglob("*") if path.is_file()]
+        logs = [path for path in files if "log" in path.name]
+        if logs:
+            newest = max(logs, key=lambda path: path.stat().st_mtime_ns)
+            with newest.open("ab") as file:
+                file.write(b"\xc3CRQ\x00\x01")
+
+    def own_ends(self) -> list[str]:
+        """Return the processes that ended without having been told to."""
+        return [
+            f"{node.name} {role} ended with {process.returncode}"
+            for node in self.deployment.nodes
+            for role, process in node.processes.items()
+            if process.poll() is not None
+        ]
+
+    def stop(self) -> None:
+        """End what this field has started."""
+        for node in self.deployment.nodes:
+            for process in node.processes.values():
+                if process.poll() is None:
+                    process.send_signal(signal.SIGCONT)
+        for caller in self.callers:
+            caller.close()
+        self.deployment.stop()
--- /dev/null
+++ b/libs/soak/src/cherryrudder/soak/operator.py
@@ -0,0 +1,106 @@
+"""The operator: changes, races, resends, and reading back what is in force."""
+
+import json
+import random
+import time
+
+import anyio
+
+from cherryrudder.relay.errors import RelayError
+from cherryrudder.standin import requests
+
+from .field import Field
+from .promises import Ack, Reading
+
+CALL_S = 2.0
+PAUSE_S = 0.1
+# After so many tries a change counts as having had no clear answer.
+TRIES = 60
+READ_EVERY_S = 0.5
+FIRST_KEYS = ("k1", "k2", "k3")
+
+
+class Operator:
+    """What the operator has sent, what was acknowledged, and what was read."""
+
+    def __init__(self, field: Field, rng: random.Random):
+        self.field = field
+        self.rng = rng
+        self.version = 7
+        self.keys = FIRST_KEYS
+        # Keys that callers use; one that is taken away is used on, to see it stop.
+        self.used_keys = list(FIRST_KEYS)
+        self.acks: list[Ack] = []
+        self.readings: list[Reading] = []
+        self.wrong: list[str] = []
+        self.documents: dict[int, dict] = {}
+
+    async def change(self, keys: tuple[str, ...] | None = None) -> None:
+        """Send a new version until it is acknowledged."""
+        self.version += self.rng.randrange(1, 4)
+        await self._send(self.version, keys or self.keys)
+
+    async def race(self) -> None:
+        """Send two versions at the same time, to two control VMs."""
+        self.version += 2
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._send, self.version - 1, self.keys)
+            group.start_soon(self._send, self.version, self.keys)
+
+    async def revoke(self) -> None:
+        """Take a key away that callers go on using."""
+        if len(self.keys) > 1:
+            self.keys = self.keys[1:]
+        await self.change(self.keys)
+
+    async def send_broken(self) -> None:
+        """Send what has to be refused."""
+        document = requests.broken_configuration(self.version + 100, self.keys)
+        status = await self._call_any("POST", requests.REPLACE_PATH, document)
+        if status is not None and status[0] == 200:
+            self.wrong.append("CONFIG: an invalid configuration was acknowledged")
+
+    async def watch(self, is_over: anyio.Event) -> None:
+        """Read back what is in force, again and again, at any control VM."""
+        while not is_over.is_set():
+            await self.read_once()
+            await anyio.sleep(READ_EVERY_S)
+
+    async def read_once(self) -> Reading | None:
+        """Read at one control VM; None when it is not sure or not there."""
+        asked_s = time.monotonic()
+        answer = await self._call_any("GET", requests.READ_PATH)
+        if answer is None or answer[0] != 200:
+            return None
+        document = json.loads(answer[1])
+        version = document["version"]
+        if document != self.documents.get(version):
+            self.wrong.append(f"CONFIG: {version} was read with other content")
+        reading = Reading(version, asked_s)
+        self.readings.append(reading)
+        return reading
+
+    async def _send(self, version, keys):
+        document = requests.configuration(version, keys, 5000 + version)
+        self.documents[version] = document
+        for _ in range(TRIES):
+            answer = await self._call_any("POST", requests.REPLACE_PATH, document)
+            if answer is not None and answer[0] == 200:
+                self.acks.append(Ack(version, keys, time.monotonic()))
+                return
+            if answer is not None and answer[0] < 500:
+                self.wrong.append(f"CONFIG: {version} was refused with {answer[0]}")
+                return
+            await anyio.sleep(PAUSE_S)
+
+    async def _call_any(self, method, path, document=None):
+        """Return status and body of a call at any control VM, None without one."""
+        deployment = self.field.deployment
+        node = self.rng.choice(deployment.nodes)
+        address = deployment.control_address(node)
+        try:
+            with anyio.fail_after(CALL_S):
+                status, _, body = await deployment.call(address, method, path, document)
+        except (RelayError, TimeoutError):
+            return None
+        return status, body
--- /dev/null
+++ b/libs/soak/src/cherryrudder/soak/promises.py
@@ -0,0 +1,190 @@
+"""The promises, checked against what callers, engines and operators saw in a run.
+
+Each check is a plain function from the history to the faults that it finds, so that the
+tests can show that it finds what it is meant for.
+"""
+
+from collections import Counter, defaultdict
+from typing import NamedTuple
+
+from cherryrudder.standin import requests
+from cherryrudder.standin.engine import Arrival
+
+# To callers these statuses promise that the request has not run and never will.
+NOT_RUN = frozenset({408, 421, 429, 503})
+# Times of the users' pages: a configuration is in force everywhere, a key has stopped
+# working, and an endpoint that leaves gets nothing new.
+APPLY_S = 2.0
+REVOKE_S = 5.0
+DRAIN_S = 2.0
+# A request that was sent just before its connection closed may go unread.
+CROSSING_S = 0.2
+# A fault on the way stretches the bounds by the time that the pages give the system to
+# be in touch again, and an unstable core by five seconds more.
+UNSTABLE_S = 8.0
+
+
+class Answer(NamedTuple):
+    """What a caller got; `status` 0 when the connection ended without an answer."""
+
+    request_id: str
+    kind: str
+    key: str
+    node: str
+    sent_s: float
+    ended_s: float
+    status: int
+    body: bytes = b""
+    is_whole: bool = False
+
+
+class Ack(NamedTuple):
+    """A configuration that a control VM acknowledged."""
+
+    version: int
+    keys: tuple[str, ...]
+    at_s: float
+
+
+class Reading(NamedTuple):
+    """A configuration that was read back."""
+
+    version: int
+    asked_s: float
+
+
+class Disturbance(NamedTuple):
+    """A fault or planned work, and when it took place."""
+
+    kind: str
+    target: str
+    begins_s: float
+    ends_s: float
+
+
+class History(NamedTuple):
+    """All that was seen from outside in one run."""
+
+    answers: tuple[Answer, ...] = ()
+    acks: tuple[Ack, ...] = ()
+    readings: tuple[Reading, ...] = ()
+    # The ids of all requests that an engine began to work on, as often as it did.
+    runs: tuple[str, ...] = ()
+    arrivals: tuple[Arrival, ...] = ()
+    # When it was acknowledged that an engine leaves, by its boot.
+    left_s: dict[str, float] = {}
+    disturbances: tuple[Disturbance, ...] = ()
+    # What ended, or never came back, without having been told to.
+    own_ends: tuple[str, ...] = ()
+    events: int = 0
+
+
+def broken(history: History) -> list[str]:
+    """Return every promise that was broken, one line each."""
+    checks = (
+        _answers_are_whole_and_their_own,
+        _filings_run_once,
+        _not_run_is_true,
+        _configurations_stay,
+        _keys_stop,
+        _leaving_engines_get_nothing,
+        _planned_stops_cut_nothing,
+        lambda history: [f"END: {what}" for what in history.own_ends],
+    )
+    return [fault for check in checks for fault in check(history)]
+
+
+def _answers_are_whole_and_their_own(history):
+    for answer in history.answers:
+        if answer.status != 200 or not answer.is_whole:
+            continue
+        expected = requests.receipt(answer.request_id)
+        if answer.kind == "stream":
+            expected = requests.whole_stream(answer.request_id, history.events)
+        if answer.body != expected:
+            yield f"MIXED: {answer.kind} {answer.request_id} has another body"
+
+
+def _filings_run_once(history):
+    kinds = {answer.request_id: answer.kind for answer in history.answers}
+    for request_id, count in Counter(history.runs).items():
+        if request_id not in kinds:
+            yield f"UNASKED: {request_id} ran, and nobody sent it"
+        elif count > 1 and kinds[request_id] == "filing":
+            yield f"TWICE: filing {request_id} ran {count} times"
+
+
+def _not_run_is_true(history):
+    """Idempotent requests may have run before a refusal; filings may not."""
+    ran = set(history.runs)
+    for answer in history.answers:
+        is_promised = answer.status in NOT_RUN and answer.kind == "filing"
+        if is_promised and answer.request_id in ran:
+            yield f"REFUSED: filing {answer.request_id}, {answer.status}, has run"
+
+
+def _configurations_stay(history):
+    for reading in history.readings:
+        for ack in history.acks:
+            age_s = reading.asked_s - ack.at_s
+            if age_s > APPLY_S and reading.version < ack.version:
+                yield (
+                    f"CONFIG: {reading.version} was read {age_s:.1f} s"
+                    f" after {ack.version} was acknowledged"
+                )
+
+
+def _keys_stop(history):
+    """A key that an acknowledged version lacks, and no later one has, stops working."""
+    ran = set(history.runs)
+    newest_first = sorted(history.acks, reverse=True)
+    for answer in history.answers:
+        before = [a for a in newest_first if answer.sent_s > a.at_s + REVOKE_S]
+        if not before or answer.request_id not in ran:
+            continue
+        later = [a for a in history.acks if a.version >= before[0].version]
+        if all(answer.key not in ack.keys for ack in later):
+            yield f"CONFIG: {answer.request_id} ran with a key taken away"
+
+
+def _leaving_engines_get_nothing(history):
+    for arrival in history.arrivals:
+        left_s = history.left_s.get(arrival.engine_id)
+        if left_s is None:
+            continue
+        late_s = arrival.at_s - left_s - DRAIN_S
+        if late_s > 0 and not _is_disturbed(history, left_s, arrival.at_s):
+            yield f"DRAIN: {arrival.engine_id} got a request {late_s:.1f} s late"
+
+
+def _planned_stops_cut_nothing(history):
+    """Count what was cut at an entry that was told to stop, with nothing else wrong."""
+    stops = defaultdict(list)
+    for one in history.disturbances:
+        if one.kind == "stop-entry":
+            stops[one.target].append(one)
+    passed_on = {arrival.request_id for arrival in history.arrivals}
+    for answer in history.answers:
+        if answer.status and answer.is_whole:
+            continue
+        took_s = answer.ended_s - answer.sent_s
+        if answer.request_id not in passed_on and took_s < CROSSING_S:
+            # It crossed the close of its connection; the caller knows that nobody
+            # has read it.
+            continue
+        for stop in stops[answer.node]:
+            is_beside = answer.sent_s < stop.ends_s and stop.begins_s < answer.ended_s
+            calm = not _is_disturbed(
+                history, answer.sent_s, answer.ended_s, besides="stop-entry"
+            )
+            if is_beside and calm:
+                yield f"LOST: {answer.kind} {answer.request_id} was cut by a stop"
+
+
+def _is_disturbed(history, begins_s, ends_s, besides=""):
+    return any(
+        one.kind != besides
+        and one.begins_s < ends_s
+        and begins_s < one.ends_s + UNSTABLE_S
+        for one in history.disturbances
+    )
--- /dev/null
+++ b/libs/soak/src/cherryrudder/soak/proxy.py
@@ -0,0 +1,107 @@
+"""A TCP proxy on loopback whose connections can be delayed, held, cut and reset."""
+
+import socket
+import struct
+from enum import StrEnum
+
+import anyio
+from anyio.abc import SocketAttribute, SocketStream, TaskGroup
+
+READ_BYTES = 64 * 1024
+# Close with a reset in place of an orderly end.
+RESET = struct.pack("ii", 1, 0)
+
+
+class Mode(StrEnum):
+    """What the proxy does with bytes."""
+
+    PASS = "pass"
+    DELAY = "delay"
+    # Holds the bytes of one direction, or of both, until the mode changes.
+    HOLD_REQUESTS = "hold-requests"
+    HOLD_ANSWERS = "hold-answers"
+    SILENT = "silent"
+
+
+HELD = {
+    Mode.HOLD_REQUESTS: {"requests"},
+    Mode.HOLD_ANSWERS: {"answers"},
+    Mode.SILENT: {"requests", "answers"},
+}
+
+
+class Proxy:
+    """One listening address before one target."""
+
+    def __init__(self, listen_address: str, target: str, delay_s: float = 0.1):
+        self.listen_address = listen_address
+        self.target = target
+        self.delay_s = delay_s
+        self.mode = Mode.PASS
+        self._changed = anyio.Event()
+        self._streams: set[SocketStream] = set()
+
+    async def serve(self, group: TaskGroup) -> None:
+        """Listen until the group ends; returns once connections are taken."""
+        host, _, port = self.listen_address.rpartition(":")
+        listener = await anyio.create_tcp_listener(
+            local_host=host, local_port=int(port)
+        )
+        group.start_soon(listener.serve, self._handle)
+
+    def set_mode(self, mode: Mode) -> None:
+        """Treat all bytes so from now on."""
+        self.mode = mode
+        self._changed.set()
+        self._changed = anyio.Event()
+
+    def reset(self) -> None:
+        """Reset all connections; new ones are taken as before."""
+        for stream in tuple(self._streams):
+            raw = stream.extra(SocketAttribute.raw_socket)
+            raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+            stream._transport.abort()
+
+    async def _handle(self, caller):
+        await self._let_through("requests")
+        host, _, port = self.target.rpartition(":")
+        try:
+            target = await anyio.connect_tcp(host, int(port))
+        except OSError:
+            await caller.aclose()
+            return
+        self._streams |= {caller, target}
+        try:
+            async with anyio.create_task_group() as group:
+                group.start_soon(self._pump, caller, target, "requests", group)
+                group.start_soon(self._pump, target, caller, "answers", group)
+        finally:
+            self._streams -= {caller, target}
+            with anyio.move_on_after(1, shield=True):
+                await anyio.aclose_forcefully(caller)
+                await anyio.aclose_forcefully(target)
+
+    async def _pump(self, source, sink, direction, group):
+        try:
+            while True:
+                data = await source.receive(READ_BYTES)
+                await self._let_through(direction)
+                await sink.send(data)
+        except anyio.EndOfStream:
+            await _half_close(sink)
+        except (anyio.BrokenResourceError, anyio.ClosedResourceError):
+            group.cancel_scope.cancel()
+
+    async def _let_through(self, direction):
+        if self.mode is Mode.DELAY:
+            await anyio.sleep(self.delay_s)
+        while direction in HELD.get(self.mode, ()):
+            await self._changed.wait()
+
+
+async def _half_close(sink):
+    try:
+        await sink.send_eof()
+    except (OSError, anyio.BrokenResourceError, anyio.ClosedResourceError):
+        # The other side has gone as well.
+        pass
--- /dev/null
+++ b/libs/soak/src/cherryrudder/soak/strike.py
@@ -0,0 +1,171 @@
+"""Carries faults out on the deployment."""
+
+import signal
+import time
+
+import anyio
+
+from .faults import Fault, Kind
+from .field import Field
+from .operator import Operator
+from .promises import Disturbance
+from .proxy import Mode
+
+# A leaving engine goes on for the users' two seconds and a little longer.
+LEAVE_S = 3.0
+# Engines stay in pairs, so that one copy of the layers is always there.
+FEWEST_MODEL_ENGINES = 4
+FEWEST_PLAIN_ENGINES = 1
+
+
+class Striker:
+    """Carries faults out, and remembers when each took place."""
+
+    def __init__(self, field: Field, operator: Operator):
+        self.field = field
+        self.operator = operator
+        self.disturbances: list[Disturbance] = []
+        self.left_s: dict[str, float] = {}
+        self._busy: set[str] = set()
+
+    async def strike(self, fault: Fault) -> None:
+        """Carry one fault out, from its beginning to its end."""
+        handler = HANDLERS[fault.kind]
+        begins_s = time.monotonic()
+        number = len(self.disturbances)
+        # In force from its beginning, whatever its end.
+        self.disturbances.append(Disturbance(fault.kind, "", begins_s, float("inf")))
+        target = await handler(self, fault)
+        one = Disturbance(fault.kind, target or "", begins_s, time.monotonic())
+        self.disturbances[number] = one
+
+    def _pick(self, things, fault):
+        return things[int(fault.pick * len(things))] if things else None
+
+    async def _with_process(self, fault, role, work):
+        """Work on one process, unless another fault does so already."""
+        node = self._pick(self.field.deployment.nodes, fault)
+        name = f"{node.name}-{role}"
+        if name in self._busy or role not in node.processes:
+            return node.name
+        self._busy.add(name)
+        try:
+            await work(node, role, fault)
+        finally:
+            self._busy.discard(name)
+        return node.name
+
+    async def _kill(self, node, role, fault):
+        await self.field.end(node, role, signal.SIGKILL)
+        await anyio.sleep(fault.for_s)
+        self.field.restart(node, role)
+
+    async def _stop(self, node, role, fault):
+        await self.field.end(node, role, signal.SIGTERM)
+        self.field.restart(node, role)
+
+    async def _freeze(self, node, role, fault):
+        self.field.signal(node, role, signal.SIGSTOP)
+        await anyio.sleep(fault.for_s)
+        self.field.signal(node, role, signal.SIGCONT)
+
+    async def _wipe(self, node, role, fault):
+        await self.field.end(node, role, signal.SIGKILL)
+        self.field.wipe(node)
+        await anyio.sleep(fault.for_s)
+        self.field.restart(node, role)
+
+    async def _tear(self, node, role, fault):
+        await self.field.end(node, role, signal.SIGKILL)
+        self.field.tear(node)
+        await anyio.sleep(fault.for_s)
+        self.field.restart(node, role)
+
+    async def _kill_all(self, fault):
+        nodes = self.field.deployment.nodes
+        for node in nodes:
+            await self.field.end(node, "control", signal.SIGKILL)
+        await anyio.sleep(min(1.0, fault.for_s))
+        for node in nodes:
+            self.field.restart(node, "control")
+
+    async def _engine_dies(self, fault):
+        engine = self._pick(self._spare_engines(), fault)
+        if engine is None:
+            return ""
+        self.field.remove_engine(engine)
+        await anyio.sleep(fault.for_s)
+        await self.field.add_engine(engine.service, engine.kind)
+        return engine.engine_id
+
+    async def _engine_leaves(self, fault):
+        engine = self._pick(self._spare_engines(), fault)
+        if engine is None:
+            return ""
+        replacement = await self.field.add_engine(engine.service, engine.kind)
+        engine.is_leaving = True
+        with anyio.move_on_after(LEAVE_S):
+            while not engine.is_leaving_known:
+                await anyio.sleep(0.02)
+            self.left_s[engine.engine_id] = time.monotonic()
+        await anyio.sleep(LEAVE_S)
+        await self.field.deployment.depart(engine)
+        self.field.remove_engine(engine)
+        return f"{engine.engine_id} for {replacement.engine_id}"
+
+    def _spare_engines(self):
+        """Return the engines that may be lost now."""
+        found = []
+        for service, fewest in (
+            ("llm", FEWEST_MODEL_ENGINES),
+            ("desk", FEWEST_PLAIN_ENGINES),
+        ):
+            there = [e for e in self.field.engines if e.service == service]
+            staying = [e for e in there if not e.is_leaving]
+            found += staying if len(staying) > fewest else []
+        return found
+
+    async def _link(self, proxies, fault):
+        proxy = self._pick(list(proxies.values()), fault)
+        proxy.set_mode(fault.mode)
+        await anyio.sleep(fault.for_s)
+        proxy.set_mode(Mode.PASS)
+        return f"{proxy.listen_address} {fault.mode}"
+
+    async def _reset(self, proxies, fault):
+        proxy = self._pick(list(proxies.values()), fault)
+        proxy.reset()
+        return proxy.listen_address
+
+
+def _on_process(role, work):
+    return lambda striker, fault: striker._with_process(
+        fault, role, lambda *args: work(striker, *args)
+    )
+
+
+async def _operate(call):
+    await call()
+
+
+HANDLERS = {
+    Kind.KILL_ENTRY: _on_process("entry", Striker._kill),
+    Kind.STOP_ENTRY: _on_process("entry", Striker._stop),
+    Kind.FREEZE_ENTRY: _on_process("entry", Striker._freeze),
+    Kind.KILL_CONTROL: _on_process("control", Striker._kill),
+    Kind.STOP_CONTROL: _on_process("control", Striker._stop),
+    Kind.FREEZE_CONTROL: _on_process("control", Striker._freeze),
+    Kind.WIPE_CONTROL: _on_process("control", Striker._wipe),
+    Kind.TEAR_CONTROL: _on_process("control", Striker._tear),
+    Kind.KILL_ALL_CONTROLS: Striker._kill_all,
+    Kind.ENGINE_DIES: Striker._engine_dies,
+    Kind.ENGINE_LEAVES: Striker._engine_leaves,
+    Kind.ENGINE_LINK: lambda s, f: s._link(s.field.engine_proxies, f),
+    Kind.ENGINE_RESET: lambda s, f: s._reset(s.field.engine_proxies, f),
+    Kind.CALLER_LINK: lambda s, f: s._link(s.field.caller_proxies, f),
+    Kind.CALLER_RESET: lambda s, f: s._reset(s.field.caller_proxies, f),
+    Kind.CHANGE: lambda s, f: _operate(s.operator.change),
+    Kind.RACE: lambda s, f: _operate(s.operator.race),
+    Kind.BAD_CHANGE: lambda s, f: _operate(s.operator.send_broken),
+    Kind.REVOKE: lambda s, f: _operate(s.operator.revoke),
+}
--- /dev/null
+++ b/libs/soak/test/test_faults.py
@@ -0,0 +1,23 @@
+import unittest
+
+from cherryrudder.soak import faults
+from cherryrudder.soak.faults import CATCH_UP_S, ON_CONTROL, Kind
+
+LENGTH_S = 20.0
+
+
+class DrawTest(unittest.TestCase):
+    def test_a_seed_always_gives_the_same_faults(self):
+        self.assertEqual(faults.draw(7, LENGTH_S), faults.draw(7, LENGTH_S))
+        self.assertNotEqual(faults.draw(7, LENGTH_S), faults.draw(8, LENGTH_S))
+
+    def test_every_kind_comes(self):
+        drawn = {f.kind for seed in range(100) for f in faults.draw(seed, LENGTH_S)}
+        self.assertEqual(drawn, set(Kind))
+
+    def test_control_vms_are_lost_one_at_a_time(self):
+        """Two of three at once are more than the deployment is said to bear."""
+        for seed in range(100):
+            lost = [f for f in faults.draw(seed, LENGTH_S) if f.kind in ON_CONTROL]
+            for one, other in zip(lost, lost[1:], strict=False):
+                self.assertGreaterEqual(other.at_s, one.at_s + one.for_s + CATCH_UP_S)
--- /dev/null
+++ b/libs/soak/test/test_promises.py
@@ -0,0 +1,84 @@
+import unittest
+
+from builders import (
+    a_disturbance,
+    a_history,
+    an_ack,
+    an_answer,
+    an_arrival,
+)
+
+from cherryrudder.soak import promises
+from cherryrudder.soak.promises import Reading
+
+
+class CheckTest(unittest.TestCase):
+    """Each check has to find the fault that it is there for, and nothing else."""
+
+    def assert_broken(self, history, word):
+        found = promises.broken(history)
+        self.assertEqual([line.partition(":")[0] for line in found], [word], found)
+
+    def assert_kept(self, history):
+        self.assertEqual(promises.broken(history), [])
+
+    def test_right_answers_break_nothing(self):
+        self.assert_kept(a_history(an_answer(), an_answer("2", "stream")))
+
+    def test_an_answer_to_another_request(self):
+        other = an_answer("2")
+        self.assert_broken(a_history(an_answer("1", body=other.body)), "MIXED")
+
+    def test_an_event_that_comes_twice(self):
+        whole = an_answer("2", "stream")
+        first = whole.body[: whole.body.index(b"\n\n") + 2]
+        doubled = whole._replace(body=first + whole.body)
+        self.assert_broken(a_history(doubled), "MIXED")
+
+    def test_a_stream_that_ends_early_and_looks_whole(self):
+        whole = an_answer("2", "stream")
+        cut = whole._replace(body=whole.body[: whole.body.rindex(b"id:")])
+        self.assert_broken(a_history(cut), "MIXED")
+        self.assert_kept(a_history(cut._replace(is_whole=False)))
+
+    def test_a_filing_that_runs_twice(self):
+        self.assert_broken(a_history(an_answer(), runs=("1", "1")), "TWICE")
+        query = an_answer(kind="query")
+        self.assert_kept(a_history(query, runs=("1", "1")))
+
+    def test_a_request_that_nobody_sent(self):
+        self.assert_broken(a_history(runs=("9",)), "UNASKED")
+
+    def test_a_filing_that_ran_though_it_was_refused(self):
+        refused = an_answer(status=503, body=b"")
+        self.assert_broken(a_history(refused, runs=("1",)), "REFUSED")
+        self.assert_kept(a_history(refused))
+        self.assert_kept(a_history(refused._replace(status=502), runs=("1",)))
+
+    def test_an_older_configuration_that_is_read(self):
+        acks = (an_ack(8, 10.0), an_ack(9, 20.0))
+        self.assert_broken(a_history(acks=acks, readings=(Reading(8, 22.5),)), "CONFIG")
+        self.assert_kept(a_history(acks=acks, readings=(Reading(8, 21.5),)))
+
+    def test_a_key_that_works_on(self):
+        acks = (an_ack(8, 10.0), an_ack(9, 90.0, ("k2",)))
+        self.assert_broken(a_history(an_answer(), acks=acks), "CONFIG")
+        self.assert_kept(a_history(an_answer(key="k2"), acks=acks))
+        given_back = (*acks, an_ack(10, 99.9))
+        self.assert_kept(a_history(an_answer(), acks=given_back))
+
+    def test_an_engine_that_leaves_and_gets_more(self):
+        seen = {"left_s": {"e1": 90.0}, "arrivals": (an_arrival(at_s=93.0),)}
+        self.assert_broken(a_history(**seen), "DRAIN")
+        beside = (a_disturbance(begins_s=89.0, ends_s=91.0),)
+        self.assert_kept(a_history(**seen, disturbances=beside))
+
+    def test_a_planned_stop_that_cuts_a_stream(self):
+        stop = a_disturbance("stop-entry", "front-0", 99.0, 103.0)
+        cut = an_answer(kind="stream", body=b"", is_whole=False, ended_s=101.0)
+        seen = {"disturbances": (stop,), "arrivals": (an_arrival(),), "runs": ("1",)}
+        self.assert_broken(a_history(cut, **seen), "LOST")
+        self.assert_kept(a_history(cut._replace(node="front-1"), **seen))
+
+    def test_a_process_that_ends_by_itself(self):
+        self.assert_broken(a_history(own_ends=("front-0 entry",)), "END")
--- a/test/test_imports.py
+++ b/test/test_imports.py
@@ -20,6 +20,7 @@
     "relay": {"model", "wire"},
     "node": {"model", "wire", "replica", "quorum", "policy", "layers"}
     | {"routing", "relay", "platform"},
+    "soak": {"relay", "standin"},
 }
 IO_MODULES = {"anyio", "asyncio", "httpx", "hypercorn", "socket", "threading", "time"}
 
