Add cherryrudder trace: from a request's id to its cause

Reads the log files of many processes, joins the lines of one request in order and names what explains its end: the engine of its chain that was found dead, the layer without room and the orders for it, the age of the configuration, or the endpoint that may have run a filing.

--- a/libs/cli/src/cherryrudder/cli/main.py
+++ b/libs/cli/src/cherryrudder/cli/main.py
@@ -18,6 +18,7 @@
 from .errors import CliError
 from .options import HELP, check_address, control_addresses, read_key, split_options
 from .output import pretty
+from .trace_command import trace
 
 COMMANDS = {
     "apply": apply,
@@ -27,6 +28,7 @@
     "endpoints": platform_commands.endpoints,
     "dump": platform_commands.dump,
     "check": local_commands.check,
+    "trace": trace,
     "key-digest": local_commands.key_digest,
 }
 
--- /dev/null
+++ b/libs/cli/src/cherryrudder/cli/requestlog.py
@@ -0,0 +1,148 @@
+"""The life of one request, joined from the log lines of many processes.
+
+Lines are in the order of their times of day. Those of one process are exact; between
+VMs the clocks may differ, so a cause is looked for within some seconds.
+"""
+
+import json
+from collections.abc import Iterable
+from typing import NamedTuple
+
+# A death or a lost control VM that lies further back has been dealt with since.
+BEFORE_S = 6.0
+# What was found out just after the request had ended may explain it as well.
+AFTER_S = 1.0
+NO_WORD = "no line says how it ended: it is still under way, or its process was killed"
+
+
+class Line(NamedTuple):
+    """One line of a log."""
+
+    time_s: float
+    vm: str
+    role: str
+    part: str
+    event: str
+    fields: dict
+
+    def tells(self, name: str, default=""):
+        """Return one of its fields."""
+        return self.fields.get(name, default)
+
+
+class Trace(NamedTuple):
+    """A request's own lines, others that explain its end, and the cause in words."""
+
+    request_id: str
+    lines: list[Line]
+    beside: list[Line]
+    cause: str
+
+
+HEAD = ("time", "vm", "role", "part", "event")
+
+
+def read_line(text: str) -> Line | None:
+    """Return a structured line; None for anything else that a process prints."""
+    try:
+        found = json.loads(text)
+    except ValueError:
+        return None
+    if not isinstance(found, dict) or not all(name in found for name in HEAD):
+        return None
+    head = [found.pop(name) for name in HEAD]
+    return Line(*head, found)
+
+
+def trace(lines: Iterable[Line], request_id: str) -> Trace:
+    """Return what a request's lines and those beside them tell."""
+    ordered = sorted(lines, key=lambda line: line.time_s)
+    own = [line for line in ordered if line.tells("request_id") == request_id]
+    end = _last(own, "ended") or _last(own, "refused")
+    if end is None:
+        return Trace(request_id, own, [], NO_WORD if own else "no line names it")
+    near = [
+        line
+        for line in ordered
+        if end.time_s - BEFORE_S <= line.time_s <= end.time_s + AFTER_S
+    ]
+    beside, cause = _explain(own, near, end)
+    return Trace(request_id, own, beside, cause)
+
+
+def _explain(own, near, end):
+    refused = _last(own, "refused")
+    outcome = end.tells("outcome", f"refused {end.tells('status')}")
+    if outcome.startswith("broken off"):
+        return _explain_break(own, near, end, outcome)
+    if outcome.startswith("refused") and refused is not None:
+        if refused.tells("status") in (502, 504):
+            return _explain_unknown(own, near, refused)
+        return _explain_refusal(own, near, refused)
+    return [], outcome
+
+
+def _explain_break(own, near, end, outcome):
+    """Name the engines of the request's chains that were found dead."""
+    chains = " ".join(line.tells("chain") for line in own if line.event == "sent")
+    deaths = [
+        line
+        for line in near
+        if line.event == "engine-dead" and f"{line.tells('address')}=" in chains
+    ]
+    if not deaths:
+        return [], f"{outcome}; no engine of its chains was found dead near that time"
+    named = sorted({line.tells("address") for line in deaths})
+    verdict = _last(own, "retry")
+    left = f", and not sent again: {verdict.tells('verdict')}" if verdict else ""
+    return deaths, f"{outcome}; found dead of its chains: {', '.join(named)}{left}"
+
+
+def _explain_refusal(own, near, refused):
+    reason = refused.tells("reason")
+    missing = _last(own, "no-chain")
+    if missing is not None:
+        return _explain_no_chain(near, missing, reason)
+    if reason.startswith(("configuration", "cut off", "no configuration")):
+        kinds = ("control-lost", "leader", "confirmed", "lost")
+        beside = [line for line in near if line.event in kinds]
+        age_s = refused.tells("confirmed_age_s")
+        return beside, f"refused: {reason}, last confirmed {age_s} s before"
+    return [], f"refused: {reason}"
+
+
+def _explain_no_chain(near, missing, reason):
+    layer = missing.tells("tightest_layer", 0)
+    beside = [
+        line
+        for line in near
+        if line.event in ("engine-dead", "endpoint-gone", "endpoint-lost")
+        or (line.event == "order" and _covers(line.tells("layers"), layer))
+    ]
+    return beside, (
+        f"refused: {reason}; layer {layer} had room for"
+        f" {missing.tells('free_tokens')} tokens where {missing.tells('tokens')} were"
+        f" needed, with {missing.tells('engines')} engines in use"
+    )
+
+
+def _explain_unknown(own, near, refused):
+    sent = _last(own, "sent")
+    if sent is None:
+        return [], f"refused: {refused.tells('reason')}"
+    engine_id = sent.tells("engine_id")
+    beside = [line for line in near if line.tells("engine_id") == engine_id]
+    beside = [line for line in beside if line.part != "request"]
+    return beside, (
+        f"outcome unknown: sent to {engine_id}, then: {refused.tells('reason')};"
+        f" only its own ledger tells whether it has run"
+    )
+
+
+def _covers(layers, layer):
+    return bool(layers) and layers[0] <= layer < layers[1]
+
+
+def _last(lines, event):
+    found = [line for line in lines if line.event == event]
+    return found[-1] if found else None
--- /dev/null
+++ b/libs/cli/src/cherryrudder/cli/trace_command.py
@@ -0,0 +1,45 @@
+"""From a request's id to its cause, in log files of many processes."""
+
+from pathlib import Path
+
+from . import requestlog
+from .errors import BadInput
+from .output import Output
+from .requestlog import Line
+
+
+def trace(request_id: str, *files: Path):
+    """Print the life of one request and the cause of its end.
+
+    :param request_id: the id that the caller sent
+    :param files: log files of entries and control VMs
+    """
+
+    def run(connect):
+        lines = [line for file in files for line in _read(file)]
+        found = requestlog.trace(lines, request_id)
+        if not found.lines:
+            raise BadInput(f"{request_id}: {found.cause}")
+        begins_s = found.lines[0].time_s
+        text = [_show(line, begins_s) for line in found.lines]
+        if found.beside:
+            text += ["beside it:", *(_show(line, begins_s) for line in found.beside)]
+        return Output("\n".join([*text, found.cause]), found._asdict())
+
+    return run
+
+
+def _read(file):
+    try:
+        text = file.read_text(encoding="utf-8", errors="replace")
+    except OSError as error:
+        raise BadInput(f"{file}: {error.strerror}") from error
+    lines = (requestlog.read_line(one) for one in text.splitlines())
+    return [line for line in lines if line is not None]
+
+
+def _show(line: Line, begins_s: float):
+    fields = {k: v for k, v in line.fields.items() if k != "request_id"}
+    told = " ".join(f"{name}={value}" for name, value in fields.items())
+    at_s = line.time_s - begins_s
+    return f"{at_s:+8.3f} {line.vm} {line.role} {line.part}: {line.event} {told}"
--- /dev/null
+++ b/libs/cli/test/test_trace.py
@@ -0,0 +1,114 @@
+"""Tests of the way from a request's id to its cause."""
+
+import json
+import tempfile
+import unittest
+from pathlib import Path
+
+from builders import CliTestCase
+
+from cherryrudder.cli import requestlog
+from cherryrudder.cli.requestlog import Line
+
+CHAIN = "10.2.64.13:8323=0-13,10.2.64.9:8323=13-80"
+
+
+def a_line(time_s, event, part="request", vm="front-1", role="entry", **fields):
+    """Return a line; those of the request under test name it `r1`."""
+    if part == "request":
+        fields = {"request_id": "r1"} | fields
+    return Line(time_s, vm, role, part, event, fields)
+
+
+def a_death(time_s, address="10.2.64.9:8323"):
+    """Return the line of an entry that found an engine dead."""
+    return a_line(time_s, "engine-dead", "stalls", address=address, why="silent")
+
+
+class CauseTest(unittest.TestCase):
+    def cause(self, *lines):
+        return requestlog.trace(lines, "r1")
+
+    def test_a_broken_stream_names_the_dead_engine_of_its_chain(self):
+        found = self.cause(
+            a_line(10.0, "sent", chain=CHAIN, engine_id="e13"),
+            a_death(10.5),
+            a_death(10.4, "10.9.9.9:1"),
+            a_line(10.6, "retry", verdict="no-budget"),
+            a_line(10.7, "ended", outcome="broken off: an engine of the chain died"),
+        )
+        self.assertEqual([line.time_s for line in found.beside], [10.5])
+        self.assertIn("found dead of its chains: 10.2.64.9:8323", found.cause)
+        self.assertIn("no-budget", found.cause)
+
+    def test_a_refusal_for_want_of_layers_names_the_layer(self):
+        order = a_line(9.5, "order", "layers", "front-2", "control", layers=[50, 58])
+        other = a_line(9.5, "order", "layers", "front-2", "control", layers=[0, 8])
+        found = self.cause(
+            order,
+            other,
+            a_line(10.0, "no-chain", tightest_layer=53, free_tokens=0, tokens=900),
+            a_line(10.0, "refused", status=503, reason="no chain"),
+            a_line(10.0, "ended", outcome="refused 503"),
+        )
+        self.assertEqual(found.beside, [order])
+        self.assertIn("layer 53", found.cause)
+
+    def test_a_filing_with_an_unknown_outcome_names_who_may_have_run_it(self):
+        found = self.cause(
+            a_line(10.0, "sent", engine_id="desk-1"),
+            a_line(10.2, "refused", status=502, reason="the connection was reset"),
+            a_line(10.2, "ended", outcome="refused 502"),
+        )
+        self.assertIn("outcome unknown: sent to desk-1", found.cause)
+
+    def test_a_doubtful_configuration_tells_its_age(self):
+        lost = a_line(8.0, "control-lost", "uplink", address="10.1.0.2:7001")
+        found = self.cause(
+            lost,
+            a_line(
+                10.0,
+                "refused",
+                status=503,
+                reason="configuration unconfirmed",
+                confirmed_age_s=4.2,
+            ),
+        )
+        self.assertEqual(found.beside, [lost])
+        self.assertIn("4.2 s before", found.cause)
+
+    def test_one_whose_process_was_killed_has_no_end(self):
+        self.assertEqual(self.cause(a_line(1.0, "sent")).cause, requestlog.NO_WORD)
+
+    def test_what_is_no_structured_line_is_passed_over(self):
+        for text in ("", "Traceback", "[1]", '{"time": 1}'):
+            self.assertIsNone(requestlog.read_line(text))
+
+
+class CommandTest(CliTestCase):
+    def log(self, *lines):
+        folder = tempfile.mkdtemp()
+        path = Path(folder) / "entry.log"
+        texts = [
+            json.dumps(dict(zip(requestlog.HEAD, line[:5], strict=True)) | line.fields)
+            for line in lines
+        ]
+        path.write_text("\n".join(["not a line", *texts]))
+        return str(path)
+
+    def test_the_life_of_a_request_is_printed_in_order(self):
+        first = self.log(a_line(10.5, "ended", outcome="status 200"))
+        second = self.log(a_line(10.0, "admitted"), a_line(10.1, "sent"))
+        printed = self.run_tool("trace", "r1", first, second).splitlines()
+        self.assertEqual(
+            [line.split()[4] for line in printed[:3]], ["admitted", "sent", "ended"]
+        )
+        self.assertEqual(printed[-1], "status 200")
+
+    def test_json_has_the_cause(self):
+        log = self.log(a_line(10.5, "ended", outcome="status 200"))
+        found = json.loads(self.run_tool("--json", "trace", "r1", log))
+        self.assertEqual(found["cause"], "status 200")
+
+    def test_an_id_that_no_line_names_is_bad_input(self):
+        self.assertIn("no line", self.run_tool("trace", "r2", self.log(), expect=2))
