--- /dev/null
+++ b/libs/node/src/cherryrudder/node/streamchains.py
@@ -0,0 +1,133 @@
+"""Which chain a stream gets, and how long it waits for one."""
+
+from typing import TYPE_CHECKING
+
+from cherryrudder.layers import chains, pipes
+from cherryrudder.layers.chains import Chain, Need
+from cherryrudder.policy.roomqueue import Waiting
+from cherryrudder.replica.clock import now_s
+
+from . import entrystate
+
+if TYPE_CHECKING:
+    from .streamrelay import Stream
+
+# Part of a client's patience that its stream waits for a chain; the rest is for reading
+# the prompt, 0.1 s for a usual and 0.4 s for a large one.
+WAIT_SHARE = 0.65
+# A usual prompt is read in this time, so that a stream which gets its chain later than
+# this before its objective is late.
+READ_S = 0.1
+# The users' clients leave a stream that shows nothing for the longest of these: two
+# seconds, some objectives, some of the longest pauses that are still on time.
+LEAST_PATIENCE_S = 2.0
+PATIENCE_OBJECTIVES = 4.0
+PATIENCE_PAUSES = 8.0
+
+# Some layers are held by no engine that may be used, or by none with room.
+NO_CHAIN = "no chain"
+NO_ROOM = "no room"
+
+
+async def wait_for_chain(stream: "Stream") -> Chain | None:
+    """Return a chain that is counted in, or None when none will be free in time."""
+    job = stream.job
+    desk = stream.watch.desks.of(job.service.name)
+    chain = await desk.find(
+        _waiting(stream, now_s()),
+        lambda: _take_chain(stream),
+        is_picky=bool(stream.excluded),
+    )
+    if chain is None:
+        stream.retry_after_s = desk.retry_after_s()
+        _note_no_chain(stream)
+    return chain
+
+
+def _waiting(stream, now):
+    """Return what the queue is told of a stream.
+
+    One that was interrupted goes first, as if still in time: its client has a part of
+    the answer already, which is worth nothing without the rest.
+    """
+    job, route = stream.job, stream.job.route
+    patience_s = max(
+        LEAST_PATIENCE_S,
+        PATIENCE_OBJECTIVES * route.objective_s,
+        PATIENCE_PAUSES * route.gap_s,
+    )
+    since_s = now if stream.has_begun else job.arrived_s
+    give_up_s = min(since_s + WAIT_SHARE * patience_s, job.end_s)
+    in_time_s = job.arrived_s + route.objective_s - READ_S
+    return Waiting(
+        request_id=f"{job.facts.request_id}-{id(stream)}",
+        account=job.admitted.account,
+        tokens=stream.tokens,
+        arrived_s=job.arrived_s,
+        in_time_until_s=give_up_s if stream.has_begun else in_time_s,
+        give_up_s=give_up_s,
+    )
+
+
+def _take_chain(stream):
+    """Return a chain and count it in; it is counted out when its attempt ends."""
+    chain = _choose(stream)
+    if chain is not None:
+        stream.chain = chain
+        entrystate.began(stream.job.state, chain, stream.tokens)
+    return chain
+
+
+def _choose(stream):
+    """Return a chain, or None and why there is none in `refusal`."""
+    job, now = stream.job, now_s()
+    usable = [
+        engine
+        for engine in entrystate.candidates(job.state, job.service.name, now)
+        if engine.address not in stream.excluded
+    ]
+    need = Need(stream.tokens, job.state.settings.vm_zone)
+    chain = chains.choose_chain(job.service.model, usable, need)
+    if chain is None:
+        chain = _choose_mixed(stream, usable, need, now)
+    if chain is None:
+        roomless = [engine._replace(tokens=0) for engine in usable]
+        is_whole = chains.choose_chain(job.service.model, roomless, need) is not None
+        stream.refusal = NO_ROOM if is_whole else NO_CHAIN
+        return None
+    if not chains.covers(chain, job.service.model.layers):
+        # Checked again where it is sent: a layer left out or run twice spoils every
+        # token, and nothing behind would notice.
+        job.note("bad-chain", True, chain=[list(part) for part in chain])
+        return None
+    return chain
+
+
+def _choose_mixed(stream, usable, need, now):
+    """Return a chain over several data centres, as far as the pipes allow."""
+    state, model = stream.job.state, stream.job.service.model
+    chain = chains.choose_mixed_chain(model, usable, need)
+    if chain is None:
+        return None
+    count = chains.crossings(chain, usable)
+    cost_s = pipes.crossing_s(model, stream.job.facts.prompt_tokens, count)
+    if not pipes.may_cross(state.pipes, cost_s, state.entries, now):
+        return None
+    stream.job.note("crossing", crossings=count, debt_s=round(state.pipes.debt_s, 3))
+    return chain
+
+
+def _note_no_chain(stream):
+    """Log what a stream lacked: which layer is held by too few, or too full."""
+    job = stream.job
+    usable = entrystate.candidates(job.state, job.service.name, now_s())
+    layer, free = chains.tightest(job.service.model, usable)
+    job.note(
+        "no-chain",
+        reason=stream.refusal,
+        tokens=stream.tokens,
+        engines=len(usable),
+        tightest_layer=layer,
+        free_tokens=round(free),
+        own_streams=len(stream.watch.streams),
+    )
--- a/libs/node/src/cherryrudder/node/streamrelay.py
+++ b/libs/node/src/cherryrudder/node/streamrelay.py
@@ -7,18 +7,17 @@
 
 import math
 
-from cherryrudder.layers import chains, pipes
-from cherryrudder.layers.chains import Chain, Need
+from cherryrudder.layers.chains import Chain
 from cherryrudder.platform import engines, messages
-from cherryrudder.policy.roomqueue import Waiting
 from cherryrudder.relay import events, pool
 from cherryrudder.relay.client import EngineConnection
 from cherryrudder.relay.errors import AnswerBroken, AnswerLate, ConnectFailed
 from cherryrudder.replica.clock import now_s
 from cherryrudder.routing.gatekeeping import Refused
 
-from . import attempts, entrystate, supervision
+from . import attempts, entrystate, streamchains, supervision
 from .job import Failed, Job, Whole
+from .streamchains import NO_CHAIN, NO_ROOM
 from .supervision import Watch
 
 # A second attempt is worth sending while this much is left: a prompt is read within
@@ -30,17 +29,6 @@
 # Room comes back as streams end; one lasts 2.2 s on the average. Most clients come back
 # once only, so that a time which is too short to help costs them the answer.
 ROOM_RETRY_S = 2.0
-# Part of a client's patience that its stream waits for a chain; the rest is for reading
-# the prompt, 0.1 s for a usual and 0.4 s for a large one.
-WAIT_SHARE = 0.65
-# A usual prompt is read in this time, so that a stream which gets its chain later than
-# this before its objective is late.
-READ_S = 0.1
-# The users' clients leave a stream that shows nothing for the longest of these: two
-# seconds, some objectives, some of the longest pauses that are still on time.
-LEAST_PATIENCE_S = 2.0
-PATIENCE_OBJECTIVES = 4.0
-PATIENCE_PAUSES = 8.0
 # A client counts a time to come back that is longer than a third of the time left, some
 # 6 s, as that third.
 MOST_RETRY_S = 5.0
@@ -48,9 +36,6 @@
 # don't count against the route, but each is work for the engines that are left.
 MAX_EXTRA_SENDS = 4
 
-# Some layers are held by no engine that may be used, or by none with room.
-NO_CHAIN = "no chain"
-NO_ROOM = "no room"
 RETRY_AFTER_S = {NO_CHAIN: HOLE_RETRY_S, NO_ROOM: ROOM_RETRY_S}
 
 
@@ -107,7 +92,7 @@
     failed = Failed(NO_CHAIN, is_not_run=True, is_sent=False)
     has_run = False
     while True:
-        chain = await _wait_for_chain(stream)
+        chain = await streamchains.wait_for_chain(stream)
         if chain is None:
             failed = failed._replace(reason=stream.refusal or failed.reason)
             break
@@ -123,110 +108,6 @@
     await _give_up(stream, failed)
 
 
-async def _wait_for_chain(stream):
-    """Return a chain that is counted in, or None when none will be free in time."""
-    job = stream.job
-    desk = stream.watch.desks.of(job.service.name)
-    chain = await desk.find(
-        _waiting(stream, now_s()),
-        lambda: _take_chain(stream),
-        is_picky=bool(stream.excluded),
-    )
-    if chain is None:
-        stream.retry_after_s = desk.retry_after_s()
-        _note_no_chain(stream)
-    return chain
-
-
-def _waiting(stream, now):
-    """Return what the queue is told of a stream.
-
-    One that was interrupted goes first, as if still in time: its client has a part of
-    the answer already, which is worth nothing without the rest.
-    """
-    job, route = stream.job, stream.job.route
-    patience_s = max(
-        LEAST_PATIENCE_S,
-        PATIENCE_OBJECTIVES * route.objective_s,
-        PATIENCE_PAUSES * route.gap_s,
-    )
-    since_s = now if stream.has_begun else job.arrived_s
-    give_up_s = min(since_s + WAIT_SHARE * patience_s, job.end_s)
-    in_time_s = job.arrived_s + route.objective_s - READ_S
-    return Waiting(
-        request_id=f"{job.facts.request_id}-{id(stream)}",
-        account=job.admitted.account,
-        tokens=stream.tokens,
-        arrived_s=job.arrived_s,
-        in_time_until_s=give_up_s if stream.has_begun else in_time_s,
-        give_up_s=give_up_s,
-    )
-
-
-def _take_chain(stream):
-    """Return a chain and count it in; it is counted out when its attempt ends."""
-    chain = _choose(stream)
-    if chain is not None:
-        stream.chain = chain
-        entrystate.began(stream.job.state, chain, stream.tokens)
-    return chain
-
-
-def _choose(stream):
-    """Return a chain, or None and why there is none in `refusal`."""
-    job, now = stream.job, now_s()
-    usable = [
-        engine
-        for engine in entrystate.candidates(job.state, job.service.name, now)
-        if engine.address not in stream.excluded
-    ]
-    need = Need(stream.tokens, job.state.settings.vm_zone)
-    chain = chains.choose_chain(job.service.model, usable, need)
-    if chain is None:
-        chain = _choose_mixed(stream, usable, need, now)
-    if chain is None:
-        roomless = [engine._replace(tokens=0) for engine in usable]
-        is_whole = chains.choose_chain(job.service.model, roomless, need) is not None
-        stream.refusal = NO_ROOM if is_whole else NO_CHAIN
-        return None
-    if not chains.covers(chain, job.service.model.layers):
-        # Checked again where it is sent: a layer left out or run twice spoils every
-        # token, and nothing behind would notice.
-        job.note("bad-chain", True, chain=[list(part) for part in chain])
-        return None
-    return chain
-
-
-def _choose_mixed(stream, usable, need, now):
-    """Return a chain over several data centres, as far as the pipes allow."""
-    state, model = stream.job.state, stream.job.service.model
-    chain = chains.choose_mixed_chain(model, usable, need)
-    if chain is None:
-        return None
-    count = chains.crossings(chain, usable)
-    cost_s = pipes.crossing_s(model, stream.job.facts.prompt_tokens, count)
-    if not pipes.may_cross(state.pipes, cost_s, state.entries, now):
-        return None
-    stream.job.note("crossing", crossings=count, debt_s=round(state.pipes.debt_s, 3))
-    return chain
-
-
-def _note_no_chain(stream):
-    """Log what a stream lacked: which layer is held by too few, or too full."""
-    job = stream.job
-    usable = entrystate.candidates(job.state, job.service.name, now_s())
-    layer, free = chains.tightest(job.service.model, usable)
-    job.note(
-        "no-chain",
-        reason=stream.refusal,
-        tokens=stream.tokens,
-        engines=len(usable),
-        tightest_layer=layer,
-        free_tokens=round(free),
-        own_streams=len(stream.watch.streams),
-    )
-
-
 async def _may_retry(stream, failed):
     """Tell whether the stream may go out once more.
 
