--- a/libs/cli/src/cherryrudder/cli/trace_command.py
+++ b/libs/cli/src/cherryrudder/cli/trace_command.py
@@ -24,11 +24,19 @@
         text = [_show(line, begins_s) for line in found.lines]
         if found.beside:
             text += ["beside it:", *(_show(line, begins_s) for line in found.beside)]
-        return Output("\n".join([*text, found.cause]), found._asdict())
+        return Output("\n".join([*text, found.cause]), _plain(found))
 
     return run
 
 
+def _plain(found):
+    """Return what programs read, with the names of all fields."""
+    value = found._asdict()
+    for name in ("lines", "beside"):
+        value[name] = [line._asdict() for line in value[name]]
+    return value
+
+
 def _read(file):
     try:
         text = file.read_text(encoding="utf-8", errors="replace")
