Count a chain out again when its client leaves as its turn comes

Cause, found while reading: a stream that is given room in the same turn of the loop in which its client leaves was counted in on every engine of its chain and never out, so that the entry took that room as used for as long as it ran.

--- a/libs/node/src/cherryrudder/node/streamchains.py
+++ b/libs/node/src/cherryrudder/node/streamchains.py
@@ -33,11 +33,17 @@
     """Return a chain that is counted in, or None when none will be free in time."""
     job = stream.job
     desk = stream.watch.desks.of(job.service.name)
-    chain = await desk.find(
-        _waiting(stream, now_s()),
-        lambda: _take_chain(stream),
-        is_picky=bool(stream.excluded),
-    )
+    try:
+        chain = await desk.find(
+            _waiting(stream, now_s()),
+            lambda: _take_chain(stream),
+            is_picky=bool(stream.excluded),
+        )
+    except BaseException:
+        # A client may leave at the moment at which its stream's turn has come. The
+        # room would be counted as taken for as long as this process runs.
+        release(stream)
+        raise
     if chain is None:
         stream.retry_after_s = desk.retry_after_s()
         _note_no_chain(stream)
@@ -74,10 +80,18 @@
     chain = _choose(stream)
     if chain is not None:
         stream.chain = chain
+        stream.is_counted = True
         entrystate.began(stream.job.state, chain, stream.tokens)
     return chain
 
 
+def release(stream: "Stream") -> None:
+    """Count a stream's chain out, if it is counted in."""
+    if stream.is_counted:
+        stream.is_counted = False
+        entrystate.ended(stream.job.state, stream.chain, stream.tokens)
+
+
 def _choose(stream):
     """Return a chain, or None and why there is none in `refusal`."""
     job, now = stream.job, now_s()
--- a/libs/node/src/cherryrudder/node/streamrelay.py
+++ b/libs/node/src/cherryrudder/node/streamrelay.py
@@ -48,6 +48,8 @@
         self.stalls = watch.stalls
         self.tokens = expected_tokens(job)
         self.chain: Chain = ()
+        # The chain's engines are counted as having this stream.
+        self.is_counted = False
         self.splitter = events.EventSplitter()
         # Number of the last event that was passed on, None before the first.
         self.last_event: int | None = None
@@ -141,7 +143,7 @@
     try:
         return await _exchange(stream)
     finally:
-        entrystate.ended(stream.job.state, stream.chain, stream.tokens)
+        streamchains.release(stream)
 
 
 async def _exchange(stream):
