--- a/Makefile
+++ b/Makefile
@@ -33,6 +33,7 @@
 
 demo: install
 	$(BIN)/python tools/demo.py
+	$(BIN)/python tools/platformdemo.py
 
 clean:
 	rm -rf $(VENV)
--- a/libs/soak/src/cherryrudder/soak/run.py
+++ b/libs/soak/src/cherryrudder/soak/run.py
@@ -54,7 +54,7 @@
     with anyio.fail_after(START_S):
         await field.start()
         await operator.change()
-        await _wait_served(field, operator)
+        await wait_served(field, operator)
     async with anyio.create_task_group() as group:
         for caller in field.callers:
             group.start_soon(caller.run, operator.used_keys, is_over)
@@ -76,7 +76,7 @@
         await anyio.sleep(max(0.0, began_s + length_s - time.monotonic()))
 
 
-async def _wait_served(field, operator):
+async def wait_served(field, operator):
     """Wait until every entry has served one request of each kind."""
     for node in field.deployment.nodes:
         address = field.caller_proxies[node.name].listen_address
@@ -94,7 +94,7 @@
 async def _recover(field, operator):
     """Return what is not served again in time, now that all faults are over."""
     with anyio.move_on_after(RECOVERY_S) as scope:
-        await _wait_served(field, operator)
+        await wait_served(field, operator)
     if scope.cancelled_caught:
         return [f"RECOVER: not all is served {RECOVERY_S:.0f} s after the last fault"]
     return []
