--- a/test/test_imports.py
+++ b/test/test_imports.py
@@ -22,6 +22,11 @@
     | {"routing", "relay", "platform"},
     "soak": {"relay", "standin"},
 }
+# What the processes on the users' platform are made of. They tell the time of day in
+# their lines, and read it nowhere else.
+ON_PLATFORM = ("node", "routing", "relay", "layers", "quorum", "policy")
+TELLS_TIME = "linesink.py"
+TIME_OF_DAY = {"time.time", "time.time_ns", "datetime.now", "datetime.utcnow", "wall_s"}
 IO_MODULES = {"anyio", "asyncio", "httpx", "hypercorn", "socket", "threading", "time"}
 
 
@@ -50,3 +55,31 @@
                 for name in imported(path):
                     with self.subTest(path=path.name, imports=name):
                         self.assertNotIn(name.split(".")[0], IO_MODULES)
+
+
+class ClockTest(unittest.TestCase):
+    """A VM's time of day jumps by hours, forward or back, and back again.
+
+    A lease, a timeout or a choice between two versions that went by it would end or
+    last for hours. So nothing that decides may read it.
+    """
+
+    def test_nothing_that_decides_reads_the_time_of_day(self):
+        for library in ON_PLATFORM:
+            for path in ROOT.glob(f"libs/{library}/src/**/*.py"):
+                if path.name == TELLS_TIME:
+                    continue
+                for name in called(path):
+                    with self.subTest(path=path.name, calls=name):
+                        self.assertNotIn(name, TIME_OF_DAY)
+
+    def test_the_one_place_that_tells_it_is_found(self):
+        (path,) = ROOT.glob(f"libs/node/src/**/{TELLS_TIME}")
+        self.assertIn("time.time", set(called(path)))
+
+
+def called(path):
+    """Yield what a file calls, as it is written there."""
+    for node in ast.walk(ast.parse(path.read_text())):
+        if isinstance(node, ast.Call):
+            yield ast.unparse(node.func)
