--- a/libs/soak/src/cherryrudder/soak/__main__.py
+++ b/libs/soak/src/cherryrudder/soak/__main__.py
@@ -1,5 +1,6 @@
 """Runs seeds of the soak, some at a time, and prints what broke."""
 
+import json
 import sys
 import time
 from concurrent.futures import ProcessPoolExecutor
@@ -7,7 +8,8 @@
 
 import defopt
 
-from .run import run
+from . import plot, report
+from .run import Outcome, run
 
 # A run starts six processes and takes about half a core.
 MOST_AT_ONCE = 8
@@ -20,6 +22,7 @@
     length_s: float = 12.0,
     at_once: int = 2,
     keep_in: str = "",
+    report_in: str = "",
 ) -> int:
     """Play seeds one after the other, or some at once.
 
@@ -28,6 +31,7 @@
     :param length_s: how long faults strike in each
     :param at_once: how many runs at the same time
     :param keep_in: where the logs of broken runs stay
+    :param report_in: where each run's report goes, as JSON and as a page
     """
     first = first_seed or int(time.time())
     if keep_in:
@@ -42,6 +46,7 @@
             print(f"seed {outcome.seed}: {state}, {counts}", flush=True)
             for line in outcome.broken:
                 print(f"  {line}")
+            _write_report(outcome, report_in)
             if outcome.broken:
                 failed.append(outcome.seed)
                 print(f"  logs: {outcome.folder}")
@@ -49,9 +54,39 @@
     return 1 if failed else 0
 
 
+def _write_report(outcome: Outcome, folder: str) -> None:
+    if not folder:
+        return
+    path = Path(folder)
+    path.mkdir(parents=True, exist_ok=True)
+    name = f"seed-{outcome.seed}"
+    (path / f"{name}.json").write_text(json.dumps(outcome.report, indent=1))
+    (path / f"{name}.html").write_text(plot.page(outcome.report))
+
+
+def show(file: Path) -> int:
+    """Print a report as a table.
+
+    :param file: a report as JSON
+    """
+    print(report.table(json.loads(file.read_text())))
+    return 0
+
+
+def compare(one: Path, other: Path) -> int:
+    """Print two runs side by side.
+
+    :param one: a report as JSON
+    :param other: another
+    """
+    reports = (json.loads(file.read_text()) for file in (one, other))
+    print(report.compare(*reports))
+    return 0
+
+
 def main() -> int:
-    """Run the command line's seeds and return the exit code."""
-    return defopt.run(soak)
+    """Run the command line and return the exit code."""
+    return defopt.run({"play": soak, "show": show, "compare": compare})
 
 
 if __name__ == "__main__":
--- a/libs/soak/src/cherryrudder/soak/run.py
+++ b/libs/soak/src/cherryrudder/soak/run.py
@@ -9,12 +9,13 @@
 
 import anyio
 
-from . import faults, promises
+from . import faults, promises, report
 from .callers import Caller
 from .faults import Fault
 from .field import EVENTS, Field
 from .operator import Operator
 from .promises import History
+from .report import Report
 from .strike import Striker
 
 START_S = 40.0
@@ -32,6 +33,7 @@
     answered: int
     asked: int
     folder: str
+    report: Report
 
 
 async def play(seed: int, length_s: float, folder: str) -> tuple[History, list[str]]:
@@ -136,7 +138,8 @@
     answered = sum(a.status == 200 and a.is_whole for a in answers)
     if not broken:
         _remove(Path(folder))
-    return Outcome(seed, broken, answered, len(answers), folder)
+    told = report.summarise(f"seed {seed}", history)
+    return Outcome(seed, broken, answered, len(answers), folder, told)
 
 
 def _remove(folder):
