--- a/libs/node/src/cherryrudder/node/entry.py
+++ b/libs/node/src/cherryrudder/node/entry.py
@@ -83,7 +83,7 @@
 async def _stop(door, server, grace_s):
     """Serve on until the platform sends nobody, then until all requests have ended."""
     server.is_closing = True
-    deadline_s = now_s() + grace_s - LAST_S
+    deadline_s = door.ends_s = now_s() + grace_s - LAST_S
     await anyio.sleep(min(OUT_OF_ROTATION_S, grace_s / 2))
     door.is_closed = True
     server.close_idle()
--- a/libs/node/src/cherryrudder/node/frontdoor.py
+++ b/libs/node/src/cherryrudder/node/frontdoor.py
@@ -34,6 +34,11 @@
 # Part of the time that a client gives its request; the rest is for serving it.
 HOLD_SHARE = 0.5
 HOLD_POLL_S = 0.02
+# A usual chain makes a token in 12 to 14 ms.
+TOKEN_S = 0.014
+# Clients' guesses of their answers' length are right at the median; one in thirty
+# answers is longer than this many times its guess.
+GUESS_FACTOR = 2.5
 
 
 class FrontDoor:
@@ -43,6 +48,8 @@
         self.state = state
         # Set in the last seconds before the process ends.
         self.is_closed = False
+        # When the process ends, once that is known.
+        self.ends_s: float | None = None
         desks = RoomDesks(uplink.group)
         self.watch = Watch(state, StallDesk(state, uplink), desks)
 
@@ -92,6 +99,9 @@
         name = pick_service(admitted.route, state.rng.random())
         service = state.table.service(name)
         job = Job(state, exchange, facts, admitted, service)
+        if self._may_outlast(job):
+            await job.refuse(LEAVING)
+            return
         sharedbudget.note_request(state.budget, name, now_s())
         job.note(
             "admitted",
@@ -108,6 +118,23 @@
         finally:
             _record(job)
 
+    def _may_outlast(self, job):
+        """Tell whether a stream may go on for longer than this process.
+
+        New clients come for two seconds after the order to stop, and a long stream
+        would then be cut in the middle, when the platform's patience ends. Told at once
+        that it has not run, its client goes elsewhere and loses some milliseconds.
+        """
+        model = job.service.model
+        if self.ends_s is None or model is None or not model.layers:
+            return False
+        facts = job.facts
+        tokens = facts.guessed_answer_tokens or model.usual_answer_tokens
+        tokens *= GUESS_FACTOR
+        if facts.max_answer_tokens:
+            tokens = min(tokens, facts.max_answer_tokens)
+        return now_s() + tokens * TOKEN_S > self.ends_s
+
 
 def _record(job):
     """Count the request's end; failures keep their line also when lines are short."""
--- a/libs/node/test/test_frontdoor.py
+++ b/libs/node/test/test_frontdoor.py
@@ -63,5 +63,39 @@
         self.assertLess(took_s, frontdoor.HOLD_S)
 
 
+class OutlastTest(unittest.TestCase):
+    """An entry is told to stop; for two seconds the platform still sends new clients.
+
+    A stream that takes six seconds is cut in the middle when the platform's patience
+    ends after eight. It has to go elsewhere from the start; a short one may stay.
+    """
+
+    def may_outlast(self, left_s, guess=0, most=0, layers=80):
+        door = FrontDoor.__new__(FrontDoor)
+        door.ends_s = None if left_s is None else now_s() + left_s
+        model = SimpleNamespace(layers=layers, usual_answer_tokens=174)
+        facts = SimpleNamespace(guessed_answer_tokens=guess, max_answer_tokens=most)
+        job = SimpleNamespace(facts=facts, service=SimpleNamespace(model=model))
+        return door._may_outlast(job)
+
+    def test_long_streams_go_elsewhere_and_short_ones_stay(self):
+        self.assertTrue(self.may_outlast(7.0, guess=300))
+        self.assertFalse(self.may_outlast(7.0, guess=100))
+        self.assertTrue(self.may_outlast(3.0, guess=100))
+
+    def test_without_a_guess_the_usual_length_counts(self):
+        self.assertFalse(self.may_outlast(7.0))
+        self.assertTrue(self.may_outlast(5.0))
+
+    def test_no_answer_is_longer_than_its_request_allows(self):
+        self.assertFalse(self.may_outlast(7.0, guess=300, most=400))
+
+    def test_nothing_is_refused_before_the_order_to_stop(self):
+        self.assertFalse(self.may_outlast(None, guess=10_000))
+
+    def test_other_services_are_no_streams(self):
+        self.assertFalse(self.may_outlast(1.0, layers=0))
+
+
 if __name__ == "__main__":
     unittest.main()
