--- a/tools/demo.py
+++ b/tools/demo.py
@@ -15,6 +15,8 @@
 sys.path[:0] = [str(path) for path in sorted(ROOT.glob("libs/*/src"))]
 os.environ["PYTHONPATH"] = ":".join(sys.path[: len(list(ROOT.glob("libs/*/src")))])
 
+from story import Story  # noqa: E402
+
 from cherryrudder.fakes import fold  # noqa: E402
 from cherryrudder.fakes.deployment import (  # noqa: E402
     Deployment,
@@ -38,18 +40,6 @@
 PROMPT = "weather hold at the pad in wadi rum"
 
 
-class Story:
-    """What was checked, and whether all of it held."""
-
-    def __init__(self):
-        self.failed = 0
-
-    def check(self, text: str, held: bool) -> None:
-        """Print one line on what was seen."""
-        print(f"  {'ok' if held else 'NOT HELD'}: {text}", flush=True)
-        self.failed += not held
-
-
 def contract(customer):
     """Return a customer's contract; its key is its name, for the demo alone."""
     return Contract(
--- a/tools/platformdemo.py
+++ b/tools/platformdemo.py
@@ -14,6 +14,7 @@
 sys.path.insert(0, str(ROOT / "platform" / "src"))
 
 import anyio  # noqa: E402
+from story import Story  # noqa: E402
 
 from cherryrudder.soak.callers import Caller  # noqa: E402
 from cherryrudder.soak.field import EVENTS, Field  # noqa: E402
@@ -26,18 +27,6 @@
 STOPPED_IN_S = 8.0
 
 
-class Story:
-    """What was checked, and whether all of it held."""
-
-    def __init__(self):
-        self.failed = 0
-
-    def check(self, text: str, held: bool) -> None:
-        """Print one line on what was seen."""
-        print(f"  {'ok' if held else 'NOT HELD'}: {text}", flush=True)
-        self.failed += not held
-
-
 async def ask_all(field, count, kind, key):
     """Ask many times at once, spread over the entries; return the answers."""
     answers = []
