--- a/libs/soak/src/cherryrudder/soak/field.py
+++ b/libs/soak/src/cherryrudder/soak/field.py
@@ -71,11 +71,11 @@
         self.engines.append(engine)
         return engine
 
-    def remove_engine(self, engine: Engine) -> None:
+    async def remove_engine(self, engine: Engine) -> None:
         """End an engine without a word."""
-        engine.die()
-        self.engine_proxies[engine.engine_id].reset()
         self.engines.remove(engine)
+        engine.die()
+        await self.engine_proxies[engine.engine_id].reset()
 
     def restart(self, node: Node, role: str) -> None:
         """Start a process again that was ended."""
--- a/libs/soak/src/cherryrudder/soak/proxy.py
+++ b/libs/soak/src/cherryrudder/soak/proxy.py
@@ -55,12 +55,16 @@
         self._changed.set()
         self._changed = anyio.Event()
 
-    def reset(self) -> None:
+    async def reset(self) -> None:
         """Reset all connections; new ones are taken as before."""
-        for stream in tuple(self._streams):
+        streams = tuple(self._streams)
+        for stream in streams:
             raw = stream.extra(SocketAttribute.raw_socket)
-            raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
-            stream._transport.abort()
+            # The other end may have closed it in this turn of the loop.
+            if raw.fileno() >= 0:
+                raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+        for stream in streams:
+            await anyio.aclose_forcefully(stream)
 
     async def _handle(self, caller):
         await self._let_through("requests")
--- a/libs/soak/src/cherryrudder/soak/strike.py
+++ b/libs/soak/src/cherryrudder/soak/strike.py
@@ -93,7 +93,7 @@
         engine = self._pick(self._spare_engines(), fault)
         if engine is None:
             return ""
-        self.field.remove_engine(engine)
+        await self.field.remove_engine(engine)
         await anyio.sleep(fault.for_s)
         await self.field.add_engine(engine.service, engine.kind)
         return engine.engine_id
@@ -110,7 +110,7 @@
             self.left_s[engine.engine_id] = time.monotonic()
         await anyio.sleep(LEAVE_S)
         await self.field.deployment.depart(engine)
-        self.field.remove_engine(engine)
+        await self.field.remove_engine(engine)
         return f"{engine.engine_id} for {replacement.engine_id}"
 
     def _spare_engines(self):
@@ -134,7 +134,7 @@
 
     async def _reset(self, proxies, fault):
         proxy = self._pick(list(proxies.values()), fault)
-        proxy.reset()
+        await proxy.reset()
         return proxy.listen_address
 
 
--- a/libs/soak/test/test_proxy.py
+++ b/libs/soak/test/test_proxy.py
@@ -53,7 +53,7 @@
         async def scenario(proxy, caller):
             await caller.send(b"hello")
             await caller.receive()
-            proxy.reset()
+            await proxy.reset()
             with self.assertRaises((anyio.BrokenResourceError, anyio.EndOfStream)):
                 await caller.receive()
             host, _, port = proxy.listen_address.rpartition(":")
--- a/tools/platformdemo.py
+++ b/tools/platformdemo.py
@@ -63,7 +63,7 @@
             await anyio.sleep(0.01)
         chain = next(iter(field.deployment.fleet.chains.values()))
         last = field.deployment.fleet.engines[chain[-1][0]]
-        field.remove_engine(last)
+        await field.remove_engine(last)
     story.check(
         f"{len(whole(answers))} of {STREAMS} streams whole though an engine died",
         len(whole(answers)) == STREAMS,
