--- a/libs/layers/src/cherryrudder/layers/planner.py
+++ b/libs/layers/src/cherryrudder/layers/planner.py
@@ -33,9 +33,9 @@
 MOST_ROOM_TOKENS = 60_000.0
 # Two whole copies are worth having while each engine keeps this much room, 44,000
 # tokens for both: the usual hour of the larger deployments has 40,000 under way in a
-# data centre (worked out: 25 a second, 1.7 s, 917 tokens). An engine that dies then leaves no hole, and its streams go on at once
-# over the other copy; without one they stand still until the layers are loaded again,
-# 2 to 3 s.
+# data centre (worked out: 25 a second, 1.7 s, 917 tokens). An engine that dies then
+# leaves no hole, and its streams go on at once over the other copy; without one they
+# stand still until the layers are loaded again, 2 to 3 s.
 DOUBLE_ROOM_TOKENS = 22_000.0
 # The least room beside its layers that an engine may be left with. It is a dozen
 # usual requests; with less a burst stops every stream through it.
--- a/libs/node/src/cherryrudder/node/streamchains.py
+++ b/libs/node/src/cherryrudder/node/streamchains.py
@@ -13,7 +13,7 @@
     from .streamrelay import Stream
 
 # Part of a client's patience that its stream waits for a chain; the rest is for reading
-# the prompt: 0.05 s for a usual one on a calm day, more for large ones and busy engines.
+# the prompt: 0.05 s for a usual one on a calm day, more on busy engines.
 WAIT_SHARE = 0.65
 # A usual prompt is read in this time, so that a stream which gets its chain later than
 # this before its objective is late.
