--- a/libs/layers/src/cherryrudder/layers/chains.py
+++ b/libs/layers/src/cherryrudder/layers/chains.py
@@ -96,7 +96,8 @@
 def has_room(profile: ModelProfile, engine: Candidate, tokens: float) -> bool:
     """Tell whether an engine's memory takes a request beside those that run."""
     kind = kind_of(profile, engine.kind)
-    if kind is None:
+    if kind is None or engine.end > profile.layers:
+        # It speaks of another model than this one.
         return False
     room = room_tokens(profile, kind, engine.end - engine.first)
     return engine.tokens + tokens <= FULL_SHARE * room
@@ -209,7 +210,7 @@
     free = [0.0] * profile.layers
     for engine in engines:
         kind = kind_of(profile, engine.kind)
-        if kind is None:
+        if kind is None or engine.end > profile.layers:
             continue
         room = room_tokens(profile, kind, engine.end - engine.first)
         for layer in range(engine.first, engine.end):
--- a/libs/layers/src/cherryrudder/layers/planner.py
+++ b/libs/layers/src/cherryrudder/layers/planner.py
@@ -87,7 +87,9 @@
     engines = [
         Engine(holder, kind)
         for holder in holders
-        if not holder.is_leaving and (kind := kind_of(profile, holder.kind)) is not None
+        if not holder.is_leaving
+        and holder.holding.end <= profile.layers
+        and (kind := kind_of(profile, holder.kind)) is not None
     ]
     placements = []
     for group in _groups(profile, engines):
--- a/libs/node/src/cherryrudder/node/controlapi.py
+++ b/libs/node/src/cherryrudder/node/controlapi.py
@@ -8,7 +8,7 @@
 from cherryrudder.relay.server import Exchange
 from cherryrudder.replica.clock import now_s
 from cherryrudder.replica.errors import ReplicaError
-from cherryrudder.routing import configlog
+from cherryrudder.routing import configlog, endpoints
 
 from . import tablesync
 from .controlbeats import ControlBeats
@@ -40,9 +40,9 @@
         if asked is None:
             await _fail(exchange, 404, "no such call")
         elif asked.call is Call.HEARTBEAT:
-            await self._heartbeat(exchange, asked.engine_id)
+            await self._heartbeat(exchange, asked.engine_name)
         elif asked.call is Call.DEPART:
-            await self._depart(exchange, asked.engine_id)
+            await self._depart(exchange, asked.engine_name)
         elif asked.call is Call.REPLACE_CONFIGURATION:
             await self._replace(exchange)
         else:
@@ -51,18 +51,20 @@
     def _is_cut_off(self):
         return now_s() - self.state.confirmed_s > CUT_OFF_S
 
-    async def _heartbeat(self, exchange, engine_id):
-        result = engines.read_heartbeat(engine_id, exchange.request.body)
+    async def _heartbeat(self, exchange, name):
+        result = engines.read_heartbeat(name, exchange.request.body)
         if result.is_error():
-            self.state.sink.write(
-                "control", "bad-heartbeat", engine_id=engine_id, error=result.error
-            )
-            await _fail(exchange, 400, result.error)
+            await self._refuse_odd(exchange, name, 400, result.error)
             return
         heard = result.ok
+        if not self.state.has_service(heard.service):
+            # Believed, it would take an address away from the endpoint that is there.
+            # A service that is yet to be configured is heard with the next heartbeat.
+            await self._refuse_odd(exchange, name, 503, "no such service")
+            return
         if tablesync.hear(self.state.endpoints, heard, now_s()):
             self._log_endpoint("endpoint", heard)
-            self.beats.spread([engine_id])
+            self.beats.spread([heard.engine_id])
         if self._is_cut_off():
             # Heard all the same; but the others should hear it, too. Were it content
             # here, they would take it for lost, and its layers for a hole.
@@ -70,7 +72,20 @@
             return
         await exchange.answer(200, JSON, engines.HEARTBEAT_ANSWER)
 
-    async def _depart(self, exchange, engine_id):
+    async def _refuse_odd(self, exchange, name, status, error):
+        self.state.sink.write(
+            "control", "bad-heartbeat", engine_name=name, error=error, status=status
+        )
+        await _fail(exchange, status, error)
+
+    async def _depart(self, exchange, name):
+        result = engines.read_departure(name, exchange.request.body)
+        if result.is_error():
+            await self._refuse_odd(exchange, name, 400, result.error)
+            return
+        # Without its start, the notice is of the boot that is known by that name.
+        known = endpoints.newest_boot(self.state.endpoints.table, name)
+        engine_id = result.ok or known or name
         if tablesync.depart(self.state.endpoints, engine_id, now_s()):
             self.state.sink.write("control", "endpoint-gone", True, engine_id=engine_id)
             self.beats.spread([engine_id])
--- a/libs/node/src/cherryrudder/node/controlstate.py
+++ b/libs/node/src/cherryrudder/node/controlstate.py
@@ -3,11 +3,14 @@
 from typing import TYPE_CHECKING
 
 import anyio
+from loguru import logger
 
+from cherryrudder.platform import configuration
 from cherryrudder.platform.settings import NodeSettings
 from cherryrudder.quorum import core
 from cherryrudder.quorum.events import Voter as VoterName
 from cherryrudder.replica.clock import new_id
+from cherryrudder.routing.configuration import Service
 
 from . import gossip
 from .council import Member
@@ -19,6 +22,8 @@
 if TYPE_CHECKING:
     from cherryrudder.replica.voter import Voter
 
+log = logger.bind(part="control")
+
 
 class ControlState:
     """The settings, tables and voter of one control process."""
@@ -44,12 +49,31 @@
         self.stopping = anyio.Event()
         # When a majority last confirmed what is in force; see `controlbeats`.
         self.confirmed_s = float("-inf")
+        # Those of the configuration with this version.
+        self._services: tuple[int, tuple[Service, ...]] = (0, ())
 
     @property
     def version(self) -> int:
         """Return the version of the newest configuration that was applied here."""
         return self.voter.state.version if self.voter else 0
 
+    def services(self) -> tuple[Service, ...]:
+        """Return the services of the configuration that was applied here."""
+        version, services = self._services
+        if version != self.version:
+            text = self.voter.state.text if self.voter else ""
+            result = configuration.read_configuration(text.encode())
+            if result.is_error():
+                log.error("The accepted configuration is unreadable: {}.", result.error)
+                return ()
+            services = result.ok.services
+            self._services = (self.version, services)
+        return services
+
+    def has_service(self, name: str) -> bool:
+        """Tell whether a service is configured, as far as is known here yet."""
+        return not self.version or any(s.name == name for s in self.services())
+
     def is_leader(self) -> bool:
         """Tell whether this VM leads, as far as it knows."""
         return self.voter is not None and self.voter.node.role == core.LEADER
--- a/libs/node/src/cherryrudder/node/entrystate.py
+++ b/libs/node/src/cherryrudder/node/entrystate.py
@@ -70,6 +70,8 @@
         self.tokens: dict[str, int] = {}
         self.others: dict[str, Usage] = {}
         self.told: dict[str, ToldLoad] = {}
+        # The boot that was last heard of, by address.
+        self.boots: dict[str, str] = {}
         # Until when engines are taken as full, by address.
         self.full_until_s: dict[str, float] = {}
         self.pipes = PipeBudget()
@@ -143,6 +145,12 @@
     return suspicion.is_certainly_dead(state.suspicions, engine_id, entry.heard_s)
 
 
+def engine_name(state: EntryState, engine_id: str) -> str:
+    """Return the name by which a boot of an engine knows itself."""
+    entry = state.endpoints.table.entries.get(engine_id)
+    return (entry and entry.announcement.name) or engine_id
+
+
 def note_full(state: EntryState, address: str, now_s: float) -> None:
     """Take note that an engine had no room for a stream."""
     state.full_until_s[address] = now_s + FULL_S
--- a/libs/node/src/cherryrudder/node/job.py
+++ b/libs/node/src/cherryrudder/node/job.py
@@ -9,6 +9,7 @@
 from cherryrudder.routing.configuration import RouteKind, Service
 from cherryrudder.routing.gatekeeping import CUT_OFF, Admitted, Refused
 
+from . import entrystate
 from .entrystate import EntryState
 
 # An answer of this system's own is sent this long before the client or the route gives
@@ -87,7 +88,8 @@
 
     def sending(self, engine_id: str, **fields) -> Sending:
         """Return what this system adds to the request for an engine."""
-        return Sending(engine_id, self.end_s - now_s(), self.admitted.account, **fields)
+        name = entrystate.engine_name(self.state, engine_id)
+        return Sending(name, self.end_s - now_s(), self.admitted.account, **fields)
 
     async def pass_on(self, whole: Whole) -> None:
         """Send an engine's whole answer to the client, unchanged."""
--- a/libs/node/src/cherryrudder/node/layerkeeper.py
+++ b/libs/node/src/cherryrudder/node/layerkeeper.py
@@ -13,10 +13,9 @@
 from cherryrudder.layers import planner
 from cherryrudder.layers.planner import Holder, Placement
 from cherryrudder.layers.profile import NOTHING, Holding, ModelProfile
-from cherryrudder.platform import configuration, engines
+from cherryrudder.platform import engines
 from cherryrudder.replica.clock import now_s
 from cherryrudder.routing import endpoints
-from cherryrudder.routing.configuration import Service
 from cherryrudder.routing.endpoints import Announcement
 
 from . import enginecalls, tablesync
@@ -70,7 +69,6 @@
         self._came_s: dict[str, float] = {}
         self._changed_s = 0.0
         self._started_s = now_s()
-        self._services: tuple[int, tuple[Service, ...]] = (0, ())
 
     async def run(self) -> None:
         """Review the plan as long as this process runs."""
@@ -80,22 +78,9 @@
                 # What another leader orders meanwhile is seen in the heartbeats.
                 self._ordered.clear()
                 continue
-            for service in self._model_services():
-                await self._review(service)
-
-    def _model_services(self):
-        voter = self.state.voter
-        version, services = self._services
-        if version != voter.state.version:
-            result = configuration.read_configuration(voter.state.text.encode())
-            if result.is_error():
-                log.error("The accepted configuration is unreadable: {}.", result.error)
-                return ()
-            services = tuple(
-                s for s in result.ok.services if s.model is not None and s.model.layers
-            )
-            self._services = (voter.state.version, services)
-        return services
+            for service in self.state.services():
+                if service.model is not None and service.model.layers:
+                    await self._review(service)
 
     async def _review(self, service):
         now = now_s()
--- a/libs/node/src/cherryrudder/node/stalls.py
+++ b/libs/node/src/cherryrudder/node/stalls.py
@@ -16,6 +16,7 @@
 from cherryrudder.relay import pool
 from cherryrudder.replica.clock import now_s
 from cherryrudder.routing import suspicion
+from cherryrudder.routing.endpoints import Announcement
 
 from . import enginecalls, entrystate
 from .entrystate import EntryState
@@ -121,6 +122,15 @@
         )
 
 
+def is_of_boot(report: Report, announcement: Announcement) -> bool:
+    """Tell whether a report comes from the boot that an announcement is of.
+
+    An engine that has started again answers as if nothing had been.
+    """
+    starts_ms = {report.started_ms, announcement.started_ms} - {0}
+    return len(starts_ms) < 2
+
+
 def _is_fresh(look, now):
     limit_s = DEAD_AGE_S if look.report is None else ALIVE_AGE_S
     return now - look.asked_s < limit_s
--- a/libs/node/src/cherryrudder/node/supervision.py
+++ b/libs/node/src/cherryrudder/node/supervision.py
@@ -16,7 +16,7 @@
 from cherryrudder.platform import engines
 from cherryrudder.replica.clock import now_s
 
-from . import enginecalls, entrystate
+from . import enginecalls, entrystate, stalls
 from .entrystate import EntryState
 from .errors import EngineCallFailed
 from .roomdesk import RoomDesks
@@ -95,8 +95,9 @@
 
     def _accused(self, stream, now):
         usable = entrystate.candidates(self.state, stream.job.service.name, now)
-        known = {engine.address for engine in usable}
-        return {part.address for part in stream.chain} - known
+        # By boot: an engine that has started again at its address has lost its memory.
+        known = {engine.engine_id for engine in usable}
+        return {p.address for p in stream.chain if p.engine_id not in known}
 
     async def _look(self, stream):
         try:
@@ -118,7 +119,11 @@
             return accused
         addresses = [part.address for part in stream.chain]
         looks = await self.stalls.look(addresses)
-        silent = {a for a, look in looks.items() if look.report is None}
+        silent = {
+            part.address
+            for part in stream.chain
+            if not self._has_answered(part.engine_id, looks[part.address].report)
+        }
         if len(silent) * 2 > len(addresses):
             # Rather this machine than most engines at once.
             return set()
@@ -131,6 +136,13 @@
             self.stalls.accuse(address, "silent or stalled")
         return silent
 
+    def _has_answered(self, engine_id, report):
+        """Tell whether a report is there, and of the boot that the chain names."""
+        if report is None:
+            return False
+        entry = self.state.endpoints.table.entries.get(engine_id)
+        return entry is None or stalls.is_of_boot(report, entry.announcement)
+
 
 def progressed(stream: "Stream", now: float) -> None:
     """Take note that a stream is alive."""
--- a/libs/node/src/cherryrudder/node/uplink.py
+++ b/libs/node/src/cherryrudder/node/uplink.py
@@ -9,6 +9,7 @@
 
 from cherryrudder.platform import configuration
 from cherryrudder.policy import sharedbudget
+from cherryrudder.relay import pool
 from cherryrudder.replica.clock import now_s
 from cherryrudder.routing import configlog, endpoints, suspicion
 from cherryrudder.routing.routetable import RouteTable
@@ -163,6 +164,18 @@
             entry = state.endpoints.table.entries.get(engine_id)
             if entry is not None:
                 self._log_endpoint(entry)
+                self._note_boot(entry.announcement)
+
+    def _note_boot(self, announcement):
+        """Drop the connections to what was at an address before this boot.
+
+        The first request to an engine that has started again would go out on one of
+        them, and find it reset.
+        """
+        state, address = self.state, announcement.address
+        if state.boots.get(address, announcement.engine_id) != announcement.engine_id:
+            pool.drop(state.pool, address)
+        state.boots[address] = announcement.engine_id
 
     def _log_endpoint(self, entry: endpoints.Entry):
         announcement = entry.announcement
--- a/libs/node/src/cherryrudder/node/verification.py
+++ b/libs/node/src/cherryrudder/node/verification.py
@@ -14,7 +14,7 @@
 from cherryrudder.replica.clock import now_s
 from cherryrudder.routing import endpoints
 
-from . import enginecalls, roster
+from . import enginecalls, roster, stalls
 from .controlstate import ControlState
 from .errors import EngineCallFailed
 from .gossip import Accusation, Acquittal, DeathNotice
@@ -82,12 +82,13 @@
         address = known.announcement.address
         for timeout_s in (REPORT_S, SECOND_REPORT_S):
             try:
-                await enginecalls.get_report(address, timeout_s)
+                report = await enginecalls.get_report(address, timeout_s)
             except EngineCallFailed as error:
                 log.info("No report: {}.", error)
             else:
                 # Another boot at the same address would answer as well.
-                return self._is_newest_there(engine_id, address)
+                is_same = stalls.is_of_boot(report, known.announcement)
+                return is_same and self._is_newest_there(engine_id, address)
         return False
 
     def _is_newest_there(self, engine_id, address):
--- a/libs/node/test/test_verification.py
+++ b/libs/node/test/test_verification.py
@@ -35,12 +35,12 @@
     control VM beside the engine asks it as well before anybody else is told.
     """
 
-    def accuse(self, is_alive, times=1, accusers=(ACCUSER,)):
+    def accuse(self, is_alive, times=1, accusers=(ACCUSER,), started_ms=(0, 0)):
         """Return what a control VM sends after accusations, and its reports."""
         piped = PipedSink()
         self.addCleanup(piped.close)
         state = ControlState(read_settings(SETTINGS).ok, piped.sink, Metrics())
-        engine = an_announcement("boot-1", layers=(0, 8))
+        engine = an_announcement("boot-1", layers=(0, 8), started_ms=started_ms[0])
         endpoints.hear(state.endpoints.table, engine, now_s())
         for address in (ACCUSER, OTHER):
             roster.hear(state.entries, address, None, now_s())
@@ -51,7 +51,7 @@
             await anyio.sleep(0)
             if not is_alive:
                 raise EngineCallFailed(address)
-            return Report(0, False, 0, 0, 0.0, 0.0, 1.0, (0, 8), ())
+            return Report(0, False, 0, 0, 0.0, 0.0, 1.0, (0, 8), (), started_ms[1])
 
         async def play():
             async with anyio.create_task_group() as group:
@@ -87,6 +87,12 @@
         self.assertEqual(len(asked), 1)
         self.assertEqual({address for address, _ in sent}, {ACCUSER, OTHER})
 
+    def test_one_that_has_started_again_since_is_dead(self):
+        """The address answers, but the boot that held the layers is gone."""
+        sent, _, state = self.accuse(is_alive=True, started_ms=(100, 200))
+        self.assertIn((ACCUSER, DeathNotice("boot-1")), sent)
+        self.assertIn("boot-1", state.accused)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/libs/routing/src/cherryrudder/routing/endpoints.py
+++ b/libs/routing/src/cherryrudder/routing/endpoints.py
@@ -2,7 +2,9 @@
 
 Every control VM and every entry keeps such a table and merges what it hears of others.
 Merging gives the same result in any order: per boot of an endpoint the heartbeat with
-the highest number counts, and leaving is never taken back.
+the highest number counts, and leaving is never taken back. An endpoint may start again
+under the name that it had. Its later boot then ends the earlier one: that one's memory
+is gone, and a heartbeat of it that was held up must not speak for the new one.
 """
 
 from typing import NamedTuple
@@ -26,7 +28,7 @@
 class Announcement(NamedTuple):
     """What one boot of an endpoint last said of itself."""
 
-    # New at each start of the endpoint.
+    # New at each start of the endpoint, and the key of all that is known of it.
     engine_id: str
     service: str
     address: str
@@ -40,6 +42,10 @@
     cold_s: float = 0.0
     kind: str = ""
     holding: Holding = NOTHING
+    # The endpoint's own name, which it may keep over a restart.
+    name: str = ""
+    # Orders the boots of one name; 0 where the endpoint doesn't tell.
+    started_ms: int = 0
 
 
 class Entry(NamedTuple):
@@ -65,10 +71,15 @@
     """Take a heartbeat; tell whether others should hear of it at once."""
     known = table.entries.get(heard.engine_id)
     if known is None:
+        if _has_later_boot(table, heard):
+            return False
+        _end_earlier_boots(table, heard, now_s)
         table.entries[heard.engine_id] = Entry(heard, now_s)
         table.version += 1
         return True
     if known.is_gone:
+        # Its departure came first; it still tells that the boots before have ended.
+        _end_earlier_boots(table, heard, now_s)
         return False
     if heard.number <= known.announcement.number:
         return heard.is_leaving and _leave(table, known, now_s)
@@ -81,6 +92,45 @@
     return is_news
 
 
+def _boots_of(table, announcement):
+    """Return the known boots of an endpoint that tells its boots apart."""
+    if not announcement.started_ms:
+        return []
+    return [
+        entry
+        for entry in table.entries.values()
+        if entry.announcement.name == announcement.name
+        and entry.announcement.started_ms
+    ]
+
+
+def _has_later_boot(table, heard):
+    return any(
+        entry.announcement.started_ms > heard.started_ms
+        for entry in _boots_of(table, heard)
+    )
+
+
+def _end_earlier_boots(table, heard, now_s):
+    for entry in _boots_of(table, heard):
+        if entry.announcement.started_ms >= heard.started_ms:
+            continue
+        # Kept as gone, so that its late heartbeats stay without effect.
+        ended = entry.announcement._replace(is_leaving=True)
+        table.entries[ended.engine_id] = Entry(ended, now_s, True)
+
+
+def newest_boot(table: EndpointTable, name: str) -> str | None:
+    """Return the last boot that is known of an endpoint's name, if any."""
+    boots = [
+        entry.announcement
+        for entry in table.entries.values()
+        if entry.announcement.name == name
+    ]
+    newest = max(boots, key=lambda boot: boot.started_ms, default=None)
+    return newest and newest.engine_id
+
+
 def _leave(table, known, now_s):
     """Take a notice of leaving that later heartbeats overtook; tell whether news."""
     if known.announcement.is_leaving:
@@ -158,11 +208,19 @@
         address = entry.announcement.address
         other = newest.get(address)
         # An address is used again by a later boot, also of another service.
-        if other is None or entry.heard_s > other.heard_s:
+        if other is None or _is_later(entry, other):
             newest[address] = entry
     return [entry.announcement for entry in newest.values()]
 
 
+def _is_later(entry, other):
+    """Tell which of two boots at one address is there now, by their starts if told."""
+    starts_ms = entry.announcement.started_ms, other.announcement.started_ms
+    if all(starts_ms) and starts_ms[0] != starts_ms[1]:
+        return starts_ms[0] > starts_ms[1]
+    return entry.heard_s > other.heard_s
+
+
 def may_take_work(announcement: Announcement) -> bool:
     """Tell whether an endpoint is to get new requests."""
     return not announcement.is_leaving
--- a/libs/routing/test/test_endpoints.py
+++ b/libs/routing/test/test_endpoints.py
@@ -72,6 +72,63 @@
         self.assertEqual(known(table, 2.2), {"new"})
 
 
+class RestartTest(unittest.TestCase):
+    """An engine crashes and starts again under the name that it had.
+
+    Its heartbeats count from one again, and those of the boot before may come late.
+    Taken for one engine, the new boot seems to be old news: it stays unused, or is
+    thought to hold layers that it has lost.
+    """
+
+    def boot(self, started_ms, number, layers=None):
+        return an_announcement(
+            f"e@{started_ms}", number, layers, name="e", started_ms=started_ms
+        )
+
+    def test_the_new_boot_counts_although_its_numbers_are_lower(self):
+        table = EndpointTable()
+        endpoints.hear(table, self.boot(100, 90, (0, 8)), 0.0)
+        self.assertTrue(endpoints.hear(table, self.boot(200, 1), 1.0))
+        (live,) = endpoints.live(table, 1.0)
+        self.assertEqual((live.engine_id, tuple(live.holding)), ("e@200", (0, 0)))
+
+    def test_a_late_heartbeat_of_the_boot_before_counts_for_nothing(self):
+        table = EndpointTable()
+        endpoints.hear(table, self.boot(200, 1), 1.0)
+        self.assertFalse(endpoints.hear(table, self.boot(100, 91, (0, 8)), 1.5))
+        endpoints.hear(table, self.boot(100, 92, (0, 8)), 1.6)
+        self.assertEqual(known(table, 1.6), {"e@200"})
+
+    def test_the_departure_of_the_boot_before_leaves_the_new_one(self):
+        table = EndpointTable()
+        endpoints.hear(table, self.boot(100, 9), 0.0)
+        endpoints.hear(table, self.boot(200, 1), 1.0)
+        endpoints.depart(table, "e@100", 1.5)
+        self.assertEqual(known(table, 1.5), {"e@200"})
+        self.assertEqual(endpoints.newest_boot(table, "e"), "e@200")
+
+    @settings(max_examples=300, deadline=None, derandomize=True)
+    @given(
+        st.lists(
+            st.tuples(st.integers(1, 3), st.integers(1, 4), st.sampled_from("hd")),
+            max_size=10,
+        )
+    )
+    def test_any_history_ends_like_a_table_that_is_told_the_truth(self, events):
+        """The truth: the newest boot that was heard, unless its departure was."""
+        table = EndpointTable()
+        for started_ms, number, kind in events:
+            if kind == "d":
+                endpoints.depart(table, f"e@{started_ms}", 0.0)
+            else:
+                endpoints.hear(table, self.boot(started_ms, number), 0.0)
+        heard = [e[0] for e in events if e[2] != "d"]
+        departed = {e[0] for e in events if e[2] == "d"}
+        newest = max(heard, default=None)
+        is_there = newest is not None and newest not in departed
+        self.assertEqual(known(table), {f"e@{newest}"} if is_there else set())
+
+
 class ObserveTest(unittest.TestCase):
     def test_two_looks_between_heartbeats_both_count(self):
         """An engine gives its old layers up, then has loaded the new ones.
