--- a/libs/layers/src/cherryrudder/layers/chains.py
+++ b/libs/layers/src/cherryrudder/layers/chains.py
@@ -48,6 +48,11 @@
     tokens: float = 0.0
     # Over 1 for an engine that answers slower than its kind.
     slowness: float = 1.0
+    # Those of the running ones whose chain begins here.
+    firsts: float = 0.0
+    # Multiplies its cost. Somewhat different for each choice, it keeps the choices of
+    # many entries that know the same from being all alike.
+    jitter: float = 1.0
 
 
 class Part(NamedTuple):
@@ -89,7 +94,7 @@
     # A queue grows as 1 / (1 - fill): two copies are then filled evenly, and the
     # slower one is used before the faster one is full.
     crowd = 1.0 / max(0.05, 1.0 - fill)
-    return layer_step_s(profile, engine) * crowd
+    return layer_step_s(profile, engine) * crowd * engine.jitter
 
 
 def layer_step_s(profile: ModelProfile, engine: Candidate) -> float:
@@ -242,6 +247,9 @@
         for engine in engines:
             if not engine.first <= at < engine.end:
                 continue
+            if at == 0 and engine.firsts >= profile.slots:
+                # It would refuse the request, which costs a retry.
+                continue
             cost, state = _cheapest_entry(states, engine.vm_zone)
             if state is None:
                 continue
--- a/libs/node/src/cherryrudder/node/controlbeats.py
+++ b/libs/node/src/cherryrudder/node/controlbeats.py
@@ -251,9 +251,13 @@
     """Sum up what entries have running, by engine."""
     sums: dict[str, Usage] = {}
     for one in (one for beat in beats for one in beat.usage):
-        known = sums.get(one.address, Usage(one.address, 0, 0))
-        running, tokens = known.running + one.running, known.tokens + one.tokens
-        sums[one.address] = Usage(one.address, running, tokens)
+        known = sums.get(one.address, Usage(one.address, 0, 0, 0))
+        sums[one.address] = Usage(
+            one.address,
+            known.running + one.running,
+            known.tokens + one.tokens,
+            known.firsts + one.firsts,
+        )
     return tuple(sums.values())
 
 
--- a/libs/node/src/cherryrudder/node/entrystate.py
+++ b/libs/node/src/cherryrudder/node/entrystate.py
@@ -9,6 +9,8 @@
 from cherryrudder.layers.chains import Candidate, Chain
 from cherryrudder.layers.pipes import PipeBudget
 from cherryrudder.platform.settings import NodeSettings
+from cherryrudder.policy import otherload
+from cherryrudder.policy.otherload import Load, OtherLoad
 from cherryrudder.policy.sharedbudget import SharedBudget
 from cherryrudder.relay.pool import Pool
 from cherryrudder.replica.clock import new_id
@@ -29,6 +31,9 @@
 # other entries have running there is known half a second late; meanwhile all streams
 # would go to the same full engine, and each refusal costs a retry.
 FULL_S = 0.4
+# How much an engine's cost differs from choice to choice: less than kinds differ, more
+# than two engines of one kind that have a few streams more or less.
+JITTER = 0.15
 # Entries assumed until the control VMs tell how many there are.
 FIRST_ENTRIES = 32
 
@@ -66,10 +71,14 @@
             bounds.retry_window_s,
             FIRST_ENTRIES,
         )
-        # By engine address: requests and tokens of this entry, and of the others.
+        # By engine address: requests, their tokens and the chains that begin there, of
+        # this entry and of the others.
         self.running: dict[str, int] = {}
         self.tokens: dict[str, int] = {}
-        self.others: dict[str, Usage] = {}
+        self.firsts: dict[str, int] = {}
+        self.others = OtherLoad()
+        # Other entries that serve the same data centre.
+        self.peers = 0.0
         self.told: dict[str, ToldLoad] = {}
         # The boot that was last heard of, by address.
         self.boots: dict[str, str] = {}
@@ -92,6 +101,8 @@
     for part in chain:
         state.running[part.address] = state.running.get(part.address, 0) + 1
         state.tokens[part.address] = state.tokens.get(part.address, 0) + tokens
+    first = chain[0].address
+    state.firsts[first] = state.firsts.get(first, 0) + 1
 
 
 def ended(state: EntryState, chain: Chain, tokens: int) -> None:
@@ -102,13 +113,37 @@
         if not state.running[part.address]:
             del state.running[part.address]
             del state.tokens[part.address]
+    first = chain[0].address
+    state.firsts[first] -= 1
+    if not state.firsts[first]:
+        del state.firsts[first]
 
 
 def usage(state: EntryState) -> tuple[Usage, ...]:
     """Return what this entry has running, for the other entries."""
-    return tuple(
-        Usage(address, count, state.tokens[address])
-        for address, count in state.running.items()
+    return tuple(Usage(address, *_own(state, address)) for address in state.running)
+
+
+def note_beat(state: EntryState) -> None:
+    """Take note of what this entry has running as it tells the others."""
+    own = {address: _own(state, address) for address in state.running}
+    otherload.note_beat(state.others, own)
+
+
+def hear_others(
+    state: EntryState, usages: tuple[Usage, ...], data_centres: int
+) -> None:
+    """Take what the other entries had running."""
+    told = {one.address: Load(*one[1:]) for one in usages}
+    otherload.hear(state.others, told)
+    state.peers = max(0.0, state.entries / max(1, data_centres) - 1)
+
+
+def _own(state, address):
+    return Load(
+        state.running.get(address, 0),
+        state.tokens.get(address, 0),
+        state.firsts.get(address, 0),
     )
 
 
@@ -159,9 +194,9 @@
 
 def _candidate(state, announcement, now):
     address = announcement.address
-    others = state.others.get(address)
+    own = _own(state, address)
+    others = otherload.estimate(state.others, address, own, state.peers)
     is_full = now < state.full_until_s.get(address, 0.0)
-    tokens = state.tokens.get(address, 0) + (others.tokens if others else 0)
     return Candidate(
         address=address,
         engine_id=announcement.engine_id,
@@ -169,8 +204,10 @@
         kind=announcement.kind,
         first=announcement.holding.first,
         end=announcement.holding.end,
-        running=state.running.get(address, 0) + (others.running if others else 0),
-        tokens=math.inf if is_full else tokens,
+        running=own.running + others.running,
+        tokens=math.inf if is_full else own.tokens + others.tokens,
+        firsts=own.firsts + others.firsts,
+        jitter=1.0 + JITTER * state.rng.random(),
         slowness=slowness.slowness_of(state.slowness, announcement.engine_id, now),
     )
 
--- a/libs/node/src/cherryrudder/node/gossip.py
+++ b/libs/node/src/cherryrudder/node/gossip.py
@@ -33,6 +33,8 @@
     address: str
     running: int
     tokens: int
+    # Streams whose chain begins there; engines bound how many they take.
+    firsts: int
 
 
 class TableMark(NamedTuple):
--- a/libs/node/src/cherryrudder/node/uplink.py
+++ b/libs/node/src/cherryrudder/node/uplink.py
@@ -102,6 +102,7 @@
         while True:
             now = now_s()
             tellers = tellers_of(roster.beats(state.controls, now))
+            entrystate.note_beat(state)
             for address in roster.targets(state.controls, now):
                 self.links.send(address, self._own_beat(address, tellers, now))
             for address in roster.sweep(state.controls, now):
@@ -157,7 +158,8 @@
         self._seen[answer.address] = TableMark(answer.boot, answer.table_version)
         state.entries = answer.entries
         if answer.usage is not None:
-            state.others = {one.address: one for one in answer.usage}
+            data_centres = len(tellers_of(roster.beats(state.controls, now)))
+            entrystate.hear_others(state, answer.usage, data_centres)
             sharedbudget.share(state.budget, answer.spent, answer.entries, now)
         # A version that is not here yet confirms nothing; the next answer will.
         if 0 < answer.version <= state.version:
--- a/libs/node/test/test_streamchains.py
+++ b/libs/node/test/test_streamchains.py
@@ -41,7 +41,7 @@
     """
 
     def test_the_room_is_free_again(self):
-        state = SimpleNamespace(running={}, tokens={})
+        state = SimpleNamespace(running={}, tokens={}, firsts={})
         tries = []
 
         async def play():
