--- a/libs/layers/src/cherryrudder/layers/planner.py
+++ b/libs/layers/src/cherryrudder/layers/planner.py
@@ -27,10 +27,15 @@
 
 # Layers in all over one copy: the last range rarely ends just at the last layer.
 SPARE_SHARE = 1.04
-# More room than this is not worth having fewer copies for. A data centre has some 25
-# streams of 950 tokens under way in the usual hour (11 a second, 2.2 s each), and twice
-# that while it stands in for another.
+# More room than this is not worth having a single copy without any layer held twice
+# for. A data centre has some 25 streams of 950 tokens under way in the usual hour (11 a
+# second, 2.2 s each), and twice that while it stands in for another.
 MOST_ROOM_TOKENS = 60_000.0
+# Beyond two copies more room is worth more than a third copy. The largest engines come
+# first and make up the first copy; a third one took the room on them that the streams
+# needed, and sent these to the slowest kind, where they last twice as long. This is far
+# more than an engine has requests for: 96 at once of 950 tokens.
+MOST_DOUBLE_ROOM_TOKENS = 250_000.0
 # Two whole copies are worth having while each engine keeps this much room, 44,000
 # tokens for both: the usual hour of the larger deployments has 40,000 under way in a
 # data centre (worked out: 25 a second, 1.7 s, 917 tokens). An engine that dies then
@@ -103,14 +108,13 @@
     For one copy where two would leave the engines too little.
     """
     engines = list(engines)
-    room = _room_beside(profile, engines, 2)
+    room = _room_beside(profile, engines, 2, MOST_DOUBLE_ROOM_TOKENS)
     if room < DOUBLE_ROOM_TOKENS:
-        room = _room_beside(profile, engines, 1)
+        room = _room_beside(profile, engines, 1, MOST_ROOM_TOKENS)
     return room
 
 
-def _room_beside(profile, engines, copies):
-    room = MOST_ROOM_TOKENS
+def _room_beside(profile, engines, copies, room):
     while room > 500.0:
         layers = sum(most_layers(profile, e.kind, room) for e in engines)
         if layers >= copies * profile.layers * SPARE_SHARE:
