--- a/libs/layers/src/cherryrudder/layers/chains.py
+++ b/libs/layers/src/cherryrudder/layers/chains.py
@@ -91,9 +91,9 @@
     kind = kind_of(profile, engine.kind)
     room = room_tokens(profile, kind, engine.end - engine.first)
     fill = engine.tokens / room if room else 1.0
-    # A queue grows as 1 / (1 - fill): two copies are then filled evenly, and the
+    # Room alone costs nothing until it runs out: with 1 - fill in place of its square the
     # slower one is used before the faster one is full.
-    crowd = 1.0 / max(0.05, 1.0 - fill)
+    crowd = 1.0 / max(0.05, 1.0 - fill * fill)
     return layer_step_s(profile, engine) * crowd * engine.jitter
 
 
--- a/libs/node/src/cherryrudder/node/entrystate.py
+++ b/libs/node/src/cherryrudder/node/entrystate.py
@@ -14,8 +14,9 @@
 from cherryrudder.policy.sharedbudget import SharedBudget
 from cherryrudder.relay.pool import Pool
 from cherryrudder.replica.clock import new_id
-from cherryrudder.routing import endpoints, slowness, suspicion
+from cherryrudder.routing import endpoints, hangs, slowness, suspicion
 from cherryrudder.routing.endpoints import Announcement
+from cherryrudder.routing.hangs import Hangs
 from cherryrudder.routing.routetable import RouteTable
 from cherryrudder.routing.slowness import SlownessBook
 from cherryrudder.routing.suspicion import Suspicions
@@ -60,6 +61,7 @@
         self.endpoints = SharedTable(self.boot)
         self.suspicions = Suspicions()
         self.slowness = SlownessBook()
+        self.hangs = Hangs()
         self.table: RouteTable | None = None
         # When the question was asked whose answer last confirmed the configuration.
         self.confirmed_s = float("-inf")
@@ -196,6 +198,7 @@
     address = announcement.address
     own = _own(state, address)
     others = otherload.estimate(state.others, address, own, state.peers)
+    is_hung = hangs.is_resting(state.hangs, announcement.engine_id, now)
     is_full = now < state.full_until_s.get(address, 0.0)
     return Candidate(
         address=address,
@@ -206,7 +209,8 @@
         end=announcement.holding.end,
         running=own.running + others.running,
         tokens=math.inf if is_full else own.tokens + others.tokens,
-        firsts=own.firsts + others.firsts,
+        # One that begins nothing still runs its part of other engines' requests.
+        firsts=math.inf if is_hung else own.firsts + others.firsts,
         jitter=1.0 + JITTER * state.rng.random(),
         slowness=slowness.slowness_of(state.slowness, announcement.engine_id, now),
     )
--- a/libs/node/src/cherryrudder/node/streamchains.py
+++ b/libs/node/src/cherryrudder/node/streamchains.py
@@ -4,6 +4,7 @@
 
 from cherryrudder.layers import chains, pace, pipes
 from cherryrudder.layers.chains import Chain, Need
+from cherryrudder.policy import window
 from cherryrudder.policy.roomqueue import Waiting
 from cherryrudder.replica.clock import now_s
 
@@ -36,7 +37,7 @@
     try:
         chain = await desk.find(
             _waiting(stream, now_s()),
-            lambda: _take_chain(stream),
+            lambda: _take_chain(stream, desk.window),
             is_picky=bool(stream.excluded),
         )
     except BaseException:
@@ -75,12 +76,16 @@
     )
 
 
-def _take_chain(stream):
+def _take_chain(stream, own_window):
     """Return a chain and count it in; it is counted out when its attempt ends."""
+    if not stream.has_begun and not window.is_open(own_window):
+        stream.refusal = NO_ROOM
+        return None
     chain = _choose(stream)
     if chain is not None:
         stream.chain = chain
         stream.is_counted = True
+        own_window.running += 1
         entrystate.began(stream.job.state, chain, stream.tokens)
     return chain
 
@@ -89,6 +94,7 @@
     """Count a stream's chain out, if it is counted in."""
     if stream.is_counted:
         stream.is_counted = False
+        stream.watch.desks.of(stream.job.service.name).window.running -= 1
         entrystate.ended(stream.job.state, stream.chain, stream.tokens)
 
 
--- a/libs/node/src/cherryrudder/node/streamrelay.py
+++ b/libs/node/src/cherryrudder/node/streamrelay.py
@@ -9,10 +9,12 @@
 
 from cherryrudder.layers.chains import Chain
 from cherryrudder.platform import engines, messages
+from cherryrudder.policy import window
 from cherryrudder.relay import events, pool
 from cherryrudder.relay.client import EngineConnection
 from cherryrudder.relay.errors import AnswerBroken, AnswerLate, ConnectFailed
 from cherryrudder.replica.clock import now_s
+from cherryrudder.routing import hangs
 from cherryrudder.routing.gatekeeping import Refused
 
 from . import attempts, entrystate, streamchains, supervision
@@ -67,12 +69,16 @@
         self.complained_s = float("-inf")
         self.silence_s = supervision.FIRST_SILENCE_S
         self.is_looked_at = False
+        # When the present attempt went to its engine.
+        self.sent_s = 0.0
         # Why there was no chain, and when there may be one.
         self.refusal = ""
         self.retry_after_s = 0.0
         # Why the watch broke the present attempt off, and whether for want of time.
         self.broken = ""
         self.is_late = False
+        # The present attempt's engine has begun it, or refused it.
+        self.has_head = False
         # Engines that this request is not to meet again.
         self.excluded: set[str] = set()
 
@@ -170,6 +176,7 @@
             engine_id=first.engine_id,
             last_event=sending.last_event,
         )
+        _note_sent(stream)
         await attempts.send(job, connection, sending)
         failed = await _relay(stream, connection)
         is_kept = failed is None or failed.is_not_run
@@ -183,6 +190,7 @@
         return Failed(reason, is_not_run=False, is_late=stream.is_late)
     finally:
         stream.connection = None
+        hangs.ended(job.state.hangs, first.engine_id, job.facts.request_id)
         stream.watch.streams.discard(stream)
         if is_kept:
             pool.give_back(job.state.pool, connection, now_s())
@@ -190,9 +198,37 @@
             connection.close()
 
 
+def _note_sent(stream):
+    job, now = stream.job, now_s()
+    stream.sent_s = now
+    hangs.sent(
+        job.state.hangs,
+        stream.chain[0].engine_id,
+        job.facts.request_id,
+        job.route.objective_s,
+        now,
+    )
+
+
+def _note_head(stream):
+    """Take note that the first engine has begun the request, or refused it."""
+    job, now = stream.job, now_s()
+    engine_id, request_id = stream.chain[0].engine_id, job.facts.request_id
+    hangs.begun(job.state.hangs, engine_id, request_id, now)
+    stream.has_head = True
+
+
+def _note_first_event(stream, now):
+    job = stream.job
+    first_s, objective_s = now - stream.sent_s, job.route.objective_s
+    desk = stream.watch.desks.of(job.service.name)
+    window.answered(desk.window, first_s, objective_s, now)
+
+
 def _watch(stream, connection):
     stream.connection = connection
     stream.broken = ""
+    stream.has_head = False
     supervision.progressed(stream, now_s())
     stream.watch.streams.add(stream)
 
@@ -207,6 +243,7 @@
     """Pass an engine's answer on; return what kept it from its end, if anything."""
     job = stream.job
     head, facts = await attempts.read_own_head(job, connection, job.left_s())
+    _note_head(stream)
     if facts.is_not_run:
         await _read_rest(connection)
         if facts.fault_address:
@@ -259,6 +296,8 @@
         fresh = [e for e in events.split(stream.splitter, data) if _is_new(stream, e)]
         if not fresh:
             continue
+        if job.first_byte_s is None:
+            _note_first_event(stream, now_s())
         job.note_piece(now_s())
         await job.exchange.send(b"".join(event.data for event in fresh))
     if stream.splitter.rest:
--- a/libs/node/src/cherryrudder/node/supervision.py
+++ b/libs/node/src/cherryrudder/node/supervision.py
@@ -15,6 +15,7 @@
 from cherryrudder.layers.chains import Need
 from cherryrudder.platform import engines
 from cherryrudder.replica.clock import now_s
+from cherryrudder.routing import hangs
 
 from . import enginecalls, entrystate, stalls
 from .entrystate import EntryState
@@ -73,15 +74,27 @@
                 now = now_s()
                 is_late = now - last_s > REVIEW_S + LATE_ROUND_S
                 last_s = now
+                hung = set() if is_late else self._find_hung(now)
                 for stream in tuple(self.streams):
                     if is_late:
                         progressed(stream, now)
+                    elif _is_hung(stream, hung):
+                        stream.excluded.add(stream.chain[0].address)
+                        stream.break_off("the first engine begins nothing")
                     elif self._is_due(stream, now):
                         stream.is_looked_at = True
                         group.start_soon(self._look, stream)
                     elif _is_crawling(stream, now):
                         self._complain(stream, now)
 
+    def _find_hung(self, now):
+        """Return the engines that hang, and log those that were found now."""
+        state = self.state
+        for engine_id in hangs.find(state.hangs, now):
+            state.metrics.beliefs.labels("engine-hung").inc()
+            state.sink.write("streams", "engine-hung", True, engine_id=engine_id)
+        return {e for e in state.hangs.waiting if hangs.is_resting(state.hangs, e, now)}
+
     def _is_due(self, stream, now):
         if stream.is_looked_at or stream.connection is None:
             return False
@@ -163,6 +176,12 @@
         return entry is None or stalls.is_of_boot(report, entry.announcement)
 
 
+def _is_hung(stream, hung):
+    """Tell whether a stream waits at an engine that hangs and may go elsewhere."""
+    is_at_hung = stream.chain[0].engine_id in hung and not stream.has_head
+    return is_at_hung and stream.job.is_idempotent
+
+
 def _is_crawling(stream, now):
     if not stream.has_begun or now - stream.complained_s < COMPLAIN_EVERY_S:
         return False
--- a/libs/node/src/cherryrudder/node/uplink.py
+++ b/libs/node/src/cherryrudder/node/uplink.py
@@ -11,7 +11,7 @@
 from cherryrudder.policy import sharedbudget
 from cherryrudder.relay import pool
 from cherryrudder.replica.clock import now_s
-from cherryrudder.routing import configlog, endpoints, slowness, suspicion
+from cherryrudder.routing import configlog, endpoints, hangs, slowness, suspicion
 from cherryrudder.routing.endpoints import Announcement
 from cherryrudder.routing.routetable import RouteTable
 from cherryrudder.wire.frames import FrameCodec
@@ -110,7 +110,9 @@
             for engine_id in tablesync.sweep(state.endpoints, now):
                 state.sink.write("uplink", "endpoint-lost", True, engine_id=engine_id)
             slowness.sweep(state.slowness, now)
-            suspicion.forget(state.suspicions, set(state.endpoints.table.entries))
+            known = set(state.endpoints.table.entries)
+            suspicion.forget(state.suspicions, known)
+            hangs.forget(state.hangs, known)
             await anyio.sleep(BEAT_S if state.table else FIRST_BEAT_S)
 
     def _own_beat(self, address, tellers, now):
--- /dev/null
+++ b/libs/policy/src/cherryrudder/policy/window.py
@@ -0,0 +1,57 @@
+"""How many streams an entry has under way at once, by how fast the first events come.
+
+Load pattern: more streams come than the engines work off, by a tenth, for some seconds.
+Without a bound each further stream makes the batches larger and all streams slower, so
+that more are under way, and the load stays long after the burst: at 165 streams a
+second 280 were under way before a burst and 616 ten seconds after it, when half of the
+first events came late. The engines did no more work for it.
+
+The bound follows what the entry observes. While first events come well before they are
+due, it grows; once they take a good part of that time, it shrinks until they don't. The
+streams above it wait in the entry's queue, where those that can't be in time any more
+are told so.
+"""
+
+# Part of the objective that a first event may take at the engines, on the average. The
+# rest is for waiting here, for long prompts, which take three times as long, and for
+# one engine that dies on the way.
+WORST_SHARE = 0.4
+# Weight of the newest first event; some ten are remembered, of the last second or two.
+MEMORY = 0.1
+# Streams by which the bound grows with each soon first event, while it binds.
+GROWTH = 0.25
+# Factor by which it shrinks, at most this often: streams that are under way already
+# delay first events for a while.
+SHRINKING = 0.9
+SHRINK_EVERY_S = 0.2
+# Below this an entry would serve its callers one after the other.
+LEAST = 4.0
+MOST = 512.0
+
+
+class Window:
+    """The streams of one service that one entry has under way."""
+
+    def __init__(self):
+        self.size = MOST
+        self.running = 0
+        # The usual time from a stream's way to the engines to its first event.
+        self.first_s = 0.0
+        self.shrunk_s = float("-inf")
+
+
+def is_open(window: Window) -> bool:
+    """Tell whether another stream may go to the engines."""
+    return window.running < window.size
+
+
+def answered(window: Window, first_s: float, objective_s: float, now_s: float) -> None:
+    """Take how long a first event took since its stream went to the engines."""
+    window.first_s += MEMORY * (first_s - window.first_s)
+    if window.first_s <= WORST_SHARE * objective_s:
+        if window.running >= window.size - 1:
+            window.size = min(MOST, window.size + GROWTH)
+        return
+    if now_s - window.shrunk_s >= SHRINK_EVERY_S:
+        window.shrunk_s = now_s
+        window.size = max(LEAST, SHRINKING * min(window.size, window.running + 1.0))
