--- a/libs/policy/src/cherryrudder/policy/window.py
+++ b/libs/policy/src/cherryrudder/policy/window.py
@@ -19,7 +19,7 @@
 # Weight of the newest first event; some ten are remembered, of the last second or two.
 MEMORY = 0.1
 # Streams by which the bound grows with each soon first event, while it binds.
-GROWTH = 0.25
+GROWTH = 0.5
 # Factor by which it shrinks, at most this often: streams that are under way already
 # delay first events for a while.
 SHRINKING = 0.9
@@ -46,8 +46,12 @@
 
 
 def answered(window: Window, first_s: float, objective_s: float, now_s: float) -> None:
-    """Take how long a first event took since its stream went to the engines."""
-    window.first_s += MEMORY * (first_s - window.first_s)
+    """Take how long a first event took since its stream went to the engines.
+
+    More than the objective counts as the objective: a stream whose engine died waited
+    for seconds, which says nothing of the load.
+    """
+    window.first_s += MEMORY * (min(first_s, objective_s) - window.first_s)
     if window.first_s <= WORST_SHARE * objective_s:
         if window.running >= window.size - 1:
             window.size = min(MOST, window.size + GROWTH)
