--- a/libs/layers/test/test_chains.py
+++ b/libs/layers/test/test_chains.py
@@ -1,11 +1,12 @@
 import itertools
 import unittest
 
-from builders import a_profile, candidates, placed, users_holders
+from builders import KINDS, a_profile, candidates, placed, users_holders
 from hypothesis import given, settings, strategies as st
 
 from cherryrudder.layers import chains, planner
 from cherryrudder.layers.chains import Candidate, Need, Part
+from cherryrudder.layers.profile import room_tokens
 
 PROFILE = a_profile()
 SMALL = a_profile(layers=8, token_kv_bytes=118_000.0)
@@ -54,6 +55,41 @@
         self.assertEqual(len({p.address[0] for p in chain}), 1)
         self.assertNotEqual(chain[0].address[0], "b")
 
+    def test_an_engine_that_takes_no_more_streams_still_runs_its_part_of_others(self):
+        """The fastest engine begins as many streams as it takes at once.
+
+        It would refuse the next one, at the cost of a retry; in the middle of a chain
+        that begins elsewhere it is as good as before.
+        """
+        full = PROFILE.slots
+        engines = [
+            an_engine("fast", 0, 40, kind="h100", firsts=full),
+            an_engine("slow", 0, 8),
+            an_engine("last", 40, 80, kind="h100"),
+        ]
+        chain = chains.choose_chain(PROFILE, engines, NEED)
+        ends = [(part.address, part.end) for part in chain]
+        self.assertEqual(ends, [("slow", 8), ("fast", 40), ("last", 80)])
+        self.assertIsNone(
+            chains.choose_chain(PROFILE, [e for e in engines if e.firsts], NEED)
+        )
+
+    def test_a_fast_engine_is_used_beyond_half_of_its_room(self):
+        """Streams on a kind that is twice as slow last, and hold room, twice as long.
+
+        At six tenths of its room the fast engine is still the better one; near its end
+        the other is, or the next stream would be refused.
+        """
+        profile = PROFILE._replace(layer_mb=400.0)
+        room = room_tokens(profile, KINDS[0], 80)
+        for fill, chosen in ((0.0, "fast"), (0.6, "fast"), (0.9, "slow")):
+            engines = [
+                an_engine("fast", 0, 80, kind="h100", tokens=fill * room),
+                an_engine("slow", 0, 80, kind="a100s"),
+            ]
+            chain = chains.choose_chain(profile, engines, NEED)
+            self.assertEqual([part.address for part in chain], [chosen], fill)
+
     def test_no_plain_chain_crosses_for_want_of_room(self):
         """A burst fills one range of each data centre, a different one in each.
 
--- a/libs/layers/test/test_planner.py
+++ b/libs/layers/test/test_planner.py
@@ -56,6 +56,26 @@
         )
         self.assertNotIn(0.0, held)
 
+    def test_fast_engines_keep_room_for_what_they_run_at_once(self):
+        """Requests take little memory; there are engines for more than two copies.
+
+        Filled up with a third copy, the fast engines run out of room at half of the
+        requests that they can run, and the rest goes to the slowest kind.
+        """
+        profile = a_profile(token_kv_bytes=400_000.0)
+        holders = [a_holder(f"h{n}", "h100") for n in range(4)]
+        holders += [a_holder(f"l{n}", "l4") for n in range(20)]
+        after = placed(holders, planner.plan(profile, holders))
+        wanted = 96 * (profile.usual_prompt_tokens + profile.usual_answer_tokens)
+        for holder in after:
+            kind = kind_of(profile, holder.kind)
+            layers = holder.holding.end - holder.holding.first
+            self.assertGreater(room_tokens(profile, kind, layers), 0.9 * wanted)
+        held = planner.rooms(
+            profile, [planner.Engine(h, kind_of(profile, h.kind)) for h in after]
+        )
+        self.assertGreater(min(held), 1.8 * wanted)
+
     def test_a_naive_plan_has_a_third_of_the_room(self):
         """Pack every engine full, as a plan without room in mind would.
 
--- a/libs/node/test/test_uplink.py
+++ b/libs/node/test/test_uplink.py
@@ -1,7 +1,10 @@
 import unittest
+from types import SimpleNamespace
 from typing import NamedTuple
 
-from cherryrudder.node.uplink import tellers_of
+from cherryrudder.node import roster
+from cherryrudder.node.roster import Roster
+from cherryrudder.node.uplink import BEAT_S, NEAR_FRESH_S, Uplink, tellers_of
 
 
 class AnswerStub(NamedTuple):
@@ -35,5 +38,37 @@
         self.assertEqual(tellers_of([]), {})
 
 
+class FarBeatTest(unittest.TestCase):
+    """An entry tells each control VM what it knows, also those of other data centres.
+
+    Bytes between data centres are dear, so that far ones hear it less often; but once
+    no near one confirms what is in force, the far ones have to be asked at full rate,
+    or the entry refuses callers after four seconds.
+    """
+
+    def due(self, near_age_s, far_age_s, zone="b"):
+        controls = Roster()
+        roster.hear(controls, "c:1", AnswerStub("c:1", zone), 100.0)
+        state = SimpleNamespace(
+            address="e:1",
+            controls=controls,
+            settings=SimpleNamespace(vm_zone="a"),
+        )
+        uplink = Uplink(state, None)
+        uplink._near_confirmed_s = 100.0 - near_age_s
+        uplink._beaten_s["c:1"] = 100.0 - far_age_s
+        return uplink._is_due("c:1", 100.0)
+
+    def test_a_far_one_hears_it_every_second_beat(self):
+        self.assertFalse(self.due(near_age_s=0.1, far_age_s=BEAT_S))
+        self.assertTrue(self.due(near_age_s=0.1, far_age_s=2 * BEAT_S))
+
+    def test_a_near_one_hears_each_beat(self):
+        self.assertTrue(self.due(near_age_s=0.1, far_age_s=0.1, zone="a"))
+
+    def test_without_a_near_one_the_far_ones_hear_each_beat(self):
+        self.assertTrue(self.due(near_age_s=NEAR_FRESH_S + 0.1, far_age_s=BEAT_S))
+
+
 if __name__ == "__main__":
     unittest.main()
