--- a/libs/layers/src/cherryrudder/layers/planner.py
+++ b/libs/layers/src/cherryrudder/layers/planner.py
@@ -12,6 +12,7 @@
 the neighbours of the lost range have taken it over.
 """
 
+import collections
 from collections.abc import Iterable
 from typing import NamedTuple
 
@@ -84,6 +85,7 @@
 
 def plan(profile: ModelProfile, holders: Iterable[Holder]) -> list[Placement]:
     """Return the placements to order now; none when all is as it should be."""
+    holders = list(holders)
     engines = [
         Engine(holder, kind)
         for holder in holders
@@ -92,8 +94,9 @@
         and (kind := kind_of(profile, holder.kind)) is not None
     ]
     placements = []
+    leaving = [holder for holder in holders if holder.is_leaving]
     for group in _groups(profile, engines):
-        placements += _plan_group(profile, group)
+        placements += _plan_group(profile, group, leaving)
     return placements
 
 
@@ -146,13 +149,16 @@
     return [*groups, pooled] if pooled else groups
 
 
-def _plan_group(profile, group):
+def _plan_group(profile, group, leaving):
     """Return the placements for one data centre.
 
     An engine that has just come waits while nothing is missing: when engines are
     replaced one by one the new one comes first, and the old one says a second later
-    that it leaves. Placed at once, the new one would be elsewhere by then.
+    that it leaves. Placed at once, the new one would be elsewhere by then; placed as
+    soon as one of its kind leaves, it is there a second sooner than at the end of the
+    wait, while the old one still serves.
     """
+    awaited = _awaited(group, leaving)
     room = planned_room(profile, group)
     sums = rooms(profile, group)
     placements = []
@@ -162,7 +168,7 @@
         for e in group
         if e.holder.holding == NOTHING
         and not e.holder.is_busy
-        and (has_hole or not e.holder.is_fresh)
+        and (has_hole or not e.holder.is_fresh or _is_awaited(e, awaited))
     ]
     empty.sort(key=lambda e: (-e.kind.size_mb, e.holder.address))
     for engine in empty:
@@ -181,6 +187,22 @@
     return placements + extended + moved + stretched
 
 
+def _awaited(group, leaving):
+    """Return how many engines leave for which none has come, by place and kind."""
+    counts = collections.Counter((h.vm_zone, h.kind) for h in leaving)
+    for engine in group:
+        holder = engine.holder
+        if holder.is_fresh and holder.holding != NOTHING:
+            counts[holder.vm_zone, holder.kind] -= 1
+    return counts
+
+
+def _is_awaited(engine, awaited):
+    place = engine.holder.vm_zone, engine.holder.kind
+    awaited[place] -= 1
+    return awaited[place] >= 0
+
+
 def _without(engines, placements):
     placed = {placement.holder.engine_id for placement in placements}
     return [e for e in engines if e.holder.engine_id not in placed]
--- a/libs/node/src/cherryrudder/node/entrystate.py
+++ b/libs/node/src/cherryrudder/node/entrystate.py
@@ -82,6 +82,8 @@
         # Other entries that serve the same data centre.
         self.peers = 0.0
         self.told: dict[str, ToldLoad] = {}
+        # When this entry heard that a boot of an engine is about to leave.
+        self.leaving_s: dict[str, float] = {}
         # The boot that was last heard of, by address.
         self.boots: dict[str, str] = {}
         # Until when engines are taken as full, by address.
--- a/libs/node/src/cherryrudder/node/streamrelay.py
+++ b/libs/node/src/cherryrudder/node/streamrelay.py
@@ -65,6 +65,8 @@
         # longest one so far.
         self.pause_s = 0.0
         self.expected_pause_s = 0.0
+        # When it is to be moved away from engines that leave; 0 while none does.
+        self.moves_s = 0.0
         # When this entry last complained of the chain's pace.
         self.complained_s = float("-inf")
         self.silence_s = supervision.FIRST_SILENCE_S
--- a/libs/node/src/cherryrudder/node/supervision.py
+++ b/libs/node/src/cherryrudder/node/supervision.py
@@ -15,7 +15,7 @@
 from cherryrudder.layers.chains import Need
 from cherryrudder.platform import engines
 from cherryrudder.replica.clock import now_s
-from cherryrudder.routing import hangs
+from cherryrudder.routing import endpoints, hangs
 
 from . import enginecalls, entrystate, stalls
 from .entrystate import EntryState
@@ -48,6 +48,13 @@
 LOST_AFTER_S = 4.0
 # New chains tried for one stall: each may name another engine as missing.
 MAX_REROUTES = 3
+# An engine that leaves serves for the users' two seconds and a little longer. Streams
+# that are still under way at the end are cut, and go on elsewhere after 0.3 s or not at
+# all; moved before, their clients see the pause of reading the prompt, some 0.1 s. A
+# stream that moves when half of that time is over would hardly have ended by itself.
+MOVE_AFTER_S = 1.0
+MOVE_SPREAD_S = 0.7
+MOVE_AGAIN_S = 0.3
 # Between two complaints of one stream's pace. Its control VM looks at once, and knows
 # an engine that it has just found sound.
 COMPLAIN_EVERY_S = 1.0
@@ -84,6 +91,9 @@
                     elif self._is_due(stream, now):
                         stream.is_looked_at = True
                         group.start_soon(self._look, stream)
+                    elif self._is_to_move(stream, now):
+                        stream.is_looked_at = True
+                        group.start_soon(self._move, stream, now)
                     elif _is_crawling(stream, now):
                         self._complain(stream, now)
 
@@ -111,6 +121,44 @@
             return True
         return silent_s > ACCUSED_SILENCE_S and bool(self._accused(stream, now))
 
+    def _is_to_move(self, stream, now):
+        """Tell whether a stream goes through an engine that ends before it may.
+
+        Not when it may still end by itself, and each at a moment of its own: all
+        streams of an engine at once would read their prompts again at the same time.
+        """
+        if stream.is_looked_at or not stream.has_head or now < stream.moves_s:
+            return False
+        return bool(self._leaving(stream, now))
+
+    def _leaving(self, stream, now):
+        """Return the parts behind the first whose engines leave soon, by address."""
+        leaving_s = self.state.leaving_s
+        return {
+            part.address
+            for part in stream.chain[1:]
+            if now - leaving_s.get(part.engine_id, now) > MOVE_AFTER_S
+        }
+
+    async def _move(self, stream, now):
+        try:
+            spread = self.state.rng.random()
+            if not stream.moves_s:
+                # Due for the first time: its own moment is still to come.
+                stream.moves_s = now + spread * MOVE_SPREAD_S
+                return
+            stream.moves_s = now + MOVE_AGAIN_S
+            leaving = self._leaving(stream, now)
+            chain = _without(stream, leaving)
+            if chain is None or stream.connection is None:
+                return
+            connection = stream.connection
+            status, _ = await _order(stream, chain)
+            if stream.connection is connection and status in (200, 202):
+                _take(stream, chain)
+        finally:
+            stream.is_looked_at = False
+
     def _complain(self, stream, now):
         stream.complained_s = now
         table = self.state.endpoints.table.entries
@@ -118,10 +166,19 @@
         self.stalls.uplink.complain([e.announcement for e in known if e is not None])
 
     def _accused(self, stream, now):
-        usable = entrystate.candidates(self.state, stream.job.service.name, now)
-        # By boot: an engine that has started again at its address has lost its memory.
-        known = {engine.engine_id for engine in usable}
-        return {p.address for p in stream.chain if p.engine_id not in known}
+        """Return the parts whose engines are thought dead, gone, or without the layers.
+
+        By boot: an engine that has started again at its address has lost its memory.
+        One that leaves still serves what it has; see `_move`.
+        """
+        table = self.state.endpoints.table
+        holdings = {a.engine_id: a.holding for a in endpoints.live(table, now)}
+        return {
+            part.address
+            for part in stream.chain
+            if not _holds(holdings.get(part.engine_id), part)
+            or entrystate.is_suspect(self.state, part.engine_id, now)
+        }
 
     async def _look(self, stream):
         try:
@@ -176,6 +233,12 @@
         return entry is None or stalls.is_of_boot(report, entry.announcement)
 
 
+def _holds(holding, part):
+    return (
+        holding is not None and holding.first <= part.first and part.end <= holding.end
+    )
+
+
 def _is_hung(stream, hung):
     """Tell whether a stream waits at an engine that hangs and may go elsewhere."""
     is_at_hung = stream.chain[0].engine_id in hung and not stream.has_head
--- a/libs/node/src/cherryrudder/node/uplink.py
+++ b/libs/node/src/cherryrudder/node/uplink.py
@@ -126,6 +126,8 @@
             known = set(state.endpoints.table.entries)
             suspicion.forget(state.suspicions, known)
             hangs.forget(state.hangs, known)
+            for engine_id in set(state.leaving_s) - known:
+                del state.leaving_s[engine_id]
             await anyio.sleep(BEAT_S if state.table else FIRST_BEAT_S)
 
     def _is_due(self, address, now):
@@ -221,6 +223,8 @@
             if entry is not None:
                 self._log_endpoint(entry)
                 self._note_boot(entry.announcement)
+            if entry is not None and entry.announcement.is_leaving:
+                state.leaving_s.setdefault(engine_id, now)
 
     def _note_boot(self, announcement):
         """Drop the connections to what was at an address before this boot.
