--- a/libs/node/src/cherryrudder/node/controlapi.py
+++ b/libs/node/src/cherryrudder/node/controlapi.py
@@ -83,8 +83,8 @@
         if result.is_error():
             await self._refuse_odd(exchange, name, 400, result.error)
             return
-        # Without its start, the notice is of the boot that is known by that name.
-        known = endpoints.newest_boot(self.state.endpoints.table, name)
+        # Without its start, the notice is of the incarnation known by that name.
+        known = endpoints.newest_incarnation(self.state.endpoints.table, name)
         engine_id = result.ok or known or name
         if tablesync.depart(self.state.endpoints, engine_id, now_s()):
             self.state.sink.write("control", "endpoint-gone", True, engine_id=engine_id)
--- a/libs/node/src/cherryrudder/node/controlstate.py
+++ b/libs/node/src/cherryrudder/node/controlstate.py
@@ -41,7 +41,7 @@
         self.roster = Roster(self.address, self.seed_addresses)
         self.entries = Roster()
         self.endpoints = SharedTable(self.boot)
-        # When entries last found an engine dead, by its boot.
+        # When entries last found an engine dead, by its incarnation.
         self.accused: dict[str, float] = {}
         self.voter: Voter | None = None
         self.disk_id = ""
--- a/libs/node/src/cherryrudder/node/entrystate.py
+++ b/libs/node/src/cherryrudder/node/entrystate.py
@@ -82,10 +82,10 @@
         # Other entries that serve the same data centre.
         self.peers = 0.0
         self.told: dict[str, ToldLoad] = {}
-        # When this entry heard that a boot of an engine is about to leave.
+        # When this entry heard that a incarnation of an engine is about to leave.
         self.leaving_s: dict[str, float] = {}
-        # The boot that was last heard of, by address.
-        self.boots: dict[str, str] = {}
+        # The incarnation that was last heard of, by address.
+        self.incarnations: dict[str, str] = {}
         # Until when engines are taken as full, by address.
         self.full_until_s: dict[str, float] = {}
         self.pipes = PipeBudget()
@@ -186,7 +186,7 @@
 
 
 def engine_name(state: EntryState, engine_id: str) -> str:
-    """Return the name by which a boot of an engine knows itself."""
+    """Return the name by which a incarnation of an engine knows itself."""
     entry = state.endpoints.table.entries.get(engine_id)
     return (entry and entry.announcement.name) or engine_id
 
@@ -219,7 +219,7 @@
 
 
 def engine_at(state: EntryState, address: str, now_s: float) -> Announcement | None:
-    """Return what the boot that is thought to be at an address last told."""
+    """Return what the incarnation that is thought to be at an address last told."""
     for announcement in endpoints.live(state.endpoints.table, now_s):
         if announcement.address == address:
             return announcement
--- a/libs/node/src/cherryrudder/node/stalls.py
+++ b/libs/node/src/cherryrudder/node/stalls.py
@@ -122,8 +122,8 @@
         )
 
 
-def is_of_boot(report: Report, announcement: Announcement) -> bool:
-    """Tell whether a report comes from the boot that an announcement is of.
+def is_of_incarnation(report: Report, announcement: Announcement) -> bool:
+    """Tell whether a report comes from the incarnation that an announcement is of.
 
     An engine that has started again answers as if nothing had been.
     """
--- a/libs/node/src/cherryrudder/node/supervision.py
+++ b/libs/node/src/cherryrudder/node/supervision.py
@@ -226,11 +226,11 @@
                 self.stalls.uplink.report_pace(entry.announcement, report.slowness)
 
     def _has_answered(self, engine_id, report):
-        """Tell whether a report is there, and of the boot that the chain names."""
+        """Tell whether a report is there, of the incarnation that the chain names."""
         if report is None:
             return False
         entry = self.state.endpoints.table.entries.get(engine_id)
-        return entry is None or stalls.is_of_boot(report, entry.announcement)
+        return entry is None or stalls.is_of_incarnation(report, entry.announcement)
 
 
 def _holds(holding, part):
--- a/libs/node/src/cherryrudder/node/tablesync.py
+++ b/libs/node/src/cherryrudder/node/tablesync.py
@@ -57,7 +57,7 @@
 
 
 def take(shared: SharedTable, heard: tuple[Heard, ...], now_s: float) -> list[str]:
-    """Merge what another process knows; return the boots that this is news of."""
+    """Merge what another process knows; return the incarnations it is news of."""
     news = []
     for one in heard:
         engine_id = one.announcement.engine_id
@@ -113,7 +113,7 @@
 
 
 def sweep(shared: SharedTable, now_s: float) -> list[str]:
-    """Forget what is long gone; return the boots that fell silent."""
+    """Forget what is long gone; return the incarnations that fell silent."""
     lost = endpoints.sweep(shared.table, now_s)
     for engine_id in set(shared.changed) - set(shared.table.entries):
         del shared.changed[engine_id]
--- a/libs/node/src/cherryrudder/node/uplink.py
+++ b/libs/node/src/cherryrudder/node/uplink.py
@@ -222,20 +222,23 @@
             entry = state.endpoints.table.entries.get(engine_id)
             if entry is not None:
                 self._log_endpoint(entry)
-                self._note_boot(entry.announcement)
+                self._note_incarnation(entry.announcement)
             if entry is not None and entry.announcement.is_leaving:
                 state.leaving_s.setdefault(engine_id, now)
 
-    def _note_boot(self, announcement):
-        """Drop the connections to what was at an address before this boot.
+    def _note_incarnation(self, announcement):
+        """Drop the connections to what was at an address before this incarnation.
 
         The first request to an engine that has started again would go out on one of
         them, and find it reset.
         """
         state, address = self.state, announcement.address
-        if state.boots.get(address, announcement.engine_id) != announcement.engine_id:
+        if (
+            state.incarnations.get(address, announcement.engine_id)
+            != announcement.engine_id
+        ):
             pool.drop(state.pool, address)
-        state.boots[address] = announcement.engine_id
+        state.incarnations[address] = announcement.engine_id
 
     def _log_endpoint(self, entry: endpoints.Entry):
         announcement = entry.announcement
--- a/libs/node/src/cherryrudder/node/verification.py
+++ b/libs/node/src/cherryrudder/node/verification.py
@@ -34,7 +34,7 @@
         self.state = state
         self.links = links
         self.group = group
-        # Who waits for the outcome, by the engine's boot.
+        # Who waits for the outcome, by the engine's incarnation.
         self._waiting: dict[str, set[str]] = {}
 
     def hear(self, accusation: Accusation) -> None:
@@ -86,8 +86,8 @@
             except EngineCallFailed as error:
                 log.info("No report: {}.", error)
             else:
-                # Another boot at the same address would answer as well.
-                is_same = stalls.is_of_boot(report, known.announcement)
+                # Another incarnation at the same address would answer as well.
+                is_same = stalls.is_of_incarnation(report, known.announcement)
                 return is_same and self._is_newest_there(engine_id, address)
         return False
 
--- a/libs/routing/src/cherryrudder/routing/endpoints.py
+++ b/libs/routing/src/cherryrudder/routing/endpoints.py
@@ -1,10 +1,11 @@
 """What is known of the endpoints, from heartbeats that come late, twice or never.
 
 Every control VM and every entry keeps such a table and merges what it hears of others.
-Merging gives the same result in any order: per boot of an endpoint the heartbeat with
-the highest number counts, and leaving is never taken back. An endpoint may start again
-under the name that it had. Its later boot then ends the earlier one: that one's memory
-is gone, and a heartbeat of it that was held up must not speak for the new one.
+Merging gives the same result in any order: per incarnation of an endpoint the heartbeat
+with the highest number counts, and leaving is never taken back. An endpoint may start
+again under the name that it had. Its later incarnation then ends the earlier one: that
+one's memory is gone, and a heartbeat of it that was held up must not speak for the new
+one.
 """
 
 from typing import NamedTuple
@@ -26,7 +27,7 @@
 
 
 class Announcement(NamedTuple):
-    """What one boot of an endpoint last said of itself."""
+    """What one incarnation of an endpoint last said of itself."""
 
     # New at each start of the endpoint, and the key of all that is known of it.
     engine_id: str
@@ -35,8 +36,8 @@
     vm_zone: str
     version: str
     slots: int
-    # Rises with each heartbeat of this boot by `WORD`; the numbers between are for what
-    # a leader saw after it.
+    # Rises with each heartbeat of this incarnation by `WORD`; the numbers between are
+    # for what a leader saw after it.
     number: int
     is_leaving: bool = False
     cold_s: float = 0.0
@@ -44,7 +45,7 @@
     holding: Holding = NOTHING
     # The endpoint's own name, which it may keep over a restart.
     name: str = ""
-    # Orders the boots of one name; 0 where the endpoint doesn't tell.
+    # Orders the incarnations of one name; 0 where the endpoint doesn't tell.
     started_ms: int = 0
 
 
@@ -57,7 +58,7 @@
 
 
 class EndpointTable:
-    """The endpoints by boot; `version` rises with every change that others should hear.
+    """The endpoints by incarnation; `version` rises with what others should hear.
 
     A bare sign of life isn't such a change.
     """
@@ -71,15 +72,15 @@
     """Take a heartbeat; tell whether others should hear of it at once."""
     known = table.entries.get(heard.engine_id)
     if known is None:
-        if _has_later_boot(table, heard):
+        if _has_later_incarnation(table, heard):
             return False
-        _end_earlier_boots(table, heard, now_s)
+        _end_earlier_incarnations(table, heard, now_s)
         table.entries[heard.engine_id] = Entry(heard, now_s)
         table.version += 1
         return True
     if known.is_gone:
-        # Its departure came first; it still tells that the boots before have ended.
-        _end_earlier_boots(table, heard, now_s)
+        # Its departure came first; it still tells that those before have ended.
+        _end_earlier_incarnations(table, heard, now_s)
         return False
     if heard.number <= known.announcement.number:
         return heard.is_leaving and _leave(table, known, now_s)
@@ -92,8 +93,8 @@
     return is_news
 
 
-def _boots_of(table, announcement):
-    """Return the known boots of an endpoint that tells its boots apart."""
+def _incarnations_of(table, announcement):
+    """Return the known incarnations of an endpoint that tells them apart."""
     if not announcement.started_ms:
         return []
     return [
@@ -104,15 +105,15 @@
     ]
 
 
-def _has_later_boot(table, heard):
+def _has_later_incarnation(table, heard):
     return any(
         entry.announcement.started_ms > heard.started_ms
-        for entry in _boots_of(table, heard)
+        for entry in _incarnations_of(table, heard)
     )
 
 
-def _end_earlier_boots(table, heard, now_s):
-    for entry in _boots_of(table, heard):
+def _end_earlier_incarnations(table, heard, now_s):
+    for entry in _incarnations_of(table, heard):
         if entry.announcement.started_ms >= heard.started_ms:
             continue
         # Kept as gone, so that its late heartbeats stay without effect.
@@ -120,14 +121,14 @@
         table.entries[ended.engine_id] = Entry(ended, now_s, True)
 
 
-def newest_boot(table: EndpointTable, name: str) -> str | None:
-    """Return the last boot that is known of an endpoint's name, if any."""
-    boots = [
+def newest_incarnation(table: EndpointTable, name: str) -> str | None:
+    """Return the last incarnation that is known of an endpoint's name, if any."""
+    found = [
         entry.announcement
         for entry in table.entries.values()
         if entry.announcement.name == name
     ]
-    newest = max(boots, key=lambda boot: boot.started_ms, default=None)
+    newest = max(found, key=lambda one: one.started_ms, default=None)
     return newest and newest.engine_id
 
 
@@ -188,7 +189,7 @@
 
 
 def sweep(table: EndpointTable, now_s: float) -> list[str]:
-    """Forget what is long gone, and return the boots that fell silent and were lost."""
+    """Forget what is long gone, and return the incarnations that fell silent."""
     lost = []
     for engine_id, entry in list(table.entries.items()):
         age_s = now_s - entry.heard_s
@@ -207,14 +208,14 @@
             continue
         address = entry.announcement.address
         other = newest.get(address)
-        # An address is used again by a later boot, also of another service.
+        # An address is used again by a later incarnation, also of another service.
         if other is None or _is_later(entry, other):
             newest[address] = entry
     return [entry.announcement for entry in newest.values()]
 
 
 def _is_later(entry, other):
-    """Tell which of two boots at one address is there now, by their starts if told."""
+    """Tell which of two incarnations is there now, by their starts if told."""
     starts_ms = entry.announcement.started_ms, other.announcement.started_ms
     if all(starts_ms) and starts_ms[0] != starts_ms[1]:
         return starts_ms[0] > starts_ms[1]
--- a/libs/routing/src/cherryrudder/routing/hangs.py
+++ b/libs/routing/src/cherryrudder/routing/hangs.py
@@ -27,7 +27,7 @@
 
 
 class Hangs:
-    """The requests that were not begun, by the engine's boot, and what they showed."""
+    """The requests that were not begun, by incarnation, and what they showed."""
 
     def __init__(self):
         self.waiting: dict[str, dict[str, Waiting]] = {}
@@ -88,7 +88,7 @@
 
 
 def forget(hangs: Hangs, known: set[str]) -> None:
-    """Drop what is known of boots that are gone."""
+    """Drop what is known of incarnations that are gone."""
     for kept in (hangs.begun_s, hangs.rests):
         for engine_id in set(kept) - known:
             del kept[engine_id]
--- a/libs/routing/src/cherryrudder/routing/slowness.py
+++ b/libs/routing/src/cherryrudder/routing/slowness.py
@@ -20,7 +20,7 @@
 
 
 class SlownessBook:
-    """What was told, by the endpoint's boot."""
+    """What was told, by the endpoint's incarnation."""
 
     def __init__(self):
         self.told: dict[str, Told] = {}
--- a/libs/routing/src/cherryrudder/routing/suspicion.py
+++ b/libs/routing/src/cherryrudder/routing/suspicion.py
@@ -24,7 +24,7 @@
 
 
 class Record(NamedTuple):
-    """What one entry has seen of one boot of an endpoint."""
+    """What one entry has seen of one incarnation of an endpoint."""
 
     died_s: float = float("-inf")
     rests_until_s: float = 0.0
@@ -40,7 +40,7 @@
 
 
 class Suspicions:
-    """Evidence by the endpoint's boot."""
+    """Evidence by the endpoint's incarnation."""
 
     def __init__(self):
         self.records: dict[str, Record] = {}
@@ -122,6 +122,6 @@
 
 
 def forget(suspicions: Suspicions, known: set[str]) -> None:
-    """Drop the records of boots that are gone."""
+    """Drop the records of incarnations that are gone."""
     for engine_id in set(suspicions.records) - known:
         del suspicions.records[engine_id]
--- a/libs/routing/test/test_endpoints.py
+++ b/libs/routing/test/test_endpoints.py
@@ -105,7 +105,7 @@
         endpoints.hear(table, self.boot(200, 1), 1.0)
         endpoints.depart(table, "e@100", 1.5)
         self.assertEqual(known(table, 1.5), {"e@200"})
-        self.assertEqual(endpoints.newest_boot(table, "e"), "e@200")
+        self.assertEqual(endpoints.newest_incarnation(table, "e"), "e@200")
 
     @settings(max_examples=300, deadline=None, derandomize=True)
     @given(
