Guard the moves of streams like the looks at them

Cause, found on reading the diff: an exception in a move would have ended the entry's task group and with it every stream; and a look read the stream's present chain after it had waited, which may be its next one by then. Conclusion: one guard for both, and the chain is taken once.

--- a/libs/node/src/cherryrudder/node/supervision.py
+++ b/libs/node/src/cherryrudder/node/supervision.py
@@ -90,10 +90,10 @@
                         stream.break_off("the first engine begins nothing")
                     elif self._is_due(stream, now):
                         stream.is_looked_at = True
-                        group.start_soon(self._look, stream)
+                        group.start_soon(self._look_after, stream, self._look)
                     elif self._is_to_move(stream, now):
                         stream.is_looked_at = True
-                        group.start_soon(self._move, stream, now)
+                        group.start_soon(self._look_after, stream, self._move)
                     elif _is_crawling(stream, now):
                         self._complain(stream, now)
 
@@ -140,24 +140,19 @@
             if now - leaving_s.get(part.engine_id, now) > MOVE_AFTER_S
         }
 
-    async def _move(self, stream, now):
-        try:
-            spread = self.state.rng.random()
-            if not stream.moves_s:
-                # Due for the first time: its own moment is still to come.
-                stream.moves_s = now + spread * MOVE_SPREAD_S
-                return
-            stream.moves_s = now + MOVE_AGAIN_S
-            leaving = self._leaving(stream, now)
-            chain = _without(stream, leaving)
-            if chain is None or stream.connection is None:
-                return
-            connection = stream.connection
-            status, _ = await _order(stream, chain)
-            if stream.connection is connection and status in (200, 202):
-                _take(stream, chain)
-        finally:
-            stream.is_looked_at = False
+    async def _move(self, stream):
+        now, connection = now_s(), stream.connection
+        if not stream.moves_s:
+            # Due for the first time: its own moment is still to come.
+            stream.moves_s = now + self.state.rng.random() * MOVE_SPREAD_S
+            return
+        stream.moves_s = now + MOVE_AGAIN_S
+        chain = _without(stream, self._leaving(stream, now))
+        if chain is None or connection is None:
+            return
+        status, _ = await _order(stream, chain)
+        if stream.connection is connection and status in (200, 202):
+            _take(stream, chain)
 
     def _complain(self, stream, now):
         stream.complained_s = now
@@ -168,8 +163,8 @@
     def _accused(self, stream, now):
         """Return the parts whose engines are thought dead, gone, or without the layers.
 
-        By boot: an engine that has started again at its address has lost its memory.
-        One that leaves still serves what it has; see `_move`.
+        By incarnation: an engine that has started again at its address has lost its
+        memory. One that leaves still serves what it has; see `_move`.
         """
         table = self.state.endpoints.table
         holdings = {a.engine_id: a.holding for a in endpoints.live(table, now)}
@@ -180,35 +175,40 @@
             or entrystate.is_suspect(self.state, part.engine_id, now)
         }
 
-    async def _look(self, stream):
+    async def _look_after(self, stream, work):
         try:
-            stream.silence_s = min(MOST_SILENCE_S, stream.silence_s * BACK_OFF)
-            lost = await self._find_lost(stream)
-            if lost and stream.connection is not None:
-                await _go_on_without(stream, stream.connection, lost)
+            await work(stream)
         except Exception as error:
             # A fault in looking after one stream must not end the process, and with
             # it all others; the stream itself still ends by its time limit.
-            log.opt(exception=error).error("A silent stream was not looked after.")
+            log.opt(exception=error).error("A stream was not looked after.")
         finally:
             stream.is_looked_at = False
 
+    async def _look(self, stream):
+        stream.silence_s = min(MOST_SILENCE_S, stream.silence_s * BACK_OFF)
+        lost = await self._find_lost(stream)
+        if lost and stream.connection is not None:
+            await _go_on_without(stream, stream.connection, lost)
+
     async def _find_lost(self, stream):
         """Return the addresses of the chain's engines that are dead or cut off."""
         accused = self._accused(stream, now_s())
         if accused:
             return accused
-        addresses = [part.address for part in stream.chain]
+        # The stream may be on its next chain when the looks are over.
+        chain = stream.chain
+        addresses = [part.address for part in chain]
         looks = await self.stalls.look(addresses)
         silent = {
             part.address
-            for part in stream.chain
+            for part in chain
             if not self._has_answered(part.engine_id, looks[part.address].report)
         }
         if len(silent) * 2 > len(addresses):
             # Rather this machine than most engines at once.
             return set()
-        self._note_paces(stream, looks)
+        self._note_paces(chain, looks)
         first = looks[addresses[0]].report
         request_id = stream.job.facts.request_id
         for stalled in first.stalled if first else ():
@@ -218,8 +218,8 @@
             self.stalls.accuse(address, "silent or stalled")
         return silent
 
-    def _note_paces(self, stream, looks):
-        for part in stream.chain:
+    def _note_paces(self, chain, looks):
+        for part in chain:
             report = looks[part.address].report
             entry = self.state.endpoints.table.entries.get(part.engine_id)
             if report is not None and entry is not None:
