Keep a part of the retry budget for answers that have begun

Engines that leave refuse what comes in that moment, and its retries had taken the budget; a part below one retry for each of 26 entries left all without any. Ruled out: the route's attempts (two of the six at most). Test first fails on the parent (no reserve, no begun retry below one saved).

--- a/libs/node/src/cherryrudder/node/attempts.py
+++ b/libs/node/src/cherryrudder/node/attempts.py
@@ -80,7 +80,12 @@
 
 
 async def may_retry(
-    job: Job, failed: Failed, ran: int, most_runs: int, expected_s: float
+    job: Job,
+    failed: Failed,
+    ran: int,
+    most_runs: int,
+    expected_s: float,
+    has_begun: bool | None = None,
 ) -> bool:
     """Tell whether another attempt may go out, and count it against the budget.
 
@@ -100,10 +105,10 @@
     )
     budget, service = job.state.budget, job.service.name
     until_s = now_s() + BUDGET_WAIT_S
-    verdict = sharedbudget.may_retry(budget, service, attempt, now_s())
+    verdict = sharedbudget.may_retry(budget, service, attempt, now_s(), has_begun)
     while verdict is Verdict.NO_BUDGET and now_s() < until_s:
         await anyio.sleep(BUDGET_POLL_S)
-        verdict = sharedbudget.may_retry(budget, service, attempt, now_s())
+        verdict = sharedbudget.may_retry(budget, service, attempt, now_s(), has_begun)
     job.note("retry", verdict=str(verdict), reason=failed.reason)
     return verdict is Verdict.RETRY
 
--- a/libs/node/src/cherryrudder/node/streamrelay.py
+++ b/libs/node/src/cherryrudder/node/streamrelay.py
@@ -133,7 +133,9 @@
     if job.attempts >= most_runs + MAX_EXTRA_SENDS:
         return False
     ran = [e for e in stream.ran_at if not entrystate.is_certainly_dead(job.state, e)]
-    return await attempts.may_retry(job, failed, len(ran), most_runs, EXPECTED_S)
+    return await attempts.may_retry(
+        job, failed, len(ran), most_runs, EXPECTED_S, stream.has_begun
+    )
 
 
 async def _give_up(stream, failed):
--- a/libs/policy/src/cherryrudder/policy/sharedbudget.py
+++ b/libs/policy/src/cherryrudder/policy/sharedbudget.py
@@ -25,6 +25,15 @@
 BUCKET_S = 0.5
 # Of what is left, for the words that are under way.
 SPENDABLE_SHARE = 0.5
+# Of an entry's part, kept for answers that have begun. Engines that leave refuse what
+# comes in that moment, and its retries took the budget of the streams that they cut
+# two seconds later: these ended in the middle, 0.7 s after the cut, where a request
+# that has not run can be told when to come back.
+RESERVED_SHARE = 0.3
+# An answer that has begun goes on with this much of a retry saved. With 26 entries a
+# part below one left all of them without any while fifty were left to them together.
+# All may go over by one each between two words, a fifth of what `SAFE_SHARE` keeps.
+LEAST_FOR_BEGUN = 0.25
 
 
 class Spent(NamedTuple):
@@ -45,6 +54,8 @@
 class _Service:
     def __init__(self, earned, most):
         self.budget = RetryBudget(earned, most)
+        # What the last word left this entry.
+        self.part = 0.0
         self.buckets: deque[_Bucket] = deque()
 
 
@@ -67,16 +78,33 @@
 
 
 def may_retry(
-    shared: SharedBudget, service: str, attempt: Attempt, now_s: float
+    shared: SharedBudget,
+    service: str,
+    attempt: Attempt,
+    now_s: float,
+    has_begun: bool | None = None,
 ) -> Verdict:
-    """Decide about a failed attempt, and count it if it is sent again."""
+    """Decide about a failed attempt, and count it if it is sent again.
+
+    `has_begun` tells whether the caller has a part of the answer already; None where
+    answers of this service are never passed on in parts.
+    """
     known = _service(shared, service)
+    credit = _credit(known, has_begun)
+    known.budget.saved += credit
     verdict = retries.may_retry(known.budget, attempt, now_s)
+    known.budget.saved -= credit
     if verdict is Verdict.RETRY:
         _bucket(shared, known, now_s).retries += 1
     return verdict
 
 
+def _credit(known, has_begun):
+    if has_begun is None:
+        return 0.0
+    return 1.0 - LEAST_FOR_BEGUN if has_begun else -RESERVED_SHARE * known.part
+
+
 def spent(shared: SharedBudget, now_s: float) -> tuple[Spent, ...]:
     """Return what this entry has counted within the window."""
     sums = []
@@ -100,6 +128,7 @@
         allowed = shared.ratio * (own.requests + other.requests) + shared.slack
         left = SAFE_SHARE * allowed - own.retries - other.retries
         part = max(0.0, SPENDABLE_SHARE * left / shared.entries)
+        shared.services[own.service].part = part
         budget = shared.services[own.service].budget
         budget.saved = part
         budget.max_saved = max(part, _even_part(shared))
--- a/libs/policy/test/test_sharedbudget.py
+++ b/libs/policy/test/test_sharedbudget.py
@@ -14,9 +14,9 @@
     return [SharedBudget(RATIO, SLACK, WINDOW_S, count) for _ in range(count)]
 
 
-def retry(shared, now_s):
+def retry(shared, now_s, has_begun=None):
     """Try to send a retry; tell whether it may."""
-    verdict = sharedbudget.may_retry(shared, "llm", ATTEMPT, now_s)
+    verdict = sharedbudget.may_retry(shared, "llm", ATTEMPT, now_s, has_begun)
     return verdict is Verdict.RETRY
 
 
@@ -45,6 +45,43 @@
     return sent
 
 
+class BegunTest(unittest.TestCase):
+    """Engines that leave refuse some requests, and cut streams two seconds later.
+
+    The streams have no other way on than the same budget. Spent on the requests that
+    were refused, it leaves them broken in the middle, where the others could still be
+    told truly that they have not run.
+    """
+
+    def test_answers_that_have_begun_go_on_when_others_may_not(self):
+        entries = budgets()
+        for entry in entries:
+            sharedbudget.note_request(entry, "llm", 0.0)
+        gossip(entries, 0.0)
+        own, fresh, begun = entries[0], 0, 0
+        while retry(own, 0.1, has_begun=False):
+            fresh += 1
+        while retry(own, 0.1, has_begun=True):
+            begun += 1
+        self.assertGreater(fresh, 0)
+        self.assertGreater(begun, 0)
+
+    def test_all_entries_together_keep_within_the_operators_budget(self):
+        """With little left, each entry has a part of less than one retry."""
+        entries = budgets()
+        sent = 0
+        for step in range(100):
+            if step % 5 == 0:
+                gossip(entries, step * 0.1)
+            for entry in entries:
+                if step < 20:
+                    sharedbudget.note_request(entry, "llm", step * 0.1)
+                while retry(entry, step * 0.1, has_begun=True):
+                    sent += 1
+        self.assertLess(sent, RATIO * 20 * ENTRIES + SLACK)
+        self.assertGreater(sent, 0.7 * SAFE_SHARE * (RATIO * 20 * ENTRIES + SLACK))
+
+
 class BudgetTest(unittest.TestCase):
     """One data centre loses an engine; only its entries have streams to send again.
 
