Place an engine that is back after a crash at once where room is short

Ruled out: the control VMs, which heard of the engines at once. The same wait follows every crash after which an engine comes back. Conclusion: a lack of room ends the wait; in a rolling replacement nothing is short when the new engine comes, so that it still waits. The test fails on the parent.

--- a/libs/layers/src/cherryrudder/layers/planner.py
+++ b/libs/layers/src/cherryrudder/layers/planner.py
@@ -44,6 +44,9 @@
 # A neighbour takes over a hole at once while it keeps this much room, some 25 usual
 # requests: it goes on serving its own range, and loads only what it lacks.
 EASY_ROOM_TOKENS = 25_000.0
+# Part of a copy's room that may be missing before a data centre counts as short of an
+# engine. Ranges differ by a tenth, and one that its neighbours took over has half.
+SHORT_SHARE = 0.3
 # A move takes an engine's range away from where it was, so it has to close a hole.
 MOVE_GAIN = 500.0
 # What loading one layer takes off the worth of a move: among moves that close as much,
@@ -100,7 +103,14 @@
     return placements
 
 
-def planned_room(profile: ModelProfile, engines: Iterable[Engine]) -> float:
+class Aim(NamedTuple):
+    """How many whole copies a data centre is to hold, with so much room beside each."""
+
+    copies: int
+    room_tokens: float
+
+
+def aim_of(profile: ModelProfile, engines: Iterable[Engine]) -> Aim:
     """Return the most room in tokens that leaves enough layers for two whole copies.
 
     For one copy where two would leave the engines too little.
@@ -113,8 +123,8 @@
     most = profile.slots * (profile.usual_prompt_tokens + profile.usual_answer_tokens)
     room = _room_beside(profile, engines, 2, max(MOST_ROOM_TOKENS, most))
     if room < DOUBLE_ROOM_TOKENS:
-        room = _room_beside(profile, engines, 1, MOST_ROOM_TOKENS)
-    return room
+        return Aim(1, _room_beside(profile, engines, 1, MOST_ROOM_TOKENS))
+    return Aim(2, room)
 
 
 def _room_beside(profile, engines, copies, room):
@@ -154,21 +164,22 @@
 
     An engine that has just come waits while nothing is missing: when engines are
     replaced one by one the new one comes first, and the old one says a second later
-    that it leaves. Placed at once, the new one would be elsewhere by then; placed as
-    soon as one of its kind leaves, it is there a second sooner than at the end of the
-    wait, while the old one still serves.
+    that it leaves. Placed at once, the new one would be elsewhere by then. One of its
+    kind that leaves ends the wait, and so does a lack of room: an engine that is back
+    after a crash is needed, though its neighbours have closed the hole meanwhile with
+    what room they had. With the wait, it held layers 2 s later.
     """
     awaited = _awaited(group, leaving)
-    room = planned_room(profile, group)
+    copies, room = aim_of(profile, group)
     sums = rooms(profile, group)
     placements = []
-    has_hole = 0.0 in sums
+    is_short = min(sums) < (copies - SHORT_SHARE) * room
     empty = [
         e
         for e in group
         if e.holder.holding == NOTHING
         and not e.holder.is_busy
-        and (has_hole or not e.holder.is_fresh or _is_awaited(e, awaited))
+        and (is_short or not e.holder.is_fresh or _is_awaited(e, awaited))
     ]
     empty.sort(key=lambda e: (-e.kind.size_mb, e.holder.address))
     for engine in empty:
--- a/libs/layers/test/test_planner.py
+++ b/libs/layers/test/test_planner.py
@@ -56,6 +56,29 @@
         )
         self.assertNotIn(0.0, held)
 
+    def test_an_engine_that_is_back_after_a_crash_is_placed_at_once(self):
+        """An engine dies, its neighbours take its range over, and it comes back.
+
+        Nothing is a hole any more, but they have a third of the room that they had, and
+        streams are refused until the engine that is back holds layers again.
+        """
+        holders = plan_until_done(users_holders())
+        died = next(h for h in holders if h.address == "b-l4-3")
+        rest = plan_until_done([h for h in holders if h is not died])
+        back = died._replace(engine_id="again", holding=NOTHING, is_fresh=True)
+        placed_now = {p.holder.address for p in planner.plan(PROFILE, [*rest, back])}
+        self.assertIn("b-l4-3", placed_now)
+
+    def test_one_that_comes_while_nothing_is_missing_waits(self):
+        holders = plan_until_done(users_holders())
+        new = a_holder("b-new", "l4", "b", is_fresh=True)
+        self.assertEqual(planner.plan(PROFILE, [*holders, new]), [])
+        leaving = next(h for h in holders if h.address == "b-l4-3")
+        rest = [h for h in holders if h is not leaving]
+        leaving = leaving._replace(is_leaving=True)
+        placements = planner.plan(PROFILE, [*rest, leaving, new])
+        self.assertIn("b-new", {p.holder.address for p in placements})
+
     def test_fast_engines_keep_room_for_what_they_run_at_once(self):
         """Requests take little memory; there are engines for more than two copies.
 
