Let an answer that has begun wait for a chain as long as its client does

Others broke their attempt off at a living first engine though no other chain had room, which cost one of two attempts.

Change: answers that have begun go before new ones in the queue, are never turned away for the expected wait, and wait for room and for the retry budget until their client leaves by itself (2 s without an event, or what its route makes of it). While no other whole chain has room, the first engine keeps the request and the dead part is replaced as soon as one can be. `ended` lines tell how long a stream waited and for what, and when its longest pause ended.

--- a/libs/node/src/cherryrudder/node/attempts.py
+++ b/libs/node/src/cherryrudder/node/attempts.py
@@ -90,7 +90,8 @@
     """Tell whether another attempt may go out, and count it against the budget.
 
     `ran` is how many attempts count against `most_runs`, the route's own bound. Waits
-    a little for a new part of the budget where this entry's is spent.
+    a little for a new part of the budget where this entry's is spent; an answer that
+    has begun waits until its client leaves, since it can't be refused any more.
     """
     if not failed.is_sent:
         # Nothing has left; another endpoint costs no retry.
@@ -104,7 +105,7 @@
         max_attempts=most_runs,
     )
     budget, service = job.state.budget, job.service.name
-    until_s = now_s() + BUDGET_WAIT_S
+    until_s = job.leaves_s() if has_begun else now_s() + BUDGET_WAIT_S
     verdict = sharedbudget.may_retry(budget, service, attempt, now_s(), has_begun)
     while verdict is Verdict.NO_BUDGET and now_s() < until_s:
         await anyio.sleep(BUDGET_POLL_S)
--- a/libs/node/src/cherryrudder/node/frontdoor.py
+++ b/libs/node/src/cherryrudder/node/frontdoor.py
@@ -159,4 +159,9 @@
         first_byte_s=first_s and round(first_s, 3),
         total_s=round(total_s, 3),
         longest_pause_s=round(job.longest_pause_s, 3),
+        paused_at_s=round(max(0.0, job.paused_until_s - job.arrived_s), 3),
+        waited_s=round(job.waited_s, 3),
+        waited_for=job.waited_for,
+        objective_s=job.route.objective_s,
+        gap_s=job.route.gap_s,
     )
--- a/libs/node/src/cherryrudder/node/job.py
+++ b/libs/node/src/cherryrudder/node/job.py
@@ -15,6 +15,14 @@
 # An answer of this system's own is sent this long before the client or the route gives
 # up, so that it arrives in time.
 ANSWER_MARGIN_S = 0.02
+# Clients leave a stream that shows nothing for the longest of these: two seconds, some
+# objectives, some of the longest pauses that are still on time.
+LEAST_PATIENCE_S = 2.0
+PATIENCE_OBJECTIVES = 4.0
+PATIENCE_PAUSES = 8.0
+# A client that is about to leave is left to do so: ended just before, its answer would
+# look broken off by this system.
+LEAVE_MARGIN_S = 0.3
 
 
 class Whole(NamedTuple):
@@ -61,6 +69,11 @@
         # The last piece that the client got, and the longest pause before one.
         self.piece_s = 0.0
         self.longest_pause_s = 0.0
+        # When that pause was over.
+        self.paused_until_s = 0.0
+        # How long it waited for a chain before its first event, and for want of what.
+        self.waited_s = 0.0
+        self.waited_for = ""
         self.arrived_s = exchange.request.arrived_s
         limit_s = self.route.timeout_s
         if facts.deadline_s is not None:
@@ -79,9 +92,32 @@
         if self.first_byte_s is None:
             self.first_byte_s = now
         else:
-            self.longest_pause_s = max(self.longest_pause_s, now - self.piece_s)
+            self._note_pause(now)
         self.piece_s = now
 
+    def _note_pause(self, now):
+        if now - self.piece_s > self.longest_pause_s:
+            self.longest_pause_s = now - self.piece_s
+            self.paused_until_s = now
+
+    def note_wait(self, waited_s: float, waited_for: str) -> None:
+        """Take note of a wait for a chain; only those before the first event count."""
+        if self.first_byte_s is None:
+            self.waited_s += waited_s
+            self.waited_for = waited_for
+
+    def patience_s(self) -> float:
+        """Return how long the client stays with a stream that shows nothing."""
+        return max(
+            LEAST_PATIENCE_S,
+            PATIENCE_OBJECTIVES * self.route.objective_s,
+            PATIENCE_PAUSES * self.route.gap_s,
+        )
+
+    def leaves_s(self) -> float:
+        """Return when the client of a stream that has begun leaves by itself."""
+        return min(self.end_s, self.piece_s + self.patience_s() + LEAVE_MARGIN_S)
+
     def left_s(self) -> float:
         """Return the time until the client or the route gives up."""
         return self.end_s - now_s() - ANSWER_MARGIN_S
--- a/libs/node/src/cherryrudder/node/streamchains.py
+++ b/libs/node/src/cherryrudder/node/streamchains.py
@@ -19,24 +19,21 @@
 # A usual prompt is read in this time, so that a stream which gets its chain later than
 # this before its objective is late.
 READ_S = 0.1
-# The users' clients leave a stream that shows nothing for the longest of these: two
-# seconds, some objectives, some of the longest pauses that are still on time.
-LEAST_PATIENCE_S = 2.0
-PATIENCE_OBJECTIVES = 4.0
-PATIENCE_PAUSES = 8.0
-
 # Some layers are held by no engine that may be used, or by none with room.
 NO_CHAIN = "no chain"
 NO_ROOM = "no room"
+# The entry has as many under way as the engines answer soon.
+HELD_BACK = "held back"
 
 
 async def wait_for_chain(stream: "Stream") -> Chain | None:
     """Return a chain that is counted in, or None when none will be free in time."""
-    job = stream.job
+    job, began_s = stream.job, now_s()
+    stream.refusal = ""
     desk = stream.watch.desks.of(job.service.name)
     try:
         chain = await desk.find(
-            _waiting(stream, now_s()),
+            _waiting(stream),
             lambda: _take_chain(stream, desk.window),
             is_picky=bool(stream.excluded),
         )
@@ -45,41 +42,49 @@
         # room would be counted as taken for as long as this process runs.
         release(stream)
         raise
+    job.note_wait(now_s() - began_s, stream.refusal)
     if chain is None:
         stream.retry_after_s = desk.retry_after_s()
         _note_no_chain(stream)
     return chain
 
 
-def _waiting(stream, now):
+def _waiting(stream):
     """Return what the queue is told of a stream.
 
-    One that was interrupted goes first, as if still in time: its client has a part of
-    the answer already, which is worth nothing without the rest.
+    One that was interrupted waits until its client leaves. Given up after a part of
+    that time it ended in the middle while others were given room.
     """
     job, route = stream.job, stream.job.route
-    patience_s = max(
-        LEAST_PATIENCE_S,
-        PATIENCE_OBJECTIVES * route.objective_s,
-        PATIENCE_PAUSES * route.gap_s,
-    )
-    since_s = now if stream.has_begun else job.arrived_s
-    give_up_s = min(since_s + WAIT_SHARE * patience_s, job.end_s)
-    in_time_s = job.arrived_s + route.objective_s - READ_S
+    give_up_s = min(job.arrived_s + WAIT_SHARE * job.patience_s(), job.end_s)
     return Waiting(
         request_id=f"{job.facts.request_id}-{id(stream)}",
         account=job.admitted.account,
         tokens=stream.tokens,
         arrived_s=job.arrived_s,
-        in_time_until_s=give_up_s if stream.has_begun else in_time_s,
-        give_up_s=give_up_s,
+        in_time_until_s=job.arrived_s + route.objective_s - READ_S,
+        give_up_s=job.leaves_s() if stream.has_begun else give_up_s,
+        has_begun=stream.has_begun,
     )
 
 
+def has_other_chain(stream: "Stream", lost: set[str]) -> bool:
+    """Tell whether a stream could go over a chain without some engines right now."""
+    job = stream.job
+    usable = _usable(stream, lost, now_s())
+    need = Need(stream.tokens, job.state.settings.vm_zone)
+    return chains.choose_chain(job.service.model, usable, need) is not None
+
+
+def _usable(stream, lost, now):
+    candidates = entrystate.candidates(stream.job.state, stream.job.service.name, now)
+    return [e for e in candidates if e.address not in stream.excluded | lost]
+
+
 def _take_chain(stream, own_window):
     """Return a chain and count it in; it is counted out when its attempt ends."""
     if not stream.has_begun and not window.is_open(own_window):
-        stream.refusal = NO_ROOM
+        stream.refusal = HELD_BACK
         return None
     chain = _choose(stream)
     if chain is not None:
@@ -101,11 +106,7 @@
 def _choose(stream):
     """Return a chain, or None and why there is none in `refusal`."""
     job, now = stream.job, now_s()
-    usable = [
-        engine
-        for engine in entrystate.candidates(job.state, job.service.name, now)
-        if engine.address not in stream.excluded
-    ]
+    usable = _usable(stream, set(), now)
     need = Need(stream.tokens, job.state.settings.vm_zone)
     chain = chains.choose_chain(job.service.model, usable, need)
     if chain is None:
--- a/libs/node/src/cherryrudder/node/streamrelay.py
+++ b/libs/node/src/cherryrudder/node/streamrelay.py
@@ -19,7 +19,7 @@
 
 from . import attempts, entrystate, streamchains, supervision
 from .job import Failed, Job, Whole
-from .streamchains import NO_CHAIN, NO_ROOM
+from .streamchains import HELD_BACK, NO_CHAIN, NO_ROOM
 from .supervision import Watch
 
 # A second attempt is worth sending while this much is left: a prompt is read within
@@ -35,10 +35,16 @@
 # 6 s, as that third.
 MOST_RETRY_S = 5.0
 # Sends beyond the route's attempts that engines may refuse unrun, or die under. They
-# don't count against the route, but each is work for the engines that are left.
+# don't count against the route, but each is work for the engines that are left. A
+# request without an answer can be told to come back instead; one whose answer has begun
+# goes on as long as the retry budget lasts.
 MAX_EXTRA_SENDS = 4
 
-RETRY_AFTER_S = {NO_CHAIN: HOLE_RETRY_S, NO_ROOM: ROOM_RETRY_S}
+RETRY_AFTER_S = {
+    NO_CHAIN: HOLE_RETRY_S,
+    NO_ROOM: ROOM_RETRY_S,
+    HELD_BACK: ROOM_RETRY_S,
+}
 
 
 class Stream:
@@ -129,7 +135,7 @@
     taken from living engines again and again is work for all of them.
     """
     job, most_runs = stream.job, stream.job.route.max_attempts
-    if job.attempts >= most_runs + MAX_EXTRA_SENDS:
+    if not stream.has_begun and job.attempts >= most_runs + MAX_EXTRA_SENDS:
         return False
     ran = [e for e in stream.ran_at if not entrystate.is_certainly_dead(job.state, e)]
     return await attempts.may_retry(
--- a/libs/node/src/cherryrudder/node/supervision.py
+++ b/libs/node/src/cherryrudder/node/supervision.py
@@ -17,7 +17,7 @@
 from cherryrudder.replica.clock import now_s
 from cherryrudder.routing import endpoints, hangs
 
-from . import enginecalls, entrystate, stalls
+from . import enginecalls, entrystate, stalls, streamchains
 from .entrystate import EntryState
 from .errors import EngineCallFailed
 from .roomdesk import RoomDesks
@@ -55,6 +55,9 @@
 MOVE_AFTER_S = 1.0
 MOVE_SPREAD_S = 0.7
 MOVE_AGAIN_S = 0.3
+# Between two looks for a part that a hole in the layers or a full range left out. Room
+# comes free as other streams end, every 30 to 90 ms in a busy data centre.
+PART_POLL_S = 0.08
 # Between two complaints of one stream's pace. Its control VM looks at once, and knows
 # an engine that it has just found sound.
 COMPLAIN_EVERY_S = 1.0
@@ -150,7 +153,7 @@
         chain = _without(stream, self._leaving(stream, now))
         if chain is None or connection is None:
             return
-        status, _ = await _order(stream, chain)
+        status, _ = await _order(stream, chain, is_move=True)
         if stream.connection is connection and status in (200, 202):
             _take(stream, chain)
 
@@ -274,11 +277,16 @@
 
 
 async def _go_on_without(stream, connection, lost):
-    """Replace the lost parts of the chain; break the attempt off when none can be."""
-    job = stream.job
+    """Replace the lost parts of the chain; break the attempt off when none can be.
+
+    Not while there is no other chain either: the first engine holds the request and
+    what was read of it, and broken off, the stream would wait all the same, with an
+    attempt less and nothing kept.
+    """
+    job, since_s = stream.job, stream.progressed_s
     stream.excluded |= lost
     for _ in range(MAX_REROUTES):
-        chain = _without(stream, lost)
+        chain = await _wait_without(stream, connection, lost)
         if chain is None:
             break
         status, missing = await _order(stream, chain)
@@ -292,11 +300,32 @@
             break
         lost = lost | {missing}
         stream.excluded.add(missing)
+    if stream.connection is not connection or stream.progressed_s > since_s:
+        # It has ended meanwhile, or goes on over the chain that seemed lost.
+        return
     job.state.metrics.reroutes.labels("failed").inc()
     stream.break_off("an engine of the chain died")
 
 
-async def _order(stream, chain):
+async def _wait_without(stream, connection, lost):
+    """Return a chain without the lost parts, None when the stream should go elsewhere.
+
+    Elsewhere is another whole chain; until there is either, the stream waits.
+    """
+    since_s = stream.progressed_s
+    while stream.connection is connection and stream.progressed_s <= since_s:
+        chain = _without(stream, lost)
+        is_first_lost = stream.chain[0].address in lost
+        if chain is not None or is_first_lost or not stream.has_begun:
+            return chain
+        is_over = now_s() >= stream.job.leaves_s()
+        if is_over or streamchains.has_other_chain(stream, lost):
+            return None
+        await anyio.sleep(PART_POLL_S)
+    return None
+
+
+async def _order(stream, chain, is_move=False):
     job = stream.job
     try:
         status, missing = await enginecalls.reroute(
@@ -308,6 +337,7 @@
     job.note(
         "reroute",
         status=status,
+        is_move=is_move,
         chain=engines.write_chain(chain),
         last_event=stream.last_event,
         silent_s=round(now_s() - stream.progressed_s, 3),
--- a/libs/policy/src/cherryrudder/policy/roomqueue.py
+++ b/libs/policy/src/cherryrudder/policy/roomqueue.py
@@ -7,14 +7,17 @@
 are late already take the room that others could use in time, and each try costs a
 search through all chains.
 
-Order: streams that can still meet their objective go before those that can't, as a late
-answer is worth a quarter of one in time. Within each of the two, accounts take turns by
+Order: answers that have begun and were interrupted go first; their clients see them
+stand still and leave within seconds, and what they have is worth nothing without the
+rest. Streams that can still meet their objective go before those that can't, as a late
+answer is worth a quarter of one in time. Within each rank, accounts take turns by
 the tokens that they were given (start-time fair queueing with equal weights), and an
 account's streams go by arrival. The first one that finds no room holds the others up,
 since small ones that slip by would starve the large.
 
 Nobody waits longer than its client does, and nobody who can't be reached in that time
-by the rate at which room came free is let in: it is refused at once, with that time.
+by the rate at which room came free is let in: it is refused at once, with that time. An
+answer that has begun can't be refused any more, so it waits as long as its client.
 """
 
 from collections.abc import Container
@@ -27,6 +30,8 @@
 RATE_MEMORY = 0.1
 # Turns before the rate counts; the first ones after a calm say little.
 FEWEST_TURNS = 5
+# The ranks, first to last.
+BEGUN, IN_TIME, LATE = range(3)
 # Streams that wait at one entry at the most. At a thousand bytes each it bounds the
 # memory, and at ten turns a second nobody behind it would be reached.
 MAX_WAITING = 256
@@ -44,6 +49,8 @@
     in_time_until_s: float
     # Then its client is about to leave, or its answer is refused.
     give_up_s: float
+    # Its client has a part of the answer already.
+    has_begun: bool = False
 
 
 class RoomQueue:
@@ -66,7 +73,7 @@
     return sum(
         other.tokens
         for other in queue.waiting.values()
-        if _is_late(other, now_s) <= _is_late(request, now_s)
+        if _rank(other, now_s) <= _rank(request, now_s)
     )
 
 
@@ -81,7 +88,8 @@
     """Let a request wait; else return in how many seconds there may be room."""
     ahead = ahead_tokens(queue, request, now_s)
     wait_s = expected_wait_s(queue, ahead + request.tokens)
-    if len(queue.waiting) >= MAX_WAITING or now_s + wait_s > request.give_up_s:
+    is_in_vain = not request.has_begun and now_s + wait_s > request.give_up_s
+    if len(queue.waiting) >= MAX_WAITING or is_in_vain:
         return wait_s
     if not queue.waiting:
         # Time without anybody waiting says nothing of the room that came free.
@@ -100,11 +108,13 @@
 
 def _order(queue, request, now_s):
     tag = max(queue.tags.get(request.account, 0.0), queue.virtual)
-    return (_is_late(request, now_s), tag, request.arrived_s)
+    return (_rank(request, now_s), tag, request.arrived_s)
 
 
-def _is_late(request, now_s):
-    return now_s > request.in_time_until_s
+def _rank(request, now_s):
+    if request.has_begun:
+        return BEGUN
+    return LATE if now_s > request.in_time_until_s else IN_TIME
 
 
 def started(queue: RoomQueue, request_id: str, now_s: float) -> None:
--- a/libs/policy/test/test_roomqueue.py
+++ b/libs/policy/test/test_roomqueue.py
@@ -49,6 +49,22 @@
         queue = a_queue(a_request("late", 0.0), a_request("in time", 0.5))
         self.assertEqual(order(queue, 0.6), ["in time", "late"])
 
+    def test_an_answer_that_has_begun_goes_first(self):
+        begun = a_request("begun", 0.0)._replace(has_begun=True)
+        queue = a_queue(a_request("in time", 0.5), begun)
+        self.assertEqual(order(queue, 0.6), ["begun", "in time"])
+
+    def test_an_answer_that_has_begun_is_let_in_however_long_the_queue(self):
+        """Its client would see it end in the middle; a new one can be told a time."""
+        waiting = [a_request(f"{n}")._replace(in_time_until_s=9.0) for n in range(40)]
+        queue = a_queue(*waiting)
+        for now_s in range(1, 8):
+            request = roomqueue.first(queue, now_s / 2)
+            roomqueue.started(queue, request.request_id, now_s / 2)
+        self.assertIsNotNone(roomqueue.push(queue, a_request("new", 4.0), 4.0))
+        begun = a_request("begun", 0.0)._replace(has_begun=True)
+        self.assertIsNone(roomqueue.push(queue, begun, 4.0))
+
     def test_accounts_take_turns(self):
         """A partner floods; the one request of another account isn't behind all."""
         flood = [a_request(f"f{n}", n / 1000, "flood") for n in range(20)]
