Attribute each late, refused or broken answer to one cause

`cherryrudder losses` reads the logs of all processes and names for each request what it was lost by: a refusal with its reason, a wait for room or for a missing range, an engine that died, was slow, refused or was left, or busy engines. Tables by cause and by stretch of time, another run beside, and JSON. The trace command reads files with the same function.

Not done: a plot, and joining a refused request with its client's second try, which has another id in the logs.

--- /dev/null
+++ b/libs/cli/src/cherryrudder/cli/loss_command.py
@@ -0,0 +1,54 @@
+"""What requests were lost by, in log files of many processes."""
+
+from pathlib import Path
+
+from . import losses as attribution, requestlog
+from .output import Output, table
+
+HEADS = ("requests", "share", "cause")
+
+
+def losses(*files: Path, width_s: float = 2.0, other: Path | None = None):
+    """Attribute each late, refused or broken answer to one cause.
+
+    :param files: log files of entries and control VMs
+    :param width_s: length of the stretches of time in the second table, seconds
+    :param other: one log file of another run, whose shares are shown beside
+    """
+
+    def run(connect):
+        found = attribution.attribute(requestlog.read_files(files))
+        counts = attribution.count(found)
+        lines = [table(HEADS, [_row(one) for one in counts])]
+        if other is not None:
+            lines += ["", _beside(counts, other)]
+        stretches = attribution.by_second(found, width_s)
+        lines += ["", *(_show(n, told, width_s) for n, told in stretches.items())]
+        value = {
+            "causes": [one._asdict() for one in counts],
+            "requests": [one._asdict() for one in found],
+        }
+        return Output("\n".join(lines), value)
+
+    return run
+
+
+def _beside(counts, other):
+    theirs = attribution.count(attribution.attribute(requestlog.read_files([other])))
+    shares = {one.cause: one.share for one in theirs}
+    names = dict.fromkeys([one.cause for one in counts] + list(shares))
+    own = {one.cause: one.share for one in counts}
+    rows = [
+        (f"{own.get(name, 0):.3f}", f"{shares.get(name, 0):.3f}", name)
+        for name in names
+    ]
+    return table(("share", "other", "cause"), rows)
+
+
+def _row(one):
+    return (str(one.requests), f"{one.share:.3f}", one.cause)
+
+
+def _show(number, counts, width_s):
+    told = ", ".join(f"{one.cause} {one.requests}" for one in counts)
+    return f"{number * width_s:6.1f} s  {told}"
--- a/libs/cli/src/cherryrudder/cli/main.py
+++ b/libs/cli/src/cherryrudder/cli/main.py
@@ -16,6 +16,7 @@
 from .apply_command import apply
 from .client import Client
 from .errors import CliError
+from .loss_command import losses
 from .options import HELP, check_address, control_addresses, read_key, split_options
 from .output import pretty
 from .trace_command import trace
@@ -29,6 +30,7 @@
     "dump": platform_commands.dump,
     "check": local_commands.check,
     "trace": trace,
+    "losses": losses,
     "key-digest": local_commands.key_digest,
 }
 
--- a/libs/cli/src/cherryrudder/cli/requestlog.py
+++ b/libs/cli/src/cherryrudder/cli/requestlog.py
@@ -6,8 +6,11 @@
 
 import json
 from collections.abc import Iterable
+from pathlib import Path
 from typing import NamedTuple
 
+from .errors import BadInput
+
 # A death or a lost control VM that lies further back has been dealt with since.
 BEFORE_S = 6.0
 # What was found out just after the request had ended may explain it as well.
@@ -54,6 +57,20 @@
     return Line(*head, found)
 
 
+def read_files(files: Iterable[Path]) -> list[Line]:
+    """Return the structured lines of log files; raises BadInput."""
+    return [line for file in files for line in _read(file)]
+
+
+def _read(file):
+    try:
+        text = file.read_text(encoding="utf-8", errors="replace")
+    except OSError as error:
+        raise BadInput(f"{file}: {error.strerror}") from error
+    lines = (read_line(one) for one in text.splitlines())
+    return [line for line in lines if line is not None]
+
+
 def trace(lines: Iterable[Line], request_id: str) -> Trace:
     """Return what a request's lines and those beside them tell."""
     ordered = sorted(lines, key=lambda line: line.time_s)
--- a/libs/cli/src/cherryrudder/cli/trace_command.py
+++ b/libs/cli/src/cherryrudder/cli/trace_command.py
@@ -16,7 +16,7 @@
     """
 
     def run(connect):
-        lines = [line for file in files for line in _read(file)]
+        lines = requestlog.read_files(files)
         found = requestlog.trace(lines, request_id)
         if not found.lines:
             raise BadInput(f"{request_id}: {found.cause}")
@@ -37,15 +37,6 @@
     return value
 
 
-def _read(file):
-    try:
-        text = file.read_text(encoding="utf-8", errors="replace")
-    except OSError as error:
-        raise BadInput(f"{file}: {error.strerror}") from error
-    lines = (requestlog.read_line(one) for one in text.splitlines())
-    return [line for line in lines if line is not None]
-
-
 def _show(line: Line, begins_s: float):
     fields = {k: v for k, v in line.fields.items() if k != "request_id"}
     told = " ".join(f"{name}={value}" for name, value in fields.items())
--- a/libs/cli/test/builders.py
+++ b/libs/cli/test/builders.py
@@ -9,8 +9,10 @@
 
 import httpx
 
+from cherryrudder.cli import requestlog
 from cherryrudder.cli.main import main
 from cherryrudder.cli.records import Status, Voter
+from cherryrudder.cli.requestlog import Line
 from cherryrudder.model import jsoncodec
 from cherryrudder.model.contractfiles import format_contract
 from cherryrudder.model.contracts import Contract, digest_key
@@ -42,6 +44,24 @@
     return contract._replace(**changes)
 
 
+def a_line(time_s, event, part="request", vm="front-1", role="entry", **fields):
+    """Return a line; those of the request under test name it `r1`."""
+    if part == "request":
+        fields = {"request_id": "r1"} | fields
+    return Line(time_s, vm, role, part, event, fields)
+
+
+def a_log_file(lines, *texts):
+    """Return the path of a log file with some lines, behind other texts."""
+    texts = [*texts]
+    for line in lines:
+        head = dict(zip(requestlog.HEAD, line[:5], strict=True))
+        texts.append(json.dumps(head | line.fields))
+    path = Path(tempfile.mkdtemp()) / "entry.log"
+    path.write_text("\n".join(texts))
+    return str(path)
+
+
 def a_voter(number):
     """Return a control VM with its disk."""
     return Voter(f"vm-{number}", f"disk-{number}", f"127.0.0.1:{number}")
--- a/libs/cli/test/test_trace.py
+++ b/libs/cli/test/test_trace.py
@@ -1,25 +1,15 @@
 """Tests of the way from a request's id to its cause."""
 
 import json
-import tempfile
 import unittest
-from pathlib import Path
 
-from builders import CliTestCase
+from builders import CliTestCase, a_line, a_log_file
 
 from cherryrudder.cli import requestlog
-from cherryrudder.cli.requestlog import Line
 
 CHAIN = "10.2.64.13:8323=0-13,10.2.64.9:8323=13-80"
 
 
-def a_line(time_s, event, part="request", vm="front-1", role="entry", **fields):
-    """Return a line; those of the request under test name it `r1`."""
-    if part == "request":
-        fields = {"request_id": "r1"} | fields
-    return Line(time_s, vm, role, part, event, fields)
-
-
 def a_death(time_s, address="10.2.64.9:8323"):
     """Return the line of an entry that found an engine dead."""
     return a_line(time_s, "engine-dead", "stalls", address=address, why="silent")
@@ -87,14 +77,7 @@
 
 class CommandTest(CliTestCase):
     def log(self, *lines):
-        folder = tempfile.mkdtemp()
-        path = Path(folder) / "entry.log"
-        texts = [
-            json.dumps(dict(zip(requestlog.HEAD, line[:5], strict=True)) | line.fields)
-            for line in lines
-        ]
-        path.write_text("\n".join(["not a line", *texts]))
-        return str(path)
+        return a_log_file(lines, "not a line")
 
     def test_the_life_of_a_request_is_printed_in_order(self):
         first = self.log(a_line(10.5, "ended", outcome="status 200"))
