Keep off a full first engine, and reckon with other entries from the start

None of the refusals named an engine: the first engine itself was full, and nothing was noted, so each retry went there again. All entries started within 0.4 s with the requests that had come meanwhile, and each took itself for the only one (`peers` 0 until the first word, and then what a control VM knew that had just started).

Change: a refusal without a name is the first engine's own; a full engine is avoided for 2 s and no longer for the rest of the stream's life. For its first two seconds an entry reckons with ten others in its data centre. The data centre of a chain is taken from the table: a first engine that was leaving was not among the usable ones, so that no part behind it could be replaced.

Ruled out: room (198,000 tokens free at the tightest layer at that moment).

--- a/libs/node/src/cherryrudder/node/entrystate.py
+++ b/libs/node/src/cherryrudder/node/entrystate.py
@@ -13,7 +13,7 @@
 from cherryrudder.policy.otherload import Load, OtherLoad
 from cherryrudder.policy.sharedbudget import SharedBudget
 from cherryrudder.relay.pool import Pool
-from cherryrudder.replica.clock import new_id
+from cherryrudder.replica.clock import new_id, now_s
 from cherryrudder.routing import endpoints, hangs, slowness, suspicion
 from cherryrudder.routing.endpoints import Announcement
 from cherryrudder.routing.hangs import Hangs
@@ -37,6 +37,13 @@
 JITTER = 0.15
 # Entries assumed until the control VMs tell how many there are.
 FIRST_ENTRIES = 32
+# Other entries of a data centre that are assumed at least for the first seconds of a
+# process. After a loss of power all entries start together, each with the requests that
+# came meanwhile, and control VMs that have started too know few of them. Each thought
+# itself alone then, and all sent to the same engines, which refused most of it. Assumed
+# too many, they leave room unused for a moment.
+FIRST_PEERS = 10.0
+FIRST_S = 2.0
 
 
 class ToldLoad(NamedTuple):
@@ -80,7 +87,8 @@
         self.firsts: dict[str, int] = {}
         self.others = OtherLoad()
         # Other entries that serve the same data centre.
-        self.peers = 0.0
+        self.peers = FIRST_PEERS
+        self.started_s = now_s()
         self.told: dict[str, ToldLoad] = {}
         # When this entry heard that an incarnation of an engine is about to leave.
         self.leaving_s: dict[str, float] = {}
@@ -135,12 +143,14 @@
 
 
 def hear_others(
-    state: EntryState, usages: tuple[Usage, ...], data_centres: int
+    state: EntryState, usages: tuple[Usage, ...], data_centres: int, now_s: float
 ) -> None:
     """Take what the other entries had running."""
     told = {one.address: Load(*one[1:]) for one in usages}
     otherload.hear(state.others, told)
-    state.peers = max(0.0, state.entries / max(1, data_centres) - 1)
+    is_new = now_s - state.started_s < FIRST_S
+    least = FIRST_PEERS if is_new else 0.0
+    state.peers = max(least, state.entries / max(1, data_centres) - 1)
 
 
 def _own(state, address):
--- a/libs/node/src/cherryrudder/node/streamchains.py
+++ b/libs/node/src/cherryrudder/node/streamchains.py
@@ -3,7 +3,7 @@
 from typing import TYPE_CHECKING
 
 from cherryrudder.layers import chains, pace, pipes
-from cherryrudder.layers.chains import Chain, Need
+from cherryrudder.layers.chains import Candidate, Chain, Need
 from cherryrudder.policy import window
 from cherryrudder.policy.roomqueue import Waiting
 from cherryrudder.replica.clock import now_s
@@ -35,7 +35,7 @@
         chain = await desk.find(
             _waiting(stream),
             lambda: _take_chain(stream, desk.window),
-            is_picky=bool(stream.excluded),
+            is_picky=bool(stream.excluded(began_s)),
         )
     except BaseException:
         # A client may leave at the moment at which its stream's turn has come. The
@@ -71,14 +71,16 @@
 def has_other_chain(stream: "Stream", lost: set[str]) -> bool:
     """Tell whether a stream could go over a chain without some engines right now."""
     job = stream.job
-    usable = _usable(stream, lost, now_s())
+    engines = usable(stream, lost, now_s())
     need = Need(stream.tokens, job.state.settings.vm_zone)
-    return chains.choose_chain(job.service.model, usable, need) is not None
+    return chains.choose_chain(job.service.model, engines, need) is not None
 
 
-def _usable(stream, lost, now):
+def usable(stream: "Stream", lost: set[str], now: float) -> list[Candidate]:
+    """Return the engines that a stream may go over, without some."""
     candidates = entrystate.candidates(stream.job.state, stream.job.service.name, now)
-    return [e for e in candidates if e.address not in stream.excluded | lost]
+    avoided = stream.excluded(now) | lost
+    return [e for e in candidates if e.address not in avoided]
 
 
 def _take_chain(stream, own_window):
@@ -106,13 +108,13 @@
 def _choose(stream):
     """Return a chain, or None and why there is none in `refusal`."""
     job, now = stream.job, now_s()
-    usable = _usable(stream, set(), now)
+    engines = usable(stream, set(), now)
     need = Need(stream.tokens, job.state.settings.vm_zone)
-    chain = chains.choose_chain(job.service.model, usable, need)
+    chain = chains.choose_chain(job.service.model, engines, need)
     if chain is None:
-        chain = _choose_mixed(stream, usable, need, now)
+        chain = _choose_mixed(stream, engines, need, now)
     if chain is None:
-        roomless = [engine._replace(tokens=0) for engine in usable]
+        roomless = [engine._replace(tokens=0) for engine in engines]
         is_whole = chains.choose_chain(job.service.model, roomless, need) is not None
         stream.refusal = NO_ROOM if is_whole else NO_CHAIN
         return None
@@ -121,17 +123,17 @@
         # token, and nothing behind would notice.
         job.note("bad-chain", True, chain=[list(part) for part in chain])
         return None
-    stream.expected_pause_s = pace.expected_pause_s(job.service.model, chain, usable)
+    stream.expected_pause_s = pace.expected_pause_s(job.service.model, chain, engines)
     return chain
 
 
-def _choose_mixed(stream, usable, need, now):
+def _choose_mixed(stream, engines, need, now):
     """Return a chain over several data centres, as far as the pipes allow."""
     state, model = stream.job.state, stream.job.service.model
-    chain = chains.choose_mixed_chain(model, usable, need)
+    chain = chains.choose_mixed_chain(model, engines, need)
     if chain is None:
         return None
-    count = chains.crossings(chain, usable)
+    count = chains.crossings(chain, engines)
     cost_s = pipes.crossing_s(model, stream.job.facts.prompt_tokens, count)
     if not pipes.may_cross(state.pipes, cost_s, state.entries, now):
         return None
@@ -142,14 +144,14 @@
 def _note_no_chain(stream):
     """Log what a stream lacked: which layer is held by too few, or too full."""
     job = stream.job
-    usable = entrystate.candidates(job.state, job.service.name, now_s())
-    layer, free = chains.tightest(job.service.model, usable)
+    engines = entrystate.candidates(job.state, job.service.name, now_s())
+    layer, free = chains.tightest(job.service.model, engines)
     own_window = stream.watch.desks.of(job.service.name).window
     job.note(
         "no-chain",
         reason=stream.refusal,
         tokens=stream.tokens,
-        engines=len(usable),
+        engines=len(engines),
         tightest_layer=layer,
         free_tokens=round(free),
         own_streams=len(stream.watch.streams),
--- a/libs/node/src/cherryrudder/node/streamrelay.py
+++ b/libs/node/src/cherryrudder/node/streamrelay.py
@@ -40,6 +40,10 @@
 # goes on as long as the retry budget lasts.
 MAX_EXTRA_SENDS = 4
 
+# How long a request keeps away from an engine that refused it for want of room: as long
+# as a usual answer takes to end there.
+REFUSED_S = 2.0
+
 RETRY_AFTER_S = {
     NO_CHAIN: HOLE_RETRY_S,
     NO_ROOM: ROOM_RETRY_S,
@@ -86,8 +90,18 @@
         self.is_late = False
         # The present attempt's engine has begun it, or refused it.
         self.has_head = False
-        # Engines that this request is not to meet again.
-        self.excluded: set[str] = set()
+        # Until when this request is not to meet an engine, by address.
+        self._excluded_until_s: dict[str, float] = {}
+
+    def exclude(self, address: str, until_s: float = math.inf) -> None:
+        """Keep the request away from an engine, for good unless a time is given."""
+        known_s = self._excluded_until_s.get(address, 0.0)
+        self._excluded_until_s[address] = max(known_s, until_s)
+
+    def excluded(self, now: float) -> set[str]:
+        """Return the addresses of the engines that the request is not to meet."""
+        until_s = self._excluded_until_s
+        return {address for address in until_s if now < until_s[address]}
 
     def break_off(self, why: str) -> None:
         """End the present attempt; its reader finds the connection closed."""
@@ -255,11 +269,7 @@
     _note_head(stream)
     if facts.is_not_run:
         await _read_rest(connection)
-        if facts.fault_address:
-            stream.excluded.add(facts.fault_address)
-            entrystate.note_full(job.state, facts.fault_address, now_s())
-        elif head.status == 421:
-            stream.excluded.add(stream.chain[0].address)
+        _avoid(stream, head.status, facts)
         _note_refusal(stream, head, facts)
         return Failed(f"status {head.status} from the engine", is_not_run=True)
     if head.status != 200:
@@ -272,6 +282,19 @@
     return None
 
 
+def _avoid(stream, status, facts):
+    """Keep away from the engine that refused: the named one, else the first itself.
+
+    One that is full has room again soon; one that lacks the layers does not.
+    """
+    address, now = facts.fault_address or stream.chain[0].address, now_s()
+    if status == 421:
+        stream.exclude(address)
+        return
+    stream.exclude(address, now + REFUSED_S)
+    entrystate.note_full(stream.job.state, address, now)
+
+
 async def _begin(stream, head):
     job = stream.job
     headers = messages.answer_headers(head.headers)
--- a/libs/node/src/cherryrudder/node/supervision.py
+++ b/libs/node/src/cherryrudder/node/supervision.py
@@ -89,7 +89,7 @@
                     if is_late:
                         progressed(stream, now)
                     elif _is_hung(stream, hung):
-                        stream.excluded.add(stream.chain[0].address)
+                        stream.exclude(stream.chain[0].address)
                         stream.break_off("the first engine begins nothing")
                     elif self._is_due(stream, now):
                         stream.is_looked_at = True
@@ -272,7 +272,7 @@
 def lose_first(stream: "Stream", why: str, is_unreached: bool = True) -> None:
     """Take the first engine of a stream's chain as dead."""
     first = stream.chain[0]
-    stream.excluded.add(first.address)
+    stream.exclude(first.address)
     stream.stalls.accuse(first.address, why, is_unreached)
 
 
@@ -284,7 +284,8 @@
     attempt less and nothing kept.
     """
     job, since_s = stream.job, stream.progressed_s
-    stream.excluded |= lost
+    for address in lost:
+        stream.exclude(address)
     for _ in range(MAX_REROUTES):
         chain = await _wait_without(stream, connection, lost)
         if chain is None:
@@ -299,7 +300,7 @@
         if status != 409 or not missing:
             break
         lost = lost | {missing}
-        stream.excluded.add(missing)
+        stream.exclude(missing)
     if stream.connection is not connection or stream.progressed_s > since_s:
         # It has ended meanwhile, or goes on over the chain that seemed lost.
         return
@@ -349,14 +350,11 @@
     job = stream.job
     if stream.chain[0].address in lost:
         return None
-    usable = [
-        engine
-        for engine in entrystate.candidates(job.state, job.service.name, now_s())
-        if engine.address not in stream.excluded
-    ]
-    # The zone of the chain, which is not always this entry's.
-    zones = {e.address: e.vm_zone for e in usable}
-    need = Need(stream.tokens, zones.get(stream.chain[0].address, ""))
+    usable = streamchains.usable(stream, lost, now_s())
+    # The data centre of the chain, which is not always this entry's. The first engine
+    # may be leaving, and so not among the usable ones.
+    first = job.state.endpoints.table.entries.get(stream.chain[0].engine_id)
+    need = Need(stream.tokens, first.announcement.vm_zone if first else "")
     model = job.service.model
     chain = chains.replace_parts(model, stream.chain, usable, lost, need)
     if chain is None or not chains.covers(chain, model.layers):
--- a/libs/node/src/cherryrudder/node/uplink.py
+++ b/libs/node/src/cherryrudder/node/uplink.py
@@ -186,7 +186,7 @@
         state.entries = answer.entries
         if answer.usage is not None:
             data_centres = len(tellers_of(roster.beats(state.controls, now)))
-            entrystate.hear_others(state, answer.usage, data_centres)
+            entrystate.hear_others(state, answer.usage, data_centres, now)
             sharedbudget.share(state.budget, answer.spent, answer.entries, now)
         # A version that is not here yet confirms nothing; the next answer will.
         if 0 < answer.version <= state.version:
--- /dev/null
+++ b/libs/node/test/test_entrystate.py
@@ -0,0 +1,70 @@
+import unittest
+
+from builders import PipedSink
+
+from cherryrudder.node import entrystate
+from cherryrudder.node.entrystate import EntryState
+from cherryrudder.node.metrics import Metrics
+from cherryrudder.platform.settings import Bounds, NodeSettings
+from cherryrudder.policy import otherload
+from cherryrudder.policy.otherload import Load
+
+
+def a_state(sink):
+    settings = NodeSettings(
+        vm="vm-1",
+        role="entry",
+        ip="127.0.0.1",
+        vm_zone="a",
+        region="r",
+        client_address="",
+        readiness_address="",
+        control_address="",
+        first_port=7000,
+        last_port=7010,
+        seeds=(),
+        is_founding=False,
+        data_folder="",
+        heartbeat_s=1.2,
+        memory_mb=200.0,
+        tolerated_losses=1,
+        bounds=Bounds(2.0, 8.0, 2.0, 5.0, True, 3.0, 0.2, 200.0, 10.0, 2.5),
+    )
+    return EntryState(settings, sink, Metrics())
+
+
+class StartTest(unittest.TestCase):
+    """All entries lose power and start together, with the requests that came meanwhile.
+
+    The control VMs have started too and know few entries. Each entry that took itself
+    for alone sent all it had to the same engine, which refused most of it.
+    """
+
+    def setUp(self):
+        self.piped = PipedSink()
+        self.addCleanup(self.piped.close)
+        self.state = a_state(self.piped.sink)
+
+    def others_seen(self):
+        """Return what the others are thought to run once this entry has sent ten."""
+        own = Load(10.0, 9000.0, 10.0)
+        others = self.state.others
+        return otherload.estimate(others, "e:1", own, self.state.peers)
+
+    def test_before_any_word_the_others_are_thought_to_send_as_much(self):
+        self.assertGreaterEqual(self.others_seen().firsts, 50)
+
+    def test_an_early_word_of_few_entries_is_not_believed(self):
+        self.state.entries = 2
+        entrystate.hear_others(self.state, (), 3, self.state.started_s + 0.5)
+        self.assertGreaterEqual(self.others_seen().firsts, 50)
+
+    def test_later_the_word_counts(self):
+        self.state.entries = 6
+        later_s = self.state.started_s + entrystate.FIRST_S
+        entrystate.hear_others(self.state, (), 3, later_s)
+        self.assertEqual(self.others_seen().firsts, 10)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/libs/node/test/test_streamchains.py
+++ b/libs/node/test/test_streamchains.py
@@ -31,7 +31,7 @@
         job=job,
         watch=SimpleNamespace(desks=RoomDesks(group)),
         tokens=900,
-        excluded=set(),
+        excluded=lambda _: set(),
         has_begun=True,
         is_counted=False,
         chain=(),
--- a/libs/node/test/test_supervision.py
+++ b/libs/node/test/test_supervision.py
@@ -20,7 +20,7 @@
         job=SimpleNamespace(state=state, leaves_s=lambda: now_s() + 60.0),
         chain=CHAIN,
         connection=object(),
-        excluded=set(),
+        exclude=lambda *_: None,
         progressed_s=now_s(),
         has_begun=has_begun,
     )
