--- a/libs/policy/src/cherryrudder/policy/sharedbudget.py
+++ b/libs/policy/src/cherryrudder/policy/sharedbudget.py
@@ -2,8 +2,8 @@
 
 Load pattern: a data centre loses an engine, and all retries of the next second are
 those of the entries there. Shared evenly among some dozens of entries, the operators'
-budget leaves each a few: the entries that need retries give streams up for want of them, while
-nine tenths of the budget lie unused at the others.
+budget leaves each a few: the entries that need retries give streams up for want of
+them, while nine tenths of the budget lie unused at the others.
 
 Each entry tells what it has spent in the operators' window, and is told what the others
 have. Until the next word it may spend an even part of half of what is left. All
