Search only the data centres that can have the cheapest chain

Cause, found by measuring before any change for hundreds of engines: a choice searched every data centre, and a stream that waits for room made up to three searches every 25 ms.

Change: the home data centre first, and no other once it is cheaper than going elsewhere alone; none with a hole; whether a copy is whole is told from the ranges without a search; no search over all data centres while the pipes' budget is spent.

Measured on this machine, milliseconds a call, before -> after: a choice 2.23 -> 0.43, where a range is full everywhere 1.69 -> 0.23, over all data centres in that case 3.69 -> 0.17. The chain is as cheap as with all searched, which a property test checks against the old search.

--- a/libs/layers/src/cherryrudder/layers/chains.py
+++ b/libs/layers/src/cherryrudder/layers/chains.py
@@ -118,19 +118,49 @@
 def choose_chain(
     profile: ModelProfile, engines: Iterable[Candidate], need: Need
 ) -> Chain | None:
-    """Return the cheapest chain inside one data centre, or None."""
-    usable = [e for e in engines if has_room(profile, e, need.tokens)]
+    """Return the cheapest chain inside one data centre, or None.
+
+    Data centres that can't have it are not searched: with a hole in their layers, or
+    once the home one is cheaper than going elsewhere alone. Over five data centres
+    with 130 engines this takes a choice from 2.2 to 0.43 ms, and from 1.7 to 0.23 ms
+    where a range is full everywhere, as it is for those that wait and try again.
+    """
+    by_zone = _by_zone(e for e in engines if has_room(profile, e, need.tokens))
     best = None
-    for zone in sorted({e.vm_zone for e in usable}):
-        found = _cheapest(profile, [e for e in usable if e.vm_zone == zone], zone)
-        if found is None:
+    for zone in sorted(by_zone, key=lambda name: (name != need.home_zone, name)):
+        away_s = FOREIGN_S if zone != need.home_zone else 0.0
+        if best is not None and best[0] <= away_s:
+            break
+        if not _has_all_layers(profile, by_zone[zone]):
             continue
-        cost = found[0] + (FOREIGN_S if zone != need.home_zone else 0.0)
-        if best is None or cost < best[0]:
-            best = (cost, found[1])
+        found = _cheapest(profile, by_zone[zone], zone)
+        if found is not None and (best is None or found[0] + away_s < best[0]):
+            best = (found[0] + away_s, found[1])
     return best and best[1]
 
 
+def is_whole(profile: ModelProfile, engines: Iterable[Candidate]) -> bool:
+    """Tell whether some data centre holds all layers, with room or without."""
+    groups = _by_zone(engines).values()
+    return any(_has_all_layers(profile, group) for group in groups)
+
+
+def _by_zone(engines):
+    by_zone: dict[str, list[Candidate]] = {}
+    for engine in engines:
+        by_zone.setdefault(engine.vm_zone, []).append(engine)
+    return by_zone
+
+
+def _has_all_layers(profile, engines):
+    end = 0
+    for engine in sorted(engines, key=lambda e: e.first):
+        if engine.first > end:
+            return False
+        end = max(end, engine.end)
+    return end >= profile.layers
+
+
 def choose_mixed_chain(
     profile: ModelProfile, engines: Iterable[Candidate], need: Need
 ) -> Chain | None:
@@ -142,6 +172,8 @@
     on the pipe stood still for two seconds.
     """
     usable = [e for e in engines if has_room(profile, e, need.tokens)]
+    if not _has_all_layers(profile, usable):
+        return None
     chain = cheapest(profile, usable, need.home_zone)
     if chain is None or crossings(chain, usable) > MAX_CROSSINGS:
         return None
--- a/libs/layers/src/cherryrudder/layers/pipes.py
+++ b/libs/layers/src/cherryrudder/layers/pipes.py
@@ -29,12 +29,22 @@
     return crossings * bits / (profile.pipe_mbps * 1e6)
 
 
+def is_open(budget: PipeBudget, cost_s: float, entries: int, now_s: float) -> bool:
+    """Tell whether a prompt that takes so long might cross now."""
+    debt_s = _debt_s(budget, entries, now_s)
+    return not debt_s or debt_s + cost_s <= BURST_S
+
+
 def may_cross(budget: PipeBudget, cost_s: float, entries: int, now_s: float) -> bool:
     """Tell whether a prompt may cross now, and count it if so."""
-    won_s = (now_s - budget.counted_s) * USED_SHARE / max(1, entries)
-    budget.debt_s = max(0.0, budget.debt_s - won_s)
+    is_free = is_open(budget, cost_s, entries, now_s)
+    budget.debt_s = _debt_s(budget, entries, now_s)
     budget.counted_s = now_s
-    if budget.debt_s and budget.debt_s + cost_s > BURST_S:
-        return False
-    budget.debt_s += cost_s
-    return True
+    if is_free:
+        budget.debt_s += cost_s
+    return is_free
+
+
+def _debt_s(budget, entries, now_s):
+    won_s = (now_s - budget.counted_s) * USED_SHARE / max(1, entries)
+    return max(0.0, budget.debt_s - won_s)
--- a/libs/layers/test/test_chains.py
+++ b/libs/layers/test/test_chains.py
@@ -41,6 +41,51 @@
                 self.assertFalse(chains.covers(wrong, 8))
 
 
+def searched_everywhere(engines, need):
+    """Return the cheapest chain of all data centres, each of them searched."""
+    found = []
+    usable = [e for e in engines if chains.has_room(SMALL, e, need.tokens)]
+    for zone in sorted({e.vm_zone for e in usable}):
+        group = [e for e in usable if e.vm_zone == zone]
+        best = chains._cheapest(SMALL, group, zone)
+        if best is not None:
+            away_s = chains.FOREIGN_S if zone != need.home_zone else 0.0
+            found.append(best[0] + away_s)
+    return min(found, default=None)
+
+
+class ShortcutTest(unittest.TestCase):
+    """Data centres are left out of the search where they can't have the cheapest."""
+
+    @settings(max_examples=200, deadline=None, derandomize=True)
+    @given(st.randoms(use_true_random=False))
+    def test_the_chain_is_as_cheap_as_if_all_were_searched(self, rng):
+        engines = []
+        for number in range(rng.randint(2, 14)):
+            first = rng.randint(0, 7)
+            end = rng.randint(first + 1, 8)
+            engine = an_engine(f"e{number}", first, end, rng.choice("abc"))
+            room = room_tokens(SMALL, KINDS[2], end - first)
+            engines.append(engine._replace(tokens=rng.choice([0, 0.7, 0.95]) * room))
+        need = Need(100.0, "a")
+        wanted = searched_everywhere(engines, need)
+        chain = chains.choose_chain(SMALL, engines, need)
+        self.assertEqual(chain is None, wanted is None)
+        if chain is not None:
+            zone = next(e.vm_zone for e in engines if e.address == chain[0].address)
+            group = [e for e in engines if e.vm_zone == zone]
+            group = [e for e in group if chains.has_room(SMALL, e, need.tokens)]
+            away_s = chains.FOREIGN_S if zone != "a" else 0.0
+            cost = chains._cheapest(SMALL, group, zone)[0] + away_s
+            self.assertAlmostEqual(cost, wanted)
+
+    def test_a_whole_copy_without_room_is_a_lack_of_room(self):
+        engines = [an_engine("e", 0, 8, tokens=1e12)]
+        self.assertIsNone(chains.choose_chain(SMALL, engines, Need(100.0, "a")))
+        self.assertTrue(chains.is_whole(SMALL, engines))
+        self.assertFalse(chains.is_whole(SMALL, [an_engine("e", 0, 7)]))
+
+
 class ChoiceTest(unittest.TestCase):
     def test_a_chain_stays_in_its_own_data_centre(self):
         engines = users_candidates()
--- a/libs/node/src/cherryrudder/node/streamchains.py
+++ b/libs/node/src/cherryrudder/node/streamchains.py
@@ -114,8 +114,7 @@
     if chain is None:
         chain = _choose_mixed(stream, engines, need, now)
     if chain is None:
-        roomless = [engine._replace(tokens=0) for engine in engines]
-        is_whole = chains.choose_chain(job.service.model, roomless, need) is not None
+        is_whole = chains.is_whole(job.service.model, engines)
         stream.refusal = NO_ROOM if is_whole else NO_CHAIN
         return None
     if not chains.covers(chain, job.service.model.layers):
@@ -130,11 +129,17 @@
 def _choose_mixed(stream, engines, need, now):
     """Return a chain over several data centres, as far as the pipes allow."""
     state, model = stream.job.state, stream.job.service.model
+    tokens = stream.job.facts.prompt_tokens
+    least_s = pipes.crossing_s(model, tokens, 1)
+    if not pipes.is_open(state.pipes, least_s, state.entries, now):
+        # The search over all data centres is the dearest part of a choice, and those
+        # that wait for room would make it again and again.
+        return None
     chain = chains.choose_mixed_chain(model, engines, need)
     if chain is None:
         return None
     count = chains.crossings(chain, engines)
-    cost_s = pipes.crossing_s(model, stream.job.facts.prompt_tokens, count)
+    cost_s = pipes.crossing_s(model, tokens, count)
     if not pipes.may_cross(state.pipes, cost_s, state.entries, now):
         return None
     stream.job.note("crossing", crossings=count, debt_s=round(state.pipes.debt_s, 3))
