Count the prompts that wait at engines when a chain is chosen

Two of three data centres had holes from a release, and every entry sent its streams over the fast engines of the third. Their memory had room, so they stayed the cheapest; first events came 0.5 s, then 1.1 s after the streams were sent, all at one first engine, while the slow copy beside it idled. Prompts are read a part a pass, and a pass takes a step of every stream that runs: some 60 prompts a second there, 80 came. The same happened at each start after a loss of power.

Change: an entry counts the prompts that it sent through each engine and that gave no event yet, takes it that the others of its data centre have as many, and adds the wait for them to the chain's cost: a wait of an objective counts as much as going to another data centre.

--- a/libs/layers/src/cherryrudder/layers/chains.py
+++ b/libs/layers/src/cherryrudder/layers/chains.py
@@ -29,6 +29,10 @@
 CROSSING_S = 0.05
 # There and back once: what one hole or one full range in a data centre asks for.
 MAX_CROSSINGS = 2
+# Cost per token of a wait of one second for a first event. A usual objective is half a
+# second; a wait of half of it counts as much as half of going to another data centre.
+# Late answers are worth a fraction of those in time, slower ones as much.
+WAIT_COST = 0.04
 # Cost per token of a whole chain in another data centre. Its activations cross no
 # pipe, only the answer does: it is worth it once the home engines are two thirds full.
 FOREIGN_S = 0.02
@@ -50,6 +54,8 @@
     slowness: float = 1.0
     # Those of the running ones whose chain begins here.
     firsts: float = 0.0
+    # Tokens of prompts that were sent through it and gave no event yet.
+    unread: float = 0.0
     # Multiplies its cost. Somewhat different for each choice, it keeps the choices of
     # many entries that know the same from being all alike.
     jitter: float = 1.0
@@ -98,6 +104,24 @@
     return layer_step_s(profile, engine) * crowd * engine.jitter
 
 
+def reading_wait_s(profile: ModelProfile, engine: Candidate) -> float:
+    """Return how long an engine reads the prompts that wait there, in seconds.
+
+    It reads a part of them in each pass, and a pass takes a step of every stream that
+    runs. So an engine with many streams reads few prompts a second, however fast it
+    reads one alone: the newest ones wait while other engines are idle.
+    """
+    if not engine.unread:
+        return 0.0
+    kind = kind_of(profile, engine.kind)
+    layers = engine.end - engine.first
+    share = layers / profile.layers
+    read_s = profile.chunk_tokens / profile.read_per_s
+    read_s *= kind.read_factor * engine.slowness * share
+    pass_s = profile.stride * layer_step_s(profile, engine) * layers + read_s
+    return engine.unread / profile.chunk_tokens * pass_s
+
+
 def layer_step_s(profile: ModelProfile, engine: Candidate) -> float:
     """Return how long one step takes in one layer on an engine, in seconds."""
     kind = kind_of(profile, engine.kind)
@@ -274,6 +298,7 @@
     """Return, by (layer, zone), the least cost and the step that led there."""
     best = {(marks[0], home_zone): (0.0, None, None)}
     prices = {e.address: part_cost_s(profile, e) for e in engines}
+    waits = {e.address: WAIT_COST * reading_wait_s(profile, e) for e in engines}
     hop_s = HOP_S + profile.activation_bytes * 8 / (profile.link_mbps * 1e6)
     for at in marks[:-1]:
         states = [(k, v[0]) for k, v in best.items() if k[0] == at]
@@ -286,6 +311,7 @@
             cost, state = _cheapest_entry(states, engine.vm_zone)
             if state is None:
                 continue
+            cost += waits[engine.address]
             for to in marks:
                 if at < to <= engine.end:
                     total = cost + hop_s + (to - at) * prices[engine.address]
--- a/libs/layers/src/cherryrudder/layers/profile.py
+++ b/libs/layers/src/cherryrudder/layers/profile.py
@@ -33,6 +33,8 @@
     kinds: tuple[KindProfile, ...]
     # Steps between two events of a stream.
     stride: int = 1
+    # Tokens of waiting prompts that an engine reads in one pass over its requests.
+    chunk_tokens: int = 512
 
 
 class Holding(NamedTuple):
--- a/libs/layers/test/test_chains.py
+++ b/libs/layers/test/test_chains.py
@@ -86,6 +86,51 @@
         self.assertFalse(chains.is_whole(SMALL, [an_engine("e", 0, 7)]))
 
 
+class ReadingTest(unittest.TestCase):
+    """One data centre serves those of two others, and its fastest engines come first.
+
+    Prompts are read a part at a time between the steps of all streams that run there.
+    With the memory alone in mind, all new streams went to the fast engines, whose room
+    had not run out, and waited there for seconds for their first event; the slow copy
+    beside them was idle.
+    """
+
+    def engines(self, unread):
+        kinds = {"h100": 0.0, "l4": 0.0} | unread
+        return [
+            an_engine(f"{kind}-{first}", first, first + 4, "a", kind, unread=tokens)
+            for kind, tokens in kinds.items()
+            for first in (0, 4)
+        ]
+
+    def kinds_of(self, chain):
+        return {part.address.partition("-")[0] for part in chain}
+
+    def test_an_idle_fast_engine_is_taken(self):
+        chain = chains.choose_chain(SMALL, self.engines({}), NEED)
+        self.assertEqual(self.kinds_of(chain), {"h100"})
+
+    def test_prompts_that_wait_there_send_it_to_the_slow_one(self):
+        waiting = {"h100": 200 * 772.0}
+        chain = chains.choose_chain(SMALL, self.engines(waiting), NEED)
+        self.assertEqual(self.kinds_of(chain), {"l4"})
+
+    def test_the_wait_grows_with_the_streams_that_run(self):
+        idle = an_engine("e", 0, 4, unread=7720.0)
+        busy = idle._replace(running=90.0)
+        idle_s = chains.reading_wait_s(SMALL, idle)
+        self.assertGreater(chains.reading_wait_s(SMALL, busy), 1.3 * idle_s)
+
+    def test_a_slow_engine_reads_as_slowly_as_it_writes(self):
+        sound = an_engine("e", 0, 4, unread=7720.0)
+        wait_s = chains.reading_wait_s(SMALL, sound)
+        slow_s = chains.reading_wait_s(SMALL, sound._replace(slowness=12.0))
+        self.assertAlmostEqual(slow_s, 12 * wait_s)
+
+    def test_nothing_waits_where_nothing_is_unread(self):
+        self.assertEqual(chains.reading_wait_s(SMALL, an_engine("e", 0, 4)), 0.0)
+
+
 class ChoiceTest(unittest.TestCase):
     def test_a_chain_stays_in_its_own_data_centre(self):
         engines = users_candidates()
--- a/libs/node/src/cherryrudder/node/entrystate.py
+++ b/libs/node/src/cherryrudder/node/entrystate.py
@@ -85,6 +85,8 @@
         self.running: dict[str, int] = {}
         self.tokens: dict[str, int] = {}
         self.firsts: dict[str, int] = {}
+        # Tokens of this entry's prompts that gave no event yet, by engine address.
+        self.unread: dict[str, int] = {}
         self.others = OtherLoad()
         # Other entries that serve the same data centre.
         self.peers = FIRST_PEERS
@@ -131,6 +133,20 @@
         del state.firsts[first]
 
 
+def prompt_sent(state: EntryState, chain: Chain, tokens: int) -> None:
+    """Count a prompt that every engine of a chain has yet to read."""
+    for part in chain:
+        state.unread[part.address] = state.unread.get(part.address, 0) + tokens
+
+
+def prompt_read(state: EntryState, chain: Chain, tokens: int) -> None:
+    """Count a prompt out again: it was read, or its attempt has ended."""
+    for part in chain:
+        left = state.unread.pop(part.address, 0) - tokens
+        if left > 0:
+            state.unread[part.address] = left
+
+
 def usage(state: EntryState) -> tuple[Usage, ...]:
     """Return what this entry has running, for the other entries."""
     return tuple(Usage(address, *_own(state, address)) for address in state.running)
@@ -228,6 +244,8 @@
         tokens=math.inf if is_full else own.tokens + others.tokens,
         # One that begins nothing still runs its part of other engines' requests.
         firsts=math.inf if is_hung else own.firsts + others.firsts,
+        # The others have as much on the way as this entry; they don't tell.
+        unread=state.unread.get(address, 0) * (1.0 + state.peers),
         jitter=1.0 + JITTER * state.rng.random(),
         slowness=slowness.slowness_of(state.slowness, announcement.engine_id, now),
     )
--- a/libs/node/src/cherryrudder/node/streamrelay.py
+++ b/libs/node/src/cherryrudder/node/streamrelay.py
@@ -68,6 +68,8 @@
         self.has_begun = False
         # First engines of the attempts that may have run.
         self.ran_at: list[str] = []
+        # The chain that has yet to read the prompt, for all that is known.
+        self.unread_chain: Chain = ()
         # The connection of the present attempt.
         self.connection: EngineConnection | None = None
         self.progressed_s = now_s()
@@ -93,6 +95,17 @@
         # Until when this request is not to meet an engine, by address.
         self._excluded_until_s: dict[str, float] = {}
 
+    def note_sent(self) -> None:
+        """Count the prompt as on its way through the chain."""
+        self.unread_chain = self.chain
+        tokens = self.job.facts.prompt_tokens
+        entrystate.prompt_sent(self.job.state, self.unread_chain, tokens)
+
+    def note_read(self) -> None:
+        """Count the prompt as read, if it isn't yet."""
+        chain, self.unread_chain = self.unread_chain, ()
+        entrystate.prompt_read(self.job.state, chain, self.job.facts.prompt_tokens)
+
     def exclude(self, address: str, until_s: float = math.inf) -> None:
         """Keep the request away from an engine, for good unless a time is given."""
         known_s = self._excluded_until_s.get(address, 0.0)
@@ -213,6 +226,7 @@
         return Failed(reason, is_not_run=False, is_late=stream.is_late)
     finally:
         stream.connection = None
+        stream.note_read()
         hangs.ended(job.state.hangs, first.engine_id, job.facts.request_id)
         stream.watch.streams.discard(stream)
         if is_kept:
@@ -223,6 +237,7 @@
 
 def _note_sent(stream):
     job, now = stream.job, now_s()
+    stream.note_sent()
     stream.sent_s = now
     hangs.sent(
         job.state.hangs,
@@ -325,6 +340,7 @@
         if data is None:
             break
         supervision.progressed(stream, now_s())
+        stream.note_read()
         fresh = [e for e in events.split(stream.splitter, data) if _is_new(stream, e)]
         if not fresh:
             continue
--- a/libs/node/test/test_entrystate.py
+++ b/libs/node/test/test_entrystate.py
@@ -1,13 +1,15 @@
 import unittest
 
-from builders import PipedSink
+from builders import PipedSink, an_announcement
 
-from cherryrudder.node import entrystate
+from cherryrudder.layers.chains import Part
+from cherryrudder.node import entrystate, tablesync
 from cherryrudder.node.entrystate import EntryState
 from cherryrudder.node.metrics import Metrics
 from cherryrudder.platform.settings import Bounds, NodeSettings
 from cherryrudder.policy import otherload
 from cherryrudder.policy.otherload import Load
+from cherryrudder.replica.clock import now_s
 
 
 def a_state(sink):
@@ -66,5 +68,36 @@
         self.assertEqual(self.others_seen().firsts, 10)
 
 
+class UnreadTest(unittest.TestCase):
+    CHAIN = (Part("e1:1", "boot-1", 0, 8), Part("e2:1", "boot-2", 8, 16))
+
+    def setUp(self):
+        self.piped = PipedSink()
+        self.addCleanup(self.piped.close)
+        self.state = a_state(self.piped.sink)
+
+    def test_a_prompt_counts_on_each_engine_until_it_was_read(self):
+        entrystate.prompt_sent(self.state, self.CHAIN, 700)
+        entrystate.prompt_sent(self.state, self.CHAIN[:1], 300)
+        self.assertEqual(self.state.unread, {"e1:1": 1000, "e2:1": 700})
+        entrystate.prompt_read(self.state, self.CHAIN, 700)
+        self.assertEqual(self.state.unread, {"e1:1": 300})
+
+    def test_an_empty_prompt_takes_nothing_from_others(self):
+        entrystate.prompt_sent(self.state, self.CHAIN, 0)
+        entrystate.prompt_sent(self.state, self.CHAIN, 700)
+        entrystate.prompt_read(self.state, self.CHAIN, 0)
+        self.assertEqual(self.state.unread, {"e1:1": 700, "e2:1": 700})
+
+    def test_the_others_are_thought_to_have_as_much_on_the_way(self):
+        now = now_s()
+        told = an_announcement("e1", layers=(0, 8), address="e1:1")
+        tablesync.hear(self.state.endpoints, told, now)
+        self.state.peers = 4.0
+        entrystate.prompt_sent(self.state, self.CHAIN, 700)
+        (candidate,) = entrystate.candidates(self.state, "llm", now)
+        self.assertEqual(candidate.unread, 5 * 700)
+
+
 if __name__ == "__main__":
     unittest.main()
