--- a/libs/node/src/cherryrudder/node/roomdesk.py
+++ b/libs/node/src/cherryrudder/node/roomdesk.py
@@ -13,7 +13,6 @@
 from cherryrudder.layers.chains import Chain
 from cherryrudder.policy import roomqueue
 from cherryrudder.policy.roomqueue import RoomQueue, Waiting
-from cherryrudder.policy.window import Window
 from cherryrudder.replica.clock import now_s
 
 # Room comes free when a stream ends, here or at another entry; the latter isn't told at
@@ -38,7 +37,6 @@
 
     def __init__(self):
         self.queue = RoomQueue()
-        self.window = Window()
         self._turns: dict[str, _Turn] = {}
         self._wake = anyio.Event()
 
--- a/libs/node/src/cherryrudder/node/streamchains.py
+++ b/libs/node/src/cherryrudder/node/streamchains.py
@@ -4,7 +4,6 @@
 
 from cherryrudder.layers import chains, pace, pipes
 from cherryrudder.layers.chains import Candidate, Chain, Need
-from cherryrudder.policy import window
 from cherryrudder.policy.roomqueue import Waiting
 from cherryrudder.replica.clock import now_s
 
@@ -22,8 +21,6 @@
 # Some layers are held by no engine that may be used, or by none with room.
 NO_CHAIN = "no chain"
 NO_ROOM = "no room"
-# The entry has as many under way as the engines answer soon.
-HELD_BACK = "held back"
 
 
 async def wait_for_chain(stream: "Stream") -> Chain | None:
@@ -34,7 +31,7 @@
     try:
         chain = await desk.find(
             _waiting(stream),
-            lambda: _take_chain(stream, desk.window),
+            lambda: _take_chain(stream),
             is_picky=bool(stream.excluded(began_s)),
         )
     except BaseException:
@@ -83,16 +80,12 @@
     return [e for e in candidates if e.address not in avoided]
 
 
-def _take_chain(stream, own_window):
+def _take_chain(stream):
     """Return a chain and count it in; it is counted out when its attempt ends."""
-    if not stream.has_begun and not window.is_open(own_window):
-        stream.refusal = HELD_BACK
-        return None
     chain = _choose(stream)
     if chain is not None:
         stream.chain = chain
         stream.is_counted = True
-        own_window.running += 1
         entrystate.began(stream.job.state, chain, stream.tokens)
     return chain
 
@@ -101,7 +94,6 @@
     """Count a stream's chain out, if it is counted in."""
     if stream.is_counted:
         stream.is_counted = False
-        stream.watch.desks.of(stream.job.service.name).window.running -= 1
         entrystate.ended(stream.job.state, stream.chain, stream.tokens)
 
 
@@ -151,7 +143,6 @@
     job = stream.job
     engines = entrystate.candidates(job.state, job.service.name, now_s())
     layer, free = chains.tightest(job.service.model, engines)
-    own_window = stream.watch.desks.of(job.service.name).window
     job.note(
         "no-chain",
         reason=stream.refusal,
@@ -160,7 +151,4 @@
         tightest_layer=layer,
         free_tokens=round(free),
         own_streams=len(stream.watch.streams),
-        # Above the window's size the entry itself holds streams back.
-        under_way=own_window.running,
-        window=round(own_window.size),
     )
--- a/libs/node/src/cherryrudder/node/streamrelay.py
+++ b/libs/node/src/cherryrudder/node/streamrelay.py
@@ -9,7 +9,6 @@
 
 from cherryrudder.layers.chains import Chain
 from cherryrudder.platform import engines, messages
-from cherryrudder.policy import window
 from cherryrudder.relay import events, pool
 from cherryrudder.relay.client import EngineConnection
 from cherryrudder.relay.errors import AnswerBroken, AnswerLate, ConnectFailed
@@ -19,7 +18,7 @@
 
 from . import attempts, entrystate, streamchains, supervision
 from .job import Failed, Job, Whole
-from .streamchains import HELD_BACK, NO_CHAIN, NO_ROOM
+from .streamchains import NO_CHAIN, NO_ROOM
 from .supervision import Watch
 
 # A second attempt is worth sending while this much is left: a prompt is read within
@@ -47,7 +46,6 @@
 RETRY_AFTER_S = {
     NO_CHAIN: HOLE_RETRY_S,
     NO_ROOM: ROOM_RETRY_S,
-    HELD_BACK: ROOM_RETRY_S,
 }
 
 
@@ -82,8 +80,6 @@
         self.complained_s = float("-inf")
         self.silence_s = supervision.FIRST_SILENCE_S
         self.is_looked_at = False
-        # When the present attempt went to its engine.
-        self.sent_s = 0.0
         # Why there was no chain, and when there may be one.
         self.refusal = ""
         self.retry_after_s = 0.0
@@ -238,7 +234,6 @@
 def _note_sent(stream):
     job, now = stream.job, now_s()
     stream.note_sent()
-    stream.sent_s = now
     hangs.sent(
         job.state.hangs,
         stream.chain[0].engine_id,
@@ -256,13 +251,6 @@
     stream.has_head = True
 
 
-def _note_first_event(stream, now):
-    job = stream.job
-    first_s, objective_s = now - stream.sent_s, job.route.objective_s
-    desk = stream.watch.desks.of(job.service.name)
-    window.answered(desk.window, first_s, objective_s, now)
-
-
 def _watch(stream, connection):
     stream.connection = connection
     stream.broken = ""
@@ -344,8 +332,6 @@
         fresh = [e for e in events.split(stream.splitter, data) if _is_new(stream, e)]
         if not fresh:
             continue
-        if job.first_byte_s is None:
-            _note_first_event(stream, now_s())
         job.note_piece(now_s())
         await job.exchange.send(b"".join(event.data for event in fresh))
     if stream.splitter.rest:
