Work the layout's aim out once for the engines that there are

Cause: the leader plans four times a second, and each plan tried some thirty rooms for every data centre, though engines come and go a few times a minute.

Change: the aim depends on the kinds alone and is remembered for them; the tiling works on kinds and gives ranges. The layouts of 22 data centres of six deployments are the same as before (compared range room by range room).

Measured with 130 engines in five data centres on a busy machine: a plan 6.0 -> 3.0 ms, or 2.4 -> 1.2 in 100 of a core on the leader.

--- a/libs/layers/src/cherryrudder/layers/layout.py
+++ b/libs/layers/src/cherryrudder/layers/layout.py
@@ -13,6 +13,7 @@
 places take as many requests as the rest has room for.
 """
 
+import functools
 from collections.abc import Iterable
 from typing import NamedTuple
 
@@ -82,23 +83,27 @@
 
     For one copy where two would leave the engines too little.
     """
-    engines = by_size(engines)
-    room = _most_room(profile, engines, 2)
+    return _aim_of_kinds(profile, tuple(e.kind for e in by_size(engines)))
+
+
+# A plan is made four times a second, while engines come and go a few times a minute.
+@functools.lru_cache(maxsize=64)
+def _aim_of_kinds(profile, kinds):
+    room = _most_room(profile, kinds, 2)
     if room >= DOUBLE_ROOM_TOKENS:
         return Aim(2, room)
-    return Aim(1, min(MOST_SINGLE_ROOM_TOKENS, _most_room(profile, engines, 1)))
+    return Aim(1, min(MOST_SINGLE_ROOM_TOKENS, _most_room(profile, kinds, 1)))
 
 
 def lay_out(
     profile: ModelProfile, engines: Iterable[Engine], aim: Aim
 ) -> list[Placement]:
     """Return the ranges of whole copies on empty engines; some engines may be left."""
-    holdings = _tile(profile, by_size(engines), aim)
-    if holdings is None:
-        return []
+    engines = by_size(engines)
+    holdings = _tile(profile, tuple(e.kind for e in engines), aim) or []
     return [
         Placement(engine.holder, holding)
-        for engine, holding in holdings
+        for engine, holding in zip(engines, holdings, strict=False)
         if holding != NOTHING
     ]
 
@@ -109,14 +114,14 @@
 
 
 def layer_room(
-    profile: ModelProfile, engine: Engine, holding: Holding, layer: int
+    profile: ModelProfile, kind: KindProfile, holding: Holding, layer: int
 ) -> float:
     """Return the room in tokens that an engine gives one of its layers.
 
     On the first layer its places bound it as well: a request takes one of them at the
     engine that it goes to.
     """
-    room = room_tokens(profile, engine.kind, holding.end - holding.first)
+    room = room_tokens(profile, kind, holding.end - holding.first)
     return min(room, seat_tokens(profile)) if layer == 0 else room
 
 
@@ -126,43 +131,48 @@
     return profile.slots * usual_tokens
 
 
-def _most_room(profile, engines, copies):
+def _most_room(profile, kinds, copies):
     """Return the most room a layer for which so many copies fit."""
-    layers = copies * profile.layers
-    layer_mb = sum(engine.kind.size_mb for engine in engines) / layers
+    layer_mb = sum(kind.size_mb for kind in kinds) / (copies * profile.layers)
     room = (layer_mb - profile.layer_mb) / token_layer_mb(profile)
     while room > LEAST_TRIED_TOKENS:
-        if _tile(profile, engines, Aim(copies, room)) is not None:
+        if _tile(profile, kinds, Aim(copies, room)) is not None:
             return room
         room /= TRY_STEP
     return LEAST_TRIED_TOKENS
 
 
-def _tile(profile, engines, aim):
-    """Lay whole copies end to end; None when the engines don't suffice."""
+def _tile(profile, kinds, aim):
+    """Return the ranges of whole copies laid end to end, one for each engine in turn.
+
+    None when the engines don't suffice. Engines beyond the last range get none.
+    """
     holdings = []
-    left = iter(engines)
+    lengths = (most_layers(profile, kind, aim.room_tokens) for kind in kinds)
     for _ in range(aim.copies):
         first = 0
         while first < profile.layers:
-            engine = next(left, None)
-            if engine is None:
+            length = next(lengths, None)
+            if length is None:
                 return None
-            length = most_layers(profile, engine.kind, aim.room_tokens)
-            holding = Holding(first, min(profile.layers, first + length))
-            holdings.append((engine, holding if length else NOTHING))
-            first += length
+            end = min(profile.layers, first + length)
+            holdings.append(Holding(first, end) if length else NOTHING)
+            first = end
     seats = sum(
-        layer_room(profile, engine, holding, 0)
-        for engine, holding in holdings
-        if holding.first == 0 and holding != NOTHING
+        _seats(profile, kind, holding)
+        for kind, holding in zip(kinds, holdings, strict=False)
     )
     while seats < aim.copies * aim.room_tokens:
-        engine = next(left, None)
-        if engine is None:
+        length = next(lengths, None)
+        if length is None:
             return None
-        length = most_layers(profile, engine.kind, aim.room_tokens)
-        holding = Holding(0, length) if length else NOTHING
-        holdings.append((engine, holding))
-        seats += layer_room(profile, engine, holding, 0) if length else 0.0
+        holdings.append(Holding(0, length) if length else NOTHING)
+        seats += _seats(profile, kinds[len(holdings) - 1], holdings[-1])
     return holdings
+
+
+def _seats(profile, kind, holding):
+    """Return the room that an engine gives the first layer."""
+    if holding == NOTHING or holding.first:
+        return 0.0
+    return layer_room(profile, kind, holding, 0)
--- a/libs/layers/src/cherryrudder/layers/planner.py
+++ b/libs/layers/src/cherryrudder/layers/planner.py
@@ -154,7 +154,7 @@
 def _add(profile, sums, engine, holding, sign):
     for layer in range(holding.first, holding.end):
         # A layer that is held counts as held however little room is beside it.
-        room = max(1.0, layer_room(profile, engine, holding, layer))
+        room = max(1.0, layer_room(profile, engine.kind, holding, layer))
         # Rounded, so that taking a range away again leaves a true zero.
         sums[layer] = max(0.0, round(sums[layer] + sign * room))
 
