Take back that slowness counts twice in a chain's cost

A slow engine still counts by its steps and by the prompts that wait there, which its slowness multiplies.

--- a/libs/layers/src/cherryrudder/layers/chains.py
+++ b/libs/layers/src/cherryrudder/layers/chains.py
@@ -101,9 +101,7 @@
     # slow, and streams went to the slowest kind while the fast ones had room. At nine
     # tenths it is 5, enough to turn to another copy before this one refuses.
     crowd = 1.0 / max(0.05, 1.0 - fill * fill)
-    # An engine that is n times slower takes n times as long for the others' prompts and
-    # steps as well, and streams queue up at it long before its memory is full.
-    return layer_step_s(profile, engine) * engine.slowness * crowd * engine.jitter
+    return layer_step_s(profile, engine) * crowd * engine.jitter
 
 
 def reading_wait_s(profile: ModelProfile, engine: Candidate) -> float:
