Count a client's patience from its arrival while it has no event

Cause, found on reading: an answer whose head came and whose engine died before the first event had no last piece, so that its client's leaving was reckoned from zero and the stream was given up at once, in the middle.

Change: the patience counts from the later of arrival and last piece. The test fails on the code before.

--- a/libs/node/src/cherryrudder/node/job.py
+++ b/libs/node/src/cherryrudder/node/job.py
@@ -116,7 +116,8 @@
 
     def leaves_s(self) -> float:
         """Return when the client of a stream that has begun leaves by itself."""
-        return min(self.end_s, self.piece_s + self.patience_s() + LEAVE_MARGIN_S)
+        shown_s = max(self.arrived_s, self.piece_s)
+        return min(self.end_s, shown_s + self.patience_s() + LEAVE_MARGIN_S)
 
     def left_s(self) -> float:
         """Return the time until the client or the route gives up."""
