Count a run at an engine that leaves until its end is confirmed

Change: only a departure or a death that a control VM confirmed takes a run out of the count.

Ruled out: moves of running streams (they change the chain, not the first engine), retries of requests without an event (they don't wait, and the two runs count).

--- a/libs/node/src/cherryrudder/node/entrystate.py
+++ b/libs/node/src/cherryrudder/node/entrystate.py
@@ -208,11 +208,6 @@
     entry = state.endpoints.table.entries.get(engine_id)
     if entry is None or entry.is_gone:
         return True
-    if entry.announcement.is_leaving and suspicion.has_died(
-        state.suspicions, engine_id
-    ):
-        # It said that it ends, and was lost since.
-        return True
     return suspicion.is_certainly_dead(state.suspicions, engine_id, entry.heard_s)
 
 
--- a/libs/node/test/builders.py
+++ b/libs/node/test/builders.py
@@ -3,7 +3,10 @@
 import os
 
 from cherryrudder.layers.profile import NOTHING, Holding
+from cherryrudder.node.entrystate import EntryState
 from cherryrudder.node.linesink import LineSink
+from cherryrudder.node.metrics import Metrics
+from cherryrudder.platform.settings import Bounds, NodeSettings
 from cherryrudder.quorum.events import Voter
 from cherryrudder.routing.endpoints import Announcement
 
@@ -29,6 +32,30 @@
     return Voter(vm, f"{vm}-{disk}", f"{vm}:7000")
 
 
+def a_state(sink):
+    """Return the state of an entry that has just started."""
+    settings = NodeSettings(
+        vm="vm-1",
+        role="entry",
+        ip="127.0.0.1",
+        vm_zone="a",
+        region="r",
+        client_address="",
+        readiness_address="",
+        control_address="",
+        first_port=7000,
+        last_port=7010,
+        seeds=(),
+        is_founding=False,
+        data_folder="",
+        heartbeat_s=1.2,
+        memory_mb=200.0,
+        tolerated_losses=1,
+        bounds=Bounds(2.0, 8.0, 2.0, 5.0, True, 3.0, 0.2, 200.0, 10.0, 2.5),
+    )
+    return EntryState(settings, sink, Metrics())
+
+
 class PipedSink:
     """A line sink into a pipe, and what was written so far."""
 
--- a/libs/node/test/test_entrystate.py
+++ b/libs/node/test/test_entrystate.py
@@ -1,40 +1,14 @@
 import unittest
 
-from builders import PipedSink, an_announcement
+from builders import PipedSink, a_state, an_announcement
 
 from cherryrudder.layers.chains import Part
 from cherryrudder.node import entrystate, tablesync
-from cherryrudder.node.entrystate import EntryState
-from cherryrudder.node.metrics import Metrics
-from cherryrudder.platform.settings import Bounds, NodeSettings
 from cherryrudder.policy import otherload
 from cherryrudder.policy.otherload import Load
 from cherryrudder.replica.clock import now_s
 
 
-def a_state(sink):
-    settings = NodeSettings(
-        vm="vm-1",
-        role="entry",
-        ip="127.0.0.1",
-        vm_zone="a",
-        region="r",
-        client_address="",
-        readiness_address="",
-        control_address="",
-        first_port=7000,
-        last_port=7010,
-        seeds=(),
-        is_founding=False,
-        data_folder="",
-        heartbeat_s=1.2,
-        memory_mb=200.0,
-        tolerated_losses=1,
-        bounds=Bounds(2.0, 8.0, 2.0, 5.0, True, 3.0, 0.2, 200.0, 10.0, 2.5),
-    )
-    return EntryState(settings, sink, Metrics())
-
-
 class StartTest(unittest.TestCase):
     """All entries lose power and start together, with the requests that came meanwhile.
 
