--- a/libs/layers/src/cherryrudder/layers/layout.py
+++ b/libs/layers/src/cherryrudder/layers/layout.py
@@ -122,10 +122,10 @@
     engine that it goes to.
     """
     room = room_tokens(profile, kind, holding.end - holding.first)
-    return min(room, seat_tokens(profile)) if layer == 0 else room
+    return min(room, slot_tokens(profile)) if layer == 0 else room
 
 
-def seat_tokens(profile: ModelProfile) -> float:
+def slot_tokens(profile: ModelProfile) -> float:
     """Return the tokens of as many usual requests as an engine has places for."""
     usual_tokens = profile.usual_prompt_tokens + profile.usual_answer_tokens
     return profile.slots * usual_tokens
@@ -158,20 +158,20 @@
             end = min(profile.layers, first + length)
             holdings.append(Holding(first, end) if length else NOTHING)
             first = end
-    seats = sum(
-        _seats(profile, kind, holding)
+    first_room = sum(
+        _first_layer_room(profile, kind, holding)
         for kind, holding in zip(kinds, holdings, strict=False)
     )
-    while seats < aim.copies * aim.room_tokens:
+    while first_room < aim.copies * aim.room_tokens:
         length = next(lengths, None)
         if length is None:
             return None
         holdings.append(Holding(0, length) if length else NOTHING)
-        seats += _seats(profile, kinds[len(holdings) - 1], holdings[-1])
+        first_room += _first_layer_room(profile, kinds[len(holdings) - 1], holdings[-1])
     return holdings
 
 
-def _seats(profile, kind, holding):
+def _first_layer_room(profile, kind, holding):
     """Return the room that an engine gives the first layer."""
     if holding == NOTHING or holding.first:
         return 0.0
--- a/libs/layers/test/test_layout.py
+++ b/libs/layers/test/test_layout.py
@@ -41,7 +41,7 @@
 def naive(counts=ENGINES):
     """Place one engine after the other where the room is least."""
     holders = empty_holders(counts)
-    room = layout.seat_tokens(PROFILE)
+    room = layout.slot_tokens(PROFILE)
     for index, holder in enumerate(holders):
         length = most_layers(PROFILE, kind_of(PROFILE, holder.kind), room)
         sums = planner.rooms(PROFILE, engines_of(holders[:index]))
@@ -107,14 +107,14 @@
         holders = laid_out()
         aim = layout.aim_of(PROFILE, engines_of(holders))
         firsts = [h for h in holders if h.holding.first == 0]
-        places = len(firsts) * layout.seat_tokens(PROFILE)
+        places = len(firsts) * layout.slot_tokens(PROFILE)
         self.assertGreaterEqual(places, aim.copies * aim.room_tokens)
 
     def test_without_places_in_mind_the_first_engines_bound_the_rest(self):
         """Two engines with the first layer take 192 requests; memory takes 270."""
-        seats = 2 * layout.seat_tokens(PROFILE)
+        first_room = 2 * layout.slot_tokens(PROFILE)
         aim = layout.aim_of(PROFILE, engines_of(laid_out()))
-        self.assertLess(seats, 0.8 * aim.copies * aim.room_tokens)
+        self.assertLess(first_room, 0.8 * aim.copies * aim.room_tokens)
 
     def test_engines_that_hold_layers_are_left_where_they_are(self):
         holders = laid_out()
