Take an engine that signs off first as leaving, not as gone

Cause: some engines never say that they drain. They sign off first, serve on for as long as the others, and end without a word. The table took the sign-off for the end: entries broke all streams through the engine off, and its runs no longer counted though they went on.

Mend: the two notices are kept apart. One alone means leaving (no new work, its streams are moved in time); both, in either order and from whichever process, mean the end. A process that never heard the engine doesn't decide it for others.

The soak's engines now leave in both ways.

--- a/libs/node/src/cherryrudder/node/controlapi.py
+++ b/libs/node/src/cherryrudder/node/controlapi.py
@@ -86,8 +86,10 @@
         # Without its start, the notice is of the incarnation known by that name.
         known = endpoints.newest_incarnation(self.state.endpoints.table, name)
         engine_id = result.ok or known or name
-        if tablesync.depart(self.state.endpoints, engine_id, now_s()):
-            self.state.sink.write("control", "endpoint-gone", True, engine_id=engine_id)
+        if tablesync.sign_off(self.state.endpoints, engine_id, now_s()):
+            is_gone = self.state.endpoints.table.entries[engine_id].is_gone
+            event = "endpoint-gone" if is_gone else "endpoint-signed-off"
+            self.state.sink.write("control", event, True, engine_id=engine_id)
             self.beats.spread([engine_id])
         if self._is_cut_off():
             await _fail(exchange, 503, "cut off from the other control VMs")
@@ -104,7 +106,7 @@
             address=heard.address,
             vm_zone=heard.vm_zone,
             kind=heard.kind,
-            is_leaving=heard.is_leaving,
+            is_leaving=endpoints.leaves(heard),
             layers=list(heard.holding),
             number=heard.number,
         )
--- a/libs/node/src/cherryrudder/node/layerkeeper.py
+++ b/libs/node/src/cherryrudder/node/layerkeeper.py
@@ -140,7 +140,7 @@
             kind=announcement.kind,
             holding=holding,
             is_busy=ordered is not None,
-            is_leaving=announcement.is_leaving,
+            is_leaving=endpoints.leaves(announcement),
             is_fresh=now - self._came_s[announcement.engine_id] < FRESH_S,
         )
 
--- a/libs/node/src/cherryrudder/node/tablesync.py
+++ b/libs/node/src/cherryrudder/node/tablesync.py
@@ -48,6 +48,14 @@
     return is_news
 
 
+def sign_off(shared: SharedTable, engine_id: str, now_s: float) -> bool:
+    """Take an endpoint's word that it signs off; tell whether it is news."""
+    is_news = endpoints.sign_off(shared.table, engine_id, now_s)
+    if is_news:
+        note(shared, engine_id)
+    return is_news
+
+
 def depart(shared: SharedTable, engine_id: str, now_s: float) -> bool:
     """Take a departure; tell whether it is news."""
     is_news = endpoints.depart(shared.table, engine_id, now_s)
--- a/libs/node/src/cherryrudder/node/uplink.py
+++ b/libs/node/src/cherryrudder/node/uplink.py
@@ -224,7 +224,7 @@
             if entry is not None:
                 self._log_endpoint(entry)
                 self._note_incarnation(entry.announcement)
-            if entry is not None and entry.announcement.is_leaving:
+            if entry is not None and endpoints.leaves(entry.announcement):
                 state.leaving_s.setdefault(engine_id, now)
 
     def _note_incarnation(self, announcement):
@@ -249,7 +249,7 @@
             True,
             engine_id=announcement.engine_id,
             address=announcement.address,
-            is_leaving=announcement.is_leaving,
+            is_leaving=endpoints.leaves(announcement),
             is_gone=entry.is_gone,
             layers=list(announcement.holding),
         )
--- a/libs/routing/src/cherryrudder/routing/endpoints.py
+++ b/libs/routing/src/cherryrudder/routing/endpoints.py
@@ -39,6 +39,7 @@
     # Rises with each heartbeat of this incarnation by `WORD`; the numbers between are
     # for what a leader saw after it.
     number: int
+    # Its own word in a heartbeat: it still serves, and signs off when it ends.
     is_leaving: bool = False
     cold_s: float = 0.0
     kind: str = ""
@@ -47,6 +48,9 @@
     name: str = ""
     # Orders the incarnations of one name; 0 where the endpoint doesn't tell.
     started_ms: int = 0
+    # It signed off from the list. With no word that it drains before, it still serves
+    # what it has for as long as others do, and ends without another word.
+    has_signed_off: bool = False
 
 
 class Entry(NamedTuple):
@@ -83,16 +87,39 @@
         _end_earlier_incarnations(table, heard, now_s)
         return False
     if heard.number <= known.announcement.number:
-        return heard.is_leaving and _leave(table, known, now_s)
+        return leaves(heard) and _leave(table, known, heard, now_s)
     # Leaving is for good: a heartbeat that overtook the notice must not undo it.
-    is_leaving = heard.is_leaving or known.announcement.is_leaving
-    heard = heard._replace(is_leaving=is_leaving)
-    table.entries[heard.engine_id] = Entry(heard, now_s)
+    heard = _with_notices(heard, known.announcement)
+    table.entries[heard.engine_id] = Entry(heard, now_s, _has_ended(heard))
     is_news = heard._replace(number=0) != known.announcement._replace(number=0)
     table.version += is_news
     return is_news
 
 
+def leaves(announcement: Announcement) -> bool:
+    """Tell whether an endpoint said that it leaves, in either way."""
+    return announcement.is_leaving or announcement.has_signed_off
+
+
+def _with_notices(announcement, other):
+    """Return an announcement with the notices of leaving that either one has."""
+    return announcement._replace(
+        is_leaving=announcement.is_leaving or other.is_leaving,
+        has_signed_off=announcement.has_signed_off or other.has_signed_off,
+    )
+
+
+def _has_ended(announcement):
+    """Tell whether an endpoint gave both notices, in whatever order they came.
+
+    Failure: one that signs off without a word before is taken for gone. All its streams
+    are broken off in that moment though it would have served them, their runs don't
+    count any more, and each goes to one engine more than its route allows or ends in
+    the middle. Only one that drained first signs off at its end.
+    """
+    return announcement.is_leaving and announcement.has_signed_off
+
+
 def _incarnations_of(table, announcement):
     """Return the known incarnations of an endpoint that tells them apart."""
     if not announcement.started_ms:
@@ -117,8 +144,7 @@
         if entry.announcement.started_ms >= heard.started_ms:
             continue
         # Kept as gone, so that its late heartbeats stay without effect.
-        ended = entry.announcement._replace(is_leaving=True)
-        table.entries[ended.engine_id] = Entry(ended, now_s, True)
+        table.entries[entry.announcement.engine_id] = _gone(entry.announcement, now_s)
 
 
 def newest_incarnation(table: EndpointTable, name: str) -> str | None:
@@ -132,16 +158,22 @@
     return newest and newest.engine_id
 
 
-def _leave(table, known, now_s):
+def _leave(table, known, heard, now_s):
     """Take a notice of leaving that later heartbeats overtook; tell whether news."""
-    if known.announcement.is_leaving:
+    leaving = _with_notices(known.announcement, heard)
+    if leaving == known.announcement:
         return False
-    leaving = known.announcement._replace(is_leaving=True)
-    table.entries[leaving.engine_id] = Entry(leaving, now_s)
+    table.entries[leaving.engine_id] = Entry(leaving, now_s, _has_ended(leaving))
     table.version += 1
     return True
 
 
+def _gone(announcement, now_s):
+    return Entry(
+        announcement._replace(is_leaving=True, has_signed_off=True), now_s, True
+    )
+
+
 def observe(
     table: EndpointTable, engine_id: str, holding: Holding, now_s: float
 ) -> bool:
@@ -158,18 +190,26 @@
     return True
 
 
-def depart(table: EndpointTable, engine_id: str, now_s: float) -> bool:
-    """Take a departure; tell whether it is news."""
+def sign_off(table: EndpointTable, engine_id: str, now_s: float) -> bool:
+    """Take an endpoint's word that it signs off; tell whether it is news."""
     known = table.entries.get(engine_id)
     if known is None:
-        # Its heartbeats may still be under way.
-        gone = Announcement(engine_id, "", "", "", "", 0, 0, is_leaving=True)
-        table.entries[engine_id] = Entry(gone, now_s, True)
-    elif known.is_gone:
+        return depart(table, engine_id, now_s)
+    if known.is_gone:
+        return False
+    signed = known.announcement._replace(has_signed_off=True)
+    return _leave(table, known, signed, known.heard_s)
+
+
+def depart(table: EndpointTable, engine_id: str, now_s: float) -> bool:
+    """Take an endpoint as ended; tell whether it is news."""
+    known = table.entries.get(engine_id)
+    if known is not None and known.is_gone:
         return False
-    else:
-        gone = known.announcement._replace(is_leaving=True)
-        table.entries[engine_id] = Entry(gone, now_s, True)
+    # Of one that was never heard, heartbeats may still be under way.
+    unheard = Announcement(engine_id, "", "", "", "", 0, 0)
+    announcement = known.announcement if known else unheard
+    table.entries[engine_id] = _gone(announcement, now_s)
     table.version += 1
     return True
 
@@ -177,6 +217,9 @@
 def merge(table: EndpointTable, heard: Entry, age_s: float, now_s: float) -> bool:
     """Take what another process knows, heard there `age_s` ago."""
     engine_id = heard.announcement.engine_id
+    if heard.is_gone and not heard.announcement.address:
+        # Its teller had never heard it, and can't know whether it drained before.
+        return sign_off(table, engine_id, now_s)
     if heard.is_gone:
         return depart(table, engine_id, now_s)
     known = table.entries.get(engine_id)
@@ -224,4 +267,4 @@
 
 def may_take_work(announcement: Announcement) -> bool:
     """Tell whether an endpoint is to get new requests."""
-    return not announcement.is_leaving
+    return not leaves(announcement)
--- a/libs/routing/test/test_endpoints.py
+++ b/libs/routing/test/test_endpoints.py
@@ -55,6 +55,54 @@
         self.assertEqual(known(table, 0.5), set())
 
 
+class SignOffTest(unittest.TestCase):
+    """An endpoint signs off, and nobody was told before that it drains.
+
+    It goes on serving for seconds. Were it taken for ended, all its streams would be
+    broken off in that moment, and their runs there would not count as runs.
+    """
+
+    def sign_off(self, *tables, at_s=1.0):
+        for table in tables:
+            endpoints.sign_off(table, "boot-1", at_s)
+
+    def test_it_is_there_without_new_work(self):
+        table = EndpointTable()
+        endpoints.hear(table, an_announcement(number=2), 0.0)
+        self.sign_off(table)
+        self.assertEqual(known(table, 1.0), {"boot-1"})
+        self.assertFalse(endpoints.may_take_work(endpoints.live(table, 1.0)[0]))
+
+    def test_a_word_that_it_drains_makes_it_the_end_in_either_order(self):
+        draining = an_announcement(number=2, is_leaving=True)
+        for number in (1, 2, 3):
+            with self.subTest(number=number):
+                table = EndpointTable()
+                endpoints.hear(table, an_announcement(number=2), 0.0)
+                self.sign_off(table)
+                endpoints.hear(table, draining._replace(number=number), 1.1)
+                self.assertEqual(known(table, 1.1), set())
+
+    def test_a_process_that_never_heard_it_does_not_end_it_for_others(self):
+        """A control VM has just started; the notice comes to it, of all."""
+        new, other = EndpointTable(), EndpointTable()
+        endpoints.hear(other, an_announcement(number=2), 0.0)
+        self.sign_off(new)
+        endpoints.merge(other, new.entries["boot-1"], 0.0, 1.0)
+        self.assertEqual(known(other, 1.0), {"boot-1"})
+        self.assertFalse(endpoints.may_take_work(endpoints.live(other, 1.0)[0]))
+
+    def test_the_word_reaches_tables_that_heard_the_drain(self):
+        first, second = EndpointTable(), EndpointTable()
+        endpoints.hear(first, an_announcement(number=2), 0.0)
+        endpoints.hear(second, an_announcement(number=2, is_leaving=True), 0.0)
+        self.sign_off(first)
+        endpoints.merge(second, first.entries["boot-1"], 0.0, 1.0)
+        self.assertEqual(known(second, 1.0), set())
+        endpoints.merge(first, second.entries["boot-1"], 0.0, 1.0)
+        self.assertEqual(known(first, 1.0), set())
+
+
 class AddressTest(unittest.TestCase):
     """An endpoint crashes, and another boot takes its address.
 
--- a/libs/soak/src/cherryrudder/soak/strike.py
+++ b/libs/soak/src/cherryrudder/soak/strike.py
@@ -107,6 +107,21 @@
         if engine is None:
             return ""
         replacement = await self.field.add_engine(engine.service, engine.kind)
+        if int(fault.pick * 1000) % 2:
+            await self._sign_off_first(engine)
+        else:
+            await self._drain_first(engine)
+        await self.field.remove_engine(engine)
+        return f"{engine.engine_id} for {replacement.engine_id}"
+
+    async def _sign_off_first(self, engine):
+        """Let an engine sign off and serve on for a while, as some do."""
+        if await self.field.deployment.depart(engine):
+            self.left_s[engine.engine_id] = time.monotonic()
+        await anyio.sleep(LEAVE_S)
+
+    async def _drain_first(self, engine):
+        """Let an engine drain for a while and then sign off."""
         engine.is_leaving = True
         with anyio.move_on_after(LEAVE_S):
             while not engine.is_leaving_known:
@@ -114,8 +129,6 @@
             self.left_s[engine.engine_id] = time.monotonic()
         await anyio.sleep(LEAVE_S)
         await self.field.deployment.depart(engine)
-        await self.field.remove_engine(engine)
-        return f"{engine.engine_id} for {replacement.engine_id}"
 
     def _spare_engines(self):
         """Return the engines that may be lost now."""
