Go on at the engines where an answer ran when the route allows no other

What callers saw: an answer that has begun ends in the middle in the moment in which its second chain breaks (LOST).

Cause: max_attempts bounds the engines on which one request runs. The entry counted attempts instead, so a second run at the same engine used up a place, and knew nothing to do with an answer whose places are used up but to end it. It waited only where an engine was suspected. Besides, a stream kept away for good from the first engine of a chain that broke, which mostly lives: what broke was a part behind it.

Mend: the bound is kept where the chain is chosen. With as many living engines used as are allowed, the stream may begin at these only, over whatever other parts; a begun answer waits for that as long as its client does. Engines count until they have ended for certain, as before, so that no third one is met meanwhile (BUDGET). The first engine of a broken chain is avoided for 0.6 s, by when a control VM has looked at it.

RunsTest asked the function that counted; it is replaced by UsedUpTest, which has its four cases (suspected, living, confirmed dead, no event yet) on the choice itself and more.

Ruled out: waiting for a verdict alone, as before: both engines live, so that no verdict ever makes room.

--- a/libs/node/src/cherryrudder/node/streamchains.py
+++ b/libs/node/src/cherryrudder/node/streamchains.py
@@ -1,5 +1,6 @@
 """Which chain a stream gets, and how long it waits for one."""
 
+import math
 from typing import TYPE_CHECKING
 
 from cherryrudder.layers import chains, pace, pipes
@@ -32,7 +33,7 @@
         chain = await desk.find(
             _waiting(stream),
             lambda: _take_chain(stream),
-            is_picky=bool(stream.excluded(began_s)),
+            is_picky=bool(stream.excluded(began_s) or bounding_firsts(stream)),
         )
     except BaseException:
         # A client may leave at the moment at which its stream's turn has come. The
@@ -65,19 +66,50 @@
     )
 
 
+def bounding_firsts(stream: "Stream", is_running: bool = False) -> set[str]:
+    """Return the only engines at which a stream may begin again, nothing for any.
+
+    Failure: parts of two chains die one after the other under one answer. The route
+    allows no third engine, and the answer ended in the middle at once, although the
+    first engines of both chains lived. It may begin there again over other parts, or
+    elsewhere once one of them is known to have ended; until then it waits.
+
+    A run counts until its engine has ended for certain. The entry's own suspicion isn't
+    enough, also of an engine that leaves: it may still be at work, and a request that
+    is taken from living engines again and again is work for all of them.
+    """
+    state, ran = stream.job.state, set(stream.ran_at)
+    if is_running:
+        ran.add(stream.chain[0].engine_id)
+    if len(ran) < stream.job.route.max_attempts:
+        return set()
+    counted = {e for e in ran if not entrystate.is_certainly_dead(state, e)}
+    return counted if len(counted) >= stream.job.route.max_attempts else set()
+
+
 def has_other_chain(stream: "Stream", lost: set[str]) -> bool:
-    """Tell whether a stream could go over a chain without some engines right now."""
+    """Tell whether a stream could leave its chain for one without some engines now."""
     job = stream.job
-    engines = usable(stream, lost, now_s())
+    engines = usable(stream, lost, now_s(), is_running=True)
     need = Need(stream.tokens, job.state.settings.vm_zone)
     return chains.choose_chain(job.service.model, engines, need) is not None
 
 
-def usable(stream: "Stream", lost: set[str], now: float) -> list[Candidate]:
-    """Return the engines that a stream may go over, without some."""
+def usable(
+    stream: "Stream", lost: set[str], now: float, is_running: bool = False
+) -> list[Candidate]:
+    """Return the engines that a stream may go over, without some.
+
+    Those at which it may not begin are there for the other parts. `is_running` counts
+    the run that is under way.
+    """
     candidates = entrystate.candidates(stream.job.state, stream.job.service.name, now)
     avoided = stream.excluded(now) | lost
-    return [e for e in candidates if e.address not in avoided]
+    left = [e for e in candidates if e.address not in avoided]
+    firsts = bounding_firsts(stream, is_running)
+    if not firsts:
+        return left
+    return [e if e.engine_id in firsts else e._replace(firsts=math.inf) for e in left]
 
 
 def _take_chain(stream):
@@ -151,4 +183,5 @@
         tightest_layer=layer,
         free_tokens=round(free),
         own_streams=len(stream.watch.streams),
+        only_at=sorted(bounding_firsts(stream)),
     )
--- a/libs/node/src/cherryrudder/node/streamrelay.py
+++ b/libs/node/src/cherryrudder/node/streamrelay.py
@@ -7,15 +7,13 @@
 
 import math
 
-import anyio
-
 from cherryrudder.layers.chains import Chain
 from cherryrudder.platform import engines, messages
 from cherryrudder.relay import events, pool
 from cherryrudder.relay.client import EngineConnection
 from cherryrudder.relay.errors import AnswerBroken, AnswerLate, ConnectFailed
 from cherryrudder.replica.clock import now_s
-from cherryrudder.routing import hangs, suspicion
+from cherryrudder.routing import hangs
 from cherryrudder.routing.gatekeeping import Refused
 
 from . import attempts, entrystate, streamchains, supervision
@@ -41,8 +39,6 @@
 # goes on as long as the retry budget lasts.
 MAX_EXTRA_SENDS = 4
 
-# Between two looks whether a control VM has found an engine dead as well.
-VERDICT_POLL_S = 0.05
 # How long a request keeps away from an engine that refused it for want of room: as long
 # as a usual answer takes to end there.
 REFUSED_S = 2.0
@@ -157,36 +153,17 @@
 async def _may_retry(stream, failed):
     """Tell whether the stream may go out once more.
 
-    The route bounds the engines that a request runs on; see `_runs_that_count`.
+    The route bounds the engines that a request runs on, not how often it goes out; see
+    `streamchains.bounding_firsts`.
     """
     job, most_runs = stream.job, stream.job.route.max_attempts
     if not stream.has_begun and job.attempts >= most_runs + MAX_EXTRA_SENDS:
         return False
-    ran = await _runs_that_count(stream, most_runs)
     return await attempts.may_retry(
-        job, failed, ran, most_runs, EXPECTED_S, stream.has_begun
+        job, failed, 0, most_runs, EXPECTED_S, stream.has_begun
     )
 
 
-async def _runs_that_count(stream, most_runs):
-    """Return on how many engines the stream has run, without those that are dead.
-
-    The entry's own suspicion isn't enough, also of an engine that said that it leaves:
-    it may still be at work, and a request that is taken from living engines again and
-    again is work for all of them. An answer that has begun waits for the control VM's
-    word on those that it suspects, some tenths of a second, since it ends otherwise.
-    """
-    state = stream.job.state
-    while True:
-        ran = [e for e in stream.ran_at if not entrystate.is_certainly_dead(state, e)]
-        is_unclear = any(suspicion.has_died(state.suspicions, e) for e in ran)
-        if len(ran) < most_runs or not stream.has_begun or not is_unclear:
-            return len(ran)
-        if now_s() >= stream.job.leaves_s():
-            return len(ran)
-        await anyio.sleep(VERDICT_POLL_S)
-
-
 async def _give_up(stream, failed):
     job = stream.job
     if stream.has_begun:
--- a/libs/node/src/cherryrudder/node/supervision.py
+++ b/libs/node/src/cherryrudder/node/supervision.py
@@ -6,6 +6,7 @@
 keep their memory, and the stream goes on once the new part has read it.
 """
 
+import math
 from typing import TYPE_CHECKING
 
 import anyio
@@ -46,6 +47,10 @@
 # The engines themselves give up on a dead neighbour after 2.5 s; past this the first
 # engine is lost as well.
 LOST_AFTER_S = 4.0
+# How long a stream keeps away from the first engine of a chain that broke. A control VM
+# has told by then whether that engine lives; for good, a stream that has run on all the
+# engines that its route allows had none left that it might go back to.
+FIRST_LOST_S = 0.6
 # New chains tried for one stall: each may name another engine as missing.
 MAX_REROUTES = 3
 # An engine that leaves serves for some two seconds more, as operators give it. Streams
@@ -89,7 +94,7 @@
                     if is_late:
                         progressed(stream, now)
                     elif _is_hung(stream, hung):
-                        stream.exclude(stream.chain[0].address)
+                        stream.exclude(stream.chain[0].address, now + FIRST_LOST_S)
                         stream.break_off("the first engine begins nothing")
                     elif self._is_due(stream, now):
                         stream.is_looked_at = True
@@ -272,7 +277,10 @@
 def lose_first(stream: "Stream", why: str, is_unreached: bool = True) -> None:
     """Take the first engine of a stream's chain as dead."""
     first = stream.chain[0]
-    stream.exclude(first.address)
+    if is_unreached:
+        stream.exclude(first.address)
+    else:
+        stream.exclude(first.address, now_s() + FIRST_LOST_S)
     stream.stalls.accuse(first.address, why, is_unreached)
 
 
@@ -285,7 +293,8 @@
     """
     job, since_s = stream.job, stream.progressed_s
     for address in lost:
-        stream.exclude(address)
+        is_first = address == stream.chain[0].address
+        stream.exclude(address, now_s() + FIRST_LOST_S if is_first else math.inf)
     for _ in range(MAX_REROUTES):
         chain = await _wait_without(stream, connection, lost)
         if chain is None:
--- a/libs/node/test/builders.py
+++ b/libs/node/test/builders.py
@@ -2,7 +2,7 @@
 
 import os
 
-from cherryrudder.layers.profile import NOTHING, Holding
+from cherryrudder.layers.profile import NOTHING, Holding, KindProfile, ModelProfile
 from cherryrudder.node.entrystate import EntryState
 from cherryrudder.node.linesink import LineSink
 from cherryrudder.node.metrics import Metrics
@@ -27,6 +27,27 @@
     return announcement._replace(**changes)
 
 
+def a_model(layers):
+    """Return a small model on accelerators of one kind."""
+    return ModelProfile(
+        layers=layers,
+        layer_mb=1000.0,
+        token_kv_bytes=1_000_000.0,
+        activation_bytes=59_000.0,
+        link_mbps=480_000.0,
+        pipe_mbps=11_000.0,
+        step_ms=0.85,
+        per_seq_ms=0.00764,
+        read_per_s=196_000.0,
+        load_s=14.0,
+        loads_at_once=6,
+        slots=96,
+        usual_prompt_tokens=772.0,
+        usual_answer_tokens=174.0,
+        kinds=(KindProfile("l4", 21_600.0, 16.0, 8.2),),
+    )
+
+
 def a_voter(vm, disk="d1"):
     """Return a voter with its disk."""
     return Voter(vm, f"{vm}-{disk}", f"{vm}:7000")
--- a/libs/node/test/test_streamchains.py
+++ b/libs/node/test/test_streamchains.py
@@ -3,18 +3,20 @@
 from unittest import mock
 
 import anyio
+from builders import PipedSink, a_model, a_state, an_announcement
 
 from cherryrudder.layers.chains import Part
-from cherryrudder.node import streamchains
+from cherryrudder.node import streamchains, tablesync
 from cherryrudder.node.roomdesk import RoomDesks
 from cherryrudder.replica.clock import now_s
+from cherryrudder.routing import suspicion
 
 CHAIN = (Part("e1:1", "boot-1", 0, 8), Part("e2:1", "boot-2", 8, 16))
 
 
 def a_stream(state, group):
     """Return what the choice of a chain looks at in a stream."""
-    route = SimpleNamespace(objective_s=0.5, gap_s=0.2)
+    route = SimpleNamespace(objective_s=0.5, gap_s=0.2, max_attempts=2)
     job = SimpleNamespace(
         state=state,
         route=route,
@@ -35,6 +37,7 @@
         has_begun=True,
         is_counted=False,
         chain=(),
+        ran_at=[],
     )
 
 
@@ -116,5 +119,93 @@
         self.assertIsNone(self.chain_after(20, has_begun=False))
 
 
+class UsedUpTest(unittest.TestCase):
+    """Parts of two chains die one after the other; the route allows two engines.
+
+    The caller's answer has begun, and both first engines live. Ended at once, it broke
+    off in the middle although either of them could go on with it over other parts. On a
+    third engine it would run on one more than the operators allow, which happened when
+    an engine that was only suspected, or about to leave, did not count any more.
+
+    The lines that showed it: `retry` with `too-many`, and `ended` with `broken off` 0.1
+    ms later, with a client that stayed for two seconds more.
+    """
+
+    def setUp(self):
+        piped = PipedSink()
+        self.addCleanup(piped.close)
+        self.state = a_state(piped.sink)
+        for name, layers in (
+            ("first", (0, 8)),
+            ("second", (0, 8)),
+            ("third", (0, 8)),
+            ("dead", (8, 16)),
+            ("part", (8, 16)),
+        ):
+            told = an_announcement(name, layers=layers)
+            tablesync.hear(self.state.endpoints, told, now_s())
+        self.suspect("dead")
+        self.stream = a_stream(self.state, None)
+        self.stream.job.service = SimpleNamespace(name="llm", model=a_model(layers=16))
+        self.stream.job.facts.prompt_tokens = 800
+        self.stream.ran_at = ["first", "second"]
+        self.stream.refusal = ""
+
+    def suspect(self, name):
+        suspicion.died(self.state.suspicions, name, now_s())
+
+    def chosen(self):
+        """Return the first engines of many choices, and the other parts."""
+        chains = [streamchains._choose(self.stream) for _ in range(40)]
+        firsts = {chain[0].engine_id for chain in chains if chain}
+        return firsts, {chain[1].engine_id for chain in chains if chain}
+
+    def test_it_goes_on_at_the_engines_where_it_ran(self):
+        for has_begun in (True, False):
+            with self.subTest(has_begun=has_begun):
+                self.stream.has_begun = has_begun
+                self.assertEqual(self.chosen(), ({"first", "second"}, {"part"}))
+
+    def test_suspicion_of_an_engine_is_not_its_end(self):
+        self.suspect("first")
+        self.assertEqual(self.chosen()[0], {"second"})
+        self.suspect("second")
+        self.assertEqual(self.chosen()[0], set())
+
+    def test_an_engine_that_leaves_has_not_ended(self):
+        for name in ("first", "second"):
+            told = an_announcement(name, 4, (0, 8), is_leaving=True)
+            tablesync.hear(self.state.endpoints, told, now_s())
+            self.suspect(name)
+        self.assertEqual(self.chosen()[0], set())
+
+    def test_an_engine_that_lives_counts_again(self):
+        for name in ("first", "second"):
+            self.suspect(name)
+            suspicion.acquitted(self.state.suspicions, name)
+        self.assertEqual(self.chosen()[0], {"first", "second"})
+
+    def test_a_confirmed_death_makes_room_for_another_engine(self):
+        suspicion.verified(self.state.suspicions, "first", now_s() + 0.001)
+        self.assertEqual(self.chosen()[0], {"second", "third"})
+
+    def test_a_departure_makes_room_for_another_engine(self):
+        tablesync.depart(self.state.endpoints, "second", now_s())
+        self.assertEqual(self.chosen()[0], {"first", "third"})
+
+    def test_two_runs_at_one_engine_count_once(self):
+        self.stream.ran_at = ["first", "first"]
+        self.assertEqual(self.chosen()[0], {"first", "second", "third"})
+
+    def test_a_run_under_way_counts_when_it_is_to_be_left(self):
+        """Left for a third engine that it may not use, the stream would only wait."""
+        self.stream.ran_at = ["first"]
+        self.stream.chain = (Part("second:80", "second", 0, 8),)
+        self.assertTrue(streamchains.has_other_chain(self.stream, {"second:80"}))
+        self.assertFalse(
+            streamchains.has_other_chain(self.stream, {"second:80", "first:80"})
+        )
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/libs/node/test/test_streamrelay.py
+++ b/libs/node/test/test_streamrelay.py
@@ -9,8 +9,9 @@
 from cherryrudder.layers.chains import Part
 from cherryrudder.node import streamrelay, tablesync
 from cherryrudder.node.entrystate import FULL_S
+from cherryrudder.node.job import Failed
+from cherryrudder.policy import sharedbudget
 from cherryrudder.replica.clock import now_s
-from cherryrudder.routing import suspicion
 
 CHAIN = (Part("first:1", "boot-1", 0, 8), Part("second:1", "boot-2", 8, 16))
 
@@ -58,64 +59,62 @@
         self.assertEqual(stream.excluded(1e9), {"second:1"})
 
 
-class RunsTest(unittest.TestCase):
-    """Two engines that a stream ran on break off; the route allows it two.
+class UsedUpTest(unittest.TestCase):
+    """Two chains break under an answer that has begun; the route allows two engines.
 
-    Both had said that they leave. Counted as gone on the entry's own suspicion, the
-    stream went to a third while the first two were still at work for others, and with
-    a release of many engines the operators' bound was broken again and again.
+    The answer ended in that moment. It goes out again as long as its client is there;
+    which engines it may begin at is bounded where its chain is chosen.
     """
 
-    def setUp(self):
-        self.piped = PipedSink()
-        self.addCleanup(self.piped.close)
-        self.state = a_state(self.piped.sink)
-        now = now_s()
-        for name in ("boot-1", "boot-2"):
-            told = an_announcement(name, layers=(0, 8), is_leaving=True)
-            tablesync.hear(self.state.endpoints, told, now)
-            suspicion.died(self.state.suspicions, name, now + 0.001)
-
-    def count(self, has_begun=True, after=lambda: None, leaves_in_s=30.0):
-        stream = StubStream()
-        end_s = now_s() + leaves_in_s
-        stream.job = SimpleNamespace(state=self.state, leaves_s=lambda: end_s)
-        stream.ran_at = ["boot-1", "boot-2"]
-        stream.has_begun = has_begun
-        polls = []
-
-        async def sleep(_):
-            polls.append(1)
-            if len(polls) == 3:
-                after()
-
-        with mock.patch.object(streamrelay.anyio, "sleep", sleep):
-            return anyio.run(streamrelay._runs_that_count, stream, 2)
-
-    def test_a_confirmed_death_does_not_count(self):
-        suspicions = self.state.suspicions
-
-        def confirm():
-            suspicion.verified(suspicions, "boot-2", now_s())
-
-        self.assertEqual(self.count(after=confirm), 1)
-
-    def test_an_engine_that_lives_counts(self):
-        suspicions = self.state.suspicions
-
-        def acquit():
-            for name in ("boot-1", "boot-2"):
-                suspicion.acquitted(suspicions, name)
-
-        self.assertEqual(self.count(after=acquit), 2)
-
-    def test_without_any_word_both_count(self):
-        self.assertEqual(self.count(leaves_in_s=0.0), 2)
-
-    def test_a_stream_without_any_event_does_not_wait(self):
-        after = mock.Mock()
-        self.assertEqual(self.count(has_begun=False, after=after), 2)
-        after.assert_not_called()
+    def serve(self, breaks, has_begun):
+        """Return how often a stream goes out whose chains break that often."""
+        piped = PipedSink()
+        self.addCleanup(piped.close)
+        state = a_state(piped.sink)
+        tablesync.hear(state.endpoints, an_announcement("boot-1"), now_s())
+        for _ in range(200):
+            sharedbudget.note_request(state.budget, "llm", now_s())
+        job = SimpleNamespace(
+            state=state,
+            service=SimpleNamespace(name="llm", model=None),
+            route=SimpleNamespace(max_attempts=2),
+            facts=SimpleNamespace(prompt_tokens=800, guessed_answer_tokens=100),
+            attempts=0,
+            is_idempotent=True,
+            end_s=now_s() + 60.0,
+            leaves_s=lambda: now_s() + 30.0,
+            left_s=lambda: 60.0,
+            note=lambda *_, **__: None,
+            fail=mock.AsyncMock(),
+            outcome="cut",
+        )
+        job.facts.max_answer_tokens = 0
+        watch = SimpleNamespace(stalls=None)
+
+        async def attempt(stream):
+            job.attempts += 1
+            stream.has_begun = has_begun
+            broke = Failed("an engine of the chain died", is_not_run=False)
+            return broke if job.attempts <= breaks else None
+
+        async def wait_for_chain(stream):
+            return CHAIN
+
+        with (
+            mock.patch.object(streamrelay, "_attempt", attempt),
+            mock.patch.object(
+                streamrelay.streamchains, "wait_for_chain", wait_for_chain
+            ),
+        ):
+            anyio.run(streamrelay.serve, job, watch)
+        return job.attempts, job.outcome
+
+    def test_a_begun_answer_goes_on_after_two_breaks(self):
+        self.assertEqual(self.serve(breaks=2, has_begun=True), (3, "cut"))
+
+    def test_one_without_any_event_goes_out_a_bounded_number_of_times(self):
+        attempts, _ = self.serve(breaks=99, has_begun=False)
+        self.assertEqual(attempts, 2 + streamrelay.MAX_EXTRA_SENDS)
 
 
 if __name__ == "__main__":
