Believe an engine's death when control VMs agree, and its end when unheard

Cause: every control VM of an engine's data centre that an entry asked decided alone, and 'dead' by one was told to all. A VM that had never heard of the engine, or that stood still while the answer lay there, said 'dead', too. An entry then took the run as over until the engine's next heartbeat, 1.2 s later.

Mend: silence is an opinion. A control VM that meets it asks two others while it tries once more; an answer outweighs silence, shared silence is a death, and who gets no answer from anybody tells nobody. Deaths are acted on as fast as before where two are beside the engine, and 0.1 s later where a far one is asked. What ends a run's counting is stronger: missed heartbeats as well, told by the leader after one more look. It holds since no single view can end a run any more, and an engine that lives is heard within 1.2 s by whoever it reports to. The accusations of a control VM are swept now.

Tests: test_disagreement (real control VMs, entry and messages; what each sees is set).

Ruled out: a longer time limit (deaths would be told later to all, and a full link has no bound); a majority of all control VMs (nine looks an accusation).

--- a/libs/node/src/cherryrudder/node/controlbeats.py
+++ b/libs/node/src/cherryrudder/node/controlbeats.py
@@ -20,7 +20,9 @@
     DeathNotice,
     EndpointNews,
     EntryBeat,
+    Finding,
     PaceNews,
+    Question,
     TableMark,
     Usage,
 )
@@ -119,6 +121,10 @@
                     self._take_endpoints(message.endpoints)
                 case Accusation():
                     self.verifier.hear(message)
+                case Question():
+                    self.verifier.hear_question(message)
+                case Finding():
+                    self.verifier.hear_finding(message)
                 case Complaint():
                     self.pace.hear(message)
                 case PaceNews():
@@ -166,6 +172,7 @@
             for address in roster.sweep(state.entries, now):
                 state.sink.write("control", "entry-lost", True, address=address)
             tablesync.sweep(state.endpoints, now)
+            self.verifier.review(now)
             await anyio.sleep(BEAT_S)
 
     def _own_beat(self, address, now):
@@ -179,6 +186,7 @@
             log_address=state.log_address,
             disk_id=state.disk_id,
             has_disk=bool(state.settings.data_folder),
+            vm_zone=state.settings.vm_zone,
             is_founding=state.settings.is_founding,
             controls=tuple(roster.present(state.roster, now)),
             seen=self._seen.get(address, TableMark("", 0)),
--- a/libs/node/src/cherryrudder/node/gossip.py
+++ b/libs/node/src/cherryrudder/node/gossip.py
@@ -97,6 +97,7 @@
     disk_id: str
     # False for a copy in memory, which can never become a voter.
     has_disk: bool
+    vm_zone: str
     is_founding: bool
     controls: tuple[str, ...]
     seen: TableMark
@@ -131,8 +132,29 @@
     engine_id: str
 
 
+class Question(NamedTuple):
+    """A control VM had no answer from an engine and asks another one to look."""
+
+    engine_id: str
+    sender: str
+
+
+class Finding(NamedTuple):
+    """What a control VM that was asked saw of an engine; see `verification.Seen`."""
+
+    engine_id: str
+    sender: str
+    seen: str
+
+
 class DeathNotice(NamedTuple):
-    """An entry and a control VM both had no answer; the others needn't try."""
+    """An entry and the control VMs had no answer; the others needn't try."""
+
+    engine_id: str
+
+
+class EndNotice(NamedTuple):
+    """An engine that was found dead has missed its heartbeats, too: its runs ended."""
 
     engine_id: str
 
@@ -158,7 +180,10 @@
     ConfigurationNews,
     Accusation,
     Acquittal,
+    Question,
+    Finding,
     DeathNotice,
+    EndNotice,
     Complaint,
     PaceNews,
 )
--- a/libs/node/src/cherryrudder/node/uplink.py
+++ b/libs/node/src/cherryrudder/node/uplink.py
@@ -26,6 +26,7 @@
     ConfigurationNews,
     ControlAnswer,
     DeathNotice,
+    EndNotice,
     EndpointNews,
     EntryBeat,
     PaceNews,
@@ -170,6 +171,8 @@
                     self._take_endpoints(message.endpoints)
                 case DeathNotice():
                     self._on_death(message)
+                case EndNotice():
+                    self._on_end(message)
                 case Acquittal():
                     self._on_acquittal(message)
                 case PaceNews():
@@ -256,9 +259,14 @@
 
     def _on_death(self, notice):
         engine_id = notice.engine_id
-        if suspicion.verified(self.state.suspicions, engine_id, now_s()):
+        if suspicion.told(self.state.suspicions, engine_id, now_s()):
             self.state.sink.write("uplink", "engine-accused", True, engine_id=engine_id)
 
+    def _on_end(self, notice):
+        engine_id = notice.engine_id
+        suspicion.verified(self.state.suspicions, engine_id, now_s())
+        self.state.sink.write("uplink", "engine-ended", True, engine_id=engine_id)
+
     def _on_acquittal(self, acquittal):
         engine_id = acquittal.engine_id
         if suspicion.acquitted(self.state.suspicions, engine_id):
--- a/libs/node/test/builders.py
+++ b/libs/node/test/builders.py
@@ -3,6 +3,7 @@
 import os
 
 from cherryrudder.layers.profile import NOTHING, Holding, KindProfile, ModelProfile
+from cherryrudder.node.controlstate import ControlState
 from cherryrudder.node.entrystate import EntryState
 from cherryrudder.node.linesink import LineSink
 from cherryrudder.node.metrics import Metrics
@@ -53,8 +54,8 @@
     return Voter(vm, f"{vm}-{disk}", f"{vm}:7000")
 
 
-def a_state(sink):
-    """Return the state of an entry that has just started."""
+def some_settings(**changes):
+    """Return the settings of a process on a VM of its own."""
     settings = NodeSettings(
         vm="vm-1",
         role="entry",
@@ -74,7 +75,18 @@
         tolerated_losses=1,
         bounds=Bounds(2.0, 8.0, 2.0, 5.0, True, 3.0, 0.2, 200.0, 10.0, 2.5),
     )
-    return EntryState(settings, sink, Metrics())
+    return settings._replace(**changes)
+
+
+def a_state(sink, **changes):
+    """Return the state of an entry that has just started."""
+    return EntryState(some_settings(**changes), sink, Metrics())
+
+
+def a_control(sink, ip, vm_zone="a"):
+    """Return the state of a control process that has just started."""
+    settings = some_settings(vm=f"vm-{ip}", role="control", ip=ip, vm_zone=vm_zone)
+    return ControlState(settings, sink, Metrics())
 
 
 class PipedSink:
--- /dev/null
+++ b/libs/node/test/test_disagreement.py
@@ -0,0 +1,264 @@
+"""Control VMs that see different things of one engine, and the entry that waits.
+
+Control VMs, an entry and their messages are real; what each of them sees of an engine
+is set by the test, and links between them deliver at once or not at all.
+"""
+
+import time
+import unittest
+from types import SimpleNamespace
+from unittest import mock
+
+import anyio
+from builders import PipedSink, a_control, a_state, an_announcement
+
+from cherryrudder.node import roster, stalls, streamchains, tablesync, verification
+from cherryrudder.node.controlbeats import ControlBeats
+from cherryrudder.node.errors import EngineCallFailed
+from cherryrudder.node.gossip import Accusation, Acquittal, DeathNotice, EndNotice
+from cherryrudder.node.uplink import Uplink
+from cherryrudder.node.verification import Seen, Verdict, judge
+from cherryrudder.platform.engines import Report
+from cherryrudder.replica.clock import now_s
+
+REPORT = Report(0, False, 0, 0, 0.0, 0.0, 1.0, (0, 8), ())
+ENGINE = "boot-1"
+# Control VMs by the last number of their address, and their data centres.
+NEAR, ALSO_NEAR, FAR = "10.0.0.1", "10.0.0.2", "10.0.1.1"
+ZONES = {NEAR: "a", ALSO_NEAR: "a", FAR: "b"}
+
+
+class Play:
+    """Some control VMs and an entry that accuses an engine of their data centre."""
+
+    def __init__(self, case, sees, unreached=()):
+        """`sees`: by control VM, whether the engine answers it."""
+        piped = PipedSink()
+        case.addCleanup(piped.close)
+        self.sees = sees
+        self.unreached = set(unreached)
+        self.asked = []
+        self.sent = []
+        self.entry = a_state(piped.sink, ip="10.0.2.1")
+        self.controls = {ip: a_control(piped.sink, ip, ZONES[ip]) for ip in sees}
+        self.verifiers = {}
+        now = now_s()
+        for name in (ENGINE, "boot-2"):
+            told = an_announcement(name, layers=(0, 8))
+            for state in (self.entry, *self.controls.values()):
+                tablesync.hear(state.endpoints, told, now)
+
+    def run(self, accused_by=(NEAR,), rounds=1, after=lambda: None):
+        """Accuse the engine at some control VMs and see it through."""
+
+        async def play():
+            async with anyio.create_task_group() as group:
+                self._connect(group)
+                for _ in range(rounds):
+                    for ip in accused_by:
+                        self._deliver(
+                            self.controls[ip].address,
+                            Accusation(ENGINE, self.entry.address),
+                        )
+            async with anyio.create_task_group() as group:
+                for verifier in self.verifiers.values():
+                    verifier.group = group
+                after()
+
+        with mock.patch.object(verification, "OPINION_S", 0.05):
+            anyio.run(play)
+        return [message for _, message in self.sent]
+
+    def _connect(self, group):
+        self.uplink = Uplink(self.entry, group)
+        self.beats = {}
+        for ip, state in self.controls.items():
+            beats = ControlBeats(state, group)
+            beats.links.send = self._deliver
+            beats.verifier._report = lambda *_, ip=ip: self._report(ip)
+            self.beats[state.address] = beats
+            self.verifiers[ip] = beats.verifier
+        for state in self.controls.values():
+            roster.hear(state.entries, self.entry.address, None, now_s())
+            for address, other in self.beats.items():
+                if address != state.address:
+                    beat = other._own_beat(state.address, now_s())
+                    roster.hear(state.roster, address, beat, now_s())
+
+    async def _report(self, ip):
+        self.asked.append(ip)
+        await anyio.sleep(0.001)
+        return REPORT if self.sees[ip] else None
+
+    def _deliver(self, address, message):
+        if address == self.entry.address:
+            self.sent.append((address, message))
+            self.uplink._on_frames("", [message])
+        elif address.rpartition(":")[0] not in self.unreached:
+            self.beats[address]._on_frames("", [message])
+
+    def counts(self):
+        """Return whether a stream that ran at the engine may use another in place."""
+        stream = SimpleNamespace(
+            ran_at=[ENGINE, "boot-2"],
+            job=SimpleNamespace(
+                state=self.entry, route=SimpleNamespace(max_attempts=2)
+            ),
+        )
+        return ENGINE in streamchains.bounding_firsts(stream)
+
+
+class DisagreementTest(unittest.TestCase):
+    """An entry accuses an engine that lives; one control VM beside it misses it, too.
+
+    Its link is full, and another control VM there has the engine's answer. With one
+    word enough, the engine was dead for everybody: a stream that had run there went to
+    a third engine where two are allowed, and the two worked on it for nothing.
+
+    The lines that showed it: `accusation` of one engine with `dead` by one control VM
+    0.4 s after `lives` by another one of the same data centre.
+    """
+
+    def test_an_answer_outweighs_silence(self):
+        for accused_by in ([NEAR], [ALSO_NEAR], [NEAR, ALSO_NEAR]):
+            with self.subTest(accused_by=accused_by):
+                play = Play(self, {NEAR: False, ALSO_NEAR: True})
+                told = play.run(accused_by)
+                self.assertEqual(set(told), {Acquittal(ENGINE)})
+                self.assertTrue(play.counts())
+                self.assertEqual(play.controls[NEAR].accused, {})
+
+    def test_far_away_somebody_may_have_the_answer(self):
+        play = Play(self, {NEAR: False, FAR: True})
+        self.assertEqual(play.run(), [Acquittal(ENGINE)])
+        self.assertTrue(play.counts())
+
+    def test_those_near_the_engine_are_asked_first(self):
+        play = Play(self, {NEAR: False, FAR: True, ALSO_NEAR: False})
+        with mock.patch.object(verification, "MOST_WITNESSES", 1):
+            play.run()
+        self.assertNotIn(FAR, play.asked)
+
+    def test_who_is_answered_by_nobody_tells_nobody(self):
+        """It may be the one that is cut off."""
+        play = Play(self, {NEAR: False, ALSO_NEAR: False}, unreached=[ALSO_NEAR])
+        self.assertEqual(play.run(), [])
+        self.assertTrue(play.counts())
+
+    def test_one_that_has_just_started_has_no_opinion(self):
+        play = Play(self, {NEAR: False, ALSO_NEAR: True})
+        play.controls[NEAR].endpoints = tablesync.SharedTable("new")
+        self.assertEqual(play.run(), [])
+        self.assertTrue(play.counts())
+
+    def test_a_question_is_not_passed_on(self):
+        play = Play(self, {NEAR: False, ALSO_NEAR: False, FAR: False})
+        play.run([NEAR], rounds=5)
+        self.assertEqual(len(play.asked), 6)
+
+
+class DeathTest(unittest.TestCase):
+    """An engine is dead, and all who look meet silence.
+
+    Everybody leaves it alone at once, so that no request waits there. A run at it ends
+    to count only when its heartbeats are missed as well: all who looked may have been
+    behind the same full links.
+    """
+
+    def play(self, unheard_s, is_leading=True, sees_later=False):
+        play = Play(self, {NEAR: False, ALSO_NEAR: False})
+
+        def after():
+            play.sees[NEAR] = sees_later
+            play.controls[NEAR].is_leader = lambda: is_leading
+            for verifier in play.verifiers.values():
+                verifier.review(now_s() + unheard_s)
+
+        return play, play.run(after=after)
+
+    def test_it_is_left_alone_at_once_and_counts_until_it_is_unheard(self):
+        play, told = self.play(unheard_s=0.0)
+        self.assertEqual(told, [DeathNotice(ENGINE)])
+        self.assertTrue(play.counts())
+
+    def test_unheard_it_has_ended(self):
+        play, told = self.play(verification.UNHEARD_S + 0.1)
+        self.assertEqual(told, [DeathNotice(ENGINE), EndNotice(ENGINE)])
+        self.assertFalse(play.counts())
+
+    def test_only_the_leader_says_so(self):
+        play, told = self.play(verification.UNHEARD_S + 0.1, is_leading=False)
+        self.assertEqual(told, [DeathNotice(ENGINE)])
+        self.assertTrue(play.counts())
+
+    def test_one_that_answers_after_all_has_not_ended(self):
+        play, told = self.play(verification.UNHEARD_S + 0.1, sees_later=True)
+        self.assertEqual(told, [DeathNotice(ENGINE), Acquittal(ENGINE)])
+        self.assertTrue(play.counts())
+        self.assertEqual(play.controls[NEAR].accused, {})
+
+    def test_one_that_is_heard_again_is_not_accused_any_more(self):
+        play = Play(self, {NEAR: False, ALSO_NEAR: False})
+
+        def after():
+            for state in play.controls.values():
+                told = an_announcement(ENGINE, 4, (0, 8))
+                tablesync.hear(state.endpoints, told, now_s() + 0.1)
+            for verifier in play.verifiers.values():
+                verifier.review(now_s() + 1.0)
+
+        play.run(after=after)
+        self.assertEqual([s.accused for s in play.controls.values()], [{}, {}])
+
+
+def stand_still(wait_s):
+    """Hold the loop up, as a long computation does."""
+    time.sleep(wait_s)
+
+
+class StandstillTest(unittest.TestCase):
+    """A control VM decodes a large configuration while it waits for a report.
+
+    Its time limit passes although the answer is there, unread.
+    """
+
+    def test_a_report_is_asked_for_again(self):
+        calls = []
+
+        async def get_report(address, timeout_s):
+            calls.append(address)
+            if len(calls) == 1:
+                stand_still(timeout_s + 2 * stalls.OWN_DELAY_S)
+                raise EngineCallFailed(address)
+            return REPORT
+
+        verifier = verification.Verifier(SimpleNamespace(), None, None)
+        with mock.patch.object(verification.enginecalls, "get_report", get_report):
+            report = anyio.run(verifier._report, "e:1", 0.02)
+        self.assertEqual((report, len(calls)), (REPORT, 2))
+
+
+class JudgeTest(unittest.TestCase):
+    def test_every_pair_of_looks(self):
+        dead, lives, unclear = Verdict.DEAD, Verdict.LIVES, Verdict.UNCLEAR
+        cases = {
+            (Seen.SILENT, ()): unclear,
+            (Seen.SILENT, (Seen.UNKNOWN,)): unclear,
+            (Seen.SILENT, (Seen.SILENT,)): dead,
+            (Seen.SILENT, (Seen.SILENT, Seen.UNKNOWN)): dead,
+            (Seen.SILENT, (Seen.SILENT, Seen.LIVES)): lives,
+            (Seen.SILENT, (Seen.ENDED,)): dead,
+            (Seen.ENDED, (Seen.LIVES,)): dead,
+            (Seen.LIVES, ()): lives,
+            (Seen.UNKNOWN, ()): unclear,
+        }
+        for (own, others), verdict in cases.items():
+            with self.subTest(own=own, others=others):
+                self.assertIs(judge(own, others, asked=2), verdict)
+
+    def test_without_anybody_to_ask_the_own_look_counts(self):
+        self.assertIs(judge(Seen.SILENT, (), asked=0), Verdict.DEAD)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/libs/routing/src/cherryrudder/routing/suspicion.py
+++ b/libs/routing/src/cherryrudder/routing/suspicion.py
@@ -35,7 +35,7 @@
     is_unreached: bool = False
     # Until then another death makes for a longer rest.
     remembered_until_s: float = 0.0
-    # A control VM had no answer from it either.
+    # No control VM has had an answer or a heartbeat from it either.
     is_verified: bool = False
 
 
@@ -73,12 +73,18 @@
     )
 
 
-def verified(suspicions: Suspicions, engine_id: str, now_s: float) -> bool:
-    """Take note that others found an endpoint dead as well; tell whether it is news."""
+def told(suspicions: Suspicions, engine_id: str, now_s: float) -> bool:
+    """Take note that others had no answer from an endpoint; tell whether it is news."""
     record = suspicions.records.get(engine_id)
     is_news = record is None or now_s >= record.rests_until_s
     if is_news:
         died(suspicions, engine_id, now_s)
+    return is_news
+
+
+def verified(suspicions: Suspicions, engine_id: str, now_s: float) -> bool:
+    """Take note that an endpoint has certainly ended; tell whether it is news."""
+    is_news = told(suspicions, engine_id, now_s)
     record = suspicions.records[engine_id]
     suspicions.records[engine_id] = record._replace(is_verified=True)
     return is_news
