--- a/libs/node/src/cherryrudder/node/uplink.py
+++ b/libs/node/src/cherryrudder/node/uplink.py
@@ -265,9 +265,11 @@
             self.state.sink.write("uplink", "engine-accused", True, engine_id=engine_id)
 
     def _on_end(self, notice):
-        engine_id = notice.engine_id
-        suspicion.verified(self.state.suspicions, engine_id, now_s())
-        self.state.sink.write("uplink", "engine-ended", True, engine_id=engine_id)
+        state, engine_id = self.state, notice.engine_id
+        is_news = not entrystate.is_certainly_dead(state, engine_id)
+        suspicion.verified(state.suspicions, engine_id, now_s())
+        if is_news:
+            state.sink.write("uplink", "engine-ended", True, engine_id=engine_id)
 
     def _on_acquittal(self, acquittal):
         engine_id = acquittal.engine_id
