Drop the question whether a death was ever seen, which nobody asks any more

RefutedDeathTest, which used it to look at a record, asks now what decides: whether the engine counts as ended after a refuted death.

--- a/libs/routing/src/cherryrudder/routing/suspicion.py
+++ b/libs/routing/src/cherryrudder/routing/suspicion.py
@@ -96,12 +96,6 @@
     return record is not None and record.is_verified and heard_s < record.died_s
 
 
-def has_died(suspicions: Suspicions, engine_id: str) -> bool:
-    """Tell whether a sign of its death was seen that nobody has refuted."""
-    record = suspicions.records.get(engine_id)
-    return record is not None and record.died_s > float("-inf")
-
-
 def acquitted(suspicions: Suspicions, engine_id: str) -> bool:
     """End a rest, as somebody near the endpoint had its answer; tell whether it did.
 
--- a/libs/routing/test/test_suspicion.py
+++ b/libs/routing/test/test_suspicion.py
@@ -112,8 +112,16 @@
 
     def test_a_death_that_was_refuted_is_none(self):
         found = Suspicions()
-        self.assertFalse(suspicion.has_died(found, "e"))
+        self.assertFalse(suspicion.is_certainly_dead(found, "e", 0.5))
         suspicion.died(found, "e", 1.0)
-        self.assertTrue(suspicion.has_died(found, "e"))
+        suspicion.verified(found, "e", 1.0)
+        self.assertTrue(suspicion.is_certainly_dead(found, "e", 0.5))
         suspicion.acquitted(found, "e")
-        self.assertFalse(suspicion.has_died(found, "e"))
+        self.assertFalse(suspicion.is_certainly_dead(found, "e", 0.5))
+
+    def test_what_others_missed_is_left_alone_and_has_not_ended(self):
+        """All who looked may have been behind the same full links."""
+        found = Suspicions()
+        self.assertTrue(suspicion.told(found, "e", 1.0))
+        self.assertTrue(suspicion.is_resting(found, "e", 0.5, 1.1))
+        self.assertFalse(suspicion.is_certainly_dead(found, "e", 0.5))
