Take an allocator's address along when it is decided to ask it

What callers saw: an entry's port refused connections (once, in test_controlprocesses LossTest at load 17). Cause: the task that asks another entry for shares looked its address up one turn of the loop after the decision; where that entry's lease ran out in between, a KeyError ended this entry.

The failed run itself kept no log, so that it was this is inferred. The tests of real processes print exit codes and last lines now.

Why it holds: the address is read in the same step as the decision. The other tasks that the daemon starts take what they need along or catch its absence (each start_soon of the daemon and of node was read for this).

--- a/libs/daemon/src/cherryrudder/daemon/sharing.py
+++ b/libs/daemon/src/cherryrudder/daemon/sharing.py
@@ -110,7 +110,11 @@
                 due.setdefault(self._allocator_of(ask.customer), []).append(ask)
             async with anyio.create_task_group() as group:
                 for allocator, asks in due.items():
-                    group.start_soon(self._ask, allocator, tuple(asks), at_s)
+                    # The address as it is known now. By the time that the task begins
+                    # the allocator may have left the table; looked up there, it ended
+                    # this entry, and callers had their connections refused.
+                    address = self._peers[allocator]
+                    group.start_soon(self._ask, allocator, address, asks, at_s)
             await anyio.sleep(LOOP_S)
 
     def _allocate(self, at_s):
@@ -130,12 +134,12 @@
     def _allocator_of(self, customer):
         return rank(list(self._peers), customer)[0]
 
-    async def _ask(self, allocator, asks, asked_s):
+    async def _ask(self, allocator, address, asks, asked_s):
         if allocator == self.name:
             grants = self._decide(asks, asked_s)
         else:
-            url = f"http://{self._peers[allocator]}/v1/shares"
-            value = Asks(self.name, asks)
+            url = f"http://{address}/v1/shares"
+            value = Asks(self.name, tuple(asks))
             client = self.entry.process.client
             try:
                 grants = await client.call("POST", url, value, Grants, ASK_S)
--- a/libs/daemon/test/builders.py
+++ b/libs/daemon/test/builders.py
@@ -19,6 +19,8 @@
 CUSTOMER = "petra-tours"
 # Wide, since CI may run on a busy machine; a condition ends the wait, not the time.
 WAIT_S = 60.0
+# Of each process's log, when a test fails.
+LOG_LINES = 30
 
 
 def a_contract(customer=CUSTOMER, **changes):
@@ -97,6 +99,21 @@
                 "contracts in force",
             )
 
+    def run(self, result=None):
+        """Run a test; when it fails, tell how each process stands and what it logged.
+
+        Which process has ended, and with what last words, can't be had afterwards.
+        """
+        result = super().run(result or self.defaultTestResult())
+        if any(test is self for test, _ in result.failures + result.errors):
+            for node in self.deployment.nodes.values():
+                code = node.process and node.process.poll()
+                lines = node.log_path.read_text(errors="replace").splitlines()
+                print(
+                    f"--- {node.name}: exit code {code}", *lines[-LOG_LINES:], sep="\n"
+                )
+        return result
+
     def post(self, path, entry=0, customer=CUSTOMER, timeout_s=WAIT_S, **options):
         """Post to an entry as a customer."""
         headers = {"authorization": f"Bearer {customer}"}
