Reckon with the mean age of the news of others, and hand out more of the budget

Cause: an entry's spending of the time of the oldest tenth of the news, some second, came off its next part. What the others spent is a sum, so its mean age, half of that, is what is unknown.

Tried and left: parts in proportion to what an entry had spent.

--- a/libs/node/src/cherryrudder/node/controlbeats.py
+++ b/libs/node/src/cherryrudder/node/controlbeats.py
@@ -45,9 +45,6 @@
 # control VM of its data centre has lost its disk, all entries there served 0.6 s later
 # than the others. A near one sends within some milliseconds.
 FIRST_FAR_WAIT_S = 0.1
-# Entries whose beats are no older than the age that others are told. One that is frozen
-# or cut off is left out: its old beat would make all others spend retries slower.
-HEARD_SHARE = 0.9
 
 log = logger.bind(part="control")
 
@@ -246,7 +243,7 @@
             vm_zone=state.settings.vm_zone,
             usage=None if others is None else _sum_usage(others),
             spent=None if others is None else _sum_spent(others),
-            spent_age_s=roster.age_s(state.entries, beat.address, HEARD_SHARE, now),
+            spent_age_s=roster.mean_age_s(state.entries, beat.address, now),
             entries=len(roster.present(state.entries, now)),
         )
         self.links.send(beat.address, answer)
--- a/libs/node/src/cherryrudder/node/gossip.py
+++ b/libs/node/src/cherryrudder/node/gossip.py
@@ -82,7 +82,7 @@
     # Of all other entries together; None when it wasn't asked for.
     usage: tuple[Usage, ...] | None
     spent: tuple[Spent, ...] | None
-    # How old most of what the others told is.
+    # How old what the others told is, on the average: it is summed up.
     spent_age_s: float
     # How many entries there are.
     entries: int
--- a/libs/node/src/cherryrudder/node/roster.py
+++ b/libs/node/src/cherryrudder/node/roster.py
@@ -4,7 +4,6 @@
 address that nobody hears is forgotten, but a seed is tried for ever.
 """
 
-import math
 from typing import Generic, NamedTuple, TypeVar
 
 # Beats come every half second; an address that was silent this long is told to nobody.
@@ -73,14 +72,14 @@
     ]
 
 
-def age_s(roster: Roster, but: str, share: float, now_s: float) -> float:
-    """Return how old the newest beats of a share of the others are at the most."""
-    ages_s = sorted(
+def mean_age_s(roster: Roster, but: str, now_s: float) -> float:
+    """Return how old the newest beats of the others are on the average."""
+    ages_s = [
         now_s - known.heard_s
         for address, known in roster.heard.items()
         if address != but and now_s - known.heard_s < PRESENT_S
-    )
-    return ages_s[math.ceil(share * len(ages_s)) - 1] if ages_s else 0.0
+    ]
+    return sum(ages_s) / len(ages_s) if ages_s else 0.0
 
 
 def sweep(roster: Roster, now_s: float) -> list[str]:
--- a/libs/policy/src/cherryrudder/policy/sharedbudget.py
+++ b/libs/policy/src/cherryrudder/policy/sharedbudget.py
@@ -6,7 +6,7 @@
 them, while nine tenths of the budget lie unused at the others.
 
 Each entry tells what it has spent in the operators' window, and is told what the others
-have. Until the next word it may spend an even part of half of what is left, less what
+have. Until the next word it may spend an even part of most of what is left, less what
 it has spent since that news of the others was made. Given a new part with each word,
 entries that all need much spent the same retries two and three times over before they
 heard of one another. An entry that needs much where the others do not gets a new part
@@ -26,7 +26,7 @@
 # What is counted together; a small part of the operators' window of some 10 s.
 BUCKET_S = 0.1
 # Of what is left, for the words that are under way.
-SPENDABLE_SHARE = 0.5
+SPENDABLE_SHARE = 0.6
 # Of an entry's part, kept for answers that have begun. Engines that leave refuse what
 # comes in that moment, and its retries took the budget of the streams that they cut
 # two seconds later: these ended in the middle, 0.7 s after the cut, where a request
@@ -134,8 +134,8 @@
 ) -> None:
     """Take this entry's part of what all entries have left.
 
-    `age_s` is how old the news of the others is. What they spent meanwhile isn't known;
-    each keeps to one part for that time, this entry too.
+    `age_s` is how old the news of the others is on the average. What they spent
+    meanwhile isn't known; each keeps to one part for that time, this entry too.
     """
     shared.entries = max(1, entries)
     by_service = {one.service: one for one in others}
