Take the heartbeats that an ended engine misses from the settings' interval

Cause: 2.4 s stood for two heartbeats of 1.2 s, which the platform sets and may set otherwise; with longer ones every accused engine would have counted as ended between two of its heartbeats.

--- a/libs/node/src/cherryrudder/node/streamrelay.py
+++ b/libs/node/src/cherryrudder/node/streamrelay.py
@@ -153,14 +153,15 @@
 async def _may_retry(stream, failed):
     """Tell whether the stream may go out once more.
 
-    The route bounds the engines that a request runs on, not how often it goes out; see
-    `streamchains.bounding_firsts`.
+    The route bounds the engines that a request runs on, not how often it goes out, and
+    that bound is kept where a chain is chosen (`streamchains.bounding_firsts`): here no
+    run counts against it.
     """
     job, most_runs = stream.job, stream.job.route.max_attempts
     if not stream.has_begun and job.attempts >= most_runs + MAX_EXTRA_SENDS:
         return False
     return await attempts.may_retry(
-        job, failed, 0, most_runs, EXPECTED_S, stream.has_begun
+        job, failed, 0, most_runs, EXPECTED_S, has_begun=stream.has_begun
     )
 
 
--- a/libs/node/src/cherryrudder/node/verification.py
+++ b/libs/node/src/cherryrudder/node/verification.py
@@ -39,8 +39,9 @@
 MOST_WITNESSES = 2
 # Both of a witness's reports, and the way there and back.
 OPINION_S = 0.6
-# Two of an engine's heartbeats. One that lives was heard by then, whoever misses it.
-UNHEARD_S = 2.4
+# Heartbeats that an engine misses at the end. One that lives was heard by then, whoever
+# else misses it.
+MISSED_BEATS = 2
 # How often entries are told that an engine has ended: each notice may be lost.
 END_NOTICES = 3
 
@@ -187,12 +188,13 @@
         Nobody's silence alone ends the runs at an engine: it has to miss its heartbeats
         as well. Only the log's leader tells, as one that others don't hear can't lead.
         """
+        unheard_s = MISSED_BEATS * self.state.settings.heartbeat_s
         for engine_id, accused_s in list(self.state.accused.items()):
             known = self.state.endpoints.table.entries.get(engine_id)
             if known is None or known.is_gone or known.heard_s > accused_s:
                 del self.state.accused[engine_id]
                 self._told.pop(engine_id, None)
-            elif now - known.heard_s > UNHEARD_S and self.state.is_leader():
+            elif now - known.heard_s > unheard_s and self.state.is_leader():
                 told = self._told.get(engine_id, 0)
                 if told < END_NOTICES:
                     self._told[engine_id] = told + 1
--- a/libs/node/test/test_disagreement.py
+++ b/libs/node/test/test_disagreement.py
@@ -10,7 +10,7 @@
 from unittest import mock
 
 import anyio
-from builders import PipedSink, a_control, a_state, an_announcement
+from builders import PipedSink, a_control, a_state, an_announcement, some_settings
 
 from cherryrudder.node import roster, stalls, streamchains, tablesync, verification
 from cherryrudder.node.controlbeats import ControlBeats
@@ -23,6 +23,8 @@
 
 REPORT = Report(0, False, 0, 0, 0.0, 0.0, 1.0, (0, 8), ())
 ENGINE = "boot-1"
+# Past the heartbeats that one which has ended misses.
+UNHEARD_S = verification.MISSED_BEATS * some_settings().heartbeat_s
 # Control VMs by the last number of their address, and their data centres.
 NEAR, ALSO_NEAR, FAR = "10.0.0.1", "10.0.0.2", "10.0.1.1"
 ZONES = {NEAR: "a", ALSO_NEAR: "a", FAR: "b"}
@@ -182,17 +184,17 @@
         self.assertTrue(play.counts())
 
     def test_unheard_it_has_ended(self):
-        play, told = self.play(verification.UNHEARD_S + 0.1)
+        play, told = self.play(UNHEARD_S + 0.1)
         self.assertEqual(told, [DeathNotice(ENGINE), EndNotice(ENGINE)])
         self.assertFalse(play.counts())
 
     def test_only_the_leader_says_so(self):
-        play, told = self.play(verification.UNHEARD_S + 0.1, is_leading=False)
+        play, told = self.play(UNHEARD_S + 0.1, is_leading=False)
         self.assertEqual(told, [DeathNotice(ENGINE)])
         self.assertTrue(play.counts())
 
     def test_one_that_answers_after_all_has_not_ended(self):
-        play, told = self.play(verification.UNHEARD_S + 0.1, sees_later=True)
+        play, told = self.play(UNHEARD_S + 0.1, sees_later=True)
         self.assertEqual(told, [DeathNotice(ENGINE), Acquittal(ENGINE)])
         self.assertTrue(play.counts())
         self.assertEqual(play.controls[NEAR].accused, {})
