--- a/libs/policy/src/cherryrudder/policy/sharedbudget.py
+++ b/libs/policy/src/cherryrudder/policy/sharedbudget.py
@@ -33,7 +33,7 @@
 # that has not run can be told when to come back.
 RESERVED_SHARE = 0.3
 # An answer that has begun goes on with this much of a retry saved. Worked out: 26
-# entries all have parts below one while fewer than 52 are left to them together. Each
+# entries all have parts below one while fewer than 44 are left to them together. Each
 # may go over by one between two words, 26 of the 107 that `SAFE_SHARE` keeps of 536.
 LEAST_FOR_BEGUN = 0.25
 # Without a word for this long an entry goes by its own requests: four are missed.
