Name requests in the logs by what they are, and log how far a broken run had come

An attempt's id is new each time, so no line told whether one request was at several engines that ended. The line of its admission now has a digest of account, method, host, target and body; a run that its engine broke off leaves a line with that digest, the engine, the time since it began and the last event. Nothing is decided from them.

--- a/libs/node/src/cherryrudder/node/frontdoor.py
+++ b/libs/node/src/cherryrudder/node/frontdoor.py
@@ -110,6 +110,8 @@
             version=state.version,
             account=admitted.account,
             service=name,
+            fingerprint=job.fingerprint,
+            body_bytes=len(exchange.request.body),
         )
         try:
             if service.model is not None and service.model.layers:
--- a/libs/node/src/cherryrudder/node/job.py
+++ b/libs/node/src/cherryrudder/node/job.py
@@ -7,6 +7,7 @@
 from cherryrudder.relay.server import Exchange
 from cherryrudder.replica.clock import now_s
 from cherryrudder.routing.configuration import RouteKind, Service
+from cherryrudder.routing.fingerprint import fingerprint
 from cherryrudder.routing.gatekeeping import CUT_OFF, Admitted, Refused
 
 from . import entrystate
@@ -63,6 +64,8 @@
         self.admitted = admitted
         self.route = admitted.route
         self.service = service
+        # The same for each attempt of the client, whichever entry it comes to.
+        self.fingerprint = _fingerprint(exchange.request, facts.host, admitted.account)
         self.attempts = 0
         self.outcome = "cut"
         self.first_byte_s: float | None = None
@@ -173,6 +176,10 @@
         return max(0.1, min(1.0, self.route.objective_s))
 
 
+def _fingerprint(request, host, account):
+    return fingerprint(account, request.method, host, request.target, request.body)
+
+
 async def refuse(
     state: EntryState,
     exchange: Exchange,
--- a/libs/node/src/cherryrudder/node/streamrelay.py
+++ b/libs/node/src/cherryrudder/node/streamrelay.py
@@ -88,6 +88,8 @@
         self.is_late = False
         # The present attempt's engine has begun it, or refused it.
         self.has_head = False
+        # When that engine began it, None before.
+        self.head_s: float | None = None
         # Until when this request is not to meet an engine, by address.
         self._excluded_until_s: dict[str, float] = {}
 
@@ -217,6 +219,7 @@
             # All streams of an engine that crashes break at the same moment. Each would
             # go straight back to it, and spend its last attempt on a reset connection.
             supervision.lose_first(stream, str(error), is_unreached=False)
+            _note_break(stream, error)
         reason = stream.broken or str(error)
         return Failed(reason, is_not_run=False, is_late=stream.is_late)
     finally:
@@ -248,12 +251,28 @@
     engine_id, request_id = stream.chain[0].engine_id, job.facts.request_id
     hangs.begun(job.state.hangs, engine_id, request_id, now)
     stream.has_head = True
+    stream.head_s = now
+
+
+def _note_break(stream, error):
+    """Log how far a run had come when its engine broke it off."""
+    head_s = stream.head_s
+    stream.job.note(
+        "run-broken",
+        True,
+        fingerprint=stream.job.fingerprint,
+        engine_id=stream.chain[0].engine_id,
+        run_s=None if head_s is None else round(now_s() - head_s, 3),
+        last_event=stream.last_event,
+        reason=str(error),
+    )
 
 
 def _watch(stream, connection):
     stream.connection = connection
     stream.broken = ""
     stream.has_head = False
+    stream.head_s = None
     supervision.progressed(stream, now_s())
     stream.watch.streams.add(stream)
 
