Refuse a request once three engines have ended under it, at every entry

What callers saw: engines ended one after the other, most streams were cut, late or refused for 15 s at a time, while one request went on from engine to engine (23 and 24 ended).

Cause: nothing remembered a request by what it is. What an entry knew of it ended with the client's attempt, the next attempt came to another entry, and a route's bound leaves out engines that have ended. A query of death, met with retries.

Evidence: the same request at the last two ends of the incident, 0.04 to 0.1 s after each run began; engines that ended with 3 to 66 of our streams on them; newest order to one of them 0.8 to 24 s old.

Why it works: an entry keeps each begun run that breaks off, and blames it once control VMs found the engine dead, or another incarnation is at its address. Entries and control VMs merge these records (beats, and news at once from the second end on), so each comes to the same conclusion. An end counts only while no run of the request got further (events), no other request explains it better, and few engines ended at that moment; two that ran side by side are sent at different moments. Blocked, a request gets a final 400.

Ruled out: memory at each entry alone (the third attempt comes to another one), a bound on sends an attempt (each starts anew).

--- /dev/null
+++ b/libs/node/src/cherryrudder/node/brokenruns.py
@@ -0,0 +1,77 @@
+"""Runs that broke off, kept until it is known whether their engine has ended.
+
+A broken answer alone says nothing of the engine: answers are lost and reset while it
+lives. Only when control VMs found it dead too, or another incarnation is at its
+address, did it end under those runs.
+"""
+
+from typing import NamedTuple
+
+# An engine that nobody asks for is missed when it is back at its address.
+PENDING_S = 10.0
+MOST_ENGINES = 64
+
+
+class BrokenRun(NamedTuple):
+    """A run that broke off after its engine had begun it."""
+
+    fingerprint: str
+    request_id: str
+    account: str
+    service: str
+    # Last event that had come.
+    last_event: int
+    broke_s: float
+
+
+class BrokenRuns:
+    """Broken runs by engine, and the engines that are known to have ended."""
+
+    def __init__(self):
+        self.runs: dict[str, list[BrokenRun]] = {}
+        self.ended_s: dict[str, float] = {}
+
+
+def broke(runs: BrokenRuns, engine_id: str, run: BrokenRun) -> None:
+    """Keep a run."""
+    runs.runs.setdefault(engine_id, []).append(run)
+
+
+def has_ended(runs: BrokenRuns, engine_id: str) -> bool:
+    """Tell whether an engine is known to have ended."""
+    return engine_id in runs.ended_s
+
+
+def ended(runs: BrokenRuns, engine_id: str, now_s: float) -> None:
+    """Take note that an engine has ended."""
+    runs.ended_s.setdefault(engine_id, now_s)
+
+
+def lives(runs: BrokenRuns, engine_id: str) -> None:
+    """Take note that an engine lives: its runs broke for another reason."""
+    runs.runs.pop(engine_id, None)
+    runs.ended_s.pop(engine_id, None)
+
+
+def take(runs: BrokenRuns, engine_id: str, leaving_s: float) -> list[BrokenRun]:
+    """Return the runs that an engine ended under, once, if it is known to have.
+
+    Not those that broke after it had said that it leaves: that end was planned.
+    """
+    if engine_id not in runs.ended_s:
+        return []
+    broken = runs.runs.pop(engine_id, [])
+    return [run for run in broken if run.broke_s < leaving_s]
+
+
+def sweep(runs: BrokenRuns, now_s: float) -> None:
+    """Forget runs and ends that are old, and the oldest when there are many."""
+    for engine_id, broken in list(runs.runs.items()):
+        if now_s - broken[-1].broke_s > PENDING_S:
+            del runs.runs[engine_id]
+    for engine_id, ended_s in list(runs.ended_s.items()):
+        if now_s - ended_s > PENDING_S:
+            del runs.ended_s[engine_id]
+    for kept in (runs.runs, runs.ended_s):
+        for engine_id in list(kept)[: max(0, len(kept) - MOST_ENGINES)]:
+            del kept[engine_id]
--- a/libs/node/src/cherryrudder/node/controlbeats.py
+++ b/libs/node/src/cherryrudder/node/controlbeats.py
@@ -17,6 +17,7 @@
     ConfigurationNews,
     ControlAnswer,
     ControlBeat,
+    CrashNews,
     DeathNotice,
     EndpointNews,
     EntryBeat,
@@ -125,6 +126,10 @@
                     self.verifier.hear_question(message)
                 case Finding():
                     self.verifier.hear_finding(message)
+                case CrashNews():
+                    self._pass_on(
+                        self.state.crashes.take_records(message.records, now_s())
+                    )
                 case Complaint():
                     self.pace.hear(message)
                 case PaceNews():
@@ -138,6 +143,8 @@
             state.sink.write(
                 "control", "entry-found", peer=beat.vm, address=beat.address
             )
+        if beat.crashes is not None:
+            self._pass_on(state.crashes.take(beat.address, beat.crashes, now))
         self._waiting[beat.address] = beat
         self._wake.set()
 
@@ -152,6 +159,20 @@
         # No news of it to others: they hear the same beats or news themselves.
         tablesync.take(state.endpoints, beat.endpoints, now)
         tablesync.take_alive(state.endpoints, beat.alive, now)
+        if beat.crashes is not None:
+            self._pass_on(state.crashes.take(beat.address, beat.crashes, now))
+
+    def _pass_on(self, fingerprints):
+        """Tell the entries nearby at once of what may change how they decide."""
+        state, now = self.state, now_s()
+        records = state.crashes.book.records
+        urgent = [one for one in fingerprints if len(records[one].crashes) > 1]
+        if not urgent:
+            return
+        news = state.crashes.news_of(urgent, now)
+        for beat in roster.beats(state.entries, now):
+            if beat.vm_zone == state.settings.vm_zone:
+                self.links.send(beat.address, news)
 
     def _take_endpoints(self, endpoints):
         now = now_s()
@@ -173,6 +194,8 @@
                 state.sink.write("control", "entry-lost", True, address=address)
             tablesync.sweep(state.endpoints, now)
             self.verifier.review(now)
+            present = {*roster.targets(state.roster, now), *state.entries.heard}
+            state.crashes.review(present, now)
             await anyio.sleep(BEAT_S)
 
     def _own_beat(self, address, now):
@@ -193,6 +216,7 @@
             table_version=state.endpoints.table.version,
             endpoints=tablesync.news_since(state.endpoints, seen, now),
             alive=tablesync.signs(state.endpoints, now),
+            crashes=state.crashes.message(address, now),
         )
 
     async def _confirm(self):
@@ -245,6 +269,11 @@
             spent=None if others is None else _sum_spent(others),
             spent_age_s=roster.mean_age_s(state.entries, beat.address, now),
             entries=len(roster.present(state.entries, now)),
+            crashes=(
+                state.crashes.message(beat.address, now)
+                if beat.crashes is not None
+                else None
+            ),
         )
         self.links.send(beat.address, answer)
 
--- a/libs/node/src/cherryrudder/node/controlstate.py
+++ b/libs/node/src/cherryrudder/node/controlstate.py
@@ -14,6 +14,7 @@
 
 from . import gossip
 from .council import Member
+from .crashdesk import CrashDesk
 from .linesink import LineSink
 from .metrics import Metrics
 from .roster import Roster
@@ -41,6 +42,7 @@
         self.roster = Roster(self.address, self.seed_addresses)
         self.entries = Roster()
         self.endpoints = SharedTable(self.boot)
+        self.crashes = CrashDesk(self.boot, sink, metrics)
         # When entries last found an engine dead, by its incarnation.
         self.accused: dict[str, float] = {}
         self.voter: Voter | None = None
--- /dev/null
+++ b/libs/node/src/cherryrudder/node/crashdesk.py
@@ -0,0 +1,95 @@
+"""One process's crash book: what it learns, what follows, and what it logs of it."""
+
+from collections.abc import Iterable
+
+from cherryrudder.routing import blame, crashbook
+from cherryrudder.routing.crashbook import Block, CrashBook, Record
+
+from . import crashsync
+from .crashsync import Marks
+from .gossip import CrashNews, CrashSync, ToldRecord
+from .linesink import LineSink
+from .metrics import Metrics
+
+
+class CrashDesk:
+    """The book of one process, and where its changes are told."""
+
+    def __init__(self, boot: str, sink: LineSink, metrics: Metrics):
+        self.book = CrashBook(boot)
+        self.marks = Marks()
+        self._sink = sink
+        self._metrics = metrics
+
+    def take(self, address: str, sync: CrashSync, now_s: float) -> list[str]:
+        """Take what came with a beat; return the fingerprints it is news of."""
+        news = crashsync.take(self.book, self.marks, address, sync, now_s)
+        self._conclude(news, now_s)
+        return news
+
+    def take_records(self, records: tuple[ToldRecord, ...], now_s: float) -> list[str]:
+        """Take news; return the fingerprints it is news of."""
+        news = crashsync.take_records(self.book, records, now_s)
+        self._conclude(news, now_s)
+        return news
+
+    def note(self, records: dict[str, Record], now_s: float) -> CrashNews:
+        """Take what this process itself saw; return what others are to hear of it."""
+        news = [one for one in records if crashbook.merge(self.book, one, records[one])]
+        self._conclude(news, now_s)
+        return self.news_of(news, now_s)
+
+    def news_of(self, fingerprints: Iterable[str], now_s: float) -> CrashNews:
+        """Return what others are to hear of some requests."""
+        return CrashNews(crashsync.records_of(self.book, fingerprints, now_s))
+
+    def message(self, address: str, now_s: float) -> CrashSync:
+        """Return what the process at an address is to hear with the next beat."""
+        return crashsync.message(self.book, self.marks, address, now_s)
+
+    def is_watched(self, fingerprint: str) -> bool:
+        """Tell whether it matters how far a request gets."""
+        return fingerprint in self.book.suspects or fingerprint in self.book.blocks
+
+    def block_of(self, fingerprint: str, now_s: float) -> Block | None:
+        """Return the block of a request, if there is one."""
+        block = self.book.blocks.get(fingerprint)
+        return block if block is not None and now_s < block.until_s else None
+
+    def review(self, present: set[str], now_s: float) -> None:
+        """Forget what is old, and end the blocks that are over."""
+        if self.book.records:
+            crashbook.sweep(self.book, now_s)
+            self._refresh(now_s)
+        crashsync.forget(self.marks, present)
+
+    def _conclude(self, news, now_s):
+        """Draw conclusions, unless each request has one crash at the most."""
+        book = self.book
+        if any(len(book.records[one].crashes) > 1 for one in news) or any(
+            self.is_watched(one) for one in news
+        ):
+            self._refresh(now_s)
+
+    def _refresh(self, now_s):
+        known = dict(self.book.blocks)
+        begun, ended = blame.refresh(self.book, now_s)
+        for fingerprint in begun:
+            self._log("blocked", fingerprint, self.book.blocks[fingerprint], now_s)
+        for fingerprint in ended:
+            self._log("unblocked", fingerprint, known[fingerprint], now_s)
+
+    def _log(self, event, fingerprint, block, now_s):
+        record = self.book.records.get(fingerprint, Record("", ""))
+        self._metrics.crashes.labels(event).inc()
+        self._sink.write(
+            "crashes",
+            event,
+            True,
+            fingerprint=fingerprint,
+            account=record.account,
+            service=record.service,
+            engine_ids=block.engine_ids,
+            versions=sorted(block.versions),
+            left_s=round(block.until_s - now_s, 1),
+        )
--- a/libs/node/src/cherryrudder/node/entrystate.py
+++ b/libs/node/src/cherryrudder/node/entrystate.py
@@ -22,6 +22,8 @@
 from cherryrudder.routing.suspicion import Suspicions
 
 from . import gossip
+from .brokenruns import BrokenRuns
+from .crashdesk import CrashDesk
 from .gossip import Usage
 from .linesink import LineSink
 from .metrics import Metrics
@@ -69,6 +71,8 @@
         self.suspicions = Suspicions()
         self.slowness = SlownessBook()
         self.hangs = Hangs()
+        self.crashes = CrashDesk(self.boot, sink, metrics)
+        self.broken = BrokenRuns()
         self.table: RouteTable | None = None
         # When the question was asked whose answer last confirmed the configuration.
         self.confirmed_s = float("-inf")
--- a/libs/node/src/cherryrudder/node/frontdoor.py
+++ b/libs/node/src/cherryrudder/node/frontdoor.py
@@ -16,7 +16,7 @@
 )
 from cherryrudder.routing.routetable import pick_service
 
-from . import plainrelay, roster, streamrelay
+from . import crashes, plainrelay, roster, streamrelay
 from .entrystate import EntryState
 from .job import Job, refuse
 from .roomdesk import RoomDesks
@@ -52,6 +52,7 @@
         # When the process ends, once that is known.
         self.ends_s: float | None = None
         desks = RoomDesks(uplink.group)
+        self._tell_crashes = uplink.tell_crashes
         self.watch = Watch(state, StallDesk(state, uplink), desks)
 
     async def handle(self, exchange: Exchange) -> None:
@@ -114,10 +115,13 @@
             body_bytes=len(exchange.request.body),
         )
         try:
+            if crashes.is_blocked(job, now_s()):
+                await job.refuse_for_good()
+                return
             if service.model is not None and service.model.layers:
                 await streamrelay.serve(job, self.watch)
             else:
-                await plainrelay.serve(job)
+                await plainrelay.serve(job, self._tell_crashes)
         finally:
             _record(job)
 
--- a/libs/node/src/cherryrudder/node/gossip.py
+++ b/libs/node/src/cherryrudder/node/gossip.py
@@ -44,6 +44,37 @@
     version: int
 
 
+class ToldCrash(NamedTuple):
+    """An engine that ended after it had begun a request, `age_s` ago."""
+
+    engine_id: str
+    vm_zone: str
+    version: str
+    last_event: int
+    age_s: float
+
+
+class ToldRecord(NamedTuple):
+    """What the sender knows of one request under which engines ended."""
+
+    fingerprint: str
+    account: str
+    service: str
+    crashes: tuple[ToldCrash, ...]
+    # Furthest event of a run whose engine lived on, -1 for none.
+    passed: int
+    # Since an operator said that it may run; None when none did.
+    lifted_age_s: float | None
+
+
+class CrashSync(NamedTuple):
+    """The sender's book since what the reader has, and how far it has the reader's."""
+
+    mark: TableMark
+    seen: TableMark
+    records: tuple[ToldRecord, ...]
+
+
 class EntryBeat(NamedTuple):
     """An entry's regular message to each control VM."""
 
@@ -63,6 +94,8 @@
     # One control VM is asked for what other entries have running and have spent, and
     # for the signs of life of all endpoints.
     wants_all: bool
+    # Only for the control VM that is asked for all.
+    crashes: CrashSync | None = None
 
 
 class ControlAnswer(NamedTuple):
@@ -86,6 +119,8 @@
     spent_age_s: float
     # How many entries there are.
     entries: int
+    # To a beat that brought some.
+    crashes: CrashSync | None = None
 
 
 class ControlBeat(NamedTuple):
@@ -106,6 +141,7 @@
     table_version: int
     endpoints: tuple[Heard, ...]
     alive: tuple[Alive, ...]
+    crashes: CrashSync | None = None
 
 
 class EndpointNews(NamedTuple):
@@ -161,6 +197,12 @@
     engine_id: str
 
 
+class CrashNews(NamedTuple):
+    """Requests under which an engine has ended just now, or that got further."""
+
+    records: tuple[ToldRecord, ...]
+
+
 class Complaint(NamedTuple):
     """A stream goes slower than its chain should; one of these engines is slow."""
 
@@ -186,6 +228,7 @@
     Finding,
     DeathNotice,
     EndNotice,
+    CrashNews,
     Complaint,
     PaceNews,
 )
--- a/libs/node/src/cherryrudder/node/job.py
+++ b/libs/node/src/cherryrudder/node/job.py
@@ -10,7 +10,7 @@
 from cherryrudder.routing.fingerprint import fingerprint
 from cherryrudder.routing.gatekeeping import CUT_OFF, Admitted, Refused
 
-from . import entrystate
+from . import crashes, entrystate
 from .entrystate import EntryState
 
 # An answer of this system's own is sent this long before the client or the route gives
@@ -43,6 +43,8 @@
     # The request reached an engine, which counts against the route's attempts.
     is_sent: bool = True
     is_late: bool = False
+    # The engine broke its answer off, or gave none before the connection ended.
+    is_broken: bool = False
     # An engine's own failure, to be passed on if nothing better comes.
     whole: Whole | None = None
 
@@ -155,6 +157,11 @@
         self.outcome = f"refused {refused.status}"
         await refuse(self.state, self.exchange, self.facts, refused, self.route.kind)
 
+    async def refuse_for_good(self) -> None:
+        """Answer a request that ends its engines."""
+        crashes.note_refused(self, now_s())
+        await self.refuse(crashes.ENDS_ENGINES)
+
     async def fail(self, failed: Failed) -> None:
         """Send the final answer after attempts that brought none.
 
--- a/libs/node/src/cherryrudder/node/metrics.py
+++ b/libs/node/src/cherryrudder/node/metrics.py
@@ -18,6 +18,7 @@
         self.reroutes = self._counter("reroutes", "Streams carried on", "outcome")
         self.orders = self._counter("orders", "Orders to engines", "outcome")
         self.beliefs = self._counter("beliefs", "Changes of belief", "event")
+        self.crashes = self._counter("crashes", "Requests that end engines", "event")
         self.first_byte_s = self._histogram("first_byte_seconds", "To the first byte")
         self.total_s = self._histogram("total_seconds", "To the end of the answer")
 
--- a/libs/node/src/cherryrudder/node/plainrelay.py
+++ b/libs/node/src/cherryrudder/node/plainrelay.py
@@ -4,14 +4,18 @@
 be repeated for an idempotent request.
 """
 
+from collections.abc import Callable
+
 from cherryrudder.relay import pool
 from cherryrudder.relay.errors import AnswerBroken, AnswerLate, ConnectFailed
 from cherryrudder.replica.clock import now_s
 from cherryrudder.routing import picking, suspicion
+from cherryrudder.routing.crashbook import FINISHED
 from cherryrudder.routing.picking import Place
 
-from . import attempts
+from . import attempts, crashes
 from .entrystate import ToldLoad, is_suspect, serving
+from .gossip import CrashNews
 from .job import Failed, Job, Whole
 
 # Part of the time left that an idempotent request waits for one endpoint while another
@@ -22,8 +26,8 @@
 NO_ENDPOINT = Failed("no endpoint", is_not_run=True, is_sent=False)
 
 
-async def serve(job: Job) -> None:
-    """See a request to its answer."""
+async def serve(job: Job, tell: Callable[[CrashNews | None], None]) -> None:
+    """See a request to its answer; `tell` spreads what it shows of engines' ends."""
     excluded: set[str] = set()
     failed = NO_ENDPOINT
     has_run = False
@@ -35,8 +39,12 @@
             break
         result = await _attempt(job, place)
         if isinstance(result, Whole):
+            tell(crashes.reached(job, FINISHED, now_s()))
             await job.pass_on(result)
             return
+        if result.is_broken:
+            tell(crashes.broke(job, place.engine_id, 0, now_s()))
+            await crashes.wait_for_fate(job, place.engine_id)
         has_run = has_run or not result.is_not_run
         failed = result._replace(
             is_not_run=not has_run, whole=result.whole or failed.whole
@@ -46,6 +54,10 @@
             job, result, job.attempts, job.route.max_attempts, EXPECTED_S
         ):
             break
+        await crashes.wait_apart(job)
+        if crashes.is_blocked(job, now_s()):
+            await job.refuse_for_good()
+            return
     await job.fail(failed)
 
 
@@ -102,7 +114,7 @@
     except AnswerLate as error:
         return Failed(str(error), is_not_run=False, is_late=True)
     except AnswerBroken as error:
-        return Failed(str(error), is_not_run=False)
+        return Failed(str(error), is_not_run=False, is_broken=True)
     finally:
         if is_kept:
             pool.give_back(job.state.pool, connection, now_s())
--- a/libs/node/src/cherryrudder/node/streamchains.py
+++ b/libs/node/src/cherryrudder/node/streamchains.py
@@ -11,7 +11,7 @@
 from . import entrystate
 
 if TYPE_CHECKING:
-    from .streamrelay import Stream
+    from .stream import Stream
 
 # Part of a client's patience that its stream waits for a chain; the rest is for reading
 # the prompt: 0.05 s for a usual one on a calm day, more on busy engines.
--- a/libs/node/src/cherryrudder/node/streamrelay.py
+++ b/libs/node/src/cherryrudder/node/streamrelay.py
@@ -5,19 +5,17 @@
 event that the client has; a request without any event yet is sent once more.
 """
 
-import math
-
-from cherryrudder.layers.chains import Chain
 from cherryrudder.platform import engines, messages
 from cherryrudder.relay import events, pool
-from cherryrudder.relay.client import EngineConnection
 from cherryrudder.relay.errors import AnswerBroken, AnswerLate, ConnectFailed
 from cherryrudder.replica.clock import now_s
 from cherryrudder.routing import hangs
+from cherryrudder.routing.crashbook import FINISHED
 from cherryrudder.routing.gatekeeping import Refused
 
-from . import attempts, entrystate, streamchains, supervision
+from . import attempts, crashes, entrystate, streamchains, supervision
 from .job import Failed, Job, Whole
+from .stream import Stream
 from .streamchains import NO_CHAIN, NO_ROOM
 from .supervision import Watch
 
@@ -49,100 +47,29 @@
 }
 
 
-class Stream:
-    """A stream on its way from engines to its client."""
-
-    def __init__(self, job: Job, watch: Watch):
-        self.job = job
-        self.watch = watch
-        self.stalls = watch.stalls
-        self.tokens = expected_tokens(job)
-        self.chain: Chain = ()
-        # The chain's engines are counted as having this stream.
-        self.is_counted = False
-        self.splitter = events.EventSplitter()
-        # Number of the last event that was passed on, None before the first.
-        self.last_event: int | None = None
-        self.has_begun = False
-        # First engines of the attempts that may have run.
-        self.ran_at: list[str] = []
-        # The chain that has yet to read the prompt, for all that is known.
-        self.unread_chain: Chain = ()
-        # The connection of the present attempt.
-        self.connection: EngineConnection | None = None
-        self.progressed_s = now_s()
-        # The usual pause between pieces, and what it should be over this chain.
-        self.pause_s = 0.0
-        self.expected_pause_s = 0.0
-        # When it is to be moved away from engines that leave; 0 while none does.
-        self.moves_s = 0.0
-        # When this entry last complained of the chain's pace.
-        self.complained_s = float("-inf")
-        self.silence_s = supervision.FIRST_SILENCE_S
-        self.is_looked_at = False
-        # Why there was no chain, and when there may be one.
-        self.refusal = ""
-        self.retry_after_s = 0.0
-        # Why the watch broke the present attempt off, and whether for want of time.
-        self.broken = ""
-        self.is_late = False
-        # The present attempt's engine has begun it, or refused it.
-        self.has_head = False
-        # When that engine began it, None before.
-        self.head_s: float | None = None
-        # Until when this request is not to meet an engine, by address.
-        self._excluded_until_s: dict[str, float] = {}
-
-    def note_sent(self) -> None:
-        """Count the prompt as on its way through the chain."""
-        self.unread_chain = self.chain
-        tokens = self.job.facts.prompt_tokens
-        entrystate.prompt_sent(self.job.state, self.unread_chain, tokens)
-
-    def note_read(self) -> None:
-        """Count the prompt as read, if it isn't yet."""
-        chain, self.unread_chain = self.unread_chain, ()
-        entrystate.prompt_read(self.job.state, chain, self.job.facts.prompt_tokens)
-
-    def exclude(self, address: str, until_s: float = math.inf) -> None:
-        """Keep the request away from an engine, for good unless a time is given."""
-        known_s = self._excluded_until_s.get(address, 0.0)
-        self._excluded_until_s[address] = max(known_s, until_s)
-
-    def excluded(self, now: float) -> set[str]:
-        """Return the addresses of the engines that the request is not to meet."""
-        until_s = self._excluded_until_s
-        return {address for address in until_s if now < until_s[address]}
-
-    def break_off(self, why: str) -> None:
-        """End the present attempt; its reader finds the connection closed."""
-        self.broken = why
-        if self.connection is not None:
-            self.connection.close()
-
-
-def expected_tokens(job: Job) -> int:
-    """Return the room that a request will take: its prompt and a likely answer."""
-    facts, model = job.facts, job.service.model
-    answer = facts.guessed_answer_tokens or model.usual_answer_tokens
-    if facts.max_answer_tokens:
-        answer = min(answer, facts.max_answer_tokens)
-    return math.ceil(facts.prompt_tokens + answer)
-
-
 async def serve(job: Job, watch: Watch) -> None:
     """See a stream to its end."""
     stream = Stream(job, watch)
     failed = Failed(NO_CHAIN, is_not_run=True, is_sent=False)
     has_run = False
     while True:
+        await crashes.wait_apart(job)
         chain = await streamchains.wait_for_chain(stream)
         if chain is None:
             failed = failed._replace(reason=stream.refusal or failed.reason)
             break
+        if crashes.is_blocked(job, now_s()):
+            streamchains.release(stream)
+            await _refuse_for_good(stream)
+            return
         result = await _attempt(stream)
         if result is None:
             return
+        if result.is_broken:
+            await crashes.wait_for_fate(job, chain[0].engine_id)
+        if crashes.is_blocked(job, now_s()):
+            await _refuse_for_good(stream)
+            return
         if not result.is_not_run:
             stream.ran_at.append(chain[0].engine_id)
         has_run = has_run or not result.is_not_run
@@ -167,6 +94,14 @@
     )
 
 
+async def _refuse_for_good(stream):
+    if stream.has_begun:
+        crashes.note_refused(stream.job, now_s())
+        stream.job.outcome = f"broken off: {crashes.ENDS_ENGINES.reason}"
+        return
+    await stream.job.refuse_for_good()
+
+
 async def _give_up(stream, failed):
     job = stream.job
     if stream.has_begun:
@@ -221,7 +156,12 @@
             supervision.lose_first(stream, str(error), is_unreached=False)
             _note_break(stream, error)
         reason = stream.broken or str(error)
-        return Failed(reason, is_not_run=False, is_late=stream.is_late)
+        return Failed(
+            reason,
+            is_not_run=False,
+            is_late=stream.is_late,
+            is_broken=not stream.broken,
+        )
     finally:
         stream.connection = None
         stream.note_read()
@@ -255,13 +195,16 @@
 
 
 def _note_break(stream, error):
-    """Log how far a run had come when its engine broke it off."""
-    head_s = stream.head_s
-    stream.job.note(
+    """Keep how far a run had come when its engine broke it off."""
+    job, engine_id, head_s = stream.job, stream.chain[0].engine_id, stream.head_s
+    if head_s is not None:
+        news = crashes.broke(job, engine_id, stream.position(), now_s())
+        stream.stalls.uplink.tell_crashes(news)
+    job.note(
         "run-broken",
         True,
-        fingerprint=stream.job.fingerprint,
-        engine_id=stream.chain[0].engine_id,
+        fingerprint=job.fingerprint,
+        engine_id=engine_id,
         run_s=None if head_s is None else round(now_s() - head_s, 3),
         last_event=stream.last_event,
         reason=str(error),
@@ -351,12 +294,18 @@
         if not fresh:
             continue
         job.note_piece(now_s())
+        _note_reached(stream, stream.position())
         await job.exchange.send(b"".join(event.data for event in fresh))
     if stream.splitter.rest:
         raise AnswerBroken("the stream ended inside an event")
+    _note_reached(stream, FINISHED)
     await job.exchange.end()
 
 
+def _note_reached(stream, event):
+    stream.stalls.uplink.tell_crashes(crashes.reached(stream.job, event, now_s()))
+
+
 def _is_new(stream, event):
     """Tell whether the client lacks an event, and take note that it gets it."""
     if event.number is None:
--- a/libs/node/src/cherryrudder/node/supervision.py
+++ b/libs/node/src/cherryrudder/node/supervision.py
@@ -18,20 +18,19 @@
 from cherryrudder.replica.clock import now_s
 from cherryrudder.routing import endpoints, hangs
 
-from . import enginecalls, entrystate, stalls, streamchains
+from . import crashes, enginecalls, entrystate, stalls, streamchains
 from .entrystate import EntryState
 from .errors import EngineCallFailed
 from .roomdesk import RoomDesks
 from .stalls import StallDesk
+from .stream import FIRST_SILENCE_S
 
 if TYPE_CHECKING:
-    from .streamrelay import Stream
+    from .stream import Stream
 
 log = logger.bind(part="streams")
 
 REVIEW_S = 0.04
-# A prompt of usual size is read in less than 0.1 s; the objective is 0.5 s.
-FIRST_SILENCE_S = 0.25
 # Events come every 25 ms; while an engine reads long prompts in between, some 60 ms.
 # The users count a pause of 200 ms as late.
 SILENCE_S = 0.09
@@ -96,6 +95,8 @@
                     elif _is_hung(stream, hung):
                         stream.exclude(stream.chain[0].address, now + FIRST_LOST_S)
                         stream.break_off("the first engine begins nothing")
+                    elif _is_to_stop(stream, now):
+                        stream.break_off(crashes.ENDS_ENGINES.reason)
                     elif self._is_due(stream, now):
                         stream.is_looked_at = True
                         group.start_soon(self._look_after, stream, self._look)
@@ -253,6 +254,12 @@
     return is_at_hung and stream.job.is_idempotent
 
 
+def _is_to_stop(stream, now):
+    """Tell whether a stream that no engine has begun yet would end its engine."""
+    is_waiting = stream.connection is not None and not stream.has_head
+    return is_waiting and crashes.is_blocked(stream.job, now)
+
+
 def _is_crawling(stream, now):
     if not stream.has_begun or now - stream.complained_s < COMPLAIN_EVERY_S:
         return False
--- a/libs/node/src/cherryrudder/node/uplink.py
+++ b/libs/node/src/cherryrudder/node/uplink.py
@@ -17,7 +17,7 @@
 from cherryrudder.wire.frames import FrameCodec
 from cherryrudder.wire.links import Links, listen_frames
 
-from . import entrystate, gossip, roster, tablesync
+from . import brokenruns, crashes, entrystate, gossip, roster, tablesync
 from .entrystate import EntryState
 from .gossip import (
     Accusation,
@@ -25,6 +25,7 @@
     Complaint,
     ConfigurationNews,
     ControlAnswer,
+    CrashNews,
     DeathNotice,
     EndNotice,
     EndpointNews,
@@ -102,6 +103,13 @@
             if address:
                 self.links.send(address, news)
 
+    def tell_crashes(self, news: CrashNews | None) -> None:
+        """Tell one control VM of each data centre of requests that end engines."""
+        if news is None or not news.records:
+            return
+        for address in tellers_of(roster.beats(self.state.controls, now_s())).values():
+            self.links.send(address, news)
+
     def _teller_beside(self, engine):
         tellers = tellers_of(roster.beats(self.state.controls, now_s()))
         return tellers.get(engine.vm_zone) or min(tellers.values(), default="")
@@ -130,6 +138,8 @@
             hangs.forget(state.hangs, known)
             for engine_id in set(state.leaving_s) - known:
                 del state.leaving_s[engine_id]
+            brokenruns.sweep(state.broken, now)
+            state.crashes.review(set(roster.targets(state.controls, now)), now)
             await anyio.sleep(BEAT_S if state.table else FIRST_BEAT_S)
 
     def _is_due(self, address, now):
@@ -144,6 +154,7 @@
     def _own_beat(self, address, tellers, now):
         state = self.state
         is_teller = address in tellers.values()
+        wants_all = address == self._own_teller(tellers)
         return EntryBeat(
             vm=state.settings.vm,
             vm_zone=state.settings.vm_zone,
@@ -153,7 +164,8 @@
             seen=self._seen.get(address, TableMark("", 0)),
             usage=entrystate.usage(state) if is_teller else (),
             spent=sharedbudget.spent(state.budget, now) if is_teller else (),
-            wants_all=address == self._own_teller(tellers),
+            wants_all=wants_all,
+            crashes=state.crashes.message(address, now) if wants_all else None,
         )
 
     def _own_teller(self, tellers):
@@ -169,6 +181,8 @@
                     self._on_configuration(message)
                 case EndpointNews():
                     self._take_endpoints(message.endpoints)
+                case CrashNews():
+                    self.state.crashes.take_records(message.records, now_s())
                 case DeathNotice():
                     self._on_death(message)
                 case EndNotice():
@@ -193,6 +207,8 @@
             sharedbudget.share(
                 state.budget, answer.spent, answer.entries, now, answer.spent_age_s
             )
+        if answer.crashes is not None:
+            state.crashes.take(answer.address, answer.crashes, now)
         # A version that is not here yet confirms nothing; the next answer will.
         if 0 < answer.version <= state.version:
             self._confirm(answer.sent_s, now)
@@ -239,12 +255,11 @@
         them, and find it reset.
         """
         state, address = self.state, announcement.address
-        if (
-            state.incarnations.get(address, announcement.engine_id)
-            != announcement.engine_id
-        ):
-            pool.drop(state.pool, address)
+        before = state.incarnations.get(address, announcement.engine_id)
         state.incarnations[address] = announcement.engine_id
+        if before != announcement.engine_id:
+            pool.drop(state.pool, address)
+            self.tell_crashes(crashes.engine_ended(state, before, now_s()))
 
     def _log_endpoint(self, entry: endpoints.Entry):
         announcement = entry.announcement
@@ -263,6 +278,7 @@
         engine_id = notice.engine_id
         if suspicion.told(self.state.suspicions, engine_id, now_s()):
             self.state.sink.write("uplink", "engine-accused", True, engine_id=engine_id)
+        self.tell_crashes(crashes.engine_ended(self.state, engine_id, now_s()))
 
     def _on_end(self, notice):
         state, engine_id = self.state, notice.engine_id
@@ -273,6 +289,7 @@
 
     def _on_acquittal(self, acquittal):
         engine_id = acquittal.engine_id
+        brokenruns.lives(self.state.broken, engine_id)
         if suspicion.acquitted(self.state.suspicions, engine_id):
             self.state.sink.write(
                 "uplink", "engine-acquitted", True, engine_id=engine_id
--- /dev/null
+++ b/libs/node/test/test_crashes.py
@@ -0,0 +1,216 @@
+"""Entries and control VMs that hear of requests under which engines ended."""
+
+import unittest
+from types import SimpleNamespace
+
+import anyio
+from builders import PipedSink, a_control, a_state, an_announcement
+
+from cherryrudder.node import crashes, crashsync, roster, tablesync
+from cherryrudder.node.controlbeats import ControlBeats
+from cherryrudder.node.crashdesk import CrashDesk
+from cherryrudder.node.gossip import Acquittal, DeathNotice
+from cherryrudder.node.metrics import Metrics
+from cherryrudder.node.uplink import Uplink
+from cherryrudder.replica.clock import now_s
+from cherryrudder.routing.crashbook import FINISHED, Crash, Record
+
+FIRST, SECOND, OTHER = "boot-1", "boot-2", "boot-3"
+ENGINES = (FIRST, SECOND, OTHER)
+
+
+def a_job(state, fingerprint="bad"):
+    """Return a request at an entry."""
+    return SimpleNamespace(
+        state=state,
+        fingerprint=fingerprint,
+        facts=SimpleNamespace(request_id="r1"),
+        admitted=SimpleNamespace(account="acme"),
+        service=SimpleNamespace(name="llm"),
+    )
+
+
+def a_record(*engine_ids, at_s=None, **changes):
+    """Return a record of engines that ended."""
+    at_s = now_s() if at_s is None else at_s
+    ended = tuple(Crash(engine_id, "a", "v1", 2, at_s) for engine_id in engine_ids)
+    return Record("acme", "llm", ended)._replace(**changes)
+
+
+class EntryCase(unittest.TestCase):
+    def setUp(self):
+        self.piped = PipedSink()
+        self.addCleanup(self.piped.close)
+        self.state = a_state(self.piped.sink)
+        self.uplink = Uplink(self.state, None)
+        for engine_id in ENGINES:
+            told = an_announcement(engine_id, layers=(0, 8))
+            tablesync.hear(self.state.endpoints, told, now_s() - 0.1)
+
+    def known(self, fingerprint="bad"):
+        """Return the engines that ended under a request, as far as is known."""
+        record = self.state.crashes.book.records.get(fingerprint, Record("", ""))
+        return {crash.engine_id for crash in record.crashes}
+
+
+class WitnessTest(EntryCase):
+    """Guards against taking a broken answer for the end of its engine."""
+
+    def break_run(self, engine_id=FIRST, fingerprint="bad"):
+        return crashes.broke(a_job(self.state, fingerprint), engine_id, 2, now_s())
+
+    def test_a_broken_answer_alone_counts_for_nothing(self):
+        self.assertEqual(self.break_run().records, ())
+        self.assertEqual(self.known(), set())
+
+    def test_it_counts_once_the_engine_is_found_dead(self):
+        self.break_run()
+        self.break_run(SECOND)
+        self.uplink._on_frames("", [DeathNotice(FIRST)])
+        self.assertEqual(self.known(), {FIRST})
+
+    def test_it_counts_when_the_engine_was_found_dead_before(self):
+        self.uplink._on_frames("", [DeathNotice(FIRST)])
+        self.assertEqual(len(self.break_run().records), 1)
+
+    def test_it_counts_when_another_incarnation_is_at_the_address(self):
+        address = f"{FIRST}:80"
+        self.uplink._note_incarnation(an_announcement(FIRST))
+        self.break_run()
+        self.uplink._note_incarnation(an_announcement("boot-9", address=address))
+        self.assertEqual(self.known(), {FIRST})
+
+    def test_not_when_the_engine_lives(self):
+        self.break_run()
+        self.uplink._on_frames("", [Acquittal(FIRST), DeathNotice(FIRST)])
+        self.assertEqual(self.known(), set())
+
+    def test_not_when_the_engine_was_heard_since(self):
+        self.uplink._on_frames("", [DeathNotice(FIRST)])
+        told = an_announcement(FIRST, number=4, layers=(0, 8))
+        tablesync.hear(self.state.endpoints, told, now_s() + 1.0)
+        self.break_run()
+        self.assertEqual(self.known(), set())
+
+    def test_not_when_the_engine_had_said_that_it_leaves(self):
+        self.state.leaving_s[FIRST] = now_s() - 2.0
+        self.break_run()
+        self.uplink._on_frames("", [DeathNotice(FIRST)])
+        self.assertEqual(self.known(), set())
+
+    def test_all_that_ran_there_are_noted(self):
+        for fingerprint in ("bad", "good"):
+            self.break_run(fingerprint=fingerprint)
+        self.uplink._on_frames("", [DeathNotice(FIRST)])
+        self.assertEqual((self.known("bad"), self.known("good")), ({FIRST}, {FIRST}))
+
+    def test_the_log_says_which_engine_ended_under_what(self):
+        self.break_run()
+        self.uplink._on_frames("", [DeathNotice(FIRST)])
+        text = self.piped.text()
+        self.assertIn('"event":"engine-ended"', text)
+        self.assertIn('"fingerprint":"bad"', text)
+
+
+class BlockTest(EntryCase):
+    def block(self, **changes):
+        record = a_record(*ENGINES, **changes)
+        return self.state.crashes.note({"bad": record}, now_s())
+
+    def is_blocked(self, fingerprint="bad"):
+        return crashes.is_blocked(a_job(self.state, fingerprint), now_s())
+
+    def test_it_is_refused_and_nothing_else_is(self):
+        self.block()
+        self.assertEqual((self.is_blocked(), self.is_blocked("good")), (True, False))
+        self.assertIn('"event":"blocked"', self.piped.text())
+
+    def test_engines_of_other_software_may_run_it(self):
+        """Guards against a block that outlives the fault in the engines."""
+        self.block()
+        for engine_id in ENGINES:
+            told = an_announcement(engine_id, 4, (0, 8), version="v2")
+            tablesync.hear(self.state.endpoints, told, now_s())
+        self.assertFalse(self.is_blocked())
+
+    def test_one_that_gets_further_is_free_again(self):
+        self.block()
+        news = crashes.reached(a_job(self.state), FINISHED, now_s())
+        self.assertEqual(len(news.records), 1)
+        self.assertFalse(self.is_blocked())
+        self.assertIn('"event":"unblocked"', self.piped.text())
+
+    def test_how_far_others_get_is_no_news(self):
+        self.block()
+        self.assertIsNone(crashes.reached(a_job(self.state, "good"), 80, now_s()))
+
+    def test_it_ends_by_itself(self):
+        self.block(at_s=now_s() - 599.0)
+        self.assertTrue(self.is_blocked())
+        self.state.crashes.review(set(), now_s() + 2.0)
+        self.assertFalse(self.is_blocked())
+
+
+class SpreadTest(unittest.TestCase):
+    """Guards against entries that still send what others know to end engines."""
+
+    def a_desk(self, boot):
+        piped = PipedSink()
+        self.addCleanup(piped.close)
+        return CrashDesk(boot, piped.sink, Metrics())
+
+    def beat(self, sender, reader):
+        """Let one process hear another's beat."""
+        sync = sender.message(reader.book.boot, now_s())
+        return reader.take(sender.book.boot, sync, now_s()), sync
+
+    def test_two_processes_come_to_know_the_same(self):
+        one, other = self.a_desk("one"), self.a_desk("other")
+        one.note({"bad": a_record(FIRST, SECOND)}, now_s())
+        other.note({"bad": a_record(OTHER)}, now_s())
+        self.beat(one, other)
+        self.beat(other, one)
+        self.assertEqual((set(one.book.blocks), set(other.book.blocks)), ({"bad"},) * 2)
+
+    def test_what_was_heard_is_not_told_again(self):
+        one, other = self.a_desk("one"), self.a_desk("other")
+        one.note({"bad": a_record(FIRST)}, now_s())
+        self.beat(one, other)
+        self.beat(other, one)
+        news, sync = self.beat(one, other)
+        self.assertEqual((news, sync.records), ([], ()))
+
+    def test_one_that_starts_again_is_told_all(self):
+        one, other = self.a_desk("one"), self.a_desk("other")
+        one.note({"bad": a_record(*ENGINES)}, now_s())
+        self.beat(one, other)
+        self.beat(other, one)
+        again = self.a_desk("other-2")
+        # It beats under the address that it had.
+        one.marks.told["other"] = crashsync.NOTHING
+        again.take("one", one.message("other", now_s()), now_s())
+        self.assertEqual(set(again.book.blocks), {"bad"})
+
+    def test_a_control_vm_tells_the_entries_nearby_at_once(self):
+        piped = PipedSink()
+        self.addCleanup(piped.close)
+        control, sent = a_control(piped.sink, "10.0.0.1"), []
+
+        async def play():
+            async with anyio.create_task_group() as group:
+                beats = ControlBeats(control, group)
+                beats.links.send = lambda address, message: sent.append(address)
+                for address, vm_zone in (("near:1", "a"), ("far:1", "b")):
+                    beat = SimpleNamespace(address=address, vm_zone=vm_zone)
+                    roster.hear(control.entries, address, beat, now_s())
+                source = self.a_desk("one")
+                for engine_ids in ((FIRST,), (FIRST, SECOND)):
+                    news = source.note({"bad": a_record(*engine_ids)}, now_s())
+                    beats._on_frames("", [news])
+
+        anyio.run(play)
+        self.assertEqual(sent, ["near:1"])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/libs/node/test/test_streamrelay.py
+++ b/libs/node/test/test_streamrelay.py
@@ -81,6 +81,7 @@
             facts=SimpleNamespace(prompt_tokens=800, guessed_answer_tokens=100),
             attempts=0,
             is_idempotent=True,
+            fingerprint="a request",
             end_s=now_s() + 60.0,
             leaves_s=lambda: now_s() + 30.0,
             left_s=lambda: 60.0,
--- /dev/null
+++ b/libs/routing/test/crashsim.py
@@ -0,0 +1,257 @@
+"""Some entries before engines that end, in simulated time."""
+
+import random
+from typing import NamedTuple
+
+from cherryrudder.routing import blame, crashbook
+from cherryrudder.routing.crashbook import Crash, CrashBook, Record
+
+TICK_S = 0.01
+EVENT_S = 0.025
+EVENTS = 80
+# A client asks again so soon after an attempt that failed, at any entry.
+CLIENT_PAUSE_S = 0.3
+ENGINE_AWAY_S = 4.0
+PROMPT_S = (0.05, 0.3)
+CRASH_AFTER_S = (0.04, 0.1)
+# Between the end of an engine and what an entry, or all, know of it.
+NOTICE_S = 0.03
+SPREAD_S = (0.05, 0.7)
+# The users' `contact_ms`.
+CONTACT_S = 3.0
+
+
+class Plan(NamedTuple):
+    """What happens in a run."""
+
+    culprits: int = 0
+    # When a whole rack ends.
+    racks_s: tuple[float, ...] = ()
+    length_s: float = 25.0
+    entries: int = 7
+    engines: int = 12
+    racks: int = 3
+    requests_per_s: float = 20.0
+
+
+class Outcome(NamedTuple):
+    """What came of a run."""
+
+    blocked_innocents: int
+    # Sends of each culprit that the users count.
+    late_sends: tuple[int, ...]
+    engines_ended: int
+    # Runs of others that culprits cut.
+    cut: int
+
+
+class Request:
+    """A client's request, with the run that is under way."""
+
+    def __init__(self, fingerprint, is_culprit, now_s):
+        self.fingerprint = fingerprint
+        self.is_culprit = is_culprit
+        self.entry = 0
+        self.engine = None
+        self.event = 0
+        self.begins_s = 0.0
+        self.crashes_s = float("inf")
+        self.next_s = now_s
+        self.sends_s = []
+        self.ended_s = []
+
+
+class Naive:
+    """Refuses whatever three engines have ended under."""
+
+    def __init__(self, entries):
+        self.counts = {}
+
+    def crashed(self, entry, request, engine, now_s):
+        """Count an end."""
+        self.counts.setdefault(request.fingerprint, set()).add(engine)
+
+    def tick(self, now_s):
+        """Know everything at once."""
+
+    def is_blocked(self, entry, fingerprint):
+        """Tell whether a request is refused."""
+        return len(self.counts.get(fingerprint, ())) >= blame.MOST_ENDS
+
+    def delay_s(self, entry, fingerprint):
+        """Send everything at once."""
+        return 0.0
+
+    def reached(self, entry, request):
+        """Draw nothing from it."""
+
+
+class Books:
+    """A book an entry, and their messages on the way."""
+
+    def __init__(self, entries, rng):
+        self.rng = rng
+        self.books = [CrashBook(f"entry-{n}") for n in range(entries)]
+        self.mail = []
+
+    def crashed(self, entry, request, engine, now_s):
+        """Note an end where it was seen, and tell all others."""
+        crash = Crash(engine, engine.partition("/")[0], "v1", request.event, now_s)
+        self._tell(entry, request.fingerprint, Record("a", "llm", (crash,)), now_s)
+
+    def _tell(self, entry, fingerprint, record, now_s):
+        for number in range(len(self.books)):
+            wait_s = self.rng.uniform(*SPREAD_S) if number != entry else NOTICE_S
+            self.mail.append((now_s + wait_s, number, fingerprint, record))
+
+    def tick(self, now_s):
+        """Deliver what is due."""
+        due = [one for one in self.mail if one[0] <= now_s]
+        if not due:
+            return
+        self.mail = [one for one in self.mail if one[0] > now_s]
+        for _, number, fingerprint, record in due:
+            crashbook.merge(self.books[number], fingerprint, record)
+        for number in {one[1] for one in due}:
+            blame.refresh(self.books[number], now_s)
+
+    def is_blocked(self, entry, fingerprint):
+        """Tell whether a request is refused."""
+        return fingerprint in self.books[entry].blocks
+
+    def delay_s(self, entry, fingerprint):
+        """Return how long a request waits before it is sent."""
+        return blame.send_delay_s(self.books[entry], fingerprint)
+
+    def reached(self, entry, request):
+        """Tell all others how far a suspect has come."""
+        book = self.books[entry]
+        is_watched = request.fingerprint in book.suspects | set(book.blocks)
+        known = book.records.get(request.fingerprint)
+        further = crashbook.place(known) + blame.SAME_PLACE_EVENTS if known else 0
+        if is_watched and request.event > further:
+            record = Record("a", "llm", passed=request.event)
+            self._tell(entry, request.fingerprint, record, self._now_s)
+
+
+class Play:
+    """One run of a plan."""
+
+    def __init__(self, plan, seed, is_naive=False):
+        self.plan = plan
+        self.rng = random.Random(f"crashes-{seed}")
+        self.up_s = dict.fromkeys(range(plan.engines), 0.0)
+        self.boots = dict.fromkeys(range(plan.engines), 0)
+        self.requests = []
+        self.blocked = set()
+        self.ended = self.cut = 0
+        self.racks_s = list(plan.racks_s)
+        books = Books(plan.entries, random.Random(f"books-{seed}"))
+        self.book = Naive(plan.entries) if is_naive else books
+
+    def run(self):
+        """Play to the end and return what came of it."""
+        culprits = [
+            Request(f"{self.rng.getrandbits(96):024x}", True, 2.0 + 0.1 * n)
+            for n in range(self.plan.culprits)
+        ]
+        self.requests += culprits
+        for tick in range(int(self.plan.length_s / TICK_S)):
+            self._tick(tick * TICK_S)
+        return Outcome(
+            len(self.blocked),
+            tuple(_late(one) for one in culprits),
+            self.ended,
+            self.cut,
+        )
+
+    def _tick(self, now_s):
+        self.book._now_s = now_s
+        self.book.tick(now_s)
+        if self.rng.random() < self.plan.requests_per_s * TICK_S:
+            fingerprint = f"{self.rng.getrandbits(96):024x}"
+            self.requests.append(Request(fingerprint, False, now_s))
+        while self.racks_s and self.racks_s[0] <= now_s:
+            self.racks_s.pop(0)
+            self._end_rack(now_s)
+        for request in list(self.requests):
+            self._step(request, now_s)
+
+    def _end_rack(self, now_s):
+        rack = self.rng.randrange(self.plan.racks)
+        for engine in self.up_s:
+            if engine % self.plan.racks == rack and self.up_s[engine] <= now_s:
+                self._end(engine, now_s)
+
+    def _step(self, request, now_s):
+        if request.engine is None:
+            if now_s >= request.next_s:
+                self._send(request, now_s)
+        elif now_s >= request.crashes_s:
+            others = self._end(request.engine, now_s) - 1
+            self.cut += others
+        elif now_s >= request.begins_s + EVENT_S:
+            request.begins_s += EVENT_S
+            request.event += 1
+            self.book.reached(request.entry, request)
+            if request.event >= EVENTS:
+                self.requests.remove(request)
+
+    def _send(self, request, now_s):
+        if self.book.is_blocked(request.entry, request.fingerprint):
+            self._refuse(request, now_s)
+            return
+        up = [engine for engine, up_s in self.up_s.items() if up_s <= now_s]
+        if not up:
+            request.next_s = now_s + CLIENT_PAUSE_S
+            return
+        request.engine = self.rng.choice(up)
+        request.begins_s = now_s + self.rng.uniform(*PROMPT_S)
+        request.sends_s.append(now_s)
+        if request.is_culprit:
+            after_s = self.rng.uniform(*CRASH_AFTER_S)
+            request.crashes_s = request.begins_s + after_s
+
+    def _refuse(self, request, now_s):
+        if request.is_culprit:
+            # Its client goes on asking all the same.
+            self._ask_elsewhere(request, now_s)
+            return
+        self.blocked.add(request.fingerprint)
+        self.requests.remove(request)
+
+    def _ask_elsewhere(self, request, now_s):
+        request.entry = self.rng.randrange(self.plan.entries)
+        request.event = 0
+        request.next_s = now_s + CLIENT_PAUSE_S
+
+    def _end(self, engine, now_s):
+        """End an engine and cut its runs; return how many."""
+        self.ended += 1
+        self.up_s[engine] = now_s + ENGINE_AWAY_S
+        boot = f"{engine % self.plan.racks}/{engine}-{self.boots[engine]}"
+        self.boots[engine] += 1
+        cut = [one for one in self.requests if one.engine == engine]
+        for request in cut:
+            self._cut(request, boot, now_s)
+        return len(cut)
+
+    def _cut(self, request, boot, now_s):
+        if now_s >= request.begins_s:
+            self.book.crashed(request.entry, request, boot, now_s)
+            if request.is_culprit:
+                request.ended_s.append(now_s)
+        request.engine = None
+        request.crashes_s = float("inf")
+        delay_s = self.book.delay_s(request.entry, request.fingerprint)
+        request.next_s = now_s + 2 * NOTICE_S + delay_s
+        if len(request.sends_s) % 2 == 0:
+            self._ask_elsewhere(request, now_s)
+
+
+def _late(request):
+    """Return how often a request was sent that should have been known."""
+    if len(request.ended_s) < blame.MOST_ENDS:
+        return 0
+    known_s = request.ended_s[2] + CONTACT_S
+    return sum(sent_s > known_s for sent_s in request.sends_s)
--- /dev/null
+++ b/libs/routing/test/test_crashbook.py
@@ -0,0 +1,75 @@
+import random
+import unittest
+
+from hypothesis import given, settings, strategies as st
+
+from cherryrudder.routing import blame, crashbook
+from cherryrudder.routing.crashbook import Crash, CrashBook, Record
+
+
+def a_record(engine_id="e1", event=2, at_s=1.0, **changes):
+    """Return a record of one crash."""
+    crash = Crash(engine_id, "a", "v1", event, at_s)
+    return Record("acme", "llm", (crash,))._replace(**changes)
+
+
+class MergeTest(unittest.TestCase):
+    @settings(max_examples=100, deadline=None, derandomize=True)
+    @given(st.integers(0, 2**32))
+    def test_any_order_gives_the_same_blocks(self, seed):
+        """Guards against entries that disagree on what is refused."""
+        rng = random.Random(seed)
+        heard = []
+        for fingerprint in "fgh":
+            for number in rng.sample(range(6), rng.randrange(6)):
+                record = a_record(f"e{number}", rng.randrange(12))
+                heard.append((fingerprint, record))
+        blocks = []
+        for _ in range(3):
+            rng.shuffle(heard)
+            book = CrashBook("boot-1")
+            for fingerprint, record in [*heard, *heard[:4]]:
+                crashbook.merge(book, fingerprint, record)
+            blame.refresh(book, 5.0)
+            blocks.append(set(book.blocks))
+        self.assertEqual(blocks, blocks[:1] * 3)
+
+    def test_what_is_known_is_no_news(self):
+        book = CrashBook("boot-1")
+        self.assertTrue(crashbook.merge(book, "f", a_record()))
+        self.assertFalse(crashbook.merge(book, "f", a_record(at_s=1.2)))
+        self.assertTrue(crashbook.merge(book, "f", a_record(passed=40)))
+        self.assertFalse(crashbook.merge(book, "f", a_record(passed=30)))
+
+    def test_a_lift_that_comes_back_later_is_no_news(self):
+        """Guards against two processes that tell each other of one lift for ever."""
+        book = CrashBook("boot-1")
+        crashbook.merge(book, "f", a_record(lifted_s=10.0))
+        self.assertFalse(crashbook.merge(book, "f", a_record(lifted_s=10.1)))
+
+
+class BoundTest(unittest.TestCase):
+    def test_what_did_no_harm_lately_is_forgotten(self):
+        book = CrashBook("boot-1")
+        crashbook.merge(book, "f", a_record())
+        crashbook.sweep(book, 1.0 + crashbook.KEEP_S)
+        self.assertEqual(set(book.records), {"f"})
+        crashbook.sweep(book, 1.1 + crashbook.KEEP_S)
+        self.assertEqual((book.records, book.changed), ({}, {}))
+
+    def test_the_oldest_go_first_and_the_blocked_last(self):
+        book = CrashBook("boot-1")
+        for engine_id in ("e1", "e2", "e3"):
+            crashbook.merge(book, "bad", a_record(engine_id, at_s=0.0))
+        blame.refresh(book, 1.0)
+        for number in range(crashbook.MOST_RECORDS + 5):
+            crashbook.merge(book, f"f{number}", a_record(at_s=1.0 + number / 1000))
+        crashbook.sweep(book, 3.0)
+        self.assertEqual(len(book.records), crashbook.MOST_RECORDS)
+        self.assertIn("bad", book.records)
+        self.assertNotIn("f0", book.records)
+        self.assertEqual(set(book.changed), set(book.records))
+
+
+if __name__ == "__main__":
+    unittest.main()
