Leave a message out that its reader fails at, in place of ending the process

The same class one level up: news goes to all entries or control VMs, and a fault in taking one message ended the process that read it, and so each. Two tests fail on the code before (a message that raises, then a death notice). The gossip is soft state that each beat repairs; the log's own messages stay as they are, since a voter whose core has failed must not go on.

--- a/libs/node/src/cherryrudder/node/controlbeats.py
+++ b/libs/node/src/cherryrudder/node/controlbeats.py
@@ -113,29 +113,36 @@
 
     def _on_frames(self, peer, messages):
         for message in messages:
-            match message:
-                case EntryBeat():
-                    self._on_entry(message)
-                case ControlBeat():
-                    self._on_control(message)
-                case EndpointNews():
-                    self._take_endpoints(message.endpoints)
-                case Accusation():
-                    self.verifier.hear(message)
-                case Question():
-                    self.verifier.hear_question(message)
-                case Finding():
-                    self.verifier.hear_finding(message)
-                case CrashNews():
-                    self._pass_on(
-                        self.state.crashes.take_records(message.records, now_s())
-                    )
-                case Complaint():
-                    self.pace.hear(message)
-                case PaceNews():
-                    self.pace.hear_seen(message)
-                case DeathNotice():
-                    self.verifier.condemn(message.engine_id)
+            try:
+                self._take(message)
+            except Exception as error:
+                # All processes read the same news: one that ended this process would
+                # end the others, too. The beats make good what was left out.
+                kind = type(message).__name__
+                log.opt(exception=error).error("{} from {} was left out.", kind, peer)
+
+    def _take(self, message):
+        match message:
+            case EntryBeat():
+                self._on_entry(message)
+            case ControlBeat():
+                self._on_control(message)
+            case EndpointNews():
+                self._take_endpoints(message.endpoints)
+            case Accusation():
+                self.verifier.hear(message)
+            case Question():
+                self.verifier.hear_question(message)
+            case Finding():
+                self.verifier.hear_finding(message)
+            case CrashNews():
+                self._pass_on(self.state.crashes.take_records(message.records, now_s()))
+            case Complaint():
+                self.pace.hear(message)
+            case PaceNews():
+                self.pace.hear_seen(message)
+            case DeathNotice():
+                self.verifier.condemn(message.engine_id)
 
     def _on_entry(self, beat):
         state, now = self.state, now_s()
--- a/libs/node/src/cherryrudder/node/uplink.py
+++ b/libs/node/src/cherryrudder/node/uplink.py
@@ -174,23 +174,32 @@
 
     def _on_frames(self, peer, messages):
         for message in messages:
-            match message:
-                case ControlAnswer():
-                    self._on_answer(message)
-                case ConfigurationNews():
-                    self._on_configuration(message)
-                case EndpointNews():
-                    self._take_endpoints(message.endpoints)
-                case CrashNews():
-                    self.state.crashes.take_records(message.records, now_s())
-                case DeathNotice():
-                    self._on_death(message)
-                case EndNotice():
-                    self._on_end(message)
-                case Acquittal():
-                    self._on_acquittal(message)
-                case PaceNews():
-                    self._on_pace(message)
+            try:
+                self._take(message)
+            except Exception as error:
+                # All processes read the same news: one that ended this process would
+                # end the others, too. The beats make good what was left out.
+                kind = type(message).__name__
+                log.opt(exception=error).error("{} from {} was left out.", kind, peer)
+
+    def _take(self, message):
+        match message:
+            case ControlAnswer():
+                self._on_answer(message)
+            case ConfigurationNews():
+                self._on_configuration(message)
+            case EndpointNews():
+                self._take_endpoints(message.endpoints)
+            case CrashNews():
+                self.state.crashes.take_records(message.records, now_s())
+            case DeathNotice():
+                self._on_death(message)
+            case EndNotice():
+                self._on_end(message)
+            case Acquittal():
+                self._on_acquittal(message)
+            case PaceNews():
+                self._on_pace(message)
 
     def _on_answer(self, answer):
         state, now = self.state, now_s()
--- a/libs/node/test/test_crashes.py
+++ b/libs/node/test/test_crashes.py
@@ -2,14 +2,15 @@
 
 import unittest
 from types import SimpleNamespace
+from unittest import mock
 
 import anyio
 from builders import PipedSink, a_control, a_state, an_announcement
 
-from cherryrudder.node import crashes, crashsync, roster, tablesync
+from cherryrudder.node import crashes, crashsync, entrystate, roster, tablesync
 from cherryrudder.node.controlbeats import ControlBeats
 from cherryrudder.node.crashdesk import CrashDesk
-from cherryrudder.node.gossip import Acquittal, DeathNotice
+from cherryrudder.node.gossip import Acquittal, CrashNews, DeathNotice
 from cherryrudder.node.metrics import Metrics
 from cherryrudder.node.uplink import Uplink
 from cherryrudder.replica.clock import now_s
@@ -151,6 +152,23 @@
         self.assertFalse(self.is_blocked())
 
 
+class FaultyMessageTest(EntryCase):
+    """Guards against one message that ends each process which reads it."""
+
+    def deliver(self, reader, desk):
+        with mock.patch.object(desk, "take_records", side_effect=TypeError("fault")):
+            reader._on_frames("peer:1", [CrashNews(()), DeathNotice(FIRST)])
+
+    def test_an_entry_takes_the_next_one(self):
+        self.deliver(self.uplink, self.state.crashes)
+        self.assertTrue(entrystate.is_suspect(self.state, FIRST, now_s()))
+
+    def test_a_control_vm_takes_the_next_one(self):
+        control = a_control(self.piped.sink, "10.0.0.1")
+        self.deliver(ControlBeats(control, None), control.crashes)
+        self.assertIn(FIRST, control.accused)
+
+
 class SpreadTest(unittest.TestCase):
     """Guards against entries that still send what others know to end engines."""
 
