List and lift blocks of requests, and keep broken runs no longer than they tell

Operators see at the metrics address which requests a process refuses and which engines they ended (GET /blocks), and end a block everywhere (POST /blocks/lift/FINGERPRINT at a control VM); cherryrudder block list and block lift do so. A run that broke off is dropped once its engine has answered another request, after ten seconds, or over 256 an engine: an engine that merely resets answers and ends later for another reason is not put down to them. The refusal has a body that says what it is.

--- /dev/null
+++ b/libs/cli/src/cherryrudder/cli/block_commands.py
@@ -0,0 +1,48 @@
+"""The commands on requests that are refused since they end their engines."""
+
+from . import client as operator
+from .output import Output, table
+
+HEADS = ("request", "account", "service", "engines", "left s")
+
+
+def show(address: str):
+    """List the requests that one process refuses, and the engines they ended.
+
+    :param address: metrics address of an entry or control VM, IP:PORT
+    """
+
+    def run(connect):
+        value = operator.get(connect(address, needs_key=False), "/blocks")
+        rows = [_row(block) for block in value["blocks"]]
+        return Output(table(HEADS, rows), value)
+
+    return run
+
+
+def lift(address: str, fingerprint: str):
+    """Let a request run again, at all entries.
+
+    :param address: metrics address of a control VM, IP:PORT
+    :param fingerprint: the request, as "block list" prints it
+    """
+
+    def run(connect):
+        client = connect(address, needs_key=False)
+        operator.post(client, f"/blocks/lift/{fingerprint}")
+        return Output(f"{fingerprint}: lifted", {"lifted": fingerprint})
+
+    return run
+
+
+def _row(block):
+    return (
+        block["fingerprint"],
+        block["account"] or "-",
+        block["service"],
+        ",".join(block["engine_ids"]),
+        block["left_s"],
+    )
+
+
+COMMANDS = {"list": show, "lift": lift}
--- a/libs/cli/src/cherryrudder/cli/client.py
+++ b/libs/cli/src/cherryrudder/cli/client.py
@@ -90,6 +90,11 @@
     return _value(call(client, "GET", path))
 
 
+def post(client: Client, path: str):
+    """Send an order without a body; return the JSON that it gives."""
+    return _value(call(client, "POST", path))
+
+
 def contracts(client: Client) -> dict[str, VersionedContract]:
     """Return every contract by customer."""
     rows = read_rows(VersionedContract, get(client, "/v1/contracts"), "contracts")
--- a/libs/cli/src/cherryrudder/cli/main.py
+++ b/libs/cli/src/cherryrudder/cli/main.py
@@ -7,6 +7,7 @@
 import defopt
 
 from . import (
+    block_commands,
     contract_commands,
     control_commands,
     local_commands,
@@ -26,6 +27,7 @@
     "contract": contract_commands.COMMANDS,
     "stop": stop_commands.COMMANDS,
     "control": control_commands.COMMANDS,
+    "block": block_commands.COMMANDS,
     "endpoints": platform_commands.endpoints,
     "dump": platform_commands.dump,
     "check": local_commands.check,
@@ -40,14 +42,15 @@
     arguments = sys.argv[1:] if arguments is None else arguments
     options, left = split_options(arguments, environment)
 
-    def connect(address=None):
+    def connect(address=None, needs_key=True):
         """Return a client of the control VMs, or of one process that is named.
 
         Nobody else answers for that one process, so it is asked once only.
         """
         if address is not None:
             one = [check_address(address)]
-            return Client(one, read_key(options), transport, patience_s=0)
+            key = read_key(options) if needs_key else ""
+            return Client(one, key, transport, patience_s=0)
         return Client(control_addresses(options), read_key(options), transport)
 
     command = defopt.run(
--- a/libs/cli/src/cherryrudder/cli/options.py
+++ b/libs/cli/src/cherryrudder/cli/options.py
@@ -12,8 +12,8 @@
 CONTROL_VARIABLE = "CHERRYRUDDER_CONTROL"
 KEY_FILE_VARIABLE = "CHERRYRUDDER_OPERATOR_KEY_FILE"
 HELP = f"""\
-"contract", "stop" and "control" have subcommands of their own; --help after any of
-them tells more. These options stand before or after any subcommand:
+"contract", "stop", "control" and "block" have subcommands of their own; --help after
+any of them tells more. These options stand before or after any subcommand:
   --control ADDR[,ADDR]     operator addresses of the control VMs, IP:PORT
                             (or {CONTROL_VARIABLE})
   --operator-key-file FILE  file that holds the operator key
--- a/libs/node/src/cherryrudder/node/brokenruns.py
+++ b/libs/node/src/cherryrudder/node/brokenruns.py
@@ -10,6 +10,9 @@
 # An engine that nobody asks for is missed when it is back at its address.
 PENDING_S = 10.0
 MOST_ENGINES = 64
+MOST_RUNS = 256
+# What an engine had sent before it ended is read within this time.
+IN_FLIGHT_S = 0.2
 
 
 class BrokenRun(NamedTuple):
@@ -34,7 +37,9 @@
 
 def broke(runs: BrokenRuns, engine_id: str, run: BrokenRun) -> None:
     """Keep a run."""
-    runs.runs.setdefault(engine_id, []).append(run)
+    kept = runs.runs.setdefault(engine_id, [])
+    kept.append(run)
+    del kept[:-MOST_RUNS]
 
 
 def has_ended(runs: BrokenRuns, engine_id: str) -> bool:
@@ -53,6 +58,16 @@
     runs.ended_s.pop(engine_id, None)
 
 
+def answered(runs: BrokenRuns, engine_id: str, now_s: float) -> None:
+    """Drop the runs after which their engine has answered another request."""
+    broken = runs.runs.get(engine_id)
+    if broken:
+        late = [run for run in broken if now_s - run.broke_s < IN_FLIGHT_S]
+        runs.runs[engine_id] = late
+        if not late:
+            del runs.runs[engine_id]
+
+
 def take(runs: BrokenRuns, engine_id: str, leaving_s: float) -> list[BrokenRun]:
     """Return the runs that an engine ended under, once, if it is known to have.
 
@@ -67,7 +82,9 @@
 def sweep(runs: BrokenRuns, now_s: float) -> None:
     """Forget runs and ends that are old, and the oldest when there are many."""
     for engine_id, broken in list(runs.runs.items()):
-        if now_s - broken[-1].broke_s > PENDING_S:
+        young = [run for run in broken if now_s - run.broke_s <= PENDING_S]
+        runs.runs[engine_id] = young
+        if not young:
             del runs.runs[engine_id]
     for engine_id, ended_s in list(runs.ended_s.items()):
         if now_s - ended_s > PENDING_S:
--- a/libs/node/src/cherryrudder/node/control.py
+++ b/libs/node/src/cherryrudder/node/control.py
@@ -4,7 +4,7 @@
 
 from cherryrudder.platform.settings import NodeSettings
 
-from . import httpserver, seatkeeper
+from . import httpserver, seatkeeper, surface
 from .controlapi import ControlApi
 from .controlbeats import ControlBeats
 from .controlstate import ControlState
@@ -12,6 +12,7 @@
 from .layerkeeper import LayerKeeper
 from .linesink import LineSink
 from .metrics import Metrics
+from .surface import Shown
 
 # How long a process that is to stop waits for its leadership to be taken over and for
 # the calls that it has begun; the platform gives eight seconds.
@@ -27,6 +28,11 @@
     async with anyio.create_task_group() as group:
         beats = ControlBeats(state, group)
         beats.start()
+        group.start_soon(
+            surface.serve,
+            f"{settings.ip}:{surface.PORTS['control']}",
+            Shown(metrics, state.crashes, beats.tell_crashes),
+        )
         group.start_soon(seatkeeper.run, state, beats.on_applied)
         group.start_soon(LayerKeeper(state, beats, group).run)
         server = HttpServer(ControlApi(state, beats).handle)
--- a/libs/node/src/cherryrudder/node/controlbeats.py
+++ b/libs/node/src/cherryrudder/node/controlbeats.py
@@ -101,6 +101,11 @@
         for address in self._everybody():
             self.links.send(address, news)
 
+    def tell_crashes(self, news: CrashNews) -> None:
+        """Tell everybody of requests that end engines, or do so no more."""
+        for address in self._everybody():
+            self.links.send(address, news)
+
     def _everybody(self):
         state, now = self.state, now_s()
         return [
--- a/libs/node/src/cherryrudder/node/crashdesk.py
+++ b/libs/node/src/cherryrudder/node/crashdesk.py
@@ -56,6 +56,30 @@
         block = self.book.blocks.get(fingerprint)
         return block if block is not None and now_s < block.until_s else None
 
+    def lift(self, fingerprint: str, now_s: float) -> CrashNews:
+        """End a block by an operator's word; return what others are to hear."""
+        known = self.book.records.get(fingerprint)
+        if known is None or fingerprint not in self.book.blocks:
+            return CrashNews(())
+        return self.note({fingerprint: known._replace(lifted_s=now_s)}, now_s)
+
+    def dump(self, now_s: float) -> dict:
+        """Return all blocks and suspects, for operators."""
+        records = self.book.records
+        blocks = [
+            {
+                "fingerprint": fingerprint,
+                "account": records[fingerprint].account,
+                "service": records[fingerprint].service,
+                "engine_ids": block.engine_ids,
+                "versions": sorted(block.versions),
+                "left_s": round(block.until_s - now_s, 1),
+            }
+            for fingerprint, block in self.book.blocks.items()
+        ]
+        suspects = sorted(self.book.suspects)
+        return {"blocks": blocks, "suspects": suspects, "records": len(records)}
+
     def review(self, present: set[str], now_s: float) -> None:
         """Forget what is old, and end the blocks that are over."""
         if self.book.records:
--- a/libs/node/src/cherryrudder/node/entry.py
+++ b/libs/node/src/cherryrudder/node/entry.py
@@ -10,12 +10,13 @@
 from cherryrudder.routing import endpoints, gatekeeping
 from cherryrudder.routing.configuration import DEFAULT_LIMITS
 
-from . import httpserver
+from . import httpserver, surface
 from .entrystate import EntryState
 from .frontdoor import FrontDoor
 from .httpserver import HttpServer
 from .linesink import LineSink
 from .metrics import Metrics
+from .surface import Shown
 from .uplink import Uplink
 
 # The platform asks once a second and needs two misses to send nobody here any more;
@@ -40,6 +41,11 @@
         server.limits = Limits(*DEFAULT_LIMITS)
         group.start_soon(httpserver.serve, server, settings.client_address)
         group.start_soon(_answer_readiness, state, leaving)
+        group.start_soon(
+            surface.serve,
+            f"{settings.ip}:{surface.PORTS['entry']}",
+            Shown(metrics, state.crashes, uplink.tell_crashes),
+        )
         group.start_soon(_tidy, state, server, door)
         await leaving.wait()
         await _stop(door, server, settings.bounds.grace_s)
--- a/libs/node/src/cherryrudder/node/job.py
+++ b/libs/node/src/cherryrudder/node/job.py
@@ -2,6 +2,8 @@
 
 from typing import NamedTuple
 
+import msgspec
+
 from cherryrudder.platform import messages
 from cherryrudder.platform.messages import RequestFacts, Sending
 from cherryrudder.relay.server import Exchange
@@ -207,7 +209,11 @@
         confirmed_age_s=round(now_s() - state.confirmed_s, 3),
     )
     headers = messages.own_headers(facts.request_id, refused.retry_after_s)
+    body = b""
+    if refused is crashes.ENDS_ENGINES:
+        headers.append((b"content-type", b"application/json"))
+        body = msgspec.json.encode({"error": refused.reason})
     if refused is CUT_OFF:
         # On this connection the client would only be refused again.
         headers.append((b"connection", b"close"))
-    await exchange.answer(refused.status, headers)
+    await exchange.answer(refused.status, headers, body)
--- a/libs/node/src/cherryrudder/node/main.py
+++ b/libs/node/src/cherryrudder/node/main.py
@@ -10,20 +10,14 @@
 from loguru import logger
 
 from cherryrudder.platform.settings import SETTINGS_VARIABLE, read_settings
-from cherryrudder.relay.server import Exchange
 
-from . import httpserver
 from .errors import StartError
-from .httpserver import HttpServer
 from .linesink import LineSink, take_over_logs
 from .metrics import Metrics
 
 # The module of each role. Only the one that runs is loaded: after a loss of power each
 # process starts with 0.3 s of imports, and callers wait for it.
 ROLES = {"entry": ".entry", "control": ".control"}
-# Where each role shows its metrics, on its own machine's address.
-METRICS_PORTS = {"entry": 9464, "control": 9465}
-METRICS_PATH = "/metrics"
 FLUSH_S = 0.25
 
 log = logger.bind(part="process")
@@ -60,7 +54,6 @@
     async with anyio.create_task_group() as group:
         group.start_soon(_signals, leaving, sink, path)
         group.start_soon(_flush, sink)
-        group.start_soon(_show_metrics, role, settings.ip, metrics)
         module = importlib.import_module(ROLES[role], __package__)
         await module.run(settings, sink, metrics, leaving)
         group.cancel_scope.cancel()
@@ -99,18 +92,6 @@
         sink.flush()
 
 
-async def _show_metrics(role, ip, metrics):
-    async def answer(exchange: Exchange):
-        if exchange.request.target.decode("latin-1") != METRICS_PATH:
-            await exchange.answer(404, [])
-            return
-        headers = [(b"content-type", b"text/plain; version=0.0.4")]
-        await exchange.answer(200, headers, metrics.render())
-
-    server = HttpServer(answer)
-    await httpserver.serve(server, f"{ip}:{METRICS_PORTS[role]}")
-
-
 def main() -> int:
     """Run the role named on the command line and return the exit code."""
     role = sys.argv[1] if len(sys.argv) > 1 else ""
--- a/libs/node/src/cherryrudder/node/plainrelay.py
+++ b/libs/node/src/cherryrudder/node/plainrelay.py
@@ -13,7 +13,7 @@
 from cherryrudder.routing.crashbook import FINISHED
 from cherryrudder.routing.picking import Place
 
-from . import attempts, crashes
+from . import attempts, brokenruns, crashes
 from .entrystate import ToldLoad, is_suspect, serving
 from .gossip import CrashNews
 from .job import Failed, Job, Whole
@@ -39,6 +39,7 @@
             break
         result = await _attempt(job, place)
         if isinstance(result, Whole):
+            brokenruns.answered(job.state.broken, place.engine_id, now_s())
             tell(crashes.reached(job, FINISHED, now_s()))
             await job.pass_on(result)
             return
--- a/libs/node/src/cherryrudder/node/streamrelay.py
+++ b/libs/node/src/cherryrudder/node/streamrelay.py
@@ -13,7 +13,7 @@
 from cherryrudder.routing.crashbook import FINISHED
 from cherryrudder.routing.gatekeeping import Refused
 
-from . import attempts, crashes, entrystate, streamchains, supervision
+from . import attempts, brokenruns, crashes, entrystate, streamchains, supervision
 from .job import Failed, Job, Whole
 from .stream import Stream
 from .streamchains import NO_CHAIN, NO_ROOM
@@ -190,6 +190,7 @@
     job, now = stream.job, now_s()
     engine_id, request_id = stream.chain[0].engine_id, job.facts.request_id
     hangs.begun(job.state.hangs, engine_id, request_id, now)
+    brokenruns.answered(job.state.broken, engine_id, now)
     stream.has_head = True
     stream.head_s = now
 
--- /dev/null
+++ b/libs/node/src/cherryrudder/node/surface.py
@@ -0,0 +1,63 @@
+"""What a process shows to scrapers and operators at its metrics address."""
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+import msgspec
+from loguru import logger
+
+from cherryrudder.relay.server import Exchange
+from cherryrudder.replica.clock import now_s
+
+from . import httpserver
+from .crashdesk import CrashDesk
+from .gossip import CrashNews
+from .httpserver import HttpServer
+from .metrics import Metrics
+
+# By role, on its own machine's address.
+PORTS = {"entry": 9464, "control": 9465}
+METRICS_PATH = "/metrics"
+BLOCKS_PATH = "/blocks"
+LIFT_PATH = "/blocks/lift/"
+TEXT = [(b"content-type", b"text/plain; version=0.0.4")]
+JSON = [(b"content-type", b"application/json")]
+UNKNOWN = {"error": {"code": "unknown", "message": "no such block"}}
+
+log = logger.bind(part="surface")
+
+
+class Shown(NamedTuple):
+    """What a process shows, and where it tells others that a block was lifted."""
+
+    metrics: Metrics
+    desk: CrashDesk
+    tell: Callable[[CrashNews], None]
+
+
+async def serve(address: str, shown: Shown) -> None:
+    """Answer until cancelled."""
+
+    async def answer(exchange: Exchange):
+        method = exchange.request.method.decode()
+        path = exchange.request.target.decode("latin-1")
+        await exchange.answer(*respond(shown, method, path, now_s()))
+
+    await httpserver.serve(HttpServer(answer), address)
+
+
+def respond(shown: Shown, method: str, path: str, now_s: float):
+    """Return status, headers and body of the answer to one call."""
+    if (method, path) == ("GET", METRICS_PATH):
+        return 200, TEXT, shown.metrics.render()
+    if (method, path) == ("GET", BLOCKS_PATH):
+        return 200, JSON, msgspec.json.encode(shown.desk.dump(now_s))
+    if method == "POST" and path.startswith(LIFT_PATH):
+        fingerprint = path.removeprefix(LIFT_PATH)
+        news = shown.desk.lift(fingerprint, now_s)
+        if not news.records:
+            return 404, JSON, msgspec.json.encode(UNKNOWN)
+        shown.tell(news)
+        log.info("An operator lifted the block of {}.", fingerprint)
+        return 200, JSON, b"{}"
+    return 404, [], b""
--- a/libs/node/test/test_crashes.py
+++ b/libs/node/test/test_crashes.py
@@ -7,7 +7,14 @@
 import anyio
 from builders import PipedSink, a_control, a_state, an_announcement
 
-from cherryrudder.node import crashes, crashsync, entrystate, roster, tablesync
+from cherryrudder.node import (
+    brokenruns,
+    crashes,
+    crashsync,
+    entrystate,
+    roster,
+    tablesync,
+)
 from cherryrudder.node.controlbeats import ControlBeats
 from cherryrudder.node.crashdesk import CrashDesk
 from cherryrudder.node.gossip import Acquittal, CrashNews, DeathNotice
@@ -81,6 +88,25 @@
         self.uplink._note_incarnation(an_announcement("boot-9", address=address))
         self.assertEqual(self.known(), {FIRST})
 
+    def test_not_when_the_engine_has_answered_another_request_since(self):
+        self.break_run()
+        brokenruns.answered(self.state.broken, FIRST, now_s() + 0.1)
+        brokenruns.answered(self.state.broken, FIRST, now_s() + 0.5)
+        self.uplink._on_frames("", [DeathNotice(FIRST)])
+        self.assertEqual(self.known(), set())
+
+    def test_it_counts_although_an_answer_was_still_in_flight(self):
+        self.break_run()
+        brokenruns.answered(self.state.broken, FIRST, now_s() + 0.1)
+        self.uplink._on_frames("", [DeathNotice(FIRST)])
+        self.assertEqual(self.known(), {FIRST})
+
+    def test_old_ones_are_forgotten(self):
+        self.break_run()
+        brokenruns.sweep(self.state.broken, now_s() + brokenruns.PENDING_S + 0.1)
+        self.uplink._on_frames("", [DeathNotice(FIRST)])
+        self.assertEqual((self.known(), self.state.broken.runs), (set(), {}))
+
     def test_not_when_the_engine_lives(self):
         self.break_run()
         self.uplink._on_frames("", [Acquittal(FIRST), DeathNotice(FIRST)])
--- /dev/null
+++ b/libs/node/test/test_surface.py
@@ -0,0 +1,51 @@
+import json
+import unittest
+
+from builders import PipedSink
+
+from cherryrudder.node import surface
+from cherryrudder.node.crashdesk import CrashDesk
+from cherryrudder.node.metrics import Metrics
+from cherryrudder.node.surface import Shown
+from cherryrudder.routing.crashbook import Crash, Record
+
+ENDED = tuple(Crash(f"e{n}", "a", "v1", 2, 10.0) for n in range(3))
+
+
+class SurfaceTest(unittest.TestCase):
+    def setUp(self):
+        piped = PipedSink()
+        self.addCleanup(piped.close)
+        self.told = []
+        metrics = Metrics()
+        self.desk = CrashDesk("boot-1", piped.sink, metrics)
+        self.desk.note({"f1": Record("acme", "llm", ENDED)}, 11.0)
+        self.shown = Shown(metrics, self.desk, self.told.append)
+
+    def respond(self, method, path):
+        status, _, body = surface.respond(self.shown, method, path, 12.0)
+        return status, body
+
+    def test_blocks_are_listed_with_their_engines(self):
+        status, body = self.respond("GET", "/blocks")
+        listed = json.loads(body)["blocks"]
+        self.assertEqual((status, listed[0]["fingerprint"]), (200, "f1"))
+        self.assertEqual(listed[0]["engine_ids"], ["e0", "e1", "e2"])
+
+    def test_a_block_is_lifted_and_others_are_told(self):
+        self.assertEqual(self.respond("POST", "/blocks/lift/f1")[0], 200)
+        self.assertEqual(json.loads(self.respond("GET", "/blocks")[1])["blocks"], [])
+        self.assertEqual(len(self.told), 1)
+        self.assertEqual(self.respond("POST", "/blocks/lift/f1")[0], 404)
+
+    def test_metrics_count_it(self):
+        _, text = self.respond("GET", "/metrics")
+        self.assertIn(b'cherryrudder_crashes_total{event="blocked"} 1.0', text)
+
+    def test_there_is_nothing_else(self):
+        self.assertEqual(self.respond("GET", "/blocks/lift/f1")[0], 404)
+        self.assertEqual(self.respond("POST", "/metrics")[0], 404)
+
+
+if __name__ == "__main__":
+    unittest.main()
