Strike the soak's deployment with requests that end their engines

In half of the seeds, drawn apart so that all earlier seeds strike as before, a client repeats one request at all entries for 8 to 12 s that ends each engine which begins it; the engine is back after a second. Checked: no more than three sends later than 3 s after the third end, unless an entry or control VM was struck beside it. The product is unchanged.

--- a/libs/soak/src/cherryrudder/soak/callers.py
+++ b/libs/soak/src/cherryrudder/soak/callers.py
@@ -39,13 +39,13 @@
                 await anyio.sleep(PAUSE_S)
         self.close()
 
-    async def ask(self, kind: str, key: str) -> Answer | None:
+    async def ask(self, kind: str, key: str, body: bytes = b"") -> Answer | None:
         """Return what came of a request, None when there was no connection."""
         try:
             connection = await self._connect()
         except ConnectFailed:
             return None
-        answer = await self._exchange(connection, kind, key)
+        answer = await self._exchange(connection, kind, key, body)
         self.answers.append(answer)
         return answer
 
@@ -62,9 +62,9 @@
             self._connection = opened
         return self._connection
 
-    async def _exchange(self, connection, kind, key):
+    async def _exchange(self, connection, kind, key, body):
         request_id = uuid.UUID(int=self.rng.getrandbits(128)).hex
-        sent = requests.request(kind, request_id, key, self.events, WAIT_S)
+        sent = requests.request(kind, request_id, key, self.events, WAIT_S, body)
         answer = Answer(request_id, kind, key, self.node, time.monotonic(), 0.0, 0)
         pieces = []
         is_kept = False
--- a/libs/soak/src/cherryrudder/soak/faults.py
+++ b/libs/soak/src/cherryrudder/soak/faults.py
@@ -35,6 +35,8 @@
     RACE = "race"
     BAD_CHANGE = "bad-change"
     REVOKE = "revoke"
+    # A client repeats a request that ends each engine which begins it.
+    CRASHING_REQUEST = "crashing-request"
 
 
 ON_CONTROL = (
@@ -46,11 +48,16 @@
     Kind.KILL_ALL_CONTROLS,
 )
 CHANGES = (Kind.CHANGE, Kind.CHANGE, Kind.RACE, Kind.BAD_CHANGE, Kind.REVOKE)
-ELSEWHERE = tuple(kind for kind in Kind if kind not in (*ON_CONTROL, *CHANGES))
+ELSEWHERE = tuple(
+    kind for kind in Kind if kind not in (*ON_CONTROL, *CHANGES, Kind.CRASHING_REQUEST)
+)
 LINK_MODES = (Mode.DELAY, Mode.SILENT, Mode.HOLD_REQUESTS, Mode.HOLD_ANSWERS)
 # Until a control VM that was lost counts as back; the users' pages give four seconds.
 CATCH_UP_S = 4.0
 LONGEST_S = 3.0
+# Long enough for three engines to end, for that to be known, and some seconds more.
+CRASHING_S = (8.0, 12.0)
+CRASHING_SHARE = 0.5
 
 
 class Fault(NamedTuple):
@@ -70,9 +77,17 @@
     for kinds, count in ((ELSEWHERE, 5), (CHANGES, 3)):
         for _ in range(rng.randrange(1, count + 1)):
             faults.append(_fault(rng, rng.choice(kinds), rng.uniform(0, length_s)))
+    faults += _crashing(random.Random(f"crashing-{seed}"), length_s)
     return sorted(faults)
 
 
+def _crashing(rng, length_s):
+    if rng.random() >= CRASHING_SHARE:
+        return []
+    fault = _fault(rng, Kind.CRASHING_REQUEST, rng.uniform(0, length_s / 2))
+    return [fault._replace(for_s=rng.uniform(*CRASHING_S))]
+
+
 def _on_controls(rng, length_s):
     faults = []
     at_s = rng.uniform(0, length_s)
--- a/libs/soak/src/cherryrudder/soak/field.py
+++ b/libs/soak/src/cherryrudder/soak/field.py
@@ -38,6 +38,8 @@
         self.callers: list[Caller] = []
         # To requests that only look whether all is served.
         self.first_answers: list[Answer] = []
+        # By the body of a request that ends engines, what its client got.
+        self.crashing: dict[bytes, list[Answer]] = {}
         self._named = 0
 
     async def start(self) -> None:
@@ -59,6 +61,13 @@
                 for _ in range(CALLERS_PER_ENTRY)
             ]
 
+    def new_callers(self) -> list[Caller]:
+        """Return a caller of each entry, beside those that ask all the time."""
+        return [
+            Caller(name, proxy.listen_address, EVENTS, random.Random(self.rng.random()))
+            for name, proxy in self.caller_proxies.items()
+        ]
+
     async def add_engine(self, service: str, kind: str) -> Engine:
         """Start one more engine behind a proxy."""
         self._named += 1
@@ -74,6 +83,7 @@
     async def remove_engine(self, engine: Engine) -> None:
         """End an engine without a word."""
         self.engines.remove(engine)
+        engine.is_removed = True
         engine.die()
         await self.engine_proxies[engine.engine_id].reset()
 
--- a/libs/soak/src/cherryrudder/soak/promises.py
+++ b/libs/soak/src/cherryrudder/soak/promises.py
@@ -8,7 +8,7 @@
 from typing import NamedTuple
 
 from cherryrudder.standin import requests
-from cherryrudder.standin.engine import Arrival
+from cherryrudder.standin.engine import Arrival, Crash
 
 # To callers these statuses promise that the request has not run and never will.
 NOT_RUN = frozenset({408, 421, 429, 503})
@@ -22,6 +22,11 @@
 # A fault on the way stretches the bounds by the time that the pages give the system to
 # be in touch again, and an unstable core by five seconds more.
 UNSTABLE_S = 8.0
+# A request that has ended so many engines is sent no more than so often, once it could
+# be known everywhere.
+ENDED_ENGINES = 3
+MOST_LATE_SENDS = 3
+CONTACT_S = 3.0
 
 
 class Answer(NamedTuple):
@@ -76,6 +81,9 @@
     disturbances: tuple[Disturbance, ...] = ()
     # What ended, or never came back, without having been told to.
     own_ends: tuple[str, ...] = ()
+    # The ids of each request that ends engines, and the engines that ended.
+    crashing: tuple[frozenset[str], ...] = ()
+    crashes: tuple[Crash, ...] = ()
     events: int = 0
 
 
@@ -89,6 +97,7 @@
         _keys_stop,
         _leaving_engines_get_nothing,
         _planned_stops_cut_nothing,
+        _crashing_requests_stop,
         lambda history: [f"END: {what}" for what in history.own_ends],
     )
     return [fault for check in checks for fault in check(history)]
@@ -181,6 +190,33 @@
                 yield f"LOST: {answer.kind} {answer.request_id} was cut by a stop"
 
 
+def _crashing_requests_stop(history):
+    """Count the sends while nothing has kept entries and control VMs apart."""
+    for ids in history.crashing:
+        ended_s = [one.at_s for one in history.crashes if one.request_id in ids]
+        if len(ended_s) < ENDED_ENGINES:
+            continue
+        third_s = sorted(ended_s)[ENDED_ENGINES - 1]
+        late = [
+            arrival
+            for arrival in history.arrivals
+            if arrival.request_id in ids
+            and arrival.at_s > third_s + CONTACT_S
+            and not _is_out_of_touch(history, third_s, arrival.at_s)
+        ]
+        if len(late) > MOST_LATE_SENDS:
+            yield f"BUDGET: sent {len(late)} times after {ENDED_ENGINES} engines ended"
+
+
+def _is_out_of_touch(history, begins_s, ends_s):
+    return any(
+        one.kind.endswith(("-entry", "-control", "-controls"))
+        and one.begins_s < ends_s
+        and begins_s < one.ends_s + UNSTABLE_S
+        for one in history.disturbances
+    )
+
+
 def _is_disturbed(history, begins_s, ends_s, besides=""):
     return any(
         one.kind != besides
--- a/libs/soak/src/cherryrudder/soak/run.py
+++ b/libs/soak/src/cherryrudder/soak/run.py
@@ -125,6 +125,11 @@
         left_s=striker.left_s,
         disturbances=tuple(striker.disturbances),
         own_ends=tuple(field.own_ends()),
+        crashing=tuple(
+            frozenset(answer.request_id for answer in answers)
+            for answers in field.crashing.values()
+        ),
+        crashes=tuple(fleet.crashes),
         events=EVENTS,
     )
 
--- a/libs/soak/src/cherryrudder/soak/strike.py
+++ b/libs/soak/src/cherryrudder/soak/strike.py
@@ -1,5 +1,6 @@
 """Carries faults out on the deployment."""
 
+import itertools
 import signal
 import time
 
@@ -16,6 +17,7 @@
 # Engines stay in pairs, so that one copy of the layers is always there.
 FEWEST_MODEL_ENGINES = 4
 FEWEST_PLAIN_ENGINES = 1
+CRASHING_PAUSE_S = 0.2
 
 
 class Striker:
@@ -130,6 +132,25 @@
         await anyio.sleep(LEAVE_S)
         await self.field.deployment.depart(engine)
 
+    async def _crashing_request(self, fault):
+        """Repeat a request at all entries that ends each engine which begins it."""
+        body = f"ends engines {fault.pick}".encode()
+        answers = self.field.crashing[body] = []
+        self.field.deployment.fleet.crashing.add(body)
+        callers = self.field.new_callers()
+        until_s = time.monotonic() + fault.for_s
+        turns = itertools.cycle(callers)
+        while time.monotonic() < until_s:
+            key = self.operator.keys[-1]
+            answer = await next(turns).ask("stream", key, body)
+            if answer is not None:
+                answers.append(answer)
+            await anyio.sleep(CRASHING_PAUSE_S)
+        for caller in callers:
+            caller.close()
+            self.field.first_answers += caller.answers
+        return body.decode()
+
     def _spare_engines(self):
         """Return the engines that may be lost now."""
         found = []
@@ -184,5 +205,6 @@
     Kind.CHANGE: lambda s, f: _operate(s.operator.change),
     Kind.RACE: lambda s, f: _operate(s.operator.race),
     Kind.BAD_CHANGE: lambda s, f: _operate(s.operator.send_broken),
+    Kind.CRASHING_REQUEST: Striker._crashing_request,
     Kind.REVOKE: lambda s, f: _operate(s.operator.revoke),
 }
--- a/libs/soak/test/test_promises.py
+++ b/libs/soak/test/test_promises.py
@@ -10,6 +10,7 @@
 
 from cherryrudder.soak import promises
 from cherryrudder.soak.promises import Reading
+from cherryrudder.standin.engine import Crash
 
 
 class CheckTest(unittest.TestCase):
@@ -80,5 +81,14 @@
         self.assert_broken(a_history(cut, **seen), "LOST")
         self.assert_kept(a_history(cut._replace(node="front-1"), **seen))
 
+    def test_a_request_that_is_sent_on_after_it_has_ended_three_engines(self):
+        ended = tuple(Crash("1", f"e{n}", 90.0 + n) for n in range(3))
+        late = tuple(an_arrival(at_s=96.0 + n) for n in range(4))
+        seen = {"crashing": (frozenset("1"),), "crashes": ended}
+        self.assert_broken(a_history(**seen, arrivals=late), "BUDGET")
+        self.assert_kept(a_history(**seen, arrivals=late[1:]))
+        beside = (a_disturbance("kill-entry", begins_s=93.0, ends_s=94.0),)
+        self.assert_kept(a_history(**seen, arrivals=late, disturbances=beside))
+
     def test_a_process_that_ends_by_itself(self):
         self.assert_broken(a_history(own_ends=("front-0 entry",)), "END")
--- a/libs/soak/test/test_seeds.py
+++ b/libs/soak/test/test_seeds.py
@@ -4,7 +4,8 @@
 
 # Short, so that CI has time for it; by hand the runs are longer and many.
 LENGTH_S = 6.0
-FIXED = (1, 2)
+# The last one has a request that ends engines.
+FIXED = (1, 2, 4)
 
 
 class SeedTest(unittest.TestCase):
