--- a/libs/cli/src/cherryrudder/cli/requestlog.py
+++ b/libs/cli/src/cherryrudder/cli/requestlog.py
@@ -117,6 +117,9 @@
 
 def _explain_refusal(own, near, refused):
     reason = refused.tells("reason")
+    blocked = _last(own, "blocked")
+    if blocked is not None:
+        return _explain_block(near, blocked)
     missing = _last(own, "no-chain")
     if missing is not None:
         return _explain_no_chain(near, missing, reason)
@@ -128,6 +131,18 @@
     return [], f"refused: {reason}"
 
 
+def _explain_block(near, blocked):
+    """Name the engines that ended under the request, whichever attempt it was."""
+    fingerprint = blocked.tells("fingerprint")
+    beside = [
+        line
+        for line in near
+        if line.part == "crashes" and line.tells("fingerprint") == fingerprint
+    ]
+    ended = ", ".join(blocked.tells("engine_ids", ()))
+    return beside, f"refused for good: {fingerprint} has ended {ended}"
+
+
 def _explain_no_chain(near, missing, reason):
     layer = missing.tells("tightest_layer", 0)
     beside = [
--- a/libs/cli/test/test_trace.py
+++ b/libs/cli/test/test_trace.py
@@ -44,6 +44,19 @@
         self.assertEqual(found.beside, [order])
         self.assertIn("layer 53", found.cause)
 
+    def test_a_block_names_the_engines_that_ended(self):
+        ended = a_line(9.0, "engine-ended", "crashes", fingerprint="f1", engine_id="e3")
+        other = a_line(9.0, "engine-ended", "crashes", fingerprint="f2", engine_id="e3")
+        found = self.cause(
+            ended,
+            other,
+            a_line(10.0, "blocked", fingerprint="f1", engine_ids=["e1", "e2", "e3"]),
+            a_line(10.0, "refused", status=400, reason="it ends the engines"),
+            a_line(10.0, "ended", outcome="refused 400"),
+        )
+        self.assertEqual(found.beside, [ended])
+        self.assertIn("f1 has ended e1, e2, e3", found.cause)
+
     def test_a_filing_with_an_unknown_outcome_names_who_may_have_run_it(self):
         found = self.cause(
             a_line(10.0, "sent", engine_id="desk-1"),
--- a/libs/routing/test/test_blame.py
+++ b/libs/routing/test/test_blame.py
@@ -68,6 +68,9 @@
         plan = Plan(culprits=5, engines=MANY_ENGINES)
         self.assertLessEqual(self.late_sends(plan), MOST_LATE_SENDS)
 
+    def test_five_among_few_engines_are_known_after_three_ends(self):
+        self.assertLessEqual(self.late_sends(Plan(culprits=5)), MOST_LATE_SENDS)
+
     def test_two_are_known_while_racks_end(self):
         plan = Plan(culprits=2, racks_s=RACKS_S)
         self.assertLessEqual(self.late_sends(plan), MOST_LATE_SENDS)
