--- a/libs/daemon/src/cherryrudder/daemon/services.py
+++ b/libs/daemon/src/cherryrudder/daemon/services.py
@@ -7,6 +7,7 @@
 """
 
 import hashlib
+import itertools
 from typing import NamedTuple
 
 from loguru import logger
@@ -103,7 +104,7 @@
         request_id = work.offer.request_id
         may_have_run = False
         sent = await self.entry.door.enter(work)
-        while True:
+        for number in itertools.count(1):
             began_s = now_s()
             endpoint = sent.stages[0]
             try:
@@ -116,6 +117,9 @@
                 return reply
             # An attempt without an answer may be repeated, and then may have run, or it
             # has certainly not run: its sidecar has said so.
+            log.info(
+                "{}: attempt {} at {} failed.", request_id, number, endpoint.endpoint
+            )
             may_have_run = may_have_run or work.is_idempotent
             sent = await self._retry(request_id, endpoint.endpoint, may_have_run)
 
