Tell a process that starts again the whole crash book, not what the one before lacked

Seen with two tests of real processes, written after the fix they concern: an entry that had started again sent a blocked request on, and control VMs that were all killed never heard of the block again (60 s), though all entries knew it.

Cause: a beat's sync carried the news since what the sender had last heard of its reader. The reader's successor, under the same address, took the mark of that sync for its own although the records before it were missing, told that it followed, and was never sent them. Elsewhere: the endpoints' tables aren't affected, there the reader's own mark goes first.

A sync says now since which version its records are, and a reader takes the mark only when it has what lies before. An entry asks each control VM for its book until one has told it, so that it comes with the configuration. test_crashes fails on the code before (with the marks of the one before left as they are); both process tests pass now.

--- a/libs/node/src/cherryrudder/node/crashdesk.py
+++ b/libs/node/src/cherryrudder/node/crashdesk.py
@@ -47,6 +47,10 @@
         """Return what the process at an address is to hear with the next beat."""
         return crashsync.message(self.book, self.marks, address, now_s)
 
+    def has_heard(self) -> bool:
+        """Tell whether any other process has told its book."""
+        return bool(self.marks.seen)
+
     def is_watched(self, fingerprint: str) -> bool:
         """Tell whether it matters how far a request gets."""
         return fingerprint in self.book.suspects or fingerprint in self.book.blocks
--- a/libs/node/src/cherryrudder/node/crashsync.py
+++ b/libs/node/src/cherryrudder/node/crashsync.py
@@ -27,6 +27,7 @@
     news = [one for one, version in book.changed.items() if version > since]
     return CrashSync(
         TableMark(book.boot, book.version),
+        since,
         marks.seen.get(address, NOTHING),
         records_of(book, news, now_s),
     )
@@ -36,11 +37,23 @@
     book: CrashBook, marks: Marks, address: str, sync: CrashSync, now_s: float
 ) -> list[str]:
     """Take what came with a beat; return the fingerprints it is news of."""
-    marks.seen[address] = sync.mark
+    if _follows(marks.seen.get(address, NOTHING), sync):
+        marks.seen[address] = sync.mark
     marks.told[address] = sync.seen
     return take_records(book, sync.records, now_s)
 
 
+def _follows(seen, sync):
+    """Tell whether nothing lies between what this process has and what came.
+
+    A sender that hasn't heard yet that this process started again leaves out what the
+    one before had.
+    """
+    if sync.since < 0:
+        return True
+    return seen.boot == sync.mark.boot and seen.version >= sync.since
+
+
 def take_records(
     book: CrashBook, records: tuple[ToldRecord, ...], now_s: float
 ) -> list[str]:
--- a/libs/node/src/cherryrudder/node/gossip.py
+++ b/libs/node/src/cherryrudder/node/gossip.py
@@ -71,6 +71,8 @@
     """The sender's book since what the reader has, and how far it has the reader's."""
 
     mark: TableMark
+    # The version since which the records are, as the sender last heard; -1 for all.
+    since: int
     seen: TableMark
     records: tuple[ToldRecord, ...]
 
@@ -94,7 +96,7 @@
     # One control VM is asked for what other entries have running and have spent, and
     # for the signs of life of all endpoints.
     wants_all: bool
-    # Only for the control VM that is asked for all.
+    # For the control VM that is asked for all, and at first for each.
     crashes: CrashSync | None = None
 
 
--- a/libs/node/src/cherryrudder/node/uplink.py
+++ b/libs/node/src/cherryrudder/node/uplink.py
@@ -155,6 +155,8 @@
         state = self.state
         is_teller = address in tellers.values()
         wants_all = address == self._own_teller(tellers)
+        # Until this entry has a book, any control VM's is welcome.
+        wants_crashes = wants_all or not state.crashes.has_heard()
         return EntryBeat(
             vm=state.settings.vm,
             vm_zone=state.settings.vm_zone,
@@ -165,7 +167,7 @@
             usage=entrystate.usage(state) if is_teller else (),
             spent=sharedbudget.spent(state.budget, now) if is_teller else (),
             wants_all=wants_all,
-            crashes=state.crashes.message(address, now) if wants_all else None,
+            crashes=state.crashes.message(address, now) if wants_crashes else None,
         )
 
     def _own_teller(self, tellers):
--- a/libs/node/test/test_crashes.py
+++ b/libs/node/test/test_crashes.py
@@ -10,7 +10,6 @@
 from cherryrudder.node import (
     brokenruns,
     crashes,
-    crashsync,
     entrystate,
     roster,
     tablesync,
@@ -229,10 +228,11 @@
         one.note({"bad": a_record(*ENGINES)}, now_s())
         self.beat(one, other)
         self.beat(other, one)
-        again = self.a_desk("other-2")
-        # It beats under the address that it had.
-        one.marks.told["other"] = crashsync.NOTHING
-        again.take("one", one.message("other", now_s()), now_s())
+        again = self.a_desk("again")
+        for _ in range(2):
+            # It beats under the address that it had.
+            again.take("one", one.message("other", now_s()), now_s())
+            one.take("other", again.message("one", now_s()), now_s())
         self.assertEqual(set(again.book.blocks), {"bad"})
 
     def test_a_control_vm_tells_the_entries_nearby_at_once(self):
