Take the notice of an engine's end for an end as well, and deliver gossip in one place

A death notice may be lost on its way to an entry; the notices of the end, which come three times, count an engine's broken runs too. News that an earlier incarnation is gone no longer touches the one that is at its address now. A time limit that is up breaks no run. Found on reading the diff; of the two new tests the one with the end's notice fails on the code before. The loop that leaves a faulty message out stood twice, in uplink and controlbeats.

--- a/libs/node/src/cherryrudder/node/brokenruns.py
+++ b/libs/node/src/cherryrudder/node/brokenruns.py
@@ -42,11 +42,6 @@
     del kept[:-MOST_RUNS]
 
 
-def has_ended(runs: BrokenRuns, engine_id: str) -> bool:
-    """Tell whether an engine is known to have ended."""
-    return engine_id in runs.ended_s
-
-
 def ended(runs: BrokenRuns, engine_id: str, now_s: float) -> None:
     """Take note that an engine has ended."""
     runs.ended_s.setdefault(engine_id, now_s)
--- a/libs/node/src/cherryrudder/node/controlbeats.py
+++ b/libs/node/src/cherryrudder/node/controlbeats.py
@@ -117,14 +117,7 @@
         """Leave it to the beats, which tell what was lost and who was."""
 
     def _on_frames(self, peer, messages):
-        for message in messages:
-            try:
-                self._take(message)
-            except Exception as error:
-                # All processes read the same news: one that ended this process would
-                # end the others, too. The beats make good what was left out.
-                kind = type(message).__name__
-                log.opt(exception=error).error("{} from {} was left out.", kind, peer)
+        gossip.deliver(peer, messages, self._take)
 
     def _take(self, message):
         match message:
--- a/libs/node/src/cherryrudder/node/gossip.py
+++ b/libs/node/src/cherryrudder/node/gossip.py
@@ -5,12 +5,17 @@
 these messages may be lost, doubled or late.
 """
 
+from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
+from loguru import logger
+
 from cherryrudder.platform.settings import NodeSettings
 from cherryrudder.policy.sharedbudget import Spent
 from cherryrudder.routing.endpoints import Announcement
 
+log = logger.bind(part="gossip")
+
 
 class Heard(NamedTuple):
     """An endpoint as the sender knows it; `age_s` is since it was last heard."""
@@ -253,6 +258,20 @@
     return Ports(first_port, first_port + 1, first_port + 2)
 
 
+def deliver(peer: str, messages: Iterable, take: Callable) -> None:
+    """Hand messages on one by one, and leave out any that the reader fails at.
+
+    All processes read the same news: one that ended its reader would end the others,
+    too. The beats make good what was left out.
+    """
+    for message in messages:
+        try:
+            take(message)
+        except Exception as error:
+            kind = type(message).__name__
+            log.opt(exception=error).error("{} from {} was left out.", kind, peer)
+
+
 def seed_addresses(settings: NodeSettings) -> tuple[str, ...]:
     """Return where the seeds' control processes take frames."""
     port = ports(settings.first_port).control
--- a/libs/node/src/cherryrudder/node/streamrelay.py
+++ b/libs/node/src/cherryrudder/node/streamrelay.py
@@ -150,17 +150,18 @@
         is_kept = failed is None or failed.is_not_run
         return failed
     except (AnswerLate, AnswerBroken) as error:
+        is_broken = not stream.broken and isinstance(error, AnswerBroken)
         if not stream.broken:
             # All streams of an engine that crashes break at the same moment. Each would
             # go straight back to it, and spend its last attempt on a reset connection.
             supervision.lose_first(stream, str(error), is_unreached=False)
-            _note_break(stream, error)
+            _note_break(stream, error, is_broken)
         reason = stream.broken or str(error)
         return Failed(
             reason,
             is_not_run=False,
             is_late=stream.is_late,
-            is_broken=not stream.broken,
+            is_broken=is_broken,
         )
     finally:
         stream.connection = None
@@ -195,10 +196,10 @@
     stream.head_s = now
 
 
-def _note_break(stream, error):
+def _note_break(stream, error, is_broken):
     """Keep how far a run had come when its engine broke it off."""
     job, engine_id, head_s = stream.job, stream.chain[0].engine_id, stream.head_s
-    if head_s is not None:
+    if is_broken and head_s is not None:
         news = crashes.broke(job, engine_id, stream.position(), now_s())
         stream.stalls.uplink.tell_crashes(news)
     job.note(
--- a/libs/node/src/cherryrudder/node/uplink.py
+++ b/libs/node/src/cherryrudder/node/uplink.py
@@ -175,14 +175,7 @@
         return own or min(tellers.values(), default="")
 
     def _on_frames(self, peer, messages):
-        for message in messages:
-            try:
-                self._take(message)
-            except Exception as error:
-                # All processes read the same news: one that ended this process would
-                # end the others, too. The beats make good what was left out.
-                kind = type(message).__name__
-                log.opt(exception=error).error("{} from {} was left out.", kind, peer)
+        gossip.deliver(peer, messages, self._take)
 
     def _take(self, message):
         match message:
@@ -255,6 +248,7 @@
             entry = state.endpoints.table.entries.get(engine_id)
             if entry is not None:
                 self._log_endpoint(entry)
+            if entry is not None and not entry.is_gone:
                 self._note_incarnation(entry.announcement)
             if entry is not None and endpoints.leaves(entry.announcement):
                 state.leaving_s.setdefault(engine_id, now)
@@ -297,6 +291,7 @@
         suspicion.verified(state.suspicions, engine_id, now_s())
         if is_news:
             state.sink.write("uplink", "engine-ended", True, engine_id=engine_id)
+        self.tell_crashes(crashes.engine_ended(state, engine_id, now_s()))
 
     def _on_acquittal(self, acquittal):
         engine_id = acquittal.engine_id
--- a/libs/node/test/test_crashes.py
+++ b/libs/node/test/test_crashes.py
@@ -16,7 +16,13 @@
 )
 from cherryrudder.node.controlbeats import ControlBeats
 from cherryrudder.node.crashdesk import CrashDesk
-from cherryrudder.node.gossip import Acquittal, CrashNews, DeathNotice
+from cherryrudder.node.gossip import (
+    Acquittal,
+    CrashNews,
+    DeathNotice,
+    EndNotice,
+    Heard,
+)
 from cherryrudder.node.metrics import Metrics
 from cherryrudder.node.uplink import Uplink
 from cherryrudder.replica.clock import now_s
@@ -87,6 +93,18 @@
         self.uplink._note_incarnation(an_announcement("boot-9", address=address))
         self.assertEqual(self.known(), {FIRST})
 
+    def test_it_counts_when_only_its_end_was_heard_of(self):
+        self.break_run()
+        self.uplink._on_frames("", [EndNotice(FIRST)])
+        self.assertEqual(self.known(), {FIRST})
+
+    def test_news_of_the_one_before_says_nothing_of_the_next_one(self):
+        gone = Heard(an_announcement("boot-0", address=f"{FIRST}:80"), 0.0, True)
+        here = Heard(an_announcement(FIRST, number=4, layers=(0, 8)), 0.0, False)
+        self.uplink._take_endpoints((here, gone))
+        self.break_run()
+        self.assertEqual(self.known(), set())
+
     def test_not_when_the_engine_has_answered_another_request_since(self):
         self.break_run()
         brokenruns.answered(self.state.broken, FIRST, now_s() + 0.1)
