--- a/libs/routing/test/crashsim.py
+++ b/libs/routing/test/crashsim.py
@@ -17,7 +17,7 @@
 # Between the end of an engine and what an entry, or all, know of it.
 NOTICE_S = 0.03
 SPREAD_S = (0.05, 0.7)
-# The users' `contact_ms`.
+# By then every entry knows of an end.
 CONTACT_S = 3.0
 
 
@@ -38,7 +38,7 @@
     """What came of a run."""
 
     blocked_innocents: int
-    # Sends of each culprit that the users count.
+    # Sends of each culprit after all entries could know of it.
     late_sends: tuple[int, ...]
     engines_ended: int
     # Runs of others that culprits cut.
--- a/libs/routing/test/test_blame.py
+++ b/libs/routing/test/test_blame.py
@@ -8,7 +8,7 @@
 SEEDS = range(12)
 RACKS_S = (3.0, 4.0, 5.0, 8.0, 9.0, 12.0, 13.0)
 CASCADE_S = tuple(3.0 + 0.35 * n for n in range(9))
-# The users' bound, and the engines of their deployment.
+# Sends that are allowed once all could know, and a fleet that bears five culprits.
 MOST_LATE_SENDS = 3
 MANY_ENGINES = 36
 
