Let streams that fall silent together share the look that finds an engine dead

Cause: what a look found was good for 0.1 s from when it was asked for, but an engine without an answer takes 0.21 s to be looked at (0.06 and 0.15 s one after the other). So it was stale as soon as it was there, and each further stream of the entry that waited for its turn at the same engine looked once more.

Change: silence counts from the end of the look on; an answer still counts from when it was asked for.

The test fails before: six streams at a dark engine asked 12 times; now twice.

--- a/libs/node/src/cherryrudder/node/stalls.py
+++ b/libs/node/src/cherryrudder/node/stalls.py
@@ -25,6 +25,8 @@
 
 # What one look found is good for all streams that are silent at the same moment. That
 # an engine lives is good for longer: streams that are merely slow ask again and again.
+# An engine without an answer counts as silent from the end of the look on, which takes
+# longer than this by itself.
 DEAD_AGE_S = 0.1
 ALIVE_AGE_S = 0.3
 # A report takes 2 ms between data centres, and some 15 from a busy engine. No answer
@@ -42,10 +44,10 @@
 
 
 class Look(NamedTuple):
-    """A report, or None when the engine gave none, and when it was asked for."""
+    """A report, or None when the engine gave none, and when it counts from."""
 
     report: Report | None
-    asked_s: float
+    seen_s: float
 
 
 class StallDesk:
@@ -81,7 +83,8 @@
                 report = await self._report(address, timeout_s)
                 if report is not None:
                     break
-            fresh = self._looks[address] = Look(report, asked_s)
+            seen_s = now_s() if report is None else asked_s
+            fresh = self._looks[address] = Look(report, seen_s)
             return fresh
 
     def _patience_s(self, address):
@@ -133,4 +136,4 @@
 
 def _is_fresh(look, now):
     limit_s = DEAD_AGE_S if look.report is None else ALIVE_AGE_S
-    return now - look.asked_s < limit_s
+    return now - look.seen_s < limit_s
--- a/libs/node/test/test_stalls.py
+++ b/libs/node/test/test_stalls.py
@@ -84,3 +84,36 @@
             enginecalls.get_report = kept
         self.assertIsNotNone(found["engine"].report)
         self.assertEqual(len(calls), 2)
+
+
+class SharedLookTest(unittest.TestCase):
+    """Guards against a look of its own, one after the other, for each silent stream."""
+
+    STREAMS = 6
+
+    def test_streams_that_are_silent_together_share_one_look(self):
+        desk = StallDesk(EntryStub(), None)
+        calls, seen = [], []
+
+        async def get_report(address, timeout_s, kept):
+            calls.append(address)
+            await anyio.sleep(timeout_s)
+            raise EngineCallFailed(address)
+
+        async def look():
+            found = await desk.look(["dark"])
+            seen.append(found["dark"].report)
+
+        async def play():
+            async with anyio.create_task_group() as group:
+                for _ in range(self.STREAMS):
+                    group.start_soon(look)
+
+        kept = enginecalls.get_report
+        enginecalls.get_report = get_report
+        try:
+            anyio.run(play)
+        finally:
+            enginecalls.get_report = kept
+        self.assertEqual(seen, [None] * self.STREAMS)
+        self.assertEqual(len(calls), len(stalls.NEAR_PATIENCE_S))
