Wait for engines' reports as long as reports take, not a fixed time

Cause: an engine counts as silent after 0.06 and 0.15 s without a report, most of the 0.25 s that clients allow, while living engines answer within some milliseconds.

Change: the limit follows the answers (mean and four deviations, as TCP sets its timer), in `routing/answertimes`; the second try has twice that. Far engines keep a third try for lost packets.

--- a/libs/node/src/cherryrudder/node/stalls.py
+++ b/libs/node/src/cherryrudder/node/stalls.py
@@ -15,7 +15,8 @@
 from cherryrudder.platform.engines import Report
 from cherryrudder.relay import pool
 from cherryrudder.replica.clock import now_s
-from cherryrudder.routing import suspicion
+from cherryrudder.routing import answertimes, suspicion
+from cherryrudder.routing.answertimes import AnswerTimes
 from cherryrudder.routing.endpoints import Announcement
 
 from . import enginecalls, entrystate
@@ -29,13 +30,14 @@
 # longer than this by itself.
 DEAD_AGE_S = 0.1
 ALIVE_AGE_S = 0.3
-# A report takes 2 ms between data centres, and some 15 from a busy engine. No answer
-# within any of these times, one after the other, is taken as death.
-NEAR_PATIENCE_S = (0.06, 0.15)
+# Tries at a report, in the usual time limits of an answer. An engine that answers none
+# is taken as dead; the second try is longer, for one that has just become busy.
+NEAR_TRIES = (1.0, 2.0)
 # Links between data centres lose packets at times, which are sent again after 0.2 s. Of
 # the reports over a link that loses 4 in 100, one in seven needs that, and each look
 # asks for some ten.
-FAR_PATIENCE_S = (0.06, 0.15, 0.3)
+FAR_TRIES = (1.0, 2.0, 2.0)
+FAR_RESENT_S = 0.2
 # A time limit that is noticed this late says that this process stood still; what the
 # engine answered meanwhile is yet to be read.
 OWN_DELAY_S = 0.03
@@ -58,6 +60,8 @@
         self.uplink = uplink
         self._looks: dict[str, Look] = {}
         self._locks: dict[str, anyio.Lock] = {}
+        # How long reports take, by the engine's data centre.
+        self._times: dict[str, AnswerTimes] = {}
 
     async def look(self, addresses: list[str]) -> dict[str, Look]:
         """Ask engines for their reports, all at the same time."""
@@ -79,7 +83,7 @@
             if known is not None and _is_fresh(known, now_s()):
                 return known
             asked_s = now_s()
-            for timeout_s in self._patience_s(address):
+            for timeout_s in self._limits_s(address):
                 report = await self._report(address, timeout_s)
                 if report is not None:
                     break
@@ -87,19 +91,37 @@
             fresh = self._looks[address] = Look(report, seen_s)
             return fresh
 
-    def _patience_s(self, address):
+    def _limits_s(self, address):
+        """Return the time limits of the tries at an engine's report."""
+        zone = self._zone_of(address)
+        usual_s = answertimes.limit_s(self._times_of(zone))
+        if zone == self.state.settings.vm_zone:
+            return [share * usual_s for share in NEAR_TRIES]
+        limits_s = [share * usual_s for share in FAR_TRIES]
+        limits_s[-1] += FAR_RESENT_S
+        return limits_s
+
+    def _zone_of(self, address):
         engine = entrystate.engine_at(self.state, address, now_s())
-        is_near = engine is None or engine.vm_zone == self.state.settings.vm_zone
-        return NEAR_PATIENCE_S if is_near else FAR_PATIENCE_S
+        return engine.vm_zone if engine else self.state.settings.vm_zone
+
+    def _times_of(self, zone):
+        return self._times.setdefault(zone, AnswerTimes())
 
     async def _report(self, address, timeout_s):
         """Return an engine's report, or None; asks again after an own standstill."""
         while True:
             asked_s = now_s()
             try:
-                return await enginecalls.get_report(address, timeout_s, self.state.pool)
+                report = await enginecalls.get_report(
+                    address, timeout_s, self.state.pool
+                )
             except EngineCallFailed as error:
                 log.info("No report: {}.", error)
+            else:
+                times = self._times_of(self._zone_of(address))
+                answertimes.note(times, now_s() - asked_s)
+                return report
             if now_s() - asked_s < timeout_s + OWN_DELAY_S:
                 return None
 
--- a/libs/node/test/test_stalls.py
+++ b/libs/node/test/test_stalls.py
@@ -2,6 +2,7 @@
 import unittest
 
 import anyio
+import builders
 
 from cherryrudder.node import enginecalls, stalls
 from cherryrudder.node.errors import EngineCallFailed
@@ -14,6 +15,7 @@
     """What the desk needs of an entry's state."""
 
     pool = None
+    settings = builders.some_settings()
 
     def __init__(self):
         self.endpoints = SharedTable("boot")
@@ -116,4 +118,54 @@
         finally:
             enginecalls.get_report = kept
         self.assertEqual(seen, [None] * self.STREAMS)
-        self.assertEqual(len(calls), len(stalls.NEAR_PATIENCE_S))
+        self.assertEqual(len(calls), len(stalls.NEAR_TRIES))
+
+
+class DarkEngineTest(unittest.TestCase):
+    """Guards against a dark engine's streams pausing for longer than clients allow."""
+
+    # A pause of 0.25 s is allowed. Of it 0.11 s pass until a stream counts as silent, and
+    # 0.06 s while the engines take the order and read the stream again.
+    ALLOWED_S = 0.25 - 0.11 - 0.06
+
+    def test_it_is_known_in_time_once_others_have_answered(self):
+        desk = StallDesk(EntryStub(), None)
+        limits_s = []
+
+        async def get_report(address, timeout_s, kept):
+            if address == "dark":
+                limits_s.append(timeout_s)
+                raise EngineCallFailed(address)
+            return Report(0, False, 0, 0, 0.0, 0.0, 1.0, (0, 8), ())
+
+        async def play():
+            for number in range(20):
+                await desk.look([f"engine-{number}"])
+            return await desk.look(["dark"])
+
+        kept = enginecalls.get_report
+        enginecalls.get_report = get_report
+        try:
+            found = anyio.run(play)
+        finally:
+            enginecalls.get_report = kept
+        self.assertIsNone(found["dark"].report)
+        self.assertLessEqual(sum(limits_s), self.ALLOWED_S)
+
+    def test_an_engine_whose_first_answer_is_lost_lives(self):
+        desk = StallDesk(EntryStub(), None)
+        calls = []
+
+        async def get_report(address, timeout_s, kept):
+            calls.append(address)
+            if len(calls) == 1:
+                raise EngineCallFailed(address)
+            return Report(0, False, 0, 0, 0.0, 0.0, 1.0, (0, 8), ())
+
+        kept = enginecalls.get_report
+        enginecalls.get_report = get_report
+        try:
+            found = anyio.run(desk.look, ["engine"])
+        finally:
+            enginecalls.get_report = kept
+        self.assertIsNotNone(found["engine"].report)
--- /dev/null
+++ b/libs/routing/src/cherryrudder/routing/answertimes.py
@@ -0,0 +1,45 @@
+"""How long an answer is waited for before its sender is asked again.
+
+Load pattern: an engine goes dark under streams whose clients count a pause of a quarter
+of a second as late. That it is dark shows only when a question about it stays without
+an answer. A fixed limit that suits the slowest links and busiest engines takes most of
+what the clients allow, while the engines that live answer within milliseconds.
+"""
+
+# Weights of the newest answer in the mean and in the deviation, and how many deviations
+# an answer may be later than the mean, as TCP sets its retransmission timer (RFC 6298).
+MEAN_WEIGHT = 1 / 8
+DEVIATION_WEIGHT = 1 / 4
+DEVIATIONS = 4.0
+# With no answer yet.
+FIRST_LIMIT_S = 0.06
+# A scheduler's turn at either side.
+LEAST_LIMIT_S = 0.02
+# Half of a pause that clients notice; a lost packet is sent again only after 0.2 s.
+MOST_LIMIT_S = 0.12
+
+
+class AnswerTimes:
+    """The usual time of an answer and its deviation."""
+
+    def __init__(self):
+        self.mean_s: float | None = None
+        self.deviation_s = 0.0
+
+
+def note(times: AnswerTimes, took_s: float) -> None:
+    """Take the time of an answer that came."""
+    if times.mean_s is None:
+        times.mean_s, times.deviation_s = took_s, took_s / 2
+        return
+    off_s = abs(took_s - times.mean_s)
+    times.deviation_s += DEVIATION_WEIGHT * (off_s - times.deviation_s)
+    times.mean_s += MEAN_WEIGHT * (took_s - times.mean_s)
+
+
+def limit_s(times: AnswerTimes) -> float:
+    """Return the time within which an answer is to be there."""
+    if times.mean_s is None:
+        return FIRST_LIMIT_S
+    usual_s = times.mean_s + DEVIATIONS * times.deviation_s
+    return min(MOST_LIMIT_S, max(LEAST_LIMIT_S, usual_s))
--- /dev/null
+++ b/libs/routing/test/test_answertimes.py
@@ -0,0 +1,47 @@
+import random
+import unittest
+
+from cherryrudder.routing import answertimes
+from cherryrudder.routing.answertimes import AnswerTimes
+
+
+def times_of(mean_s, count=50, spread=0.3, seed=1):
+    """Return what is known after answers that take about so long."""
+    rng, times = random.Random(seed), AnswerTimes()
+    for _ in range(count):
+        answertimes.note(times, mean_s * rng.uniform(1 - spread, 1 + spread))
+    return times
+
+
+class LimitTest(unittest.TestCase):
+    def test_it_follows_the_answers(self):
+        quick, busy = times_of(0.002), times_of(0.03)
+        self.assertLess(answertimes.limit_s(quick), answertimes.limit_s(busy))
+        self.assertGreater(answertimes.limit_s(busy), 0.03)
+
+    def test_a_sudden_load_is_learned_within_some_answers(self):
+        times = times_of(0.002)
+        for _ in range(5):
+            answertimes.note(times, 0.04)
+        self.assertGreater(answertimes.limit_s(times), 0.04)
+
+    def test_it_stays_between_its_bounds(self):
+        self.assertEqual(
+            answertimes.limit_s(times_of(0.0001)), answertimes.LEAST_LIMIT_S
+        )
+        self.assertEqual(answertimes.limit_s(times_of(2.0)), answertimes.MOST_LIMIT_S)
+        self.assertEqual(answertimes.limit_s(AnswerTimes()), answertimes.FIRST_LIMIT_S)
+
+
+class LateAnswerTest(unittest.TestCase):
+    """Guards against taking busy engines for dead because others answer at once."""
+
+    def test_few_answers_of_engines_under_a_burst_come_after_the_second_limit(self):
+        rng, times = random.Random(7), times_of(0.003)
+        late = 0
+        for number in range(400):
+            is_burst = 100 <= number < 250
+            took_s = rng.expovariate(1 / (0.015 if is_burst else 0.003))
+            late += took_s > 3 * answertimes.limit_s(times)
+            answertimes.note(times, took_s)
+        self.assertLessEqual(late, 2)
