Look at streams at once when an engine is found dead

Cause: entries are told of a death by the control VMs, or find it out for one stream; the others were looked at in the next round, up to 40 ms later.

Change: the news of a death brings the round forward. The test fails before, as the round would come after 60 s.

--- a/libs/node/src/cherryrudder/node/entrystate.py
+++ b/libs/node/src/cherryrudder/node/entrystate.py
@@ -105,6 +105,8 @@
         self.pipes = PipeBudget()
         # How many entries there are, as the control VMs tell.
         self.entries = FIRST_ENTRIES
+        # Set when an engine is found dead, and replaced by whoever waits for it.
+        self.engine_died = anyio.Event()
         # Set once the process is to end.
         self.stopping = anyio.Event()
 
--- a/libs/node/src/cherryrudder/node/stalls.py
+++ b/libs/node/src/cherryrudder/node/stalls.py
@@ -139,6 +139,7 @@
             return
         engine_id = engine.engine_id
         suspicion.died(state.suspicions, engine_id, now, is_unreached)
+        state.engine_died.set()
         pool.drop(state.pool, address)
         self.uplink.accuse(engine_id, engine.vm_zone)
         state.metrics.beliefs.labels("engine-dead").inc()
--- a/libs/node/src/cherryrudder/node/supervision.py
+++ b/libs/node/src/cherryrudder/node/supervision.py
@@ -84,7 +84,7 @@
         async with anyio.create_task_group() as group:
             last_s = now_s()
             while True:
-                await anyio.sleep(REVIEW_S)
+                await self._wait_for_review()
                 now = now_s()
                 is_late = now - last_s > REVIEW_S + LATE_ROUND_S
                 last_s = now
@@ -106,6 +106,13 @@
                     elif _is_crawling(stream, now):
                         self._complain(stream, now)
 
+    async def _wait_for_review(self):
+        """Wait for the next round, which the news of a death brings forward."""
+        with anyio.move_on_after(REVIEW_S):
+            await self.state.engine_died.wait()
+        if self.state.engine_died.is_set():
+            self.state.engine_died = anyio.Event()
+
     def _find_hung(self, now):
         """Return the engines that hang, and log those that were found now."""
         state = self.state
--- a/libs/node/src/cherryrudder/node/uplink.py
+++ b/libs/node/src/cherryrudder/node/uplink.py
@@ -283,6 +283,7 @@
         engine_id = notice.engine_id
         if suspicion.told(self.state.suspicions, engine_id, now_s()):
             self.state.sink.write("uplink", "engine-accused", True, engine_id=engine_id)
+            self.state.engine_died.set()
         self.tell_crashes(crashes.engine_ended(self.state, engine_id, now_s()))
 
     def _on_end(self, notice):
--- a/libs/node/test/test_supervision.py
+++ b/libs/node/test/test_supervision.py
@@ -6,6 +6,7 @@
 
 from cherryrudder.layers.chains import Part
 from cherryrudder.node import supervision
+from cherryrudder.node.supervision import Watch
 from cherryrudder.replica.clock import now_s
 
 CHAIN = (Part("e1:1", "boot-1", 0, 8), Part("e2:1", "boot-2", 8, 16))
@@ -111,5 +112,27 @@
         self.assertEqual(stream.broken, [])
 
 
+class DeathNewsTest(unittest.TestCase):
+    """Guards against a known death that waits for the next round over all streams."""
+
+    def test_the_news_of_a_death_brings_the_round_forward(self):
+        looked = []
+
+        async def play():
+            watch = Watch(SimpleNamespace(engine_died=anyio.Event()), None, None)
+            watch._find_hung = lambda _: looked.append(now_s()) or set()
+            async with anyio.create_task_group() as group:
+                group.start_soon(watch.run)
+                await anyio.sleep(0.01)
+                watch.state.engine_died.set()
+                while not looked:
+                    await anyio.sleep(0.001)
+                group.cancel_scope.cancel()
+
+        with mock.patch.object(supervision, "REVIEW_S", 60.0):
+            anyio.run(play)
+        self.assertEqual(len(looked), 1)
+
+
 if __name__ == "__main__":
     unittest.main()
