--- a/libs/node/src/cherryrudder/node/stalls.py
+++ b/libs/node/src/cherryrudder/node/stalls.py
@@ -16,7 +16,7 @@
 from cherryrudder.relay import pool
 from cherryrudder.replica.clock import now_s
 from cherryrudder.routing import answertimes, suspicion
-from cherryrudder.routing.answertimes import AnswerTimes
+from cherryrudder.routing.answertimes import AnswerTimes, Bounds
 from cherryrudder.routing.endpoints import Announcement
 
 from . import enginecalls, entrystate
@@ -30,6 +30,9 @@
 # longer than this by itself.
 DEAD_AGE_S = 0.1
 ALIVE_AGE_S = 0.3
+# Time limits of an answer: at least some turns of the scheduler at either side, at most
+# half of a pause that clients notice. A lost packet is sent again after 0.2 s only.
+REPORT_BOUNDS = Bounds(least_s=0.02, first_s=0.06, most_s=0.12)
 # Tries at a report, in the usual time limits of an answer. An engine that answers none
 # is taken as dead; the second try is longer, for one that has just become busy.
 NEAR_TRIES = (1.0, 2.0)
@@ -94,7 +97,7 @@
     def _limits_s(self, address):
         """Return the time limits of the tries at an engine's report."""
         zone = self._zone_of(address)
-        usual_s = answertimes.limit_s(self._times_of(zone))
+        usual_s = answertimes.limit_s(self._times_of(zone), REPORT_BOUNDS)
         if zone == self.state.settings.vm_zone:
             return [share * usual_s for share in NEAR_TRIES]
         limits_s = [share * usual_s for share in FAR_TRIES]
--- a/libs/routing/src/cherryrudder/routing/answertimes.py
+++ b/libs/routing/src/cherryrudder/routing/answertimes.py
@@ -6,30 +6,38 @@
 what the clients allow, while the engines that live answer within milliseconds.
 """
 
+from typing import NamedTuple
+
 # Weights of the newest answer in the mean and in the deviation, and how many deviations
 # an answer may be later than the mean, as TCP sets its retransmission timer (RFC 6298).
 MEAN_WEIGHT = 1 / 8
 DEVIATION_WEIGHT = 1 / 4
 DEVIATIONS = 4.0
-# With no answer yet.
-FIRST_LIMIT_S = 0.06
-# A scheduler's turn at either side.
-LEAST_LIMIT_S = 0.02
-# Half of a pause that clients notice; a lost packet is sent again only after 0.2 s.
-MOST_LIMIT_S = 0.12
+# Answers before the times count; the first ones may all be exceptions.
+FEWEST_ANSWERS = 3
+
+
+class Bounds(NamedTuple):
+    """The limits that what was seen can't exceed; `first_s` while little was seen."""
+
+    least_s: float
+    first_s: float
+    most_s: float
 
 
 class AnswerTimes:
     """The usual time of an answer and its deviation."""
 
     def __init__(self):
-        self.mean_s: float | None = None
+        self.mean_s = 0.0
         self.deviation_s = 0.0
+        self.answers = 0
 
 
 def note(times: AnswerTimes, took_s: float) -> None:
     """Take the time of an answer that came."""
-    if times.mean_s is None:
+    times.answers += 1
+    if times.answers == 1:
         times.mean_s, times.deviation_s = took_s, took_s / 2
         return
     off_s = abs(took_s - times.mean_s)
@@ -37,9 +45,9 @@
     times.mean_s += MEAN_WEIGHT * (took_s - times.mean_s)
 
 
-def limit_s(times: AnswerTimes) -> float:
+def limit_s(times: AnswerTimes, bounds: Bounds) -> float:
     """Return the time within which an answer is to be there."""
-    if times.mean_s is None:
-        return FIRST_LIMIT_S
+    if times.answers < FEWEST_ANSWERS:
+        return bounds.first_s
     usual_s = times.mean_s + DEVIATIONS * times.deviation_s
-    return min(MOST_LIMIT_S, max(LEAST_LIMIT_S, usual_s))
+    return min(bounds.most_s, max(bounds.least_s, usual_s))
--- a/libs/routing/test/test_answertimes.py
+++ b/libs/routing/test/test_answertimes.py
@@ -2,7 +2,9 @@
 import unittest
 
 from cherryrudder.routing import answertimes
-from cherryrudder.routing.answertimes import AnswerTimes
+from cherryrudder.routing.answertimes import AnswerTimes, Bounds
+
+BOUNDS = Bounds(least_s=0.02, first_s=0.06, most_s=0.12)
 
 
 def times_of(mean_s, count=50, spread=0.3, seed=1):
@@ -16,21 +18,21 @@
 class LimitTest(unittest.TestCase):
     def test_it_follows_the_answers(self):
         quick, busy = times_of(0.002), times_of(0.03)
-        self.assertLess(answertimes.limit_s(quick), answertimes.limit_s(busy))
-        self.assertGreater(answertimes.limit_s(busy), 0.03)
+        self.assertLess(
+            answertimes.limit_s(quick, BOUNDS), answertimes.limit_s(busy, BOUNDS)
+        )
+        self.assertGreater(answertimes.limit_s(busy, BOUNDS), 0.03)
 
     def test_a_sudden_load_is_learned_within_some_answers(self):
         times = times_of(0.002)
         for _ in range(5):
             answertimes.note(times, 0.04)
-        self.assertGreater(answertimes.limit_s(times), 0.04)
+        self.assertGreater(answertimes.limit_s(times, BOUNDS), 0.04)
 
     def test_it_stays_between_its_bounds(self):
-        self.assertEqual(
-            answertimes.limit_s(times_of(0.0001)), answertimes.LEAST_LIMIT_S
-        )
-        self.assertEqual(answertimes.limit_s(times_of(2.0)), answertimes.MOST_LIMIT_S)
-        self.assertEqual(answertimes.limit_s(AnswerTimes()), answertimes.FIRST_LIMIT_S)
+        self.assertEqual(answertimes.limit_s(times_of(0.0001), BOUNDS), BOUNDS.least_s)
+        self.assertEqual(answertimes.limit_s(times_of(2.0), BOUNDS), BOUNDS.most_s)
+        self.assertEqual(answertimes.limit_s(AnswerTimes(), BOUNDS), BOUNDS.first_s)
 
 
 class LateAnswerTest(unittest.TestCase):
@@ -42,6 +44,6 @@
         for number in range(400):
             is_burst = 100 <= number < 250
             took_s = rng.expovariate(1 / (0.015 if is_burst else 0.003))
-            late += took_s > 3 * answertimes.limit_s(times)
+            late += took_s > 3 * answertimes.limit_s(times, BOUNDS)
             answertimes.note(times, took_s)
         self.assertLessEqual(late, 2)
