Send an idempotent request on while its answer can still be in time

Cause: an idempotent call waited 0.4 of its client's whole time (0.4 s) for a lost answer, and was late whatever came then; the objective is 0.147 s.

Change: it waits 0.4 of what is left of the objective, and of the client's time once that is over. Calls that may run once wait as before.

--- a/libs/node/src/cherryrudder/node/plainrelay.py
+++ b/libs/node/src/cherryrudder/node/plainrelay.py
@@ -16,10 +16,11 @@
 from . import attempts, brokenruns, crashes
 from .entrystate import ToldLoad, is_suspect, serving
 from .gossip import CrashNews
-from .job import Failed, Job, Whole
+from .job import ANSWER_MARGIN_S, Failed, Job, Whole
 
 # Part of the time left that an idempotent request waits for one endpoint while another
-# could still answer in time.
+# could still answer in time: of the objective, and once that has passed, of the time
+# that its client waits.
 PATIENCE_SHARE = 0.4
 # Time that a second attempt needs to be worth sending: the work is 20 to 70 ms.
 EXPECTED_S = 0.05
@@ -124,10 +125,9 @@
 
 
 async def _read(job, connection, place):
-    timeout_s = job.left_s()
-    if job.is_idempotent and job.attempts < job.route.max_attempts:
-        timeout_s *= PATIENCE_SHARE
-    head, facts = await attempts.read_own_head(job, connection, timeout_s)
+    head, facts = await attempts.read_own_head(
+        job, connection, patience_s(job, now_s())
+    )
     body = await _read_body(connection)
     if facts.load is not None:
         running, waiting, _ = facts.load
@@ -138,6 +138,15 @@
     return attempts.failure_of(whole, job.is_idempotent) or whole
 
 
+def patience_s(job: Job, now: float) -> float:
+    """Return how long the present endpoint may take until its answer begins."""
+    left_s = job.end_s - now - ANSWER_MARGIN_S
+    if not job.is_idempotent or job.attempts >= job.route.max_attempts:
+        return left_s
+    in_time_s = job.arrived_s + job.route.objective_s - now
+    return PATIENCE_SHARE * min(left_s, in_time_s if in_time_s > 0 else left_s)
+
+
 async def _read_body(connection):
     pieces = []
     while (data := await connection.read()) is not None:
--- a/libs/node/test/test_stalls.py
+++ b/libs/node/test/test_stalls.py
@@ -124,8 +124,8 @@
 class DarkEngineTest(unittest.TestCase):
     """Guards against a dark engine's streams pausing for longer than clients allow."""
 
-    # A pause of 0.25 s is allowed. Of it 0.11 s pass until a stream counts as silent, and
-    # 0.06 s while the engines take the order and read the stream again.
+    # A pause of 0.25 s is allowed. Of it 0.11 s pass until a stream counts as silent,
+    # and 0.06 s while the engines take the order and read the stream again.
     ALLOWED_S = 0.25 - 0.11 - 0.06
 
     def test_it_is_known_in_time_once_others_have_answered(self):
--- a/libs/routing/src/cherryrudder/routing/hangs.py
+++ b/libs/routing/src/cherryrudder/routing/hangs.py
@@ -6,9 +6,9 @@
 that is only busy begins one request after the other, so what tells the two apart is
 whether any later request was begun.
 
-How long is too long follows from how soon engines have begun requests lately: on a calm
-day a request that hangs is sent elsewhere early enough to be in time, and under a burst,
-when all begin late, none is sent twice for it.
+How long is too long follows from how soon engines have begun requests lately: on a
+calm day a request that hangs is sent elsewhere early enough to be in time, and under a
+burst, when all begin late, none is sent twice for it.
 """
 
 from typing import NamedTuple
@@ -96,7 +96,7 @@
 
 
 def patience_s(hangs: Hangs, objective_s: float) -> float:
-    """Return how long a request may wait to be begun before its engine seems to hang."""
+    """Return how long a request may wait until its engine seems to hang."""
     most_s = PATIENCE_SHARE * objective_s
     bounds = Bounds(LEAST_PATIENCE_SHARE * objective_s, most_s, most_s)
     return answertimes.limit_s(hangs.begin_times, bounds)
