Take a stream as silent by its own pauses

Cause: a stream counted as silent after four usual pauses, 0.12 s on chains that make an event in 29 ms, half of what clients allow; steady streams show it sooner.

Change: mean and four deviations of its own pauses, 0.07 s at least; an outage doesn't count as a pause.

--- a/libs/node/src/cherryrudder/node/stream.py
+++ b/libs/node/src/cherryrudder/node/stream.py
@@ -7,6 +7,7 @@
 from cherryrudder.relay import events
 from cherryrudder.relay.client import EngineConnection
 from cherryrudder.replica.clock import now_s
+from cherryrudder.routing.answertimes import AnswerTimes
 
 from . import entrystate
 from .job import Job
@@ -43,6 +44,7 @@
         # The usual pause between pieces, and what it should be over this chain.
         self.pause_s = 0.0
         self.expected_pause_s = 0.0
+        self.pauses = AnswerTimes()
         # When it is to be moved away from engines that leave; 0 while none does.
         self.moves_s = 0.0
         # When this entry last complained of the chain's pace.
--- a/libs/node/src/cherryrudder/node/supervision.py
+++ b/libs/node/src/cherryrudder/node/supervision.py
@@ -16,7 +16,8 @@
 from cherryrudder.layers.chains import Need
 from cherryrudder.platform import engines
 from cherryrudder.replica.clock import now_s
-from cherryrudder.routing import endpoints, hangs
+from cherryrudder.routing import answertimes, endpoints, hangs
+from cherryrudder.routing.answertimes import Bounds
 
 from . import crashes, enginecalls, entrystate, stalls, streamchains
 from .entrystate import EntryState
@@ -31,18 +32,15 @@
 log = logger.bind(part="streams")
 
 REVIEW_S = 0.04
-# Events come every 25 ms; while an engine reads long prompts in between, some 60 ms.
-# The users count a pause of 200 ms as late.
-SILENCE_S = 0.09
+# When a stream counts as silent, by its own pauses: engines read long prompts between
+# its events, and clients count a pause of some 200 ms as late.
+SILENCE_BOUNDS = Bounds(least_s=0.07, first_s=0.12, most_s=1.0)
 # A chain with an engine that was found dead by another stream needs less proof.
 ACCUSED_SILENCE_S = 0.06
-# A stream whose usual pause is longer is silent only after some of them.
-USUAL_PAUSES = 4.0
 # Weight of the newest pause in a stream's usual one.
 PAUSE_MEMORY = 0.2
 # Each further look at a stream that is slow but not stalled waits longer.
 BACK_OFF = 1.6
-MOST_SILENCE_S = 1.0
 # The engines themselves give up on a dead neighbour after 2.5 s; past this the first
 # engine is lost as well.
 LOST_AFTER_S = 4.0
@@ -202,7 +200,7 @@
             stream.is_looked_at = False
 
     async def _look(self, stream):
-        stream.silence_s = min(MOST_SILENCE_S, stream.silence_s * BACK_OFF)
+        stream.silence_s = min(SILENCE_BOUNDS.most_s, stream.silence_s * BACK_OFF)
         lost = await self._find_lost(stream)
         if lost and stream.connection is not None:
             await _go_on_without(stream, stream.connection, lost)
@@ -282,7 +280,9 @@
     if stream.has_begun:
         pause_s = now - stream.progressed_s
         stream.pause_s += PAUSE_MEMORY * (pause_s - stream.pause_s)
-        stream.silence_s = max(SILENCE_S, USUAL_PAUSES * stream.pause_s)
+        # An outage is no usual pause.
+        answertimes.note(stream.pauses, min(pause_s, stream.silence_s))
+        stream.silence_s = answertimes.limit_s(stream.pauses, SILENCE_BOUNDS)
     else:
         stream.silence_s = FIRST_SILENCE_S
     stream.progressed_s = now
--- a/libs/node/test/test_supervision.py
+++ b/libs/node/test/test_supervision.py
@@ -1,3 +1,4 @@
+import random
 import unittest
 from types import SimpleNamespace
 from unittest import mock
@@ -8,6 +9,7 @@
 from cherryrudder.node import supervision
 from cherryrudder.node.supervision import Watch
 from cherryrudder.replica.clock import now_s
+from cherryrudder.routing.answertimes import AnswerTimes
 
 CHAIN = (Part("e1:1", "boot-1", 0, 8), Part("e2:1", "boot-2", 8, 16))
 OTHER = (CHAIN[0], Part("e3:1", "boot-3", 8, 16))
@@ -134,5 +136,41 @@
         self.assertEqual(len(looked), 1)
 
 
+class SilenceTest(unittest.TestCase):
+    """Guards against a death that shows too late, and against looks at sound chains."""
+
+    def play(self, pause_s, spread_s, events=300, seed=2):
+        """Return a stream after its events, and how often it seemed silent."""
+        rng, now, alarms = random.Random(seed), 100.0, 0
+        stream = SimpleNamespace(
+            has_begun=True,
+            pause_s=0.0,
+            pauses=AnswerTimes(),
+            silence_s=0.25,
+            progressed_s=now,
+        )
+        for _ in range(events):
+            took_s = max(0.001, rng.gauss(pause_s, spread_s))
+            alarms += took_s > stream.silence_s
+            now += took_s
+            supervision.progressed(stream, now)
+        return stream, alarms
+
+    def test_a_steady_stream_is_silent_after_a_few_pauses(self):
+        stream, alarms = self.play(0.029, 0.005)
+        self.assertLess(stream.silence_s, 0.08)
+        self.assertLessEqual(alarms, 1)
+
+    def test_one_between_long_prompts_is_given_more_time(self):
+        stream, alarms = self.play(0.08, 0.03)
+        self.assertGreater(stream.silence_s, 0.15)
+        self.assertLessEqual(alarms, 9)
+
+    def test_an_outage_does_not_hide_the_next_one(self):
+        stream, _ = self.play(0.029, 0.005)
+        supervision.progressed(stream, stream.progressed_s + 1.0)
+        self.assertLess(stream.silence_s, 0.15)
+
+
 if __name__ == "__main__":
     unittest.main()
