Give the change of a running stream's chain a module of its own

It imported `streamchains` and, by the stream's type, `streamrelay`, which both go back to it.

Change: `reroute` holds the second job, and `supervision` doesn't know `streamchains` any more.

--- a/libs/node/src/cherryrudder/node/stream.py
+++ b/libs/node/src/cherryrudder/node/stream.py
@@ -17,6 +17,10 @@
 
 # A prompt of usual size is read in less than 0.1 s; the objective is 0.5 s.
 FIRST_SILENCE_S = 0.25
+# How long a stream keeps away from the first engine of a chain that broke. A control VM
+# has told by then whether that engine lives; for good, a stream that has run on all the
+# engines that its route allows had none left that it might go back to.
+FIRST_LOST_S = 0.6
 
 
 class Stream:
--- a/libs/node/src/cherryrudder/node/supervision.py
+++ b/libs/node/src/cherryrudder/node/supervision.py
@@ -6,25 +6,21 @@
 keep their memory, and the stream goes on once the new part has read it.
 """
 
-import math
 from typing import TYPE_CHECKING
 
 import anyio
 from loguru import logger
 
-from cherryrudder.layers import chains, pace
-from cherryrudder.layers.chains import Need
-from cherryrudder.platform import engines
+from cherryrudder.layers import pace
 from cherryrudder.replica.clock import now_s
 from cherryrudder.routing import answertimes, endpoints, hangs
 from cherryrudder.routing.answertimes import Bounds
 
-from . import crashes, enginecalls, entrystate, stalls, streamchains
+from . import crashes, entrystate, reroute, stalls
 from .entrystate import EntryState
-from .errors import EngineCallFailed
 from .roomdesk import RoomDesks
 from .stalls import StallDesk
-from .stream import FIRST_SILENCE_S
+from .stream import FIRST_LOST_S, FIRST_SILENCE_S
 
 if TYPE_CHECKING:
     from .stream import Stream
@@ -44,12 +40,6 @@
 # The engines themselves give up on a dead neighbour after 2.5 s; past this the first
 # engine is lost as well.
 LOST_AFTER_S = 4.0
-# How long a stream keeps away from the first engine of a chain that broke. A control VM
-# has told by then whether that engine lives; for good, a stream that has run on all the
-# engines that its route allows had none left that it might go back to.
-FIRST_LOST_S = 0.6
-# New chains tried for one stall: each may name another engine as missing.
-MAX_REROUTES = 3
 # An engine that leaves serves for some two seconds more, as operators give it. Streams
 # that are still under way at the end are cut, and go on elsewhere after 0.3 s or not at
 # all; moved before, their clients see the pause of reading the prompt, some 0.1 s. A
@@ -57,9 +47,6 @@
 MOVE_AFTER_S = 1.0
 MOVE_SPREAD_S = 0.7
 MOVE_AGAIN_S = 0.3
-# Between two looks for a part that a hole in the layers or a full range left out. Room
-# comes free as other streams end, every 30 to 90 ms in a busy data centre.
-PART_POLL_S = 0.08
 # Between two complaints of one stream's pace. Its control VM looks at once, and knows
 # an engine that it has just found sound.
 COMPLAIN_EVERY_S = 1.0
@@ -161,12 +148,12 @@
             stream.moves_s = now + self.state.rng.random() * MOVE_SPREAD_S
             return
         stream.moves_s = now + MOVE_AGAIN_S
-        chain = _without(stream, self._leaving(stream, now))
+        chain = reroute.without(stream, self._leaving(stream, now))
         if chain is None or connection is None:
             return
-        status, _ = await _order(stream, chain, is_move=True)
+        status, _ = await reroute.order(stream, chain, is_move=True)
         if stream.connection is connection and status in (200, 202):
-            _take(stream, chain)
+            reroute.take(stream, chain)
 
     def _complain(self, stream, now):
         stream.complained_s = now
@@ -203,7 +190,7 @@
         stream.silence_s = min(SILENCE_BOUNDS.most_s, stream.silence_s * BACK_OFF)
         lost = await self._find_lost(stream)
         if lost and stream.connection is not None:
-            await _go_on_without(stream, stream.connection, lost)
+            await reroute.go_on_without(stream, stream.connection, lost)
 
     async def _find_lost(self, stream):
         """Return the addresses of the chain's engines that are dead or cut off."""
@@ -296,104 +283,3 @@
     else:
         stream.exclude(first.address, now_s() + FIRST_LOST_S)
     stream.stalls.accuse(first.address, why, is_unreached)
-
-
-async def _go_on_without(stream, connection, lost):
-    """Replace the lost parts of the chain; break the attempt off when none can be.
-
-    Not while there is no other chain either: the first engine holds the request and
-    what was read of it, and broken off, the stream would wait all the same, with an
-    attempt less and nothing kept.
-    """
-    job, since_s = stream.job, stream.progressed_s
-    for address in lost:
-        is_first = address == stream.chain[0].address
-        stream.exclude(address, now_s() + FIRST_LOST_S if is_first else math.inf)
-    for _ in range(MAX_REROUTES):
-        chain = await _wait_without(stream, connection, lost)
-        if chain is None:
-            break
-        status, missing = await _order(stream, chain)
-        if stream.connection is not connection:
-            # The attempt ended meanwhile, and its chain was counted out already.
-            return
-        if status in (200, 202):
-            _take(stream, chain)
-            return
-        if status != 409 or not missing:
-            break
-        lost = lost | {missing}
-        stream.exclude(missing)
-    if stream.connection is not connection or stream.progressed_s > since_s:
-        # It has ended meanwhile, or goes on over the chain that seemed lost.
-        return
-    job.state.metrics.reroutes.labels("failed").inc()
-    stream.break_off("an engine of the chain died")
-
-
-async def _wait_without(stream, connection, lost):
-    """Return a chain without the lost parts, None when the stream should go elsewhere.
-
-    Elsewhere is another whole chain; until there is either, the stream waits.
-    """
-    since_s = stream.progressed_s
-    while stream.connection is connection and stream.progressed_s <= since_s:
-        chain = _without(stream, lost)
-        is_first_lost = stream.chain[0].address in lost
-        if chain is not None or is_first_lost or not stream.has_begun:
-            return chain
-        is_over = now_s() >= stream.job.leaves_s()
-        if is_over or streamchains.has_other_chain(stream, lost):
-            return None
-        await anyio.sleep(PART_POLL_S)
-    return None
-
-
-async def _order(stream, chain, is_move=False):
-    job = stream.job
-    try:
-        status, missing = await enginecalls.reroute(
-            chain[0].address, job.facts.request_id, chain
-        )
-    except EngineCallFailed as error:
-        job.note("reroute-failed", error=str(error))
-        return 0, ""
-    job.note(
-        "reroute",
-        status=status,
-        is_move=is_move,
-        chain=engines.write_chain(chain),
-        last_event=stream.last_event,
-        silent_s=round(now_s() - stream.progressed_s, 3),
-    )
-    return status, missing
-
-
-def _without(stream, lost):
-    job = stream.job
-    if stream.chain[0].address in lost:
-        return None
-    usable = streamchains.usable(stream, lost, now_s())
-    # The data centre of the chain, which is not always this entry's. The first engine
-    # may be leaving, and so not among the usable ones.
-    first = job.state.endpoints.table.entries.get(stream.chain[0].engine_id)
-    need = Need(stream.tokens, first.announcement.vm_zone if first else "")
-    model = job.service.model
-    chain = chains.replace_parts(model, stream.chain, usable, lost, need)
-    if chain is None or not chains.covers(chain, model.layers):
-        return None
-    return chain
-
-
-def _take(stream, chain):
-    state = stream.job.state
-    entrystate.ended(state, stream.chain, stream.tokens)
-    entrystate.began(state, chain, stream.tokens)
-    stream.chain = chain
-    service = stream.job.service
-    usable = entrystate.candidates(state, service.name, now_s())
-    stream.expected_pause_s = pace.expected_pause_s(service.model, chain, usable)
-    # The new part reads the whole request first.
-    stream.progressed_s = now_s()
-    stream.silence_s = FIRST_SILENCE_S
-    state.metrics.reroutes.labels("done").inc()
