Spend less on each choice of a chain

Cause: when an engine dies, each of an entry's streams that ran through it asks for the engines that it may go over, one after the other, on a third of a core.

Change: an engine of which this entry has nothing running, or as much as at the last word, needs no sum; and a part that is replaced inside a data centre looks at that one only.

--- a/libs/node/src/cherryrudder/node/entrystate.py
+++ b/libs/node/src/cherryrudder/node/entrystate.py
@@ -176,6 +176,8 @@
 
 
 def _own(state, address):
+    if address not in state.running:
+        return otherload.NONE
     return Load(
         state.running.get(address, 0),
         state.tokens.get(address, 0),
@@ -192,12 +194,18 @@
     ]
 
 
-def candidates(state: EntryState, service: str, now_s: float) -> list[Candidate]:
-    """Return the engines that hold layers and aren't known to be dead."""
+def candidates(
+    state: EntryState, service: str, now_s: float, vm_zone: str = ""
+) -> list[Candidate]:
+    """Return the engines that hold layers and aren't known to be dead.
+
+    Those of one data centre, if it is given.
+    """
     return [
         _candidate(state, announcement, now_s)
         for announcement in serving(state, service, now_s)
         if announcement.holding.end
+        and vm_zone in ("", announcement.vm_zone)
         and not is_suspect(state, announcement.engine_id, now_s)
     ]
 
--- a/libs/node/src/cherryrudder/node/reroute.py
+++ b/libs/node/src/cherryrudder/node/reroute.py
@@ -109,11 +109,11 @@
     job = stream.job
     if stream.chain[0].address in lost:
         return None
-    usable = streamchains.usable(stream, lost, now_s())
     # The data centre of the chain, which is not always this entry's. The first engine
     # may be leaving, and so not among the usable ones.
     first = job.state.endpoints.table.entries.get(stream.chain[0].engine_id)
     need = Need(stream.tokens, first.announcement.vm_zone if first else "")
+    usable = streamchains.usable(stream, lost, now_s(), vm_zone=need.home_zone)
     model = job.service.model
     chain = chains.replace_parts(model, stream.chain, usable, lost, need)
     if chain is None or not chains.covers(chain, model.layers):
--- a/libs/node/src/cherryrudder/node/streamchains.py
+++ b/libs/node/src/cherryrudder/node/streamchains.py
@@ -96,14 +96,19 @@
 
 
 def usable(
-    stream: "Stream", lost: set[str], now: float, is_running: bool = False
+    stream: "Stream",
+    lost: set[str],
+    now: float,
+    is_running: bool = False,
+    vm_zone: str = "",
 ) -> list[Candidate]:
     """Return the engines that a stream may go over, without some.
 
     Those at which it may not begin are there for the other parts. `is_running` counts
-    the run that is under way.
+    the run that is under way. Those of one data centre, if it is given.
     """
-    candidates = entrystate.candidates(stream.job.state, stream.job.service.name, now)
+    job = stream.job
+    candidates = entrystate.candidates(job.state, job.service.name, now, vm_zone)
     avoided = stream.excluded(now) | lost
     left = [e for e in candidates if e.address not in avoided]
     firsts = bounding_firsts(stream, is_running)
--- a/libs/policy/src/cherryrudder/policy/otherload.py
+++ b/libs/policy/src/cherryrudder/policy/otherload.py
@@ -57,6 +57,8 @@
     """
     told = load.told.get(address, NONE)
     then = load.own_then.get(address, NONE)
+    if own == then:
+        return told
     return Load(
         *(
             max(0.0, known + peers * (now - before))
