Cross between data centres only once all engines had the time to announce themselves

Cause: after a loss of power engines announce themselves over some tenths of a second.

Change: an entry makes no such chain before it has run for the time of one heartbeat. A data centre that is whole is used at once.

The test fails before.

--- a/libs/node/src/cherryrudder/node/streamchains.py
+++ b/libs/node/src/cherryrudder/node/streamchains.py
@@ -156,8 +156,15 @@
 
 
 def _choose_mixed(stream, engines, need, now):
-    """Return a chain over several data centres, as far as the pipes allow."""
+    """Return a chain over several data centres, as far as the pipes allow.
+
+    Not before each engine has had the time to announce itself to an entry that has just
+    started: after a loss of power no data centre seems whole for some tenths of a
+    second, and chains over all of them would fill the pipes for seconds.
+    """
     state, model = stream.job.state, stream.job.service.model
+    if now - state.started_s < state.settings.heartbeat_s:
+        return None
     tokens = stream.job.facts.prompt_tokens
     least_s = pipes.crossing_s(model, tokens, 1)
     if not pipes.is_open(state.pipes, least_s, state.entries, now):
--- a/libs/node/test/test_streamchains.py
+++ b/libs/node/test/test_streamchains.py
@@ -38,6 +38,7 @@
         is_counted=False,
         chain=(),
         ran_at=[],
+        refusal="",
     )
 
 
@@ -207,5 +208,36 @@
         )
 
 
+class JustStartedTest(unittest.TestCase):
+    """Guards against pipes that are filled while engines still announce themselves."""
+
+    def chain(self, age_s, zones):
+        """Return the chain of an entry so long after its start, if it has one."""
+        piped = PipedSink()
+        self.addCleanup(piped.close)
+        state = a_state(piped.sink)
+        state.started_s = now_s() - age_s
+        for number, zone in enumerate(zones):
+            layers = (8 * number, 8 * number + 8)
+            engine = an_announcement(f"boot-{number}", layers=layers, vm_zone=zone)
+            tablesync.hear(state.endpoints, engine, now_s())
+        stream = a_stream(state, None)
+        stream.job.service.model = a_model(16)
+        stream.job.facts.prompt_tokens = 800
+        stream.job.note = lambda *_, **__: None
+        return streamchains._choose(stream), stream.refusal
+
+    def test_no_chain_crosses_before_all_had_the_time_to_announce_themselves(self):
+        chain, refusal = self.chain(age_s=0.3, zones="ab")
+        self.assertIsNone(chain)
+        self.assertEqual(refusal, streamchains.NO_CHAIN)
+
+    def test_a_whole_data_centre_is_used_at_once(self):
+        self.assertIsNotNone(self.chain(age_s=0.3, zones="aa")[0])
+
+    def test_a_hole_that_is_still_there_is_bridged(self):
+        self.assertIsNotNone(self.chain(age_s=2.0, zones="ab")[0])
+
+
 if __name__ == "__main__":
     unittest.main()
