Revert "Let a stream go on elsewhere where its replacement would make it late"

What would be left of the idea: only chains that begin in another data centre, and a count of what other entries move at the same moment.

--- a/libs/node/src/cherryrudder/node/reroute.py
+++ b/libs/node/src/cherryrudder/node/reroute.py
@@ -8,12 +8,11 @@
 
 import anyio
 
-from cherryrudder.layers import chains, pace, resumption
+from cherryrudder.layers import chains, pace
 from cherryrudder.layers.chains import Chain, Need
 from cherryrudder.platform import engines
 from cherryrudder.relay.client import EngineConnection
 from cherryrudder.replica.clock import now_s
-from cherryrudder.routing import answertimes
 
 from . import enginecalls, entrystate, streamchains
 from .errors import EngineCallFailed
@@ -73,8 +72,6 @@
     while stream.connection is connection and stream.progressed_s <= since_s:
         chain = without(stream, lost)
         is_first_lost = stream.chain[0].address in lost
-        if chain is not None and _is_better_elsewhere(stream, chain, lost):
-            return None
         if chain is not None or is_first_lost or not stream.has_begun:
             return chain
         is_over = now_s() >= stream.job.leaves_s()
@@ -84,37 +81,6 @@
     return None
 
 
-def _is_better_elsewhere(stream, chain, lost):
-    """Tell whether a stream that goes on over a chain would pause for too long."""
-    job, now = stream.job, now_s()
-    begins = job.state.hangs.begin_times
-    if not stream.has_begun or begins.answers < answertimes.FEWEST_ANSWERS:
-        return False
-    added = {part.address for part in chain} - {p.address for p in stream.chain}
-    engines = streamchains.usable(stream, lost, now, vm_zone=_zone_of(stream))
-    inside_s = resumption.read_s(
-        job.service.model,
-        (engine for engine in engines if engine.address in added),
-        job.facts.prompt_tokens,
-    )
-    # Its next event then takes the way through the whole chain.
-    inside_s += stream.expected_pause_s
-    left_s = job.route.gap_s - (now - stream.progressed_s)
-    if not resumption.is_better_elsewhere(inside_s, begins.mean_s, left_s):
-        return False
-    return streamchains.has_other_chain(stream, lost)
-
-
-def _zone_of(stream):
-    """Return the data centre of a stream's chain, which is not always this entry's.
-
-    The first engine may be leaving, and so not among the usable ones.
-    """
-    entries = stream.job.state.endpoints.table.entries
-    first = entries.get(stream.chain[0].engine_id)
-    return first.announcement.vm_zone if first else ""
-
-
 async def order(
     stream: "Stream", chain: Chain, is_move: bool = False
 ) -> tuple[int, str]:
@@ -143,7 +109,10 @@
     job = stream.job
     if stream.chain[0].address in lost:
         return None
-    need = Need(stream.tokens, _zone_of(stream))
+    # The data centre of the chain, which is not always this entry's. The first engine
+    # may be leaving, and so not among the usable ones.
+    first = job.state.endpoints.table.entries.get(stream.chain[0].engine_id)
+    need = Need(stream.tokens, first.announcement.vm_zone if first else "")
     usable = streamchains.usable(stream, lost, now_s(), vm_zone=need.home_zone)
     model = job.service.model
     chain = chains.replace_parts(model, stream.chain, usable, lost, need)
@@ -157,9 +126,7 @@
     state = stream.job.state
     entrystate.ended(state, stream.chain, stream.tokens)
     entrystate.began(state, chain, stream.tokens)
-    added = [part for part in chain if part not in stream.chain]
     stream.chain = chain
-    stream.note_unread(added)
     service = stream.job.service
     usable = entrystate.candidates(state, service.name, now_s())
     stream.expected_pause_s = pace.expected_pause_s(service.model, chain, usable)
--- a/libs/node/src/cherryrudder/node/stream.py
+++ b/libs/node/src/cherryrudder/node/stream.py
@@ -1,10 +1,9 @@
 """A stream on its way from engines to its client, and what is known of it."""
 
 import math
-from collections.abc import Iterable
 from typing import TYPE_CHECKING
 
-from cherryrudder.layers.chains import Chain, Part
+from cherryrudder.layers.chains import Chain
 from cherryrudder.relay import events
 from cherryrudder.relay.client import EngineConnection
 from cherryrudder.replica.clock import now_s
@@ -71,12 +70,7 @@
 
     def note_sent(self) -> None:
         """Count the prompt as on its way through the chain."""
-        self.note_unread(self.chain)
-
-    def note_unread(self, parts: Iterable[Part]) -> None:
-        """Count the prompt as yet to be read by some parts of the chain."""
-        self.note_read()
-        self.unread_chain = tuple(parts)
+        self.unread_chain = self.chain
         tokens = self.job.facts.prompt_tokens
         entrystate.prompt_sent(self.job.state, self.unread_chain, tokens)
 
--- a/libs/node/test/test_reroute.py
+++ b/libs/node/test/test_reroute.py
@@ -7,7 +7,6 @@
 from cherryrudder.layers.chains import Part
 from cherryrudder.node import reroute
 from cherryrudder.replica.clock import now_s
-from cherryrudder.routing.hangs import Hangs
 
 CHAIN = (Part("e1:1", "boot-1", 0, 8), Part("e2:1", "boot-2", 8, 16))
 OTHER = (CHAIN[0], Part("e3:1", "boot-3", 8, 16))
@@ -16,7 +15,7 @@
 def a_stream(has_begun=True):
     """Return a stream whose chain goes over two engines."""
     labels = SimpleNamespace(labels=lambda *_: SimpleNamespace(inc=lambda: None))
-    state = SimpleNamespace(metrics=SimpleNamespace(reroutes=labels), hangs=Hangs())
+    state = SimpleNamespace(metrics=SimpleNamespace(reroutes=labels))
     stream = SimpleNamespace(
         job=SimpleNamespace(state=state, leaves_s=lambda: now_s() + 60.0),
         chain=CHAIN,
