Send a voter the batch that was lost before it had started, once it answers

Cause: after a loss of power the first three voters elect a leader before the others have started. What it sends these is lost, and was sent again only after four heartbeats, 0.48 s.

Change: a voter that answers a later message without having the batch gets it again at once, one time for each batch; messages over one link arrive in order.

The tests fail before. `quorum`: 44 tests pass, histories among them.

--- a/libs/quorum/src/cherryrudder/quorum/node.py
+++ b/libs/quorum/src/cherryrudder/quorum/node.py
@@ -27,7 +27,10 @@
         self.round = 0
         # Last index of the batch or snapshot that waits for an answer, or 0.
         self.outstanding = 0
+        self.batch_sent_s = now_s
         self.resend_at_s = now_s
+        # A batch is sent a second time before its time is over at most once.
+        self.is_resent = False
 
 
 class Write(NamedTuple):
--- a/libs/quorum/src/cherryrudder/quorum/replication.py
+++ b/libs/quorum/src/cherryrudder/quorum/replication.py
@@ -60,6 +60,8 @@
     """
     for peer in node.peers.values():
         waits = peer.outstanding and now_s < peer.resend_at_s
+        if not waits:
+            peer.is_resent = bool(peer.outstanding)
         if waits or peer.match >= node.log.last_index:
             continue
         if node.log.holds(peer.next_index - 1):
@@ -114,6 +116,10 @@
     if peer.match >= peer.outstanding:
         peer.outstanding = 0
         peer.next_index = max(peer.next_index, peer.match + 1)
+    elif message["sent_s"] > peer.batch_sent_s and not peer.is_resent:
+        # It has answered a later message, and messages arrive in order: the batch went
+        # while the peer was not there yet, as after a loss of power.
+        peer.resend_at_s = now_s
 
 
 def accept_leader(node: Node, message: dict, now_s: float) -> None:
@@ -134,6 +140,7 @@
     end = min(node.log.last_index + 1, first + MAX_BATCH_ENTRIES)
     entries = _limit(node.log.slice(first, end))
     peer.outstanding = first + len(entries) - 1
+    peer.batch_sent_s = now_s
     peer.resend_at_s = now_s + RESEND_HEARTBEATS * node.timing.heartbeat_s
     _send_append(node, peer, first - 1, entries, now_s)
 
@@ -165,6 +172,8 @@
 def _send_snapshot(node, peer, now_s):
     snapshot = node.snapshot
     peer.outstanding = snapshot.index
+    # It takes long by itself, and is too large to be sent twice for nothing.
+    peer.is_resent = True
     wait_s = RESEND_SNAPSHOT_HEARTBEATS * node.timing.heartbeat_s
     peer.resend_at_s = now_s + wait_s
     send(
--- a/libs/quorum/test/test_replication.py
+++ b/libs/quorum/test/test_replication.py
@@ -124,6 +124,36 @@
             self.assertNotIn("Apply", kinds(effects))
 
 
+class LostBatchTest(unittest.TestCase):
+    """Guards against voters that lack entries for long after all lost power."""
+
+    def batches_to(self, vm, effects):
+        """Return the batches of entries among effects that go to a voter."""
+        sends = [e.message for e in effects if isinstance(e, ev.Send)]
+        appends = [m for m in sends if m["type"] == "append" and m["entries"]]
+        return [m for m in appends if m["to"] == f"disk-{vm}"]
+
+    def test_a_voter_that_starts_after_the_leader_gets_them_with_its_first_answer(self):
+        hand = Hand(old_entries(1, 1)).lead()
+        for vm in "bc":
+            hand.acknowledge(vm, 3, read_round=1)
+        hand.now_s += TIMING.heartbeat_s * 1.1
+        effects = hand.feed(ev.Tick())
+        self.assertEqual(self.batches_to("d", effects), [])
+        answered = hand.acknowledge("d", 0, read_round=2, sent_s=hand.now_s)
+        self.assertEqual(len(self.batches_to("d", answered)), 1)
+
+    def test_one_whose_disk_is_slow_gets_them_twice_at_the_most(self):
+        hand = Hand(old_entries(1, 1)).lead()
+        sent = []
+        for number in range(3):
+            hand.now_s += TIMING.heartbeat_s * 1.1
+            hand.feed(ev.Tick())
+            answered = hand.acknowledge("d", 0, number + 2, sent_s=hand.now_s)
+            sent += self.batches_to("d", answered)
+        self.assertEqual(len(sent), 1)
+
+
 class CommitTest(unittest.TestCase):
     def test_entry_of_an_earlier_term_is_not_committed_by_copies_alone(self):
         """A change that is answered as accepted can't be overwritten afterwards.
