Keep the chain that was found for a stream until it leaves its own

Cause: before a stream leaves its chain the entry looks whether there is another one, and then searches again.

Change: the chain that was found is kept for 0.05 s and taken, unless an engine of it is thought dead by then. It is checked to run each layer once, as any other.

--- a/libs/node/src/cherryrudder/node/stream.py
+++ b/libs/node/src/cherryrudder/node/stream.py
@@ -1,7 +1,7 @@
 """A stream on its way from engines to its client, and what is known of it."""
 
 import math
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 from cherryrudder.layers.chains import Chain
 from cherryrudder.relay import events
@@ -23,6 +23,14 @@
 FIRST_LOST_S = 0.6
 
 
+class Offer(NamedTuple):
+    """A chain that was found for a stream while it leaves another."""
+
+    chain: Chain
+    expected_pause_s: float
+    until_s: float
+
+
 class Stream:
     """A stream on its way from engines to its client."""
 
@@ -55,6 +63,7 @@
         self.complained_s = float("-inf")
         self.silence_s = FIRST_SILENCE_S
         self.is_looked_at = False
+        self.offer: Offer | None = None
         # Why there was no chain, and when there may be one.
         self.refusal = ""
         self.retry_after_s = 0.0
--- a/libs/node/src/cherryrudder/node/streamchains.py
+++ b/libs/node/src/cherryrudder/node/streamchains.py
@@ -9,6 +9,7 @@
 from cherryrudder.replica.clock import now_s
 
 from . import entrystate
+from .stream import Offer
 
 if TYPE_CHECKING:
     from .stream import Stream
@@ -22,6 +23,8 @@
 # Some layers are held by no engine that may be used, or by none with room.
 NO_CHAIN = "no chain"
 NO_ROOM = "no room"
+# How long a chain that was found for a stream is kept: until its attempt has ended.
+OFFER_S = 0.05
 
 
 async def wait_for_chain(stream: "Stream") -> Chain | None:
@@ -88,11 +91,21 @@
 
 
 def has_other_chain(stream: "Stream", lost: set[str]) -> bool:
-    """Tell whether a stream could leave its chain for one without some engines now."""
-    job = stream.job
-    engines = usable(stream, lost, now_s(), is_running=True)
+    """Tell whether a stream could leave its chain for one without some engines now.
+
+    The chain is kept for it, for the moment in which it leaves: the search takes longer
+    than all else that an entry does for it, and each stream of a dead engine is waited
+    for by the next one.
+    """
+    job, now = stream.job, now_s()
+    engines = usable(stream, lost, now, is_running=True)
     need = Need(stream.tokens, job.state.settings.vm_zone)
-    return chains.choose_chain(job.service.model, engines, need) is not None
+    chain = chains.choose_chain(job.service.model, engines, need)
+    if chain is None or not chains.covers(chain, job.service.model.layers):
+        return False
+    pause_s = pace.expected_pause_s(job.service.model, chain, engines)
+    stream.offer = Offer(chain, pause_s, now + OFFER_S)
+    return True
 
 
 def usable(
@@ -119,7 +132,7 @@
 
 def _take_chain(stream):
     """Return a chain and count it in; it is counted out when its attempt ends."""
-    chain = _choose(stream)
+    chain = _take_offer(stream, now_s()) or _choose(stream)
     if chain is not None:
         stream.chain = chain
         stream.is_counted = True
@@ -127,6 +140,22 @@
     return chain
 
 
+def _take_offer(stream, now):
+    """Return the chain that was kept for a stream, if it may still go over it."""
+    offer, stream.offer = stream.offer, None
+    if offer is None or now > offer.until_s:
+        return None
+    if stream.excluded(now) & {part.address for part in offer.chain}:
+        return None
+    if any(
+        entrystate.is_suspect(stream.job.state, part.engine_id, now)
+        for part in offer.chain
+    ):
+        return None
+    stream.expected_pause_s = offer.expected_pause_s
+    return offer.chain
+
+
 def release(stream: "Stream") -> None:
     """Count a stream's chain out, if it is counted in."""
     if stream.is_counted:
--- a/libs/node/test/test_streamchains.py
+++ b/libs/node/test/test_streamchains.py
@@ -39,6 +39,7 @@
         chain=(),
         ran_at=[],
         refusal="",
+        offer=None,
     )
 
 
@@ -239,5 +240,41 @@
         self.assertIsNotNone(self.chain(age_s=2.0, zones="ab")[0])
 
 
+class OfferTest(unittest.TestCase):
+    """Guards against a second search for each stream of an engine that has died."""
+
+    def offered(self):
+        """Return a stream that has been found another chain, and its entry."""
+        piped = PipedSink()
+        self.addCleanup(piped.close)
+        state = a_state(piped.sink)
+        for name in ("boot-1", "boot-2"):
+            engine = an_announcement(name, layers=(0, 16))
+            tablesync.hear(state.endpoints, engine, now_s())
+        stream = a_stream(state, None)
+        stream.job.service.model = a_model(16)
+        stream.chain = (Part("boot-1:80", "boot-1", 0, 16),)
+        self.assertTrue(streamchains.has_other_chain(stream, {"boot-1:80"}))
+        return stream, state
+
+    def test_it_goes_over_the_chain_that_was_found_for_it(self):
+        stream, _ = self.offered()
+        with mock.patch.object(streamchains, "_choose", side_effect=AssertionError):
+            chain = streamchains._take_chain(stream)
+        self.assertEqual([part.engine_id for part in chain], ["boot-2"])
+        self.assertIsNone(stream.offer)
+
+    def test_not_once_an_engine_of_it_is_thought_dead(self):
+        stream, state = self.offered()
+        suspicion.died(state.suspicions, "boot-2", now_s())
+        chain = streamchains._take_chain(stream)
+        self.assertEqual([part.engine_id for part in chain], ["boot-1"])
+
+    def test_not_when_it_is_old(self):
+        stream, _ = self.offered()
+        stream.offer = stream.offer._replace(until_s=now_s() - 0.01)
+        self.assertIsNone(streamchains._take_offer(stream, now_s()))
+
+
 if __name__ == "__main__":
     unittest.main()
