--- a/libs/node/src/cherryrudder/node/stalls.py
+++ b/libs/node/src/cherryrudder/node/stalls.py
@@ -32,7 +32,7 @@
 ALIVE_AGE_S = 0.3
 # Time limits of an answer: at least some turns of the scheduler at either side, at most
 # half of a pause that clients notice. A lost packet is sent again after 0.2 s only.
-REPORT_BOUNDS = Bounds(least_s=0.02, first_s=0.03, most_s=0.12)
+REPORT_BOUNDS = Bounds(least_s=0.015, first_s=0.02, most_s=0.12)
 RESENT_S = 0.2
 # Tries at a report, each in usual time limits and in seconds beyond them. An engine
 # that answers none is taken as dead; the second try is longer, for one that has just
