Let a first pause and a first answer count at once

Change: one pause is enough to know a stream's pace (three times it, then by the deviation), and the first may take 0.25 s; one report is enough for the limit of a second try.

--- a/libs/node/src/cherryrudder/node/supervision.py
+++ b/libs/node/src/cherryrudder/node/supervision.py
@@ -31,7 +31,7 @@
 # When a stream counts as silent, by its own pauses: engines read long prompts between
 # its events. The least is a part of the longest pause that is in time on its route; the
 # rest of that is for finding the engine and reading the stream again.
-SILENCE_BOUNDS = Bounds(least_s=0.07, first_s=0.12, most_s=1.0)
+SILENCE_BOUNDS = Bounds(least_s=0.07, first_s=FIRST_SILENCE_S, most_s=1.0)
 SILENCE_SHARE = 0.25
 # A chain with an engine that was found dead by another stream needs less proof.
 ACCUSED_SILENCE_S = 0.06
--- a/libs/node/test/test_supervision.py
+++ b/libs/node/test/test_supervision.py
@@ -70,6 +70,11 @@
         ]
         self.assertEqual(silences_s, [0.05, 0.0625, 0.07])
 
+    def test_a_slow_stream_is_known_as_such_from_its_first_pause_on(self):
+        stream, alarms = self.play(0.25, 0.01, events=2)
+        self.assertGreater(stream.silence_s, 0.5)
+        self.assertLessEqual(alarms, 1)
+
     def test_an_outage_does_not_hide_the_next_one(self):
         stream, _ = self.play(0.029, 0.005)
         supervision.progressed(stream, stream.progressed_s + 1.0)
--- a/libs/routing/src/cherryrudder/routing/answertimes.py
+++ b/libs/routing/src/cherryrudder/routing/answertimes.py
@@ -13,12 +13,10 @@
 MEAN_WEIGHT = 1 / 8
 DEVIATION_WEIGHT = 1 / 4
 DEVIATIONS = 4.0
-# Answers before the times count; the first ones may all be exceptions.
-FEWEST_ANSWERS = 3
 
 
 class Bounds(NamedTuple):
-    """The limits that what was seen can't exceed; `first_s` while little was seen."""
+    """The limits that what was seen can't exceed; `first_s` while nothing was seen."""
 
     least_s: float
     first_s: float
@@ -47,7 +45,7 @@
 
 def limit_s(times: AnswerTimes, bounds: Bounds) -> float:
     """Return the time within which an answer is to be there."""
-    if times.answers < FEWEST_ANSWERS:
+    if not times.answers:
         return bounds.first_s
     usual_s = times.mean_s + DEVIATIONS * times.deviation_s
     return min(bounds.most_s, max(bounds.least_s, usual_s))
