Give a chain's first engine more time before it is taken as dead

Change: the first engine of a chain has 0.045 and 0.13 s more, as losing it costs a second run. A part behind it keeps the short limits: it is replaced under the same run, and read again.

--- a/libs/node/src/cherryrudder/node/stalls.py
+++ b/libs/node/src/cherryrudder/node/stalls.py
@@ -42,6 +42,9 @@
 # 4 in 100, one in seven needs a packet sent again, and each look asks for some ten. The
 # last try is left out once others over that link have answered in the same look.
 FAR_TRIES = ((1.0, 0.0), (1.5, 0.0), (1.5, RESENT_S))
+# A stream that loses its first engine runs once more, over other engines: more than a
+# part that is read again, so that an engine which is merely starved isn't left for it.
+FIRST_EXTRA_S = (0.045, 0.13, 0.0)
 # A time limit that is noticed this late says that this process stood still; what the
 # engine answered meanwhile is yet to be read.
 OWN_DELAY_S = 0.03
@@ -62,49 +65,53 @@
     def __init__(self, state: EntryState, uplink: Uplink):
         self.state = state
         self.uplink = uplink
-        self._looks: dict[str, Look] = {}
-        self._locks: dict[str, anyio.Lock] = {}
+        # By address, and whether it is the first engine of the chain that is looked at.
+        self._looks: dict[tuple[str, bool], Look] = {}
+        self._locks: dict[tuple[str, bool], anyio.Lock] = {}
         # How long reports take, by the engine's data centre.
         self._times: dict[str, AnswerTimes] = {}
         # When an engine of a data centre last gave one.
         self._answered_s: dict[str, float] = {}
 
     async def look(self, addresses: list[str]) -> dict[str, Look]:
-        """Ask engines for their reports, all at the same time."""
+        """Ask a chain's engines for their reports, all at the same time."""
         # Kept apart from the shared ones: an address may be forgotten meanwhile.
         found: dict[str, Look] = {}
 
         async def look(address):
-            found[address] = await self._look(address)
+            found[address] = await self._look(address, address == addresses[0])
 
         async with anyio.create_task_group() as group:
             for address in addresses:
                 group.start_soon(look, address)
         return found
 
-    async def _look(self, address):
-        lock = self._locks.setdefault(address, anyio.Lock())
+    async def _look(self, address, is_first):
+        key = (address, is_first)
+        lock = self._locks.setdefault(key, anyio.Lock())
         async with lock:
-            known = self._looks.get(address)
+            known = self._looks.get(key)
             if known is not None and _is_fresh(known, now_s()):
                 return known
             asked_s = now_s()
-            report = await self._ask(address)
+            report = await self._ask(address, is_first)
             seen_s = now_s() if report is None else asked_s
-            fresh = self._looks[address] = Look(report, seen_s)
+            fresh = self._looks[key] = Look(report, seen_s)
             return fresh
 
-    async def _ask(self, address):
+    async def _ask(self, address, is_first):
         """Return an engine's report, or None when it gives none in any try."""
         zone = self._zone_of(address)
         times = self._times.setdefault(zone, AnswerTimes())
         is_near = zone == self.state.settings.vm_zone
         began_s = now_s()
-        for share, resent_s in NEAR_TRIES if is_near else FAR_TRIES:
+        tries = NEAR_TRIES if is_near else FAR_TRIES
+        for (share, resent_s), extra_s in zip(tries, FIRST_EXTRA_S, strict=False):
             if resent_s and self._answered_s.get(zone, 0.0) > began_s:
                 break
             # Other engines may have answered meanwhile, and told what is usual.
             limit_s = share * answertimes.limit_s(times, REPORT_BOUNDS) + resent_s
+            limit_s += extra_s if is_first else 0.0
             report = await self._report(address, limit_s)
             if report is not None:
                 # Since the first try: an engine that needed another one is busy.
@@ -130,9 +137,9 @@
 
     def forget(self, known: set[str]) -> None:
         """Drop what was found about addresses that are no longer known."""
-        for address in set(self._looks) - known:
-            del self._looks[address]
-            self._locks.pop(address, None)
+        for key in [key for key in self._looks if key[0] not in known]:
+            del self._looks[key]
+            self._locks.pop(key, None)
 
     def accuse(self, address: str, why: str, is_unreached: bool = False) -> None:
         """Take an engine as dead, and have a control VM look at it, too."""
