Wait longer for a first engine's second report than an entry did before

Change: 0.2 s more. A stream whose first engine is dead is late either way, so that the time costs it little.

--- a/libs/node/src/cherryrudder/node/stalls.py
+++ b/libs/node/src/cherryrudder/node/stalls.py
@@ -44,7 +44,7 @@
 FAR_TRIES = ((1.0, 0.0), (1.5, 0.0), (1.5, RESENT_S))
 # A stream that loses its first engine runs once more, over other engines: more than a
 # part that is read again, so that an engine which is merely starved isn't left for it.
-FIRST_EXTRA_S = (0.045, 0.13, 0.0)
+FIRST_EXTRA_S = (0.045, 0.2, 0.0)
 # A time limit that is noticed this late says that this process stood still; what the
 # engine answered meanwhile is yet to be read.
 OWN_DELAY_S = 0.03
