--- a/libs/node/src/cherryrudder/node/streamchains.py
+++ b/libs/node/src/cherryrudder/node/streamchains.py
@@ -23,6 +23,9 @@
 # Some layers are held by no engine that may be used, or by none with room.
 NO_CHAIN = "no chain"
 NO_ROOM = "no room"
+# Part of the time between two heartbeats after which nearly all engines have announced
+# themselves to control VMs that start anew: they beat at once when one is back.
+ANNOUNCED_SHARE = 0.5
 # How long a chain that was found for a stream is kept: until its attempt has ended.
 OFFER_S = 0.05
 
@@ -187,12 +190,12 @@
 def _choose_mixed(stream, engines, need, now):
     """Return a chain over several data centres, as far as the pipes allow.
 
-    Not before each engine has had the time to announce itself to an entry that has just
-    started: after a loss of power no data centre seems whole for some tenths of a
-    second, and chains over all of them would fill the pipes for seconds.
+    Not before most engines have had the time to announce themselves to an entry that
+    has just started: after a loss of power no data centre seems whole for some tenths
+    of a second, and chains over all of them would fill the pipes for seconds.
     """
     state, model = stream.job.state, stream.job.service.model
-    if now - state.started_s < state.settings.heartbeat_s:
+    if now - state.started_s < ANNOUNCED_SHARE * state.settings.heartbeat_s:
         return None
     tokens = stream.job.facts.prompt_tokens
     least_s = pipes.crossing_s(model, tokens, 1)
