--- a/libs/node/src/cherryrudder/node/streamchains.py
+++ b/libs/node/src/cherryrudder/node/streamchains.py
@@ -23,8 +23,8 @@
 # Some layers are held by no engine that may be used, or by none with room.
 NO_CHAIN = "no chain"
 NO_ROOM = "no room"
-# Part of the time between two heartbeats after which nearly all engines have announced
-# themselves to control VMs that start anew: they beat at once when one is back.
+# How long an entry waits after its start before a hole in the layers counts as one and
+# not as an engine that is yet to be heard, in times between two heartbeats.
 ANNOUNCED_SHARE = 0.5
 # How long a chain that was found for a stream is kept: until its attempt has ended.
 OFFER_S = 0.05
