Log the request rates that engines ask for

An answer's `Server-Limit` is read now; an entry writes `engine-limit` when an engine names one, changes it or ends it, and counts it as a belief. An answer to a request that was sent before the limit was known ends none, as the engine may have made it before. No choice depends on any of it yet.

Unreadable values (no number, below 0, infinite) have a line of their own and change nothing; of several values the lowest counts.

--- a/libs/node/src/cherryrudder/node/attempts.py
+++ b/libs/node/src/cherryrudder/node/attempts.py
@@ -11,6 +11,7 @@
 from cherryrudder.relay.errors import AnswerBroken
 from cherryrudder.replica.clock import now_s
 
+from . import ratekeeper
 from .job import Failed, Job, Whole
 
 # A connection in the same region is there within some milliseconds. One lost packet is
@@ -23,6 +24,8 @@
 BUDGET_POLL_S = 0.1
 # A success without the engine's seal is none of its answers.
 FIRST_OK, LAST_OK = 200, 299
+# The status of an engine that isn't the incarnation that was asked for.
+OTHER_INCARNATION = 421
 
 # To clients these statuses promise that the request has not run and never will.
 PROMISES_NOT_RUN = frozenset({408, 421, 429, 503})
@@ -45,6 +48,7 @@
     """Send the request; raises AnswerBroken."""
     request = job.exchange.request
     headers = job.engine_headers(sending)
+    job.sent_s = now_s()
     await connection.send(request.method, request.target, headers, request.body)
 
 
@@ -60,11 +64,11 @@
 
 
 async def read_own_head(
-    job: Job, connection: EngineConnection, timeout_s: float
+    job: Job, connection: EngineConnection, engine_id: str, timeout_s: float
 ) -> tuple[Head, AnswerFacts]:
     """Return the answer's head, past late answers to other requests.
 
-    Raises AnswerBroken, AnswerLate.
+    What it says of the engine's limit is taken in. Raises AnswerBroken, AnswerLate.
     """
     end_s = now_s() + timeout_s
     while True:
@@ -72,6 +76,8 @@
         facts = messages.read_answer(head.headers)
         if not is_foreign(job, facts):
             check_seal(head, facts)
+            if head.status != OTHER_INCARNATION:
+                ratekeeper.note_answer(job, engine_id, facts, now_s())
             return head, facts
         job.note("foreign-answer", address=connection.address)
         while await connection.read() is not None:
--- a/libs/node/src/cherryrudder/node/entrystate.py
+++ b/libs/node/src/cherryrudder/node/entrystate.py
@@ -17,6 +17,7 @@
 from cherryrudder.routing import endpoints, hangs, slowness, suspicion
 from cherryrudder.routing.endpoints import Announcement
 from cherryrudder.routing.hangs import Hangs
+from cherryrudder.routing.ratelimits import LimitBook
 from cherryrudder.routing.routetable import RouteTable
 from cherryrudder.routing.slowness import SlownessBook
 from cherryrudder.routing.suspicion import Suspicions
@@ -71,6 +72,7 @@
         self.suspicions = Suspicions()
         self.slowness = SlownessBook()
         self.hangs = Hangs()
+        self.limits = LimitBook()
         self.crashes = CrashDesk(self.boot, sink, metrics)
         self.broken = BrokenRuns()
         self.table: RouteTable | None = None
--- a/libs/node/src/cherryrudder/node/job.py
+++ b/libs/node/src/cherryrudder/node/job.py
@@ -71,6 +71,8 @@
         # The same for each attempt of the client, whichever entry it comes to.
         self.fingerprint = _fingerprint(exchange.request, facts.host, admitted.account)
         self.attempts = 0
+        # When the newest attempt went out.
+        self.sent_s = 0.0
         self.outcome = "cut"
         self.first_byte_s: float | None = None
         # The last piece that the client got, and the longest pause before one.
--- a/libs/node/src/cherryrudder/node/plainrelay.py
+++ b/libs/node/src/cherryrudder/node/plainrelay.py
@@ -126,7 +126,7 @@
 
 async def _read(job, connection, place):
     head, facts = await attempts.read_own_head(
-        job, connection, patience_s(job, now_s())
+        job, connection, place.engine_id, patience_s(job, now_s())
     )
     body = await _read_body(connection)
     if facts.load is not None:
--- a/libs/node/src/cherryrudder/node/streamrelay.py
+++ b/libs/node/src/cherryrudder/node/streamrelay.py
@@ -231,7 +231,9 @@
 async def _relay(stream, connection):
     """Pass an engine's answer on; return what kept it from its end, if anything."""
     job = stream.job
-    head, facts = await attempts.read_own_head(job, connection, job.left_s())
+    head, facts = await attempts.read_own_head(
+        job, connection, stream.chain[0].engine_id, job.left_s()
+    )
     _note_head(stream)
     if facts.is_not_run:
         await _read_rest(connection)
--- a/libs/node/src/cherryrudder/node/uplink.py
+++ b/libs/node/src/cherryrudder/node/uplink.py
@@ -11,7 +11,14 @@
 from cherryrudder.policy import sharedbudget
 from cherryrudder.relay import pool
 from cherryrudder.replica.clock import now_s
-from cherryrudder.routing import configlog, endpoints, hangs, slowness, suspicion
+from cherryrudder.routing import (
+    configlog,
+    endpoints,
+    hangs,
+    ratelimits,
+    slowness,
+    suspicion,
+)
 from cherryrudder.routing.endpoints import Announcement
 from cherryrudder.routing.routetable import RouteTable
 from cherryrudder.wire.frames import FrameCodec
@@ -136,6 +143,7 @@
             known = set(state.endpoints.table.entries)
             suspicion.forget(state.suspicions, known)
             hangs.forget(state.hangs, known)
+            ratelimits.forget(state.limits, known)
             for engine_id in set(state.leaving_s) - known:
                 del state.leaving_s[engine_id]
             brokenruns.sweep(state.broken, now)
