Keep to the request rates that engines ask for, all entries together

What callers saw: nothing; the engines did. One that takes 2.5 requests a second got 32 in 4 s (20 allowed), as its answers' `Server-Limit` had no reader.

Cause: backpressure that isn't heard. An entry knew an engine's load, silence and refusals, and nothing of what it asks for; what one entry heard stayed there.

Change: a limit is taken from answers, told to all processes at once and again with beats, and kept by turns. A control VM of the engine's data centre hands them out one by one for requests that are there; without one an engine begins nothing and the request goes elsewhere, waits, or is refused unrun with the time until its turn.

The stubs of two older tests get the entry's new field; their checks are unchanged.

--- a/libs/node/src/cherryrudder/node/control.py
+++ b/libs/node/src/cherryrudder/node/control.py
@@ -31,7 +31,7 @@
         group.start_soon(
             surface.serve,
             f"{settings.ip}:{surface.PORTS['control']}",
-            Shown(metrics, state.crashes, beats.tell_crashes),
+            Shown(metrics, state.crashes, beats.tell_crashes, beats.rates.told),
         )
         group.start_soon(seatkeeper.run, state, beats.on_applied)
         group.start_soon(LayerKeeper(state, beats, group).run)
--- a/libs/node/src/cherryrudder/node/controlbeats.py
+++ b/libs/node/src/cherryrudder/node/controlbeats.py
@@ -22,12 +22,15 @@
     EndpointNews,
     EntryBeat,
     Finding,
+    LimitNews,
     PaceNews,
     Question,
     TableMark,
+    TurnAsk,
     Usage,
 )
 from .pacewatch import PaceWatch
+from .rategiver import RateGiver
 from .verification import Verifier
 
 BEAT_S = 0.5
@@ -63,6 +66,7 @@
         self.links = Links(group, codec, gossip.KEY, state.address, self._on_down)
         self.verifier = Verifier(state, self.links, group)
         self.pace = PaceWatch(state, self.links, group)
+        self.rates = RateGiver(state, self.links)
         self._codec = codec
         # Entries' beats that wait for the next confirmation.
         self._waiting: dict[str, EntryBeat] = {}
@@ -146,6 +150,10 @@
                 self.pace.hear_seen(message)
             case DeathNotice():
                 self.verifier.condemn(message.engine_id)
+            case LimitNews():
+                self.rates.hear(message.limits, now_s())
+            case TurnAsk():
+                self.rates.answer(message, now_s())
 
     def _on_entry(self, beat):
         state, now = self.state, now_s()
@@ -155,6 +163,7 @@
             )
         if beat.crashes is not None:
             self._pass_on(state.crashes.take(beat.address, beat.crashes, now))
+        self.rates.hear(beat.limits, now)
         self._waiting[beat.address] = beat
         self._wake.set()
         if not beat.version:
@@ -173,6 +182,7 @@
         tablesync.take_alive(state.endpoints, beat.alive, now)
         if beat.crashes is not None:
             self._pass_on(state.crashes.take(beat.address, beat.crashes, now))
+        self.rates.hear(beat.limits, now)
 
     def _pass_on(self, fingerprints):
         """Tell the entries nearby at once of what may change how they decide."""
@@ -206,6 +216,7 @@
                 state.sink.write("control", "entry-lost", True, address=address)
             tablesync.sweep(state.endpoints, now)
             self.verifier.review(now)
+            self.rates.sweep(now)
             present = {*roster.targets(state.roster, now), *state.entries.heard}
             state.crashes.review(present, now)
             await anyio.sleep(BEAT_S)
@@ -229,6 +240,7 @@
             endpoints=tablesync.news_since(state.endpoints, seen, now),
             alive=tablesync.signs(state.endpoints, now),
             crashes=state.crashes.message(address, now),
+            limits=self.rates.told(now),
         )
 
     async def _confirm(self):
@@ -288,6 +300,7 @@
                 if beat.crashes is not None
                 else None
             ),
+            limits=self.rates.told(now),
         )
         self.links.send(beat.address, answer)
 
--- a/libs/node/src/cherryrudder/node/entry.py
+++ b/libs/node/src/cherryrudder/node/entry.py
@@ -1,5 +1,7 @@
 """The entry process: clients' connections and the platform's question of readiness."""
 
+from functools import partial
+
 import anyio
 
 from cherryrudder.platform import calls
@@ -10,7 +12,7 @@
 from cherryrudder.routing import endpoints, gatekeeping
 from cherryrudder.routing.configuration import DEFAULT_LIMITS
 
-from . import httpserver, surface
+from . import httpserver, ratekeeper, surface
 from .entrystate import EntryState
 from .frontdoor import FrontDoor
 from .httpserver import HttpServer
@@ -44,7 +46,12 @@
         group.start_soon(
             surface.serve,
             f"{settings.ip}:{surface.PORTS['entry']}",
-            Shown(metrics, state.crashes, uplink.tell_crashes),
+            Shown(
+                metrics,
+                state.crashes,
+                uplink.tell_crashes,
+                partial(ratekeeper.dump, state.rates),
+            ),
         )
         group.start_soon(_tidy, state, server, door)
         await leaving.wait()
--- a/libs/node/src/cherryrudder/node/entrystate.py
+++ b/libs/node/src/cherryrudder/node/entrystate.py
@@ -17,17 +17,17 @@
 from cherryrudder.routing import endpoints, hangs, slowness, suspicion
 from cherryrudder.routing.endpoints import Announcement
 from cherryrudder.routing.hangs import Hangs
-from cherryrudder.routing.ratelimits import LimitBook
 from cherryrudder.routing.routetable import RouteTable
 from cherryrudder.routing.slowness import SlownessBook
 from cherryrudder.routing.suspicion import Suspicions
 
-from . import gossip
+from . import gossip, ratekeeper
 from .brokenruns import BrokenRuns
 from .crashdesk import CrashDesk
 from .gossip import Usage
 from .linesink import LineSink
 from .metrics import Metrics
+from .ratekeeper import RateKeeper
 from .roster import Roster
 from .tablesync import SharedTable
 
@@ -72,7 +72,7 @@
         self.suspicions = Suspicions()
         self.slowness = SlownessBook()
         self.hangs = Hangs()
-        self.limits = LimitBook()
+        self.rates = RateKeeper()
         self.crashes = CrashDesk(self.boot, sink, metrics)
         self.broken = BrokenRuns()
         self.table: RouteTable | None = None
@@ -242,7 +242,9 @@
     address = announcement.address
     own = _own(state, address)
     others = otherload.estimate(state.others, address, own, state.peers)
-    is_hung = hangs.is_resting(state.hangs, announcement.engine_id, now)
+    is_barred = hangs.is_resting(
+        state.hangs, announcement.engine_id, now
+    ) or not ratekeeper.may_begin(state, announcement.engine_id, now)
     is_full = now < state.full_until_s.get(address, 0.0)
     return Candidate(
         address=address,
@@ -254,7 +256,7 @@
         running=own.running + others.running,
         tokens=math.inf if is_full else own.tokens + others.tokens,
         # One that begins nothing still runs its part of other engines' requests.
-        firsts=math.inf if is_hung else own.firsts + others.firsts,
+        firsts=math.inf if is_barred else own.firsts + others.firsts,
         # The others have as much on the way as this entry; they don't tell.
         unread=state.unread.get(address, 0) * (1.0 + state.peers),
         jitter=1.0 + JITTER * state.rng.random(),
--- a/libs/node/src/cherryrudder/node/gossip.py
+++ b/libs/node/src/cherryrudder/node/gossip.py
@@ -82,6 +82,15 @@
     records: tuple[ToldRecord, ...]
 
 
+class ToldLimit(NamedTuple):
+    """The requests a second that an engine takes, as it said `age_s` ago."""
+
+    engine_id: str
+    # None when it no longer names a limit.
+    per_s: float | None
+    age_s: float
+
+
 class EntryBeat(NamedTuple):
     """An entry's regular message to each control VM."""
 
@@ -103,6 +112,7 @@
     wants_all: bool
     # For the control VM that is asked for all, and at first for each.
     crashes: CrashSync | None = None
+    limits: tuple[ToldLimit, ...] = ()
 
 
 class ControlAnswer(NamedTuple):
@@ -128,6 +138,7 @@
     entries: int
     # To a beat that brought some.
     crashes: CrashSync | None = None
+    limits: tuple[ToldLimit, ...] = ()
 
 
 class ControlBeat(NamedTuple):
@@ -149,6 +160,7 @@
     endpoints: tuple[Heard, ...]
     alive: tuple[Alive, ...]
     crashes: CrashSync | None = None
+    limits: tuple[ToldLimit, ...] = ()
 
 
 class EndpointNews(NamedTuple):
@@ -210,6 +222,30 @@
     records: tuple[ToldRecord, ...]
 
 
+class LimitNews(NamedTuple):
+    """Engines that have just named a limit, changed it or ended it."""
+
+    limits: tuple[ToldLimit, ...]
+
+
+class TurnAsk(NamedTuple):
+    """An entry has requests that could begin at a limited engine."""
+
+    # Where the entry takes the answer.
+    sender: str
+    limit: ToldLimit
+    count: int
+
+
+class TurnAnswer(NamedTuple):
+    """How many requests the entry may send; see `turns.Given`."""
+
+    engine_id: str
+    turns: int
+    next_s: float
+    wait_s: float
+
+
 class Complaint(NamedTuple):
     """A stream goes slower than its chain should; one of these engines is slow."""
 
@@ -238,6 +274,9 @@
     CrashNews,
     Complaint,
     PaceNews,
+    LimitNews,
+    TurnAsk,
+    TurnAnswer,
 )
 
 # Nobody but this system's processes knows the internal ports; the key only keeps a
--- a/libs/node/src/cherryrudder/node/job.py
+++ b/libs/node/src/cherryrudder/node/job.py
@@ -49,6 +49,8 @@
     is_broken: bool = False
     # An engine's own failure, to be passed on if nothing better comes.
     whole: Whole | None = None
+    # When the client may come back, where that is known.
+    retry_after_s: float | None = None
 
 
 class Job:
@@ -175,7 +177,8 @@
             await self.pass_on(failed.whole)
             return
         if failed.is_not_run:
-            refused = Refused(503, failed.reason, self.retry_after_s())
+            retry_after_s = failed.retry_after_s or self.retry_after_s()
+            refused = Refused(503, failed.reason, retry_after_s)
         elif failed.is_late:
             refused = Refused(504, failed.reason)
         else:
--- a/libs/node/src/cherryrudder/node/plainrelay.py
+++ b/libs/node/src/cherryrudder/node/plainrelay.py
@@ -6,6 +6,8 @@
 
 from collections.abc import Callable
 
+import anyio
+
 from cherryrudder.relay import pool
 from cherryrudder.relay.errors import AnswerBroken, AnswerLate, ConnectFailed
 from cherryrudder.replica.clock import now_s
@@ -13,7 +15,7 @@
 from cherryrudder.routing.crashbook import FINISHED
 from cherryrudder.routing.picking import Place
 
-from . import attempts, brokenruns, crashes
+from . import attempts, brokenruns, crashes, ratekeeper
 from .entrystate import ToldLoad, is_suspect, serving
 from .gossip import CrashNews
 from .job import ANSWER_MARGIN_S, Failed, Job, Whole
@@ -24,7 +26,10 @@
 PATIENCE_SHARE = 0.4
 # Time that a second attempt needs to be worth sending: the work is 20 to 70 ms.
 EXPECTED_S = 0.05
+# Between two looks for a turn at endpoints that limit their requests.
+LEAST_PAUSE_S = 0.01
 NO_ENDPOINT = Failed("no endpoint", is_not_run=True, is_sent=False)
+LIMITED = Failed("endpoints limit their requests", is_not_run=True, is_sent=False)
 
 
 async def serve(job: Job, tell: Callable[[CrashNews | None], None]) -> None:
@@ -33,10 +38,10 @@
     failed = NO_ENDPOINT
     has_run = False
     while True:
-        place = picking.pick(
-            _places(job), job.state.settings.vm_zone, excluded, job.state.rng
-        )
-        if place is None:
+        place = await _choose(job, excluded)
+        if isinstance(place, Failed):
+            if failed is NO_ENDPOINT:
+                failed = place
             break
         result = await _attempt(job, place)
         if isinstance(result, Whole):
@@ -63,6 +68,42 @@
     await job.fail(failed)
 
 
+async def _choose(job, excluded):
+    """Return the endpoint for the next attempt, or why there is none."""
+    state = job.state
+    while True:
+        denied: set[str] = set()
+        while (place := _pick(job, excluded | denied)) is not None:
+            if not ratekeeper.may_begin(state, place.engine_id, now_s()):
+                await ratekeeper.obtain(state, [place.engine_id])
+            if ratekeeper.may_begin(state, place.engine_id, now_s()):
+                ratekeeper.begin(state, place.engine_id, now_s())
+                return place
+            denied.add(place.engine_id)
+        if not denied:
+            return NO_ENDPOINT
+        now = now_s()
+        wait_s = ratekeeper.wait_s(state, denied, now)
+        if now + wait_s > job.arrived_s + job.route.objective_s - EXPECTED_S:
+            retry_after_s = ratekeeper.retry_after_s(state, wait_s)
+            return LIMITED._replace(retry_after_s=retry_after_s)
+        await anyio.sleep(max(LEAST_PAUSE_S, wait_s))
+
+
+def _pick(job, excluded):
+    """Return the best endpoint; far ones without a turn only when no other is left."""
+    state, now = job.state, now_s()
+    places, home_zone = _places(job), state.settings.vm_zone
+    far = {
+        place.engine_id
+        for place in places
+        if place.vm_zone != home_zone
+        and not ratekeeper.may_begin(state, place.engine_id, now)
+    }
+    place = picking.pick(places, home_zone, excluded | far, state.rng)
+    return place or picking.pick(places, home_zone, excluded, state.rng)
+
+
 def _places(job):
     state, now = job.state, now_s()
     return [
--- /dev/null
+++ b/libs/node/src/cherryrudder/node/rategiver.py
@@ -0,0 +1,82 @@
+"""Handing out the turns of engines that limit their requests, at a control VM.
+
+Entries ask a control VM of the engine's data centre. Limits are passed on to the
+entries nearby as soon as they are heard; beats repair what was lost.
+"""
+
+from collections.abc import Collection
+
+from cherryrudder.policy import turns
+from cherryrudder.policy.turns import Giver
+from cherryrudder.routing import ratelimits
+from cherryrudder.routing.ratelimits import Limit, LimitBook
+
+from . import ratekeeper, roster
+from .controlstate import ControlState
+from .gossip import LimitNews, ToldLimit, TurnAnswer, TurnAsk
+
+
+class RateGiver:
+    """The limits that one control process knows, and the turns that it gives."""
+
+    def __init__(self, state: ControlState, links):
+        self.state = state
+        self.links = links
+        self.book = LimitBook()
+        self._givers: dict[str, Giver] = {}
+
+    def hear(self, told: Collection[ToldLimit], now_s: float) -> None:
+        """Take limits that others have heard, and pass on what is news."""
+        news = [one for one in told if self._is_news(one, now_s)]
+        if not news:
+            return
+        for beat in roster.beats(self.state.entries, now_s):
+            if self._passes_on_to(beat.vm_zone, now_s):
+                self.links.send(beat.address, LimitNews(tuple(news)))
+
+    def answer(self, ask: TurnAsk, now_s: float) -> None:
+        """Hand out turns of an engine."""
+        self.hear((ask.limit,), now_s)
+        engine_id = ask.limit.engine_id
+        limit_per_s = ratelimits.limit_of(self.book, engine_id)
+        if limit_per_s is None:
+            # It has ended; the news of that is on its way to the sender.
+            limit_per_s = ask.limit.per_s or 0.0
+        giver = self._givers.setdefault(engine_id, Giver(now_s))
+        given = turns.give(giver, ask.sender, ask.count, limit_per_s, now_s)
+        outcome = "given" if given.turns else "denied"
+        self.state.metrics.turns.labels(outcome).inc()
+        self.links.send(ask.sender, TurnAnswer(engine_id, *given))
+
+    def told(self, now_s: float) -> tuple[ToldLimit, ...]:
+        """Return the limits as other processes are told them."""
+        return ratekeeper.told(self.book, now_s)
+
+    def sweep(self, now_s: float) -> None:
+        """Forget engines that are gone, and limits that ended long ago."""
+        known = self.state.endpoints.table.entries
+        ratelimits.sweep(self.book, known, now_s)
+        self._givers = {e: g for e, g in self._givers.items() if e in self.book.limits}
+
+    def _is_news(self, one, now_s):
+        said = Limit(one.per_s, now_s - one.age_s)
+        if not ratelimits.hear(self.book, one.engine_id, said):
+            return False
+        self.state.sink.write(
+            "rates",
+            "engine-limit",
+            True,
+            engine_id=one.engine_id,
+            limit_per_s=one.per_s,
+        )
+        return True
+
+    def _passes_on_to(self, vm_zone, now_s):
+        """Tell whether the entries of a data centre hear of news from here.
+
+        Those without a control VM of their own hear it from all others.
+        """
+        if vm_zone == self.state.settings.vm_zone:
+            return True
+        beats = roster.beats(self.state.roster, now_s)
+        return vm_zone not in {beat.vm_zone for beat in beats}
--- a/libs/node/src/cherryrudder/node/ratekeeper.py
+++ b/libs/node/src/cherryrudder/node/ratekeeper.py
@@ -1,32 +1,190 @@
-"""What an entry makes of the request rates that engines ask it to keep to."""
+"""Keeping to the request rates that engines ask for, at an entry.
 
-from typing import TYPE_CHECKING
+An entry takes limits from engines' answers and from what other processes tell, and asks
+the engine's giver (`rategiver`) for a turn before it sends a request to a limited one.
+"""
+
+from collections.abc import Callable, Collection
+from typing import TYPE_CHECKING, NamedTuple
+
+import anyio
 
 from cherryrudder.platform.messages import AnswerFacts
+from cherryrudder.policy import turns
+from cherryrudder.policy.turns import Given, Held
+from cherryrudder.replica.clock import now_s
 from cherryrudder.routing import ratelimits
-from cherryrudder.routing.ratelimits import Limit
+from cherryrudder.routing.ratelimits import Limit, LimitBook
+
+from .gossip import LimitNews, ToldLimit, TurnAnswer, TurnAsk
 
 if TYPE_CHECKING:
+    from .entrystate import EntryState
     from .job import Job
 
+# A giver in the same data centre answers within some milliseconds, one in another
+# region within 50.
+ANSWER_S = 0.06
+# Clients that are told to come back are spread over this much more time.
+RETRY_SPREAD = 0.5
+
+
+class LimitShown(NamedTuple):
+    """A limit as the operators are shown it."""
+
+    engine_id: str
+    limit_per_s: float | None
+    age_s: float
+    # Turns that this entry may use now.
+    turns: int
+    wait_s: float
+
+
+class RateKeeper:
+    """What one entry knows of engines' limits, and its turns."""
+
+    def __init__(self):
+        self.book = LimitBook()
+        self.held: dict[str, Held] = {}
+        # Replaced by the uplink: send an ask to an engine's giver, and a limit to all.
+        self.send_ask: Callable[[TurnAsk], None] = lambda ask: None
+        self.spread: Callable[[LimitNews], None] = lambda news: None
+        # Set when a giver has answered, and replaced by whoever waits for it.
+        self.answered = anyio.Event()
+
 
 def note_answer(job: "Job", engine_id: str, facts: AnswerFacts, now_s: float) -> None:
-    """Take what an engine's answer says of its limit."""
-    book = job.state.limits
+    """Take what an engine's answer says of its limit, and tell the others."""
+    rates = job.state.rates
     if facts.has_bad_limit:
         job.note("engine-limit-unreadable", engine_id=engine_id)
     if facts.has_bad_limit and facts.limit_per_s is None:
         return
-    known = book.limits.get(engine_id)
+    known = rates.book.limits.get(engine_id)
     if facts.limit_per_s is None and (known is None or job.sent_s <= known.said_s):
         # The engine may have made this answer before it named the limit.
         return
-    if ratelimits.hear(book, engine_id, Limit(facts.limit_per_s, now_s)):
-        job.state.metrics.beliefs.labels("engine-limit").inc()
-        job.note(
-            "engine-limit",
-            True,
-            engine_id=engine_id,
-            limit_per_s=facts.limit_per_s,
-            old_limit_per_s=known and known.per_s,
+    if ratelimits.hear(rates.book, engine_id, Limit(facts.limit_per_s, now_s)):
+        job.note("engine-limit-named", True, engine_id=engine_id)
+        _note_change(job.state, engine_id, known)
+        rates.spread(LimitNews((ToldLimit(engine_id, facts.limit_per_s, 0.0),)))
+
+
+def hear(state: "EntryState", told: Collection[ToldLimit], now_s: float) -> None:
+    """Take limits that other processes have heard of."""
+    book = state.rates.book
+    for one in told:
+        known = book.limits.get(one.engine_id)
+        said = Limit(one.per_s, now_s - one.age_s)
+        if ratelimits.hear(book, one.engine_id, said):
+            _note_change(state, one.engine_id, known)
+
+
+def _note_change(state, engine_id, before):
+    state.metrics.beliefs.labels("engine-limit").inc()
+    state.sink.write(
+        "rates",
+        "engine-limit",
+        True,
+        engine_id=engine_id,
+        limit_per_s=ratelimits.limit_of(state.rates.book, engine_id),
+        old_limit_per_s=before and before.per_s,
+    )
+
+
+def told(book: LimitBook, now_s: float) -> tuple[ToldLimit, ...]:
+    """Return the limits as other processes are told them."""
+    return tuple(
+        ToldLimit(engine_id, limit.per_s, now_s - limit.said_s)
+        for engine_id, limit in book.limits.items()
+    )
+
+
+def sweep(rates: RateKeeper, known: Collection[str], now_s: float) -> None:
+    """Forget engines that are gone, and limits that ended long ago."""
+    ratelimits.sweep(rates.book, known, now_s)
+    rates.held = {e: h for e, h in rates.held.items() if e in rates.book.limits}
+
+
+def may_begin(state: "EntryState", engine_id: str, now_s: float) -> bool:
+    """Tell whether a request may begin at an engine now."""
+    limit_per_s = ratelimits.limit_of(state.rates.book, engine_id)
+    if limit_per_s is None:
+        return True
+    held = _held(state.rates, engine_id)
+    return turns.has_turn(held, limit_per_s, state.entries, now_s)
+
+
+def begin(state: "EntryState", engine_id: str, now_s: float) -> None:
+    """Take the turn of a request that is about to be sent."""
+    if ratelimits.limit_of(state.rates.book, engine_id) is not None:
+        turns.use(_held(state.rates, engine_id), now_s)
+
+
+def ask(state: "EntryState", engine_ids: Collection[str], now_s: float) -> None:
+    """Ask for a turn at each engine whose giver may have one."""
+    rates = state.rates
+    for engine_id in engine_ids:
+        held = _held(rates, engine_id)
+        if not turns.may_ask(held, now_s):
+            continue
+        turns.note_ask(held, now_s)
+        limit = rates.book.limits[engine_id]
+        told = ToldLimit(engine_id, limit.per_s, now_s - limit.said_s)
+        rates.send_ask(TurnAsk(state.address, told, 1))
+
+
+async def obtain(state: "EntryState", engine_ids: Collection[str]) -> None:
+    """Ask for a turn at each engine, and wait for the answers for a short time."""
+    rates, asked_s = state.rates, now_s()
+    needed = [e for e in engine_ids if not may_begin(state, e, asked_s)]
+    ask(state, needed, asked_s)
+
+    def is_open(engine_id):
+        if may_begin(state, engine_id, now_s()):
+            return False
+        return turns.is_pending(_held(rates, engine_id), now_s())
+
+    with anyio.move_on_after(ANSWER_S):
+        while any(is_open(engine_id) for engine_id in needed):
+            await rates.answered.wait()
+
+
+def take(state: "EntryState", answer: TurnAnswer, now_s: float) -> None:
+    """Take a giver's answer."""
+    rates = state.rates
+    held = _held(rates, answer.engine_id)
+    turns.take(held, Given(*answer[1:]), now_s)
+    outcome = "given" if answer.turns else "denied"
+    state.metrics.turns.labels(outcome).inc()
+    rates.answered.set()
+    rates.answered = anyio.Event()
+
+
+def wait_s(state: "EntryState", engine_ids: Collection[str], now: float) -> float:
+    """Return the time until one of some limited engines may take a request."""
+    waits_s = [turns.wait_s(_held(state.rates, e), now) for e in engine_ids]
+    return min(waits_s, default=0.0)
+
+
+def retry_after_s(state: "EntryState", wait_s: float) -> float:
+    """Return when a client may come back, spread so that not all come at once."""
+    return max(0.1, wait_s) * (1.0 + RETRY_SPREAD * state.rng.random())
+
+
+def dump(rates: RateKeeper, now_s: float) -> list[LimitShown]:
+    """Return the limits for the operators."""
+    return [
+        LimitShown(
+            engine_id,
+            limit.per_s,
+            round(now_s - limit.said_s, 3),
+            len(_held(rates, engine_id).until_s),
+            round(turns.wait_s(_held(rates, engine_id), now_s), 3),
         )
+        for engine_id, limit in rates.book.limits.items()
+    ]
+
+
+def _held(rates, engine_id):
+    return rates.held.setdefault(engine_id, Held())
--- a/libs/node/src/cherryrudder/node/streamchains.py
+++ b/libs/node/src/cherryrudder/node/streamchains.py
@@ -8,7 +8,7 @@
 from cherryrudder.policy.roomqueue import Waiting
 from cherryrudder.replica.clock import now_s
 
-from . import entrystate
+from . import entrystate, ratekeeper
 from .stream import Offer
 
 if TYPE_CHECKING:
@@ -23,6 +23,8 @@
 # Some layers are held by no engine that may be used, or by none with room.
 NO_CHAIN = "no chain"
 NO_ROOM = "no room"
+# All engines at which the stream may begin limit their requests, and no turn is free.
+LIMITED = "engines limit their requests"
 # How long an entry waits after its start before a hole in the layers counts as one and
 # not as an engine that is yet to be heard, in times between two heartbeats.
 ANNOUNCED_SHARE = 0.5
@@ -35,6 +37,7 @@
     job, began_s = stream.job, now_s()
     stream.refusal = ""
     desk = stream.watch.desks.of(job.service.name)
+    await _obtain_turn(stream)
     try:
         chain = await desk.find(
             _waiting(stream),
@@ -49,10 +52,44 @@
     job.note_wait(now_s() - began_s, stream.refusal)
     if chain is None:
         stream.retry_after_s = desk.retry_after_s()
+        if stream.refusal == LIMITED:
+            limited = _limited_firsts(stream, now_s())
+            wait_s = max(
+                stream.retry_after_s, ratekeeper.wait_s(job.state, limited, now_s())
+            )
+            stream.retry_after_s = ratekeeper.retry_after_s(job.state, wait_s)
         _note_no_chain(stream)
     return chain
 
 
+async def _obtain_turn(stream):
+    """Ask for a turn at a limited engine that is beside this entry.
+
+    Its giver is near, too, and answers sooner than the stream would get to another data
+    centre. Farther engines are asked for when nothing else is left.
+    """
+    state, now = stream.job.state, now_s()
+    if state.rates.book.limits:
+        limited = _limited_firsts(stream, now, state.settings.vm_zone)
+        await ratekeeper.obtain(state, limited)
+
+
+def _limited_firsts(stream, now, vm_zone=""):
+    """Return the limited engines at which a stream could begin if it had a turn."""
+    state, avoided = stream.job.state, stream.excluded(now)
+    only_at = bounding_firsts(stream)
+    return [
+        one.engine_id
+        for one in entrystate.serving(state, stream.job.service.name, now)
+        if one.engine_id in state.rates.book.limits
+        and one.holding.first == 0 < one.holding.end
+        and vm_zone in ("", one.vm_zone)
+        and one.address not in avoided
+        and (not only_at or one.engine_id in only_at)
+        and not ratekeeper.may_begin(state, one.engine_id, now)
+    ]
+
+
 def _waiting(stream):
     """Return what the queue is told of a stream.
 
@@ -139,6 +176,7 @@
     if chain is not None:
         stream.chain = chain
         stream.is_counted = True
+        ratekeeper.begin(stream.job.state, chain[0].engine_id, now_s())
         entrystate.began(stream.job.state, chain, stream.tokens)
     return chain
 
@@ -155,6 +193,8 @@
         for part in offer.chain
     ):
         return None
+    if not ratekeeper.may_begin(stream.job.state, offer.chain[0].engine_id, now):
+        return None
     stream.expected_pause_s = offer.expected_pause_s
     return offer.chain
 
@@ -175,8 +215,7 @@
     if chain is None:
         chain = _choose_mixed(stream, engines, need, now)
     if chain is None:
-        is_whole = chains.is_whole(job.service.model, engines)
-        stream.refusal = NO_ROOM if is_whole else NO_CHAIN
+        stream.refusal = _refusal(stream, engines, now)
         return None
     if not chains.covers(chain, job.service.model.layers):
         # Checked again where it is sent: a layer left out or run twice spoils every
@@ -187,6 +226,17 @@
     return chain
 
 
+def _refusal(stream, engines, now):
+    """Return why there is no chain, and ask for turns if these are what it lacks."""
+    job = stream.job
+    limited = _limited_firsts(stream, now) if job.state.rates.book.limits else []
+    if limited:
+        ratekeeper.ask(job.state, limited, now)
+        return LIMITED
+    is_whole = chains.is_whole(job.service.model, engines)
+    return NO_ROOM if is_whole else NO_CHAIN
+
+
 def _choose_mixed(stream, engines, need, now):
     """Return a chain over several data centres, as far as the pipes allow.
 
@@ -228,4 +278,5 @@
         free_tokens=round(free),
         own_streams=len(stream.watch.streams),
         only_at=sorted(bounding_firsts(stream)),
+        limited=_limited_firsts(stream, now_s()),
     )
--- a/libs/node/src/cherryrudder/node/surface.py
+++ b/libs/node/src/cherryrudder/node/surface.py
@@ -20,6 +20,7 @@
 METRICS_PATH = "/metrics"
 BLOCKS_PATH = "/blocks"
 LIFT_PATH = "/blocks/lift/"
+LIMITS_PATH = "/limits"
 TEXT = [(b"content-type", b"text/plain; version=0.0.4")]
 JSON = [(b"content-type", b"application/json")]
 UNKNOWN = {"error": {"code": "unknown", "message": "no such block"}}
@@ -33,6 +34,8 @@
     metrics: Metrics
     desk: CrashDesk
     tell: Callable[[CrashNews], None]
+    # Returns the requests a second that engines ask for.
+    limits: Callable[[float], list]
 
 
 async def serve(address: str, shown: Shown) -> None:
@@ -52,6 +55,9 @@
         return 200, TEXT, shown.metrics.render()
     if (method, path) == ("GET", BLOCKS_PATH):
         return 200, JSON, msgspec.json.encode(shown.desk.dump(now_s))
+    if (method, path) == ("GET", LIMITS_PATH):
+        limits = [one._asdict() for one in shown.limits(now_s)]
+        return 200, JSON, msgspec.json.encode({"limits": limits})
     if method == "POST" and path.startswith(LIFT_PATH):
         fingerprint = path.removeprefix(LIFT_PATH)
         news = shown.desk.lift(fingerprint, now_s)
--- a/libs/node/src/cherryrudder/node/uplink.py
+++ b/libs/node/src/cherryrudder/node/uplink.py
@@ -15,7 +15,6 @@
     configlog,
     endpoints,
     hangs,
-    ratelimits,
     slowness,
     suspicion,
 )
@@ -24,7 +23,15 @@
 from cherryrudder.wire.frames import FrameCodec
 from cherryrudder.wire.links import Links, listen_frames
 
-from . import brokenruns, crashes, entrystate, gossip, roster, tablesync
+from . import (
+    brokenruns,
+    crashes,
+    entrystate,
+    gossip,
+    ratekeeper,
+    roster,
+    tablesync,
+)
 from .entrystate import EntryState
 from .gossip import (
     Accusation,
@@ -37,8 +44,11 @@
     EndNotice,
     EndpointNews,
     EntryBeat,
+    LimitNews,
     PaceNews,
     TableMark,
+    TurnAnswer,
+    TurnAsk,
 )
 
 BEAT_S = 0.5
@@ -68,6 +78,8 @@
         # what is in force.
         self._beaten_s: dict[str, float] = {}
         self._near_confirmed_s = float("-inf")
+        state.rates.send_ask = self._ask_giver
+        state.rates.spread = self._tell_tellers
 
     def start(self) -> None:
         """Start listening and beating."""
@@ -112,10 +124,20 @@
 
     def tell_crashes(self, news: CrashNews | None) -> None:
         """Tell one control VM of each data centre of requests that end engines."""
-        if news is None or not news.records:
-            return
+        if news is not None and news.records:
+            self._tell_tellers(news)
+
+    def _ask_giver(self, ask: TurnAsk):
+        """Send an ask to the control VM that gives an engine's turns."""
+        known = self.state.endpoints.table.entries.get(ask.limit.engine_id)
+        address = known and self._teller_beside(known.announcement)
+        if address:
+            self.links.send(address, ask)
+
+    def _tell_tellers(self, message):
+        """Tell one control VM of each data centre."""
         for address in tellers_of(roster.beats(self.state.controls, now_s())).values():
-            self.links.send(address, news)
+            self.links.send(address, message)
 
     def _teller_beside(self, engine):
         tellers = tellers_of(roster.beats(self.state.controls, now_s()))
@@ -143,7 +165,7 @@
             known = set(state.endpoints.table.entries)
             suspicion.forget(state.suspicions, known)
             hangs.forget(state.hangs, known)
-            ratelimits.forget(state.limits, known)
+            ratekeeper.sweep(state.rates, known, now)
             for engine_id in set(state.leaving_s) - known:
                 del state.leaving_s[engine_id]
             brokenruns.sweep(state.broken, now)
@@ -176,6 +198,7 @@
             spent=sharedbudget.spent(state.budget, now) if is_teller else (),
             wants_all=wants_all,
             crashes=state.crashes.message(address, now) if wants_crashes else None,
+            limits=ratekeeper.told(state.rates.book, now),
         )
 
     def _own_teller(self, tellers):
@@ -203,6 +226,10 @@
                 self._on_acquittal(message)
             case PaceNews():
                 self._on_pace(message)
+            case LimitNews():
+                ratekeeper.hear(self.state, message.limits, now_s())
+            case TurnAnswer():
+                ratekeeper.take(self.state, message, now_s())
 
     def _on_answer(self, answer):
         state, now = self.state, now_s()
@@ -221,6 +248,7 @@
             )
         if answer.crashes is not None:
             state.crashes.take(answer.address, answer.crashes, now)
+        ratekeeper.hear(state, answer.limits, now)
         # A version that is not here yet confirms nothing; the next answer will.
         if 0 < answer.version <= state.version:
             self._confirm(answer.sent_s, now)
--- /dev/null
+++ b/libs/node/test/test_rates.py
@@ -0,0 +1,251 @@
+"""Entries and control VMs that hear of engines which limit their requests."""
+
+import unittest
+from types import SimpleNamespace
+
+import anyio
+from builders import PipedSink, a_control, a_state, an_announcement
+
+from cherryrudder.node import entrystate, plainrelay, ratekeeper, roster, tablesync
+from cherryrudder.node.controlbeats import ControlBeats
+from cherryrudder.node.gossip import LimitNews, ToldLimit, TurnAnswer, TurnAsk
+from cherryrudder.node.uplink import Uplink
+from cherryrudder.platform import messages
+from cherryrudder.replica.clock import now_s
+from cherryrudder.routing import ratelimits
+
+ENGINE, OTHER = "boot-1", "boot-2"
+HOME, FAR = "a", "b"
+
+
+class ControlStub(SimpleNamespace):
+    """What an entry and other control VMs look at in a control VM's beat."""
+
+
+class EntryStub(SimpleNamespace):
+    """What a control VM looks at in an entry's beat."""
+
+
+def an_answer(*limits):
+    """Return what an answer says that names some limits."""
+    return messages.read_answer([(b"server-limit", limit) for limit in limits])
+
+
+class EntryCase(unittest.TestCase):
+    def setUp(self):
+        self.piped = PipedSink()
+        self.addCleanup(self.piped.close)
+        self.state = a_state(self.piped.sink)
+        self.sent = []
+        uplink = Uplink(self.state, None)
+        uplink.links.send = lambda address, message: self.sent.append(
+            (address, message)
+        )
+        for zone in (HOME, FAR):
+            beat = ControlStub(address=f"{zone}:1", vm_zone=zone, version=7)
+            roster.hear(self.state.controls, beat.address, beat, now_s())
+        for engine_id in (ENGINE, OTHER):
+            told = an_announcement(engine_id, layers=(0, 8))
+            tablesync.hear(self.state.endpoints, told, now_s())
+        self.uplink = uplink
+        self.job = self.a_job()
+
+    def a_job(self, **changes):
+        """Return a request at this entry."""
+        fields = {
+            "state": self.state,
+            "sent_s": now_s(),
+            "arrived_s": now_s(),
+            "service": SimpleNamespace(name="llm"),
+            "route": SimpleNamespace(objective_s=0.5),
+            "note": lambda *_, **__: None,
+        }
+        return SimpleNamespace(**fields | changes)
+
+    def hear(self, *limits, engine_id=ENGINE, **changes):
+        job = self.a_job(**changes)
+        ratekeeper.note_answer(job, engine_id, an_answer(*limits), now_s())
+
+    def give(self, turns=1, next_s=0.0, wait_s=0.0, engine_id=ENGINE):
+        self.uplink._take(TurnAnswer(engine_id, turns, next_s, wait_s))
+
+    def limit(self, engine_id=ENGINE):
+        return ratelimits.limit_of(self.state.rates.book, engine_id)
+
+    def may_begin(self, engine_id=ENGINE):
+        return ratekeeper.may_begin(self.state, engine_id, now_s())
+
+
+class HearingTest(EntryCase):
+    """Guards against limits that only the entry knows that got the answer."""
+
+    def test_one_control_vm_of_each_data_centre_is_told(self):
+        self.hear(b"2.5")
+        told = [(address, type(message)) for address, message in self.sent]
+        self.assertEqual(told, [("a:1", LimitNews), ("b:1", LimitNews)])
+        self.hear(b"2.5")
+        self.assertEqual(len(self.sent), 2)
+
+    def test_an_entry_keeps_to_what_it_is_told(self):
+        self.uplink._take(LimitNews((ToldLimit(ENGINE, 2.5, 0.1),)))
+        self.assertFalse(self.may_begin())
+        self.assertTrue(self.may_begin(OTHER))
+
+    def test_the_next_answer_without_a_limit_ends_it(self):
+        self.hear(b"2.5")
+        self.hear()
+        self.assertTrue(self.may_begin())
+        self.assertIsNone(self.sent[-1][1].limits[0].per_s)
+
+    def test_an_answer_to_an_older_request_ends_nothing(self):
+        sent_s = now_s()
+        self.hear(b"2.5")
+        self.hear(sent_s=sent_s)
+        self.assertEqual(self.limit(), 2.5)
+
+    def test_what_is_no_rate_changes_nothing(self):
+        self.hear(b"2.5")
+        for value in (b"-1", b"nan", b"inf", b"soon"):
+            self.hear(value)
+        self.assertEqual(self.limit(), 2.5)
+
+    def test_it_goes_with_the_incarnation(self):
+        self.hear(b"2.5")
+        ratekeeper.sweep(self.state.rates, {OTHER}, now_s())
+        self.assertTrue(self.may_begin())
+
+
+class TurnTest(EntryCase):
+    def setUp(self):
+        super().setUp()
+        self.hear(b"2.5")
+        self.sent.clear()
+
+    def firsts(self):
+        """Return the engines at which a stream may begin."""
+        found = entrystate.candidates(self.state, "llm", now_s())
+        return {engine.engine_id for engine in found if engine.firsts < 1e9}
+
+    def test_no_stream_begins_at_it_without_a_turn(self):
+        self.assertEqual(self.firsts(), {OTHER})
+        self.give()
+        self.assertEqual(self.firsts(), {ENGINE, OTHER})
+
+    def test_a_turn_is_for_one_request(self):
+        self.give()
+        ratekeeper.begin(self.state, ENGINE, now_s())
+        self.assertFalse(self.may_begin())
+
+    def test_the_control_vm_beside_it_is_asked(self):
+        ratekeeper.ask(self.state, [ENGINE], now_s())
+        ((address, ask),) = self.sent
+        self.assertEqual((address, ask.limit.engine_id), ("a:1", ENGINE))
+
+    def test_it_isnt_asked_again_before_it_has_a_turn(self):
+        self.give(turns=0, next_s=30.0)
+        ratekeeper.ask(self.state, [ENGINE], now_s())
+        self.assertEqual(self.sent, [])
+
+    def test_a_request_waits_for_the_answer(self):
+        async def play():
+            async with anyio.create_task_group() as group:
+                group.start_soon(ratekeeper.obtain, self.state, [ENGINE])
+                await anyio.sleep(0.005)
+                self.give()
+            return self.may_begin()
+
+        self.assertTrue(anyio.run(play))
+
+    def test_it_doesnt_wait_for_a_giver_that_is_gone(self):
+        async def play():
+            with anyio.fail_after(1.0):
+                await ratekeeper.obtain(self.state, [ENGINE])
+
+        anyio.run(play)
+        self.assertFalse(self.may_begin())
+
+
+class PlainTest(EntryCase):
+    """Guards against refusals while another endpoint is free, and against late ones."""
+
+    def choose(self, **changes):
+        return anyio.run(plainrelay._choose, self.a_job(**changes), set())
+
+    def test_the_other_endpoint_is_taken(self):
+        self.hear(b"2.5")
+        self.assertEqual(self.choose().engine_id, OTHER)
+
+    def test_without_any_turn_it_is_refused_with_the_time_until_the_next(self):
+        for engine_id in (ENGINE, OTHER):
+            self.hear(b"0.1", engine_id=engine_id)
+            self.give(turns=0, next_s=9.0, wait_s=9.0, engine_id=engine_id)
+        failed = self.choose()
+        self.assertTrue(failed.is_not_run)
+        self.assertGreater(failed.retry_after_s, 8.0)
+
+    def test_a_turn_that_comes_in_time_is_waited_for(self):
+        for engine_id in (ENGINE, OTHER):
+            self.hear(b"5", engine_id=engine_id)
+            self.give(turns=0, next_s=0.1, wait_s=0.1, engine_id=engine_id)
+
+        async def play():
+            async with anyio.create_task_group() as group:
+                group.start_soon(self.give_later, 0.05)
+                return await plainrelay._choose(self.a_job(), set())
+
+        self.assertEqual(anyio.run(play).engine_id, ENGINE)
+
+    async def give_later(self, pause_s):
+        await anyio.sleep(pause_s)
+        self.give()
+
+
+class ControlTest(unittest.TestCase):
+    """Guards against entries that hear of a limit late, or never."""
+
+    def setUp(self):
+        self.piped = PipedSink()
+        self.addCleanup(self.piped.close)
+        self.state = a_control(self.piped.sink, "10.0.0.1", HOME)
+        self.beats = ControlBeats(self.state, None)
+        self.sent = []
+        self.beats.links.send = lambda address, message: self.sent.append(
+            (address, message)
+        )
+        told = an_announcement(ENGINE, layers=(0, 8))
+        tablesync.hear(self.state.endpoints, told, now_s())
+        for zone in (HOME, FAR, "c"):
+            beat = EntryStub(address=f"entry-{zone}", vm_zone=zone)
+            roster.hear(self.state.entries, beat.address, beat, now_s())
+        beat = ControlStub(address="control-b", vm_zone=FAR)
+        roster.hear(self.state.roster, beat.address, beat, now_s())
+
+    def test_it_tells_the_entries_that_nobody_else_tells(self):
+        news = LimitNews((ToldLimit(ENGINE, 2.5, 0.0),))
+        self.beats._take(news)
+        told = [address for address, _ in self.sent]
+        self.assertEqual(told, ["entry-a", "entry-c"])
+        self.beats._take(news)
+        self.assertEqual(len(self.sent), 2)
+
+    def test_beats_tell_it_to_those_that_missed_the_news(self):
+        self.beats._take(LimitNews((ToldLimit(ENGINE, 2.5, 0.0),)))
+        beat = self.beats._own_beat("control-c", now_s())
+        self.assertEqual([one.per_s for one in beat.limits], [2.5])
+
+    def test_asks_of_all_entries_together_keep_to_the_limit(self):
+        limit = ToldLimit(ENGINE, 2.5, 0.0)
+        for _ in range(20):
+            for sender in ("entry-a", "entry-b"):
+                self.beats._take(TurnAsk(sender, limit, 1))
+        answers = [m for _, m in self.sent if isinstance(m, TurnAnswer)]
+        self.assertEqual(len(answers), 40)
+        self.assertLessEqual(sum(answer.turns for answer in answers), 1)
+
+    def test_an_ask_tells_a_control_vm_of_the_limit(self):
+        self.beats._take(TurnAsk("entry-a", ToldLimit(ENGINE, 2.5, 0.0), 1))
+        self.assertEqual(ratelimits.limit_of(self.beats.rates.book, ENGINE), 2.5)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/libs/node/test/test_streamchains.py
+++ b/libs/node/test/test_streamchains.py
@@ -7,6 +7,7 @@
 
 from cherryrudder.layers.chains import Part
 from cherryrudder.node import streamchains, tablesync
+from cherryrudder.node.ratekeeper import RateKeeper
 from cherryrudder.node.roomdesk import RoomDesks
 from cherryrudder.replica.clock import now_s
 from cherryrudder.routing import suspicion
@@ -14,6 +15,11 @@
 CHAIN = (Part("e1:1", "boot-1", 0, 8), Part("e2:1", "boot-2", 8, 16))
 
 
+def a_small_state():
+    """Return what the counts of a chain need of an entry."""
+    return SimpleNamespace(running={}, tokens={}, firsts={}, rates=RateKeeper())
+
+
 def a_stream(state, group):
     """Return what the choice of a chain looks at in a stream."""
     route = SimpleNamespace(objective_s=0.5, gap_s=0.2, max_attempts=2)
@@ -51,7 +57,7 @@
     """
 
     def test_the_room_is_free_again(self):
-        state = SimpleNamespace(running={}, tokens={}, firsts={})
+        state = a_small_state()
         tries = []
 
         async def play():
@@ -98,7 +104,7 @@
 
         async def play():
             async with anyio.create_task_group() as group:
-                state = SimpleNamespace(running={}, tokens={}, firsts={})
+                state = a_small_state()
                 stream = a_stream(state, group)
                 stream.has_begun = has_begun
                 stream.job.arrived_s = now_s()
--- a/libs/node/test/test_surface.py
+++ b/libs/node/test/test_surface.py
@@ -5,6 +5,7 @@
 
 from cherryrudder.node import surface
 from cherryrudder.node.crashdesk import CrashDesk
+from cherryrudder.node.gossip import ToldLimit
 from cherryrudder.node.metrics import Metrics
 from cherryrudder.node.surface import Shown
 from cherryrudder.routing.crashbook import Crash, Record
@@ -20,7 +21,15 @@
         metrics = Metrics()
         self.desk = CrashDesk("boot-1", piped.sink, metrics)
         self.desk.note({"f1": Record("acme", "llm", ENDED)}, 11.0)
-        self.shown = Shown(metrics, self.desk, self.told.append)
+        self.shown = Shown(metrics, self.desk, self.told.append, self.limits)
+
+    def limits(self, now_s):
+        return [ToldLimit("e0", 2.5, now_s - 11.0)]
+
+    def test_limits_are_listed(self):
+        status, body = self.respond("GET", "/limits")
+        listed = {"engine_id": "e0", "per_s": 2.5, "age_s": 1.0}
+        self.assertEqual((status, json.loads(body)), (200, {"limits": [listed]}))
 
     def respond(self, method, path):
         status, _, body = surface.respond(self.shown, method, path, 12.0)
--- a/libs/node/test/test_uplink.py
+++ b/libs/node/test/test_uplink.py
@@ -3,6 +3,7 @@
 from typing import NamedTuple
 
 from cherryrudder.node import roster
+from cherryrudder.node.ratekeeper import RateKeeper
 from cherryrudder.node.roster import Roster
 from cherryrudder.node.uplink import BEAT_S, NEAR_FRESH_S, Uplink, tellers_of
 
@@ -53,6 +54,7 @@
             address="e:1",
             controls=controls,
             settings=SimpleNamespace(vm_zone="a"),
+            rates=RateKeeper(),
         )
         uplink = Uplink(state, None)
         uplink._near_confirmed_s = 100.0 - near_age_s
--- /dev/null
+++ b/libs/policy/test/turnsim.py
@@ -0,0 +1,144 @@
+"""Entries before one endpoint that limits its requests, in simulated time."""
+
+import heapq
+import itertools
+import random
+from typing import NamedTuple
+
+from cherryrudder.policy import turns
+from cherryrudder.policy.turns import Giver, Held
+
+WINDOW_S = 4.0
+TRIP_S = (0.0005, 0.02)
+# How long a request waits for an answer to its ask.
+PATIENCE_S = 0.06
+
+
+class Plan(NamedTuple):
+    """What happens in a run; `demand` is `even`, `one` or `moving`."""
+
+    entries: int = 7
+    demand: str = "even"
+    way: str = "turns"
+    per_s: float = 2.5
+    requests_per_s: float = 20.0
+    length_s: float = 40.0
+    # Another giver takes over, without knowledge, this often.
+    giver_changes_s: float = 1e9
+    lost_share: float = 0.0
+
+
+class Outcome(NamedTuple):
+    """What came of a run."""
+
+    sent_s: list[float]
+    messages: int
+    requests: int
+    length_s: float
+
+    def most_in_window(self) -> int:
+        """Return the most requests in any window."""
+        return most_in_window(self.sent_s)
+
+    def share_used(self, per_s: float) -> float:
+        """Return which part of the limit was used."""
+        return len(self.sent_s) / (per_s * self.length_s)
+
+
+def most_in_window(sent_s):
+    """Return the most of some moments that lie within one window."""
+    most = first = 0
+    for last, at_s in enumerate(sent_s):
+        while at_s - sent_s[first] >= WINDOW_S:
+            first += 1
+        most = max(most, last - first + 1)
+    return most
+
+
+def play(plan: Plan, seed: int) -> Outcome:
+    """Play one run of a fleet."""
+    return _Run(plan, random.Random(seed)).play()
+
+
+class _Run:
+    def __init__(self, plan, rng):
+        self.plan = plan
+        self.rng = rng
+        self.held = [Held() for _ in range(plan.entries)]
+        self.saved = [(0.0, 0.0)] * plan.entries
+        self.giver, self.giver_s = Giver(0.0), 0.0
+        self.events: list[tuple] = []
+        self.order = itertools.count()
+        self.sent_s: list[float] = []
+        self.messages = self.requests = 0
+
+    def play(self):
+        now_s = 0.0
+        while now_s < self.plan.length_s:
+            now_s += self.rng.expovariate(self.plan.requests_per_s)
+            self.at(now_s, self.arrive, self.entry_of(now_s))
+        while self.events:
+            now_s, _, happen, *what = heapq.heappop(self.events)
+            happen(now_s, *what)
+        plan = self.plan
+        return Outcome(sorted(self.sent_s), self.messages, self.requests, plan.length_s)
+
+    def at(self, at_s, happen, *what):
+        heapq.heappush(self.events, (at_s, next(self.order), happen, *what))
+
+    def entry_of(self, now_s):
+        if self.plan.demand == "even":
+            return self.rng.randrange(self.plan.entries)
+        return int(now_s / 5.0) % self.plan.entries if self.plan.demand != "one" else 0
+
+    def arrive(self, now_s, entry):
+        self.requests += 1
+        getattr(self, f"arrive_{self.plan.way}")(now_s, entry)
+
+    def arrive_unheard(self, now_s, entry):
+        self.sent_s.append(now_s)
+
+    def arrive_alone(self, now_s, entry):
+        self.from_bucket(now_s, entry, self.plan.per_s)
+
+    def arrive_parted(self, now_s, entry):
+        self.from_bucket(now_s, entry, self.plan.per_s / self.plan.entries)
+
+    def from_bucket(self, now_s, entry, rate):
+        saved, filled_s = self.saved[entry]
+        saved = min(1.0, saved + rate * (now_s - filled_s))
+        if saved >= 1.0:
+            self.sent_s.append(now_s)
+            saved -= 1.0
+        self.saved[entry] = (saved, now_s)
+
+    def arrive_turns(self, now_s, entry):
+        held = self.held[entry]
+        if self.begin(now_s, entry):
+            return
+        if turns.may_ask(held, now_s):
+            turns.note_ask(held, now_s)
+            self.messages += 1
+            if self.rng.random() >= self.plan.lost_share:
+                self.at(now_s + self.rng.uniform(*TRIP_S), self.give, entry)
+
+    def give(self, now_s, entry):
+        if now_s - self.giver_s > self.plan.giver_changes_s:
+            self.giver, self.giver_s = Giver(now_s), now_s
+        given = turns.give(self.giver, str(entry), 1, self.plan.per_s, now_s)
+        self.messages += 1
+        if self.rng.random() >= self.plan.lost_share:
+            self.at(now_s + self.rng.uniform(*TRIP_S), self.take, entry, given)
+
+    def take(self, now_s, entry, given):
+        turns.take(self.held[entry], given, now_s)
+        # The request that asked is still there.
+        self.begin(now_s, entry)
+
+    def begin(self, now_s, entry):
+        held = self.held[entry]
+        if not turns.has_turn(held, self.plan.per_s, self.plan.entries, now_s):
+            return False
+        turns.use(held, now_s)
+        self.sent_s.append(now_s)
+        return True
--- a/libs/routing/src/cherryrudder/routing/ratelimits.py
+++ b/libs/routing/src/cherryrudder/routing/ratelimits.py
@@ -8,6 +8,9 @@
 from collections.abc import Container
 from typing import NamedTuple
 
+# The end of a limit is told for this long, so that it overtakes older news of it.
+ENDED_S = 10.0
+
 
 class Limit(NamedTuple):
     """What an endpoint last said, and when by this process's clock."""
@@ -41,6 +44,11 @@
     return known.per_s if known is not None else None
 
 
-def forget(book: LimitBook, known: Container[str]) -> None:
-    """Drop the incarnations that are no longer known."""
-    book.limits = {e: limit for e, limit in book.limits.items() if e in known}
+def sweep(book: LimitBook, known: Container[str], now_s: float) -> None:
+    """Forget incarnations that are no longer known, and limits that ended long ago."""
+    book.limits = {
+        engine_id: limit
+        for engine_id, limit in book.limits.items()
+        if engine_id in known
+        and (limit.per_s is not None or now_s - limit.said_s < ENDED_S)
+    }
--- a/libs/routing/test/test_ratelimits.py
+++ b/libs/routing/test/test_ratelimits.py
@@ -27,7 +27,15 @@
     def test_other_incarnations_have_no_limit(self):
         ratelimits.hear(self.book, "e", Limit(2.5, 1.0))
         self.assertIsNone(ratelimits.limit_of(self.book, "f"))
-        ratelimits.forget(self.book, {"f"})
+        ratelimits.sweep(self.book, {"f"}, 1.0)
+        self.assertEqual(self.book.limits, {})
+
+    def test_an_end_is_remembered_for_a_while(self):
+        ratelimits.hear(self.book, "e", Limit(2.5, 1.0))
+        ratelimits.hear(self.book, "e", Limit(None, 2.0))
+        ratelimits.sweep(self.book, {"e"}, 2.0 + ratelimits.ENDED_S / 2)
+        self.assertIn("e", self.book.limits)
+        ratelimits.sweep(self.book, {"e"}, 2.0 + ratelimits.ENDED_S)
         self.assertEqual(self.book.limits, {})
 
 
