Leave endpoints alone that ask for rest

What callers saw: refusals of requests that may go to one endpoint only, while two others were idle. An endpoint that turned everything away and asked each entry for 3 s of rest got six requests of one entry in that time (two allowed) and 43 in 100 of its service's, as it looked the least busy.

Cause: backpressure that isn't heard, as with limits; `Retry-After` of an endpoint had no reader, and what a refusal taught ended with its request.

Change: an entry keeps each rest by incarnation and asks for it on every path that sends, in one place with the limits. The first request after a rest goes alone. Where all rest a request is refused at once with the time until one may be asked, or waits if that is still in time.

The parts of node/test_rates that play an entry moved into entrycase, shared with the new module; no check has changed.

--- a/libs/node/src/cherryrudder/node/attempts.py
+++ b/libs/node/src/cherryrudder/node/attempts.py
@@ -11,7 +11,7 @@
 from cherryrudder.relay.errors import AnswerBroken
 from cherryrudder.replica.clock import now_s
 
-from . import ratekeeper
+from . import backpressure
 from .job import Failed, Job, Whole
 
 # A connection in the same region is there within some milliseconds. One lost packet is
@@ -26,9 +26,6 @@
 FIRST_OK, LAST_OK = 200, 299
 # The status of an engine that isn't the incarnation that was asked for.
 OTHER_INCARNATION = 421
-# An engine's answer with one of these may say for how long it wants nothing more.
-TURNED_AWAY = frozenset({429, 503})
-
 # To clients these statuses promise that the request has not run and never will.
 PROMISES_NOT_RUN = frozenset({408, 421, 429, 503})
 
@@ -70,7 +67,7 @@
 ) -> tuple[Head, AnswerFacts]:
     """Return the answer's head, past late answers to other requests.
 
-    What it says of the engine's limit is taken in. Raises AnswerBroken, AnswerLate.
+    What it asks of its senders is taken in. Raises AnswerBroken, AnswerLate.
     """
     end_s = now_s() + timeout_s
     while True:
@@ -79,8 +76,7 @@
         if not is_foreign(job, facts):
             check_seal(head, facts)
             if head.status != OTHER_INCARNATION:
-                ratekeeper.note_answer(job, engine_id, facts, now_s())
-                _note_rest(job, engine_id, head.status, facts)
+                backpressure.note_answer(job, engine_id, head.status, facts, now_s())
             return head, facts
         job.note("foreign-answer", address=connection.address)
         while await connection.read() is not None:
@@ -88,17 +84,6 @@
         connection.skip_answer()
 
 
-def _note_rest(job, engine_id, status, facts):
-    """Log that an engine turned a request away for some time."""
-    if status in TURNED_AWAY and facts.retry_after_s is not None:
-        job.note(
-            "engine-rest",
-            engine_id=engine_id,
-            fault_address=facts.fault_address,
-            rest_s=facts.retry_after_s,
-        )
-
-
 async def may_retry(
     job: Job,
     failed: Failed,
--- /dev/null
+++ b/libs/node/src/cherryrudder/node/backpressure.py
@@ -0,0 +1,81 @@
+"""What engines ask of this entry, before any request is sent to them.
+
+An engine may limit the requests of all entries together (`ratekeeper`), and ask this
+machine for rest. Every path on which a request goes out asks here.
+"""
+
+from collections.abc import Collection
+from typing import TYPE_CHECKING
+
+from cherryrudder.platform.messages import AnswerFacts
+from cherryrudder.routing import rests
+
+from . import entrystate, ratekeeper
+
+if TYPE_CHECKING:
+    from .entrystate import EntryState
+    from .job import Job
+
+# An engine's answer with one of these may say for how long it wants nothing more.
+TURNED_AWAY = frozenset({429, 503})
+
+
+def note_answer(
+    job: "Job", engine_id: str, status: int, facts: AnswerFacts, now_s: float
+) -> None:
+    """Take what an engine's answer asks for."""
+    ratekeeper.note_answer(job, engine_id, facts, now_s)
+    state = job.state
+    if asks_for_rest(status, facts):
+        _note_rest(job, engine_id, facts, now_s)
+    elif rests.answered(state.rests, engine_id, job.sent_s):
+        job.note("engine-rest-over", engine_id=engine_id)
+
+
+def asks_for_rest(status: int, facts: AnswerFacts) -> bool:
+    """Tell whether an answer turns this machine away for some time."""
+    return status in TURNED_AWAY and bool(facts.retry_after_s)
+
+
+def _note_rest(job, engine_id, facts, now_s):
+    """Leave the engine that answered alone, and the one that it names as at fault."""
+    state, rest_s = job.state, facts.retry_after_s
+    rests.ask(state.rests, engine_id, rest_s, now_s)
+    named = entrystate.engine_at(state, facts.fault_address, now_s)
+    if named is not None:
+        rests.ask(state.rests, named.engine_id, rest_s, now_s)
+    state.metrics.beliefs.labels("engine-rest").inc()
+    job.note(
+        "engine-rest",
+        True,
+        engine_id=engine_id,
+        fault_address=facts.fault_address,
+        rest_s=rest_s,
+    )
+
+
+def may_begin(state: "EntryState", engine_id: str, now_s: float) -> bool:
+    """Tell whether a request may be sent to an engine now."""
+    if not rests.may_begin(state.rests, engine_id, now_s):
+        return False
+    return ratekeeper.may_begin(state, engine_id, now_s)
+
+
+def begin(state: "EntryState", engine_id: str, now_s: float) -> None:
+    """Take note of a request that is about to be sent."""
+    rests.begin(state.rests, engine_id, now_s)
+    ratekeeper.begin(state, engine_id, now_s)
+
+
+def wait_s(state: "EntryState", engine_ids: Collection[str], now_s: float) -> float:
+    """Return the time until one of some engines may be sent a request."""
+    return min(
+        (
+            max(
+                rests.left_s(state.rests, engine_id, now_s),
+                ratekeeper.wait_s(state, engine_id, now_s),
+            )
+            for engine_id in engine_ids
+        ),
+        default=0.0,
+    )
--- a/libs/node/src/cherryrudder/node/entrystate.py
+++ b/libs/node/src/cherryrudder/node/entrystate.py
@@ -14,14 +14,15 @@
 from cherryrudder.policy.sharedbudget import SharedBudget
 from cherryrudder.relay.pool import Pool
 from cherryrudder.replica.clock import new_id, now_s
-from cherryrudder.routing import endpoints, hangs, slowness, suspicion
+from cherryrudder.routing import endpoints, hangs, rests, slowness, suspicion
 from cherryrudder.routing.endpoints import Announcement
 from cherryrudder.routing.hangs import Hangs
+from cherryrudder.routing.rests import RestBook
 from cherryrudder.routing.routetable import RouteTable
 from cherryrudder.routing.slowness import SlownessBook
 from cherryrudder.routing.suspicion import Suspicions
 
-from . import gossip, ratekeeper
+from . import backpressure, gossip
 from .brokenruns import BrokenRuns
 from .crashdesk import CrashDesk
 from .gossip import Usage
@@ -73,6 +74,7 @@
         self.slowness = SlownessBook()
         self.hangs = Hangs()
         self.rates = RateKeeper()
+        self.rests = RestBook()
         self.crashes = CrashDesk(self.boot, sink, metrics)
         self.broken = BrokenRuns()
         self.table: RouteTable | None = None
@@ -244,8 +246,10 @@
     others = otherload.estimate(state.others, address, own, state.peers)
     is_barred = hangs.is_resting(
         state.hangs, announcement.engine_id, now
-    ) or not ratekeeper.may_begin(state, announcement.engine_id, now)
-    is_full = now < state.full_until_s.get(address, 0.0)
+    ) or not backpressure.may_begin(state, announcement.engine_id, now)
+    is_full = now < state.full_until_s.get(address, 0.0) or rests.is_resting(
+        state.rests, announcement.engine_id, now
+    )
     return Candidate(
         address=address,
         engine_id=announcement.engine_id,
--- a/libs/node/src/cherryrudder/node/job.py
+++ b/libs/node/src/cherryrudder/node/job.py
@@ -49,6 +49,8 @@
     is_broken: bool = False
     # An engine's own failure, to be passed on if nothing better comes.
     whole: Whole | None = None
+    # The engine wants nothing from this machine for a while.
+    is_turned_away: bool = False
     # When the client may come back, where that is known.
     retry_after_s: float | None = None
 
--- a/libs/node/src/cherryrudder/node/plainrelay.py
+++ b/libs/node/src/cherryrudder/node/plainrelay.py
@@ -11,11 +11,11 @@
 from cherryrudder.relay import pool
 from cherryrudder.relay.errors import AnswerBroken, AnswerLate, ConnectFailed
 from cherryrudder.replica.clock import now_s
-from cherryrudder.routing import picking, suspicion
+from cherryrudder.routing import picking, rests, suspicion
 from cherryrudder.routing.crashbook import FINISHED
 from cherryrudder.routing.picking import Place
 
-from . import attempts, brokenruns, crashes, ratekeeper
+from . import attempts, backpressure, brokenruns, crashes, ratekeeper
 from .entrystate import ToldLoad, is_suspect, serving
 from .gossip import CrashNews
 from .job import ANSWER_MARGIN_S, Failed, Job, Whole
@@ -29,7 +29,7 @@
 # Between two looks for a turn at endpoints that limit their requests.
 LEAST_PAUSE_S = 0.01
 NO_ENDPOINT = Failed("no endpoint", is_not_run=True, is_sent=False)
-LIMITED = Failed("endpoints limit their requests", is_not_run=True, is_sent=False)
+BARRED = Failed("endpoints take no more requests", is_not_run=True, is_sent=False)
 
 
 async def serve(job: Job, tell: Callable[[CrashNews | None], None]) -> None:
@@ -72,24 +72,30 @@
     """Return the endpoint for the next attempt, or why there is none."""
     state = job.state
     while True:
-        denied: set[str] = set()
-        while (place := _pick(job, excluded | denied)) is not None:
-            if not ratekeeper.may_begin(state, place.engine_id, now_s()):
-                await ratekeeper.obtain(state, [place.engine_id])
-            if ratekeeper.may_begin(state, place.engine_id, now_s()):
-                ratekeeper.begin(state, place.engine_id, now_s())
+        barred: set[str] = set()
+        while (place := _pick(job, excluded | barred)) is not None:
+            if await _takes_it(state, place.engine_id):
+                backpressure.begin(state, place.engine_id, now_s())
                 return place
-            denied.add(place.engine_id)
-        if not denied:
+            barred.add(place.engine_id)
+        if not barred:
             return NO_ENDPOINT
         now = now_s()
-        wait_s = ratekeeper.wait_s(state, denied, now)
+        wait_s = backpressure.wait_s(state, barred, now)
         if now + wait_s > job.arrived_s + job.route.objective_s - EXPECTED_S:
             retry_after_s = ratekeeper.retry_after_s(state, wait_s)
-            return LIMITED._replace(retry_after_s=retry_after_s)
+            return BARRED._replace(retry_after_s=retry_after_s)
         await anyio.sleep(max(LEAST_PAUSE_S, wait_s))
 
 
+async def _takes_it(state, engine_id):
+    """Tell whether an endpoint takes a request; ask for a turn if it needs one."""
+    if not rests.may_begin(state.rests, engine_id, now_s()):
+        return False
+    await ratekeeper.obtain(state, [engine_id])
+    return backpressure.may_begin(state, engine_id, now_s())
+
+
 def _pick(job, excluded):
     """Return the best endpoint; far ones without a turn only when no other is left."""
     state, now = job.state, now_s()
@@ -98,7 +104,7 @@
         place.engine_id
         for place in places
         if place.vm_zone != home_zone
-        and not ratekeeper.may_begin(state, place.engine_id, now)
+        and not backpressure.may_begin(state, place.engine_id, now)
     }
     place = picking.pick(places, home_zone, excluded | far, state.rng)
     return place or picking.pick(places, home_zone, excluded, state.rng)
@@ -174,7 +180,11 @@
         running, waiting, _ = facts.load
         job.state.told[place.engine_id] = ToldLoad(running + waiting, now_s())
     if facts.is_not_run:
-        return Failed(f"status {head.status} from the endpoint", is_not_run=True)
+        return Failed(
+            f"status {head.status} from the endpoint",
+            is_not_run=True,
+            is_turned_away=backpressure.asks_for_rest(head.status, facts),
+        )
     whole = Whole(head.status, head.headers, body)
     return attempts.failure_of(whole, job.is_idempotent) or whole
 
@@ -198,6 +208,9 @@
 def _judge(job, place, result):
     """Take what the attempt tells of the endpoint."""
     suspicions, engine_id, now = job.state.suspicions, place.engine_id, now_s()
+    if isinstance(result, Failed) and result.is_turned_away:
+        # It lives, and says nothing of how it serves.
+        return
     if isinstance(result, Failed) and not result.is_sent:
         suspicion.died(suspicions, engine_id, now)
     else:
--- a/libs/node/src/cherryrudder/node/ratekeeper.py
+++ b/libs/node/src/cherryrudder/node/ratekeeper.py
@@ -161,10 +161,11 @@
     rates.answered = anyio.Event()
 
 
-def wait_s(state: "EntryState", engine_ids: Collection[str], now: float) -> float:
-    """Return the time until one of some limited engines may take a request."""
-    waits_s = [turns.wait_s(_held(state.rates, e), now) for e in engine_ids]
-    return min(waits_s, default=0.0)
+def wait_s(state: "EntryState", engine_id: str, now_s: float) -> float:
+    """Return the time until an engine may take one request more, 0 without a limit."""
+    if ratelimits.limit_of(state.rates.book, engine_id) is None:
+        return 0.0
+    return turns.wait_s(_held(state.rates, engine_id), now_s)
 
 
 def retry_after_s(state: "EntryState", wait_s: float) -> float:
--- a/libs/node/src/cherryrudder/node/streamchains.py
+++ b/libs/node/src/cherryrudder/node/streamchains.py
@@ -7,8 +7,9 @@
 from cherryrudder.layers.chains import Candidate, Chain, Need
 from cherryrudder.policy.roomqueue import Waiting
 from cherryrudder.replica.clock import now_s
+from cherryrudder.routing import rests
 
-from . import entrystate, ratekeeper
+from . import backpressure, entrystate, ratekeeper
 from .stream import Offer
 
 if TYPE_CHECKING:
@@ -25,6 +26,8 @@
 NO_ROOM = "no room"
 # All engines at which the stream may begin limit their requests, and no turn is free.
 LIMITED = "engines limit their requests"
+# All of them have asked this machine for rest.
+RESTING = "engines ask for rest"
 # How long an entry waits after its start before a hole in the layers counts as one and
 # not as an engine that is yet to be heard, in times between two heartbeats.
 ANNOUNCED_SHARE = 0.5
@@ -38,6 +41,10 @@
     stream.refusal = ""
     desk = stream.watch.desks.of(job.service.name)
     await _obtain_turn(stream)
+    if _rests_for_too_long(stream, now_s()):
+        stream.refusal = RESTING
+        stream.retry_after_s = _backpressure_s(stream, now_s())
+        return None
     try:
         chain = await desk.find(
             _waiting(stream),
@@ -52,12 +59,9 @@
     job.note_wait(now_s() - began_s, stream.refusal)
     if chain is None:
         stream.retry_after_s = desk.retry_after_s()
-        if stream.refusal == LIMITED:
-            limited = _limited_firsts(stream, now_s())
-            wait_s = max(
-                stream.retry_after_s, ratekeeper.wait_s(job.state, limited, now_s())
-            )
-            stream.retry_after_s = ratekeeper.retry_after_s(job.state, wait_s)
+        if stream.refusal in (LIMITED, RESTING):
+            told_s = _backpressure_s(stream, now_s())
+            stream.retry_after_s = max(stream.retry_after_s, told_s)
         _note_no_chain(stream)
     return chain
 
@@ -76,20 +80,53 @@
 
 def _limited_firsts(stream, now, vm_zone=""):
     """Return the limited engines at which a stream could begin if it had a turn."""
+    state = stream.job.state
+    if not state.rates.book.limits:
+        return []
+    return [
+        one.engine_id
+        for one in _firsts(stream, now)
+        if vm_zone in ("", one.vm_zone)
+        and not ratekeeper.may_begin(state, one.engine_id, now)
+        and not rests.is_resting(state.rests, one.engine_id, now)
+    ]
+
+
+def _firsts(stream, now):
+    """Return the engines at which a stream could begin if they took requests."""
     state, avoided = stream.job.state, stream.excluded(now)
     only_at = bounding_firsts(stream)
     return [
-        one.engine_id
+        one
         for one in entrystate.serving(state, stream.job.service.name, now)
-        if one.engine_id in state.rates.book.limits
-        and one.holding.first == 0 < one.holding.end
-        and vm_zone in ("", one.vm_zone)
+        if one.holding.first == 0 < one.holding.end
         and one.address not in avoided
         and (not only_at or one.engine_id in only_at)
-        and not ratekeeper.may_begin(state, one.engine_id, now)
+        and not entrystate.is_suspect(state, one.engine_id, now)
     ]
 
 
+def _rests_for_too_long(stream, now):
+    """Tell whether all engines at which a stream could begin rest past its patience.
+
+    An answer that has begun can't be refused, so it waits.
+    """
+    book = stream.job.state.rests
+    if not book.rests or stream.has_begun:
+        return False
+    give_up_s = _waiting(stream).give_up_s
+    lefts_s = [rests.left_s(book, one.engine_id, now) for one in _firsts(stream, now)]
+    return bool(lefts_s) and now + min(lefts_s) > give_up_s
+
+
+def _backpressure_s(stream, now):
+    """Return when some engine may take a stream, spread over those that wait."""
+    state = stream.job.state
+    engine_ids = [one.engine_id for one in _firsts(stream, now)]
+    wait_s = backpressure.wait_s(state, engine_ids, now)
+    return ratekeeper.retry_after_s(state, wait_s)
+
+
 def _waiting(stream):
     """Return what the queue is told of a stream.
 
@@ -176,7 +213,7 @@
     if chain is not None:
         stream.chain = chain
         stream.is_counted = True
-        ratekeeper.begin(stream.job.state, chain[0].engine_id, now_s())
+        backpressure.begin(stream.job.state, chain[0].engine_id, now_s())
         entrystate.began(stream.job.state, chain, stream.tokens)
     return chain
 
@@ -193,7 +230,7 @@
         for part in offer.chain
     ):
         return None
-    if not ratekeeper.may_begin(stream.job.state, offer.chain[0].engine_id, now):
+    if not backpressure.may_begin(stream.job.state, offer.chain[0].engine_id, now):
         return None
     stream.expected_pause_s = offer.expected_pause_s
     return offer.chain
@@ -229,10 +266,13 @@
 def _refusal(stream, engines, now):
     """Return why there is no chain, and ask for turns if these are what it lacks."""
     job = stream.job
-    limited = _limited_firsts(stream, now) if job.state.rates.book.limits else []
+    limited = _limited_firsts(stream, now)
     if limited:
         ratekeeper.ask(job.state, limited, now)
         return LIMITED
+    book, firsts = job.state.rests, _firsts(stream, now)
+    if firsts and all(rests.left_s(book, one.engine_id, now) for one in firsts):
+        return RESTING
     is_whole = chains.is_whole(job.service.model, engines)
     return NO_ROOM if is_whole else NO_CHAIN
 
--- a/libs/node/src/cherryrudder/node/uplink.py
+++ b/libs/node/src/cherryrudder/node/uplink.py
@@ -15,6 +15,7 @@
     configlog,
     endpoints,
     hangs,
+    rests,
     slowness,
     suspicion,
 )
@@ -166,6 +167,7 @@
             suspicion.forget(state.suspicions, known)
             hangs.forget(state.hangs, known)
             ratekeeper.sweep(state.rates, known, now)
+            rests.forget(state.rests, known)
             for engine_id in set(state.leaving_s) - known:
                 del state.leaving_s[engine_id]
             brokenruns.sweep(state.broken, now)
--- /dev/null
+++ b/libs/node/test/test_backpressure.py
@@ -0,0 +1,127 @@
+"""Entries that engines turn away and ask for rest."""
+
+import unittest
+from types import SimpleNamespace
+
+import anyio
+from entrycase import ENGINE, OTHER, EntryCase
+
+from cherryrudder.node import backpressure, entrystate, plainrelay, streamchains
+from cherryrudder.node.job import Failed
+from cherryrudder.replica.clock import now_s
+from cherryrudder.routing import suspicion
+
+
+class RestTest(EntryCase):
+    """Guards against requests to an engine that asked this machine for rest."""
+
+    def rest(self, *engine_ids, rest=b"3"):
+        for engine_id in engine_ids:
+            self.hear(engine_id=engine_id, status=503, rest=rest)
+
+    def test_no_stream_goes_through_it(self):
+        self.rest(ENGINE)
+        found = {
+            engine.engine_id: engine.tokens
+            for engine in entrystate.candidates(self.state, "llm", now_s())
+        }
+        self.assertEqual(found[ENGINE], float("inf"))
+        self.assertLess(found[OTHER], float("inf"))
+
+    def test_the_engine_that_is_named_rests_too(self):
+        facts = SimpleNamespace(
+            has_bad_limit=False,
+            limit_per_s=None,
+            retry_after_s=3.0,
+            fault_address=f"{OTHER}:80",
+        )
+        backpressure.note_answer(self.job, ENGINE, 503, facts, now_s())
+        self.assertFalse(self.may_begin(ENGINE))
+        self.assertFalse(self.may_begin(OTHER))
+
+    def test_a_time_to_come_back_in_a_success_is_none(self):
+        self.hear(rest=b"3")
+        self.assertTrue(self.may_begin())
+
+    def test_what_is_no_time_is_none(self):
+        for rest in (b"soon", b"-1", b"nan", b"0"):
+            self.rest(ENGINE, rest=rest)
+        self.assertTrue(self.may_begin())
+
+    def test_after_it_one_request_goes_alone_until_it_is_served(self):
+        self.rest(ENGINE, rest=b"0.01")
+        anyio.run(anyio.sleep, 0.02)
+        self.assertTrue(self.may_begin())
+        backpressure.begin(self.state, ENGINE, now_s())
+        self.assertFalse(self.may_begin())
+        self.hear(status=200)
+        self.assertTrue(self.may_begin())
+
+    def test_a_request_goes_to_the_endpoint_that_serves(self):
+        self.rest(ENGINE)
+        place = anyio.run(plainrelay._choose, self.a_job(), set())
+        self.assertEqual(place.engine_id, OTHER)
+
+    def test_when_all_rest_a_request_is_refused_at_once_with_the_time(self):
+        self.rest(ENGINE, OTHER)
+
+        async def play():
+            with anyio.fail_after(0.1):
+                return await plainrelay._choose(self.a_job(), set())
+
+        failed = anyio.run(play)
+        self.assertTrue(failed.is_not_run)
+        self.assertGreater(failed.retry_after_s, 2.5)
+
+    def test_a_rest_that_ends_in_time_is_waited_for(self):
+        self.rest(ENGINE, OTHER, rest=b"0.1")
+        place = anyio.run(plainrelay._choose, self.a_job(), set())
+        self.assertIn(place.engine_id, (ENGINE, OTHER))
+
+    def test_being_turned_away_is_no_proof_of_health(self):
+        for _ in range(20):
+            suspicion.answered(self.state.suspicions, ENGINE, False, now_s())
+        self.assertTrue(entrystate.is_suspect(self.state, ENGINE, now_s()))
+        place = SimpleNamespace(engine_id=ENGINE)
+        failed = Failed("503", is_not_run=True, is_turned_away=True)
+        plainrelay._judge(self.job, place, failed)
+        self.assertTrue(entrystate.is_suspect(self.state, ENGINE, now_s()))
+
+
+class StreamTest(EntryCase):
+    """Guards against streams that wait in vain while all first engines rest."""
+
+    def a_stream(self, has_begun=False):
+        job = self.a_job(
+            end_s=now_s() + 20.0,
+            patience_s=lambda: 2.0,
+            leaves_s=lambda: now_s() + 2.0,
+            admitted=SimpleNamespace(account="a"),
+            facts=SimpleNamespace(request_id="r1"),
+        )
+        job.route.max_attempts = 2
+        return SimpleNamespace(
+            job=job,
+            tokens=900,
+            ran_at=[],
+            has_begun=has_begun,
+            excluded=lambda _: set(),
+        )
+
+    def is_in_vain(self, rest, **changes):
+        for engine_id in (ENGINE, OTHER):
+            self.hear(engine_id=engine_id, status=503, rest=rest)
+        return streamchains._rests_for_too_long(self.a_stream(**changes), now_s())
+
+    def test_a_long_rest_is_not_waited_for(self):
+        self.assertTrue(self.is_in_vain(b"3"))
+
+    def test_a_short_one_is(self):
+        self.assertFalse(self.is_in_vain(b"0.5"))
+
+    def test_an_answer_that_has_begun_waits(self):
+        self.assertFalse(self.is_in_vain(b"3", has_begun=True))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/libs/node/test/test_rates.py
+++ b/libs/node/test/test_rates.py
@@ -1,84 +1,31 @@
 """Entries and control VMs that hear of engines which limit their requests."""
 
 import unittest
-from types import SimpleNamespace
 
 import anyio
-from builders import PipedSink, a_control, a_state, an_announcement
-
-from cherryrudder.node import entrystate, plainrelay, ratekeeper, roster, tablesync
+from builders import PipedSink, a_control, an_announcement
+from entrycase import ENGINE, FAR, HOME, OTHER, ControlStub, EntryCase, EntryStub
+
+from cherryrudder.node import (
+    backpressure,
+    entrystate,
+    plainrelay,
+    ratekeeper,
+    roster,
+    tablesync,
+)
 from cherryrudder.node.controlbeats import ControlBeats
 from cherryrudder.node.gossip import LimitNews, ToldLimit, TurnAnswer, TurnAsk
-from cherryrudder.node.uplink import Uplink
-from cherryrudder.platform import messages
 from cherryrudder.replica.clock import now_s
 from cherryrudder.routing import ratelimits
 
-ENGINE, OTHER = "boot-1", "boot-2"
-HOME, FAR = "a", "b"
-
-
-class ControlStub(SimpleNamespace):
-    """What an entry and other control VMs look at in a control VM's beat."""
-
-
-class EntryStub(SimpleNamespace):
-    """What a control VM looks at in an entry's beat."""
-
-
-def an_answer(*limits):
-    """Return what an answer says that names some limits."""
-    return messages.read_answer([(b"server-limit", limit) for limit in limits])
-
-
-class EntryCase(unittest.TestCase):
-    def setUp(self):
-        self.piped = PipedSink()
-        self.addCleanup(self.piped.close)
-        self.state = a_state(self.piped.sink)
-        self.sent = []
-        uplink = Uplink(self.state, None)
-        uplink.links.send = lambda address, message: self.sent.append(
-            (address, message)
-        )
-        for zone in (HOME, FAR):
-            beat = ControlStub(address=f"{zone}:1", vm_zone=zone, version=7)
-            roster.hear(self.state.controls, beat.address, beat, now_s())
-        for engine_id in (ENGINE, OTHER):
-            told = an_announcement(engine_id, layers=(0, 8))
-            tablesync.hear(self.state.endpoints, told, now_s())
-        self.uplink = uplink
-        self.job = self.a_job()
-
-    def a_job(self, **changes):
-        """Return a request at this entry."""
-        fields = {
-            "state": self.state,
-            "sent_s": now_s(),
-            "arrived_s": now_s(),
-            "service": SimpleNamespace(name="llm"),
-            "route": SimpleNamespace(objective_s=0.5),
-            "note": lambda *_, **__: None,
-        }
-        return SimpleNamespace(**fields | changes)
-
-    def hear(self, *limits, engine_id=ENGINE, **changes):
-        job = self.a_job(**changes)
-        ratekeeper.note_answer(job, engine_id, an_answer(*limits), now_s())
-
-    def give(self, turns=1, next_s=0.0, wait_s=0.0, engine_id=ENGINE):
-        self.uplink._take(TurnAnswer(engine_id, turns, next_s, wait_s))
-
-    def limit(self, engine_id=ENGINE):
-        return ratelimits.limit_of(self.state.rates.book, engine_id)
-
-    def may_begin(self, engine_id=ENGINE):
-        return ratekeeper.may_begin(self.state, engine_id, now_s())
-
 
 class HearingTest(EntryCase):
     """Guards against limits that only the entry knows that got the answer."""
 
+    def limit(self):
+        return ratelimits.limit_of(self.state.rates.book, ENGINE)
+
     def test_one_control_vm_of_each_data_centre_is_told(self):
         self.hear(b"2.5")
         told = [(address, type(message)) for address, message in self.sent]
@@ -133,7 +80,7 @@
 
     def test_a_turn_is_for_one_request(self):
         self.give()
-        ratekeeper.begin(self.state, ENGINE, now_s())
+        backpressure.begin(self.state, ENGINE, now_s())
         self.assertFalse(self.may_begin())
 
     def test_the_control_vm_beside_it_is_asked(self):
