Hear engines that only their answers call leaving

What callers would see: requests at an engine that ends under them. An engine that leaves says so in all its answers too (`Server-Leaving`), and nothing read it; where its heartbeat is late or calls it ready, entries went on sending.

Change: an answer that says so is a notice of leaving, at this entry at once and for all others with the next message. It stands beside the two that engines send to the control VMs: either of these may follow it, and it takes both of those to make an end, so that streams of an engine that then signs off are not broken off.

--- a/libs/node/src/cherryrudder/node/backpressure.py
+++ b/libs/node/src/cherryrudder/node/backpressure.py
@@ -10,7 +10,7 @@
 from cherryrudder.platform.messages import AnswerFacts
 from cherryrudder.routing import rests
 
-from . import entrystate, ratekeeper
+from . import entrystate, ratekeeper, tablesync
 
 if TYPE_CHECKING:
     from .entrystate import EntryState
@@ -26,6 +26,8 @@
     """Take what an engine's answer asks for."""
     ratekeeper.note_answer(job, engine_id, facts, now_s)
     state = job.state
+    if facts.is_leaving:
+        _note_leaving(job, engine_id, now_s)
     if asks_for_rest(status, facts):
         _note_rest(job, engine_id, facts, now_s)
     elif rests.answered(state.rests, engine_id, job.sent_s):
@@ -37,6 +39,16 @@
     return status in TURNED_AWAY and bool(facts.retry_after_s)
 
 
+def _note_leaving(job, engine_id, now_s):
+    """Give an engine that says that it leaves no new work, here and elsewhere."""
+    state = job.state
+    if tablesync.tell_senders(state.endpoints, engine_id, now_s):
+        state.leaving_s.setdefault(engine_id, now_s)
+        state.metrics.beliefs.labels("engine-leaving").inc()
+        job.note("engine-leaving", True, engine_id=engine_id)
+        state.spread_endpoints([engine_id])
+
+
 def _note_rest(job, engine_id, facts, now_s):
     """Leave the engine that answered alone, and the one that it names as at fault."""
     state, rest_s = job.state, facts.retry_after_s
--- a/libs/node/src/cherryrudder/node/entrystate.py
+++ b/libs/node/src/cherryrudder/node/entrystate.py
@@ -2,6 +2,7 @@
 
 import math
 import random
+from collections.abc import Callable
 from typing import NamedTuple
 
 import anyio
@@ -75,6 +76,8 @@
         self.hangs = Hangs()
         self.rates = RateKeeper()
         self.rests = RestBook()
+        # Replaced by the uplink: tells all of engines that said that they leave.
+        self.spread_endpoints: Callable[[list[str]], None] = lambda engine_ids: None
         self.crashes = CrashDesk(self.boot, sink, metrics)
         self.broken = BrokenRuns()
         self.table: RouteTable | None = None
--- a/libs/node/src/cherryrudder/node/tablesync.py
+++ b/libs/node/src/cherryrudder/node/tablesync.py
@@ -56,6 +56,14 @@
     return is_news
 
 
+def tell_senders(shared: SharedTable, engine_id: str, now_s: float) -> bool:
+    """Take an endpoint's word in an answer that it leaves; tell whether it is news."""
+    is_news = endpoints.tell_senders(shared.table, engine_id, now_s)
+    if is_news:
+        note(shared, engine_id)
+    return is_news
+
+
 def depart(shared: SharedTable, engine_id: str, now_s: float) -> bool:
     """Take a departure; tell whether it is news."""
     is_news = endpoints.depart(shared.table, engine_id, now_s)
--- a/libs/node/src/cherryrudder/node/uplink.py
+++ b/libs/node/src/cherryrudder/node/uplink.py
@@ -81,6 +81,7 @@
         self._near_confirmed_s = float("-inf")
         state.rates.send_ask = self._ask_giver
         state.rates.spread = self._tell_tellers
+        state.spread_endpoints = self._spread_endpoints
 
     def start(self) -> None:
         """Start listening and beating."""
@@ -135,6 +136,11 @@
         if address:
             self.links.send(address, ask)
 
+    def _spread_endpoints(self, engine_ids):
+        """Tell the control VMs of endpoints that this entry has news of."""
+        told = tablesync.news_of(self.state.endpoints, engine_ids, now_s())
+        self._tell_tellers(EndpointNews(told))
+
     def _tell_tellers(self, message):
         """Tell one control VM of each data centre."""
         for address in tellers_of(roster.beats(self.state.controls, now_s())).values():
--- a/libs/node/test/test_backpressure.py
+++ b/libs/node/test/test_backpressure.py
@@ -8,6 +8,7 @@
 
 from cherryrudder.node import backpressure, entrystate, plainrelay, streamchains
 from cherryrudder.node.job import Failed
+from cherryrudder.platform import messages
 from cherryrudder.replica.clock import now_s
 from cherryrudder.routing import suspicion
 
@@ -29,12 +30,8 @@
         self.assertLess(found[OTHER], float("inf"))
 
     def test_the_engine_that_is_named_rests_too(self):
-        facts = SimpleNamespace(
-            has_bad_limit=False,
-            limit_per_s=None,
-            retry_after_s=3.0,
-            fault_address=f"{OTHER}:80",
-        )
+        named = (b"at-server", f"{OTHER}:80".encode())
+        facts = messages.read_answer([(b"retry-after", b"3"), named])
         backpressure.note_answer(self.job, ENGINE, 503, facts, now_s())
         self.assertFalse(self.may_begin(ENGINE))
         self.assertFalse(self.may_begin(OTHER))
--- a/libs/node/test/test_rates.py
+++ b/libs/node/test/test_rates.py
@@ -15,9 +15,16 @@
     tablesync,
 )
 from cherryrudder.node.controlbeats import ControlBeats
-from cherryrudder.node.gossip import LimitNews, ToldLimit, TurnAnswer, TurnAsk
+from cherryrudder.node.gossip import (
+    EndpointNews,
+    Heard,
+    LimitNews,
+    ToldLimit,
+    TurnAnswer,
+    TurnAsk,
+)
 from cherryrudder.replica.clock import now_s
-from cherryrudder.routing import ratelimits
+from cherryrudder.routing import endpoints, ratelimits
 
 
 class HearingTest(EntryCase):
@@ -193,6 +200,17 @@
         self.beats._take(TurnAsk("entry-a", ToldLimit(ENGINE, 2.5, 0.0), 1))
         self.assertEqual(ratelimits.limit_of(self.beats.rates.book, ENGINE), 2.5)
 
+    def test_an_engine_whose_answers_call_it_leaving_gets_no_new_work_anywhere(self):
+        known = self.state.endpoints.table.entries[ENGINE].announcement
+        told = known._replace(has_told_senders=True)
+        self.beats._take(EndpointNews((Heard(told, 0.0, False),)))
+        self.assertEqual(
+            [address for address, _ in self.sent], ["entry-a", "entry-b", "entry-c"]
+        )
+        told = self.state.endpoints.table.entries[ENGINE]
+        self.assertFalse(endpoints.may_take_work(told.announcement))
+        self.assertFalse(told.is_gone)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/libs/routing/src/cherryrudder/routing/endpoints.py
+++ b/libs/routing/src/cherryrudder/routing/endpoints.py
@@ -51,6 +51,8 @@
     # It signed off from the list. With no word that it drains before, it still serves
     # what it has for as long as others do, and ends without another word.
     has_signed_off: bool = False
+    # It told its senders that it leaves. Either notice may still follow.
+    has_told_senders: bool = False
 
 
 class Entry(NamedTuple):
@@ -97,8 +99,12 @@
 
 
 def leaves(announcement: Announcement) -> bool:
-    """Tell whether an endpoint said that it leaves, in either way."""
-    return announcement.is_leaving or announcement.has_signed_off
+    """Tell whether an endpoint said that it leaves, in whatever way."""
+    return (
+        announcement.is_leaving
+        or announcement.has_signed_off
+        or announcement.has_told_senders
+    )
 
 
 def _with_notices(announcement, other):
@@ -106,6 +112,7 @@
     return announcement._replace(
         is_leaving=announcement.is_leaving or other.is_leaving,
         has_signed_off=announcement.has_signed_off or other.has_signed_off,
+        has_told_senders=announcement.has_told_senders or other.has_told_senders,
     )
 
 
@@ -201,6 +208,15 @@
     return _leave(table, known, signed, known.heard_s)
 
 
+def tell_senders(table: EndpointTable, engine_id: str, now_s: float) -> bool:
+    """Take an endpoint's word in an answer that it leaves; tell whether it is news."""
+    known = table.entries.get(engine_id)
+    if known is None or known.is_gone:
+        return False
+    told = known.announcement._replace(has_told_senders=True)
+    return _leave(table, known, told, now_s)
+
+
 def depart(table: EndpointTable, engine_id: str, now_s: float) -> bool:
     """Take an endpoint as ended; tell whether it is news."""
     known = table.entries.get(engine_id)
--- a/libs/routing/test/test_endpoints.py
+++ b/libs/routing/test/test_endpoints.py
@@ -103,6 +103,43 @@
         self.assertEqual(known(first, 1.0), set())
 
 
+class ToldSendersTest(unittest.TestCase):
+    """Guards against new work for an engine that only its answers call leaving."""
+
+    def setUp(self):
+        self.table = EndpointTable()
+        endpoints.hear(self.table, an_announcement(number=2), 0.0)
+        self.is_news = endpoints.tell_senders(self.table, "boot-1", 0.5)
+
+    def takes_work(self):
+        announcement = self.table.entries["boot-1"].announcement
+        return endpoints.may_take_work(announcement)
+
+    def test_it_is_there_without_new_work(self):
+        self.assertTrue(self.is_news)
+        self.assertFalse(endpoints.tell_senders(self.table, "boot-1", 0.6))
+        self.assertEqual(known(self.table, 1.0), {"boot-1"})
+        self.assertFalse(self.takes_work())
+
+    def test_a_heartbeat_that_calls_it_ready_changes_nothing(self):
+        endpoints.hear(self.table, an_announcement(number=4), 1.0)
+        self.assertFalse(self.takes_work())
+
+    def test_the_first_notice_after_it_is_not_its_end(self):
+        endpoints.sign_off(self.table, "boot-1", 1.0)
+        self.assertEqual(known(self.table, 1.0), {"boot-1"})
+
+    def test_others_hear_of_it(self):
+        other = EndpointTable()
+        endpoints.hear(other, an_announcement(number=6), 1.0)
+        entry = self.table.entries["boot-1"]
+        self.assertTrue(endpoints.merge(other, entry, 0.5, 1.0))
+        self.assertFalse(endpoints.may_take_work(other.entries["boot-1"].announcement))
+
+    def test_one_that_was_never_heard_is_left_out(self):
+        self.assertFalse(endpoints.tell_senders(self.table, "boot-9", 0.5))
+
+
 class AddressTest(unittest.TestCase):
     """An endpoint crashes, and another boot takes its address.
 
