Strike with engines that ask for less, in the soak

Up to two a seed: an engine names a limit, asks for rest, or says only in its answers that it leaves, beside kills, cuts and changes. Two checks with the users' bounds; a lost control VM excuses neither, an entry that was struck or a link that was cut does. The faults that older seeds draw are the same as before.

--- a/libs/soak/src/cherryrudder/soak/faults.py
+++ b/libs/soak/src/cherryrudder/soak/faults.py
@@ -37,6 +37,10 @@
     REVOKE = "revoke"
     # A client repeats a request that ends each engine which begins it.
     CRASHING_REQUEST = "crashing-request"
+    # Engines ask their callers for fewer requests, for a rest, or for no more at all.
+    ENGINE_LIMITS = "engine-limits"
+    ENGINE_RESTS = "engine-rests"
+    ENGINE_TELLS_CALLERS = "engine-tells-callers"
 
 
 ON_CONTROL = (
@@ -48,8 +52,11 @@
     Kind.KILL_ALL_CONTROLS,
 )
 CHANGES = (Kind.CHANGE, Kind.CHANGE, Kind.RACE, Kind.BAD_CHANGE, Kind.REVOKE)
+BACKPRESSURE = (Kind.ENGINE_LIMITS, Kind.ENGINE_RESTS, Kind.ENGINE_TELLS_CALLERS)
 ELSEWHERE = tuple(
-    kind for kind in Kind if kind not in (*ON_CONTROL, *CHANGES, Kind.CRASHING_REQUEST)
+    kind
+    for kind in Kind
+    if kind not in (*ON_CONTROL, *CHANGES, *BACKPRESSURE, Kind.CRASHING_REQUEST)
 )
 LINK_MODES = (Mode.DELAY, Mode.SILENT, Mode.HOLD_REQUESTS, Mode.HOLD_ANSWERS)
 # Until a control VM that was lost counts as back; the users' pages give four seconds.
@@ -58,6 +65,9 @@
 # Long enough for three engines to end, for that to be known, and some seconds more.
 CRASHING_S = (8.0, 12.0)
 CRASHING_SHARE = 0.5
+# Long enough for a limit to be known, and for a rest to be asked for again.
+BACKPRESSURE_S = (5.0, 9.0)
+MOST_BACKPRESSURE = 2
 
 
 class Fault(NamedTuple):
@@ -78,9 +88,19 @@
         for _ in range(rng.randrange(1, count + 1)):
             faults.append(_fault(rng, rng.choice(kinds), rng.uniform(0, length_s)))
     faults += _crashing(random.Random(f"crashing-{seed}"), length_s)
+    faults += _backpressure(random.Random(f"backpressure-{seed}"), length_s)
     return sorted(faults)
 
 
+def _backpressure(rng, length_s):
+    faults = []
+    for _ in range(rng.randrange(MOST_BACKPRESSURE + 1)):
+        kind = rng.choice(BACKPRESSURE)
+        fault = _fault(rng, kind, rng.uniform(0, length_s / 2))
+        faults.append(fault._replace(for_s=rng.uniform(*BACKPRESSURE_S)))
+    return faults
+
+
 def _crashing(rng, length_s):
     if rng.random() >= CRASHING_SHARE:
         return []
--- a/libs/soak/src/cherryrudder/soak/promises.py
+++ b/libs/soak/src/cherryrudder/soak/promises.py
@@ -8,7 +8,7 @@
 from typing import NamedTuple
 
 from cherryrudder.standin import requests
-from cherryrudder.standin.engine import Arrival, Crash
+from cherryrudder.standin.engine import Arrival, Crash, TurnedAway
 
 # To callers these statuses promise that the request has not run and never will.
 NOT_RUN = frozenset({408, 421, 429, 503})
@@ -27,6 +27,13 @@
 ENDED_ENGINES = 3
 MOST_LATE_SENDS = 3
 CONTACT_S = 3.0
+# A limited engine gets one and a half times its limit and some requests more.
+WINDOW_S = 4.0
+LIMIT_SHARE = 1.5
+LIMIT_MORE = 5
+# An engine that rests gets so many requests of one entry, this long after it said so.
+REST_NOTICE_S = 0.5
+MOST_IN_REST = 2
 
 
 class Answer(NamedTuple):
@@ -67,6 +74,15 @@
     ends_s: float
 
 
+class Limited(NamedTuple):
+    """A limit of requests a second that an engine named for some time."""
+
+    engine_id: str
+    per_s: float
+    begins_s: float
+    ends_s: float
+
+
 class History(NamedTuple):
     """All that was seen from outside in one run."""
 
@@ -84,6 +100,8 @@
     # The ids of each request that ends engines, and the engines that ended.
     crashing: tuple[frozenset[str], ...] = ()
     crashes: tuple[Crash, ...] = ()
+    limited: tuple[Limited, ...] = ()
+    turned_away: tuple[TurnedAway, ...] = ()
     events: int = 0
 
 
@@ -98,6 +116,8 @@
         _leaving_engines_get_nothing,
         _planned_stops_cut_nothing,
         _crashing_requests_stop,
+        _limits_are_kept,
+        _rests_are_kept,
         lambda history: [f"END: {what}" for what in history.own_ends],
     )
     return [fault for check in checks for fault in check(history)]
@@ -208,6 +228,72 @@
             yield f"BUDGET: sent {len(late)} times after {ENDED_ENGINES} engines ended"
 
 
+def _limits_are_kept(history):
+    """Count what came of entries that ran on; a lost control VM is no excuse."""
+    nodes = _nodes(history)
+    for one in history.limited:
+        since_s = one.begins_s + CONTACT_S
+        if _is_link_struck(history, one.begins_s, since_s):
+            continue
+        times_s = sorted(
+            arrival.at_s
+            for arrival in history.arrivals
+            if arrival.engine_id == one.engine_id
+            and since_s <= arrival.at_s < one.ends_s
+            and not _is_entry_struck(
+                history, nodes.get(arrival.request_id), one.begins_s, arrival.at_s
+            )
+        )
+        windows = [sum(t <= u < t + WINDOW_S for u in times_s) for t in times_s]
+        most, allowed = max(windows, default=0), LIMIT_SHARE * one.per_s * WINDOW_S
+        if most > allowed + LIMIT_MORE:
+            yield f"LIMIT: {one.engine_id} got {most} requests, {one.per_s} a second"
+
+
+def _rests_are_kept(history):
+    """Count what an entry sent to an engine that had turned it away."""
+    nodes = _nodes(history)
+    for one in history.turned_away:
+        node, ends_s = nodes.get(one.request_id), one.at_s + one.rest_s
+        if _is_link_struck(history, one.at_s - REST_NOTICE_S, ends_s):
+            continue
+        if _is_entry_struck(history, node, one.at_s, ends_s):
+            continue
+        got = sum(
+            arrival.engine_id == one.engine_id
+            and nodes.get(arrival.request_id) == node
+            and one.at_s + REST_NOTICE_S <= arrival.at_s < ends_s
+            for arrival in history.arrivals
+        )
+        if got > MOST_IN_REST:
+            yield f"BUDGET: {one.engine_id} got {got} requests of {node} in its rest"
+            return
+
+
+def _nodes(history):
+    """Return which entry got each request."""
+    return {answer.request_id: answer.node for answer in history.answers}
+
+
+def _is_entry_struck(history, node, begins_s, ends_s):
+    return any(
+        one.kind.endswith("-entry")
+        and one.target in (node, "")
+        and one.begins_s < ends_s
+        and begins_s < one.ends_s + CONTACT_S
+        for one in history.disturbances
+    )
+
+
+def _is_link_struck(history, begins_s, ends_s):
+    return any(
+        one.kind in ("engine-link", "engine-reset")
+        and one.begins_s < ends_s
+        and begins_s < one.ends_s + CONTACT_S
+        for one in history.disturbances
+    )
+
+
 def _is_out_of_touch(history, begins_s, ends_s):
     return any(
         one.kind.endswith(("-entry", "-control", "-controls"))
--- a/libs/soak/src/cherryrudder/soak/run.py
+++ b/libs/soak/src/cherryrudder/soak/run.py
@@ -130,6 +130,8 @@
             for answers in field.crashing.values()
         ),
         crashes=tuple(fleet.crashes),
+        limited=tuple(striker.limited),
+        turned_away=tuple(fleet.turned_away),
         events=EVENTS,
     )
 
--- a/libs/soak/src/cherryrudder/soak/strike.py
+++ b/libs/soak/src/cherryrudder/soak/strike.py
@@ -9,7 +9,7 @@
 from .faults import Fault, Kind
 from .field import Field
 from .operator import Operator
-from .promises import Disturbance
+from .promises import Disturbance, Limited
 from .proxy import Mode
 
 # A leaving engine goes on for the users' two seconds and a little longer.
@@ -18,6 +18,9 @@
 FEWEST_MODEL_ENGINES = 4
 FEWEST_PLAIN_ENGINES = 1
 CRASHING_PAUSE_S = 0.2
+# What a limited engine takes, and how long one that rests wants nothing.
+LIMITS_PER_S = (1.0, 4.0)
+RESTS_S = (1.0, 3.0)
 
 
 class Striker:
@@ -28,6 +31,7 @@
         self.operator = operator
         self.disturbances: list[Disturbance] = []
         self.left_s: dict[str, float] = {}
+        self.limited: list[Limited] = []
         self._busy: set[str] = set()
 
     async def strike(self, fault: Fault) -> None:
@@ -151,6 +155,54 @@
             self.field.first_answers += caller.answers
         return body.decode()
 
+    async def _engine_limits(self, fault):
+        """Let an engine name a limit for some time."""
+        engine = self._pick(self._calm_engines(), fault)
+        if engine is None:
+            return ""
+        engine.limit_per_s = round(_between(LIMITS_PER_S, fault.pick * 10 % 1), 2)
+        named_s, limit_per_s = time.monotonic(), engine.limit_per_s
+        await anyio.sleep(fault.for_s)
+        engine.limit_per_s = None
+        self.limited.append(
+            Limited(engine.engine_id, limit_per_s, named_s, time.monotonic())
+        )
+        return f"{engine.engine_id} {limit_per_s} a second"
+
+    async def _engine_rests(self, fault):
+        """Let an engine turn everything away for some time, and ask for rest."""
+        engine = self._pick(self._calm_engines(), fault)
+        if engine is None:
+            return ""
+        engine.rest_s = round(_between(RESTS_S, fault.pick * 10 % 1), 2)
+        await anyio.sleep(fault.for_s)
+        engine.rest_s = None
+        return engine.engine_id
+
+    async def _engine_tells_callers(self, fault):
+        """Let an engine leave that says so in its answers, and sign off later."""
+        engine = self._pick(self._spare_engines(), fault)
+        if engine is None:
+            return ""
+        replacement = await self.field.add_engine(engine.service, engine.kind)
+        engine.tells_callers = True
+        with anyio.move_on_after(LEAVE_S):
+            while engine.told_callers_s is None:
+                await anyio.sleep(0.02)
+            self.left_s[engine.engine_id] = engine.told_callers_s
+        await anyio.sleep(LEAVE_S)
+        await self.field.deployment.depart(engine)
+        await self.field.remove_engine(engine)
+        return f"{engine.engine_id} for {replacement.engine_id}"
+
+    def _calm_engines(self):
+        """Return the engines that ask for nothing yet."""
+        return [
+            engine
+            for engine in self._spare_engines()
+            if engine.limit_per_s is None and engine.rest_s is None
+        ]
+
     def _spare_engines(self):
         """Return the engines that may be lost now."""
         found = []
@@ -159,7 +211,7 @@
             ("desk", FEWEST_PLAIN_ENGINES),
         ):
             there = [e for e in self.field.engines if e.service == service]
-            staying = [e for e in there if not e.is_leaving]
+            staying = [e for e in there if not (e.is_leaving or e.tells_callers)]
             found += staying if len(staying) > fewest else []
         return found
 
@@ -176,6 +228,10 @@
         return proxy.listen_address
 
 
+def _between(bounds, share):
+    return bounds[0] + share * (bounds[1] - bounds[0])
+
+
 def _on_process(role, work):
     return lambda striker, fault: striker._with_process(
         fault, role, lambda *args: work(striker, *args)
@@ -206,5 +262,8 @@
     Kind.RACE: lambda s, f: _operate(s.operator.race),
     Kind.BAD_CHANGE: lambda s, f: _operate(s.operator.send_broken),
     Kind.CRASHING_REQUEST: Striker._crashing_request,
+    Kind.ENGINE_LIMITS: Striker._engine_limits,
+    Kind.ENGINE_RESTS: Striker._engine_rests,
+    Kind.ENGINE_TELLS_CALLERS: Striker._engine_tells_callers,
     Kind.REVOKE: lambda s, f: _operate(s.operator.revoke),
 }
--- a/libs/soak/test/test_promises.py
+++ b/libs/soak/test/test_promises.py
@@ -9,8 +9,8 @@
 )
 
 from cherryrudder.soak import promises
-from cherryrudder.soak.promises import Reading
-from cherryrudder.standin.engine import Crash
+from cherryrudder.soak.promises import Limited, Reading
+from cherryrudder.standin.engine import Crash, TurnedAway
 
 
 class CheckTest(unittest.TestCase):
@@ -90,5 +90,30 @@
         beside = (a_disturbance("kill-entry", begins_s=93.0, ends_s=94.0),)
         self.assert_kept(a_history(**seen, arrivals=late, disturbances=beside))
 
+    def test_an_engine_that_gets_more_than_its_limit(self):
+        limited = (Limited("e1", 1.0, 90.0, 99.0),)
+        times_s = [93.0 + n / 4 for n in range(12)]
+        seen = {
+            "limited": limited,
+            "arrivals": tuple(an_arrival(at_s=at_s) for at_s in times_s),
+        }
+        self.assert_broken(a_history(an_answer(), **seen), "LIMIT")
+        fewer = seen | {"arrivals": seen["arrivals"][1:]}
+        self.assert_kept(a_history(an_answer(), **fewer))
+        lost = (a_disturbance("kill-control", begins_s=92.0, ends_s=94.0),)
+        self.assert_broken(a_history(an_answer(), **seen, disturbances=lost), "LIMIT")
+        frozen = (a_disturbance("freeze-entry", "front-0", 89.0, 90.5),)
+        self.assert_kept(a_history(an_answer(), **seen, disturbances=frozen))
+
+    def test_an_engine_that_gets_requests_in_its_rest(self):
+        seen = {
+            "turned_away": (TurnedAway("1", "e1", 90.0, 3.0),),
+            "arrivals": tuple(an_arrival(at_s=91.0 + n / 4) for n in range(3)),
+        }
+        self.assert_broken(a_history(an_answer(), **seen), "BUDGET")
+        self.assert_kept(a_history(an_answer(), **seen | {"arrivals": ()}))
+        cut = (a_disturbance("engine-link", "e1", 89.5, 90.5),)
+        self.assert_kept(a_history(an_answer(), **seen, disturbances=cut))
+
     def test_a_process_that_ends_by_itself(self):
         self.assert_broken(a_history(own_ends=("front-0 entry",)), "END")
