Send turns as their giver's answer has them, and wait for none without need

The message repeated the fields of the giver's answer. An entry that needs no turn no longer enters the wait for one. Nothing that is sent or decided changes.

--- a/libs/node/src/cherryrudder/node/gossip.py
+++ b/libs/node/src/cherryrudder/node/gossip.py
@@ -12,6 +12,7 @@
 
 from cherryrudder.platform.settings import NodeSettings
 from cherryrudder.policy.sharedbudget import Spent
+from cherryrudder.policy.turns import Given
 from cherryrudder.routing.endpoints import Announcement
 
 log = logger.bind(part="gossip")
@@ -238,12 +239,10 @@
 
 
 class TurnAnswer(NamedTuple):
-    """How many requests the entry may send; see `turns.Given`."""
+    """How many requests an entry may send to a limited engine."""
 
     engine_id: str
-    turns: int
-    next_s: float
-    wait_s: float
+    given: Given
 
 
 class Complaint(NamedTuple):
--- a/libs/node/src/cherryrudder/node/rategiver.py
+++ b/libs/node/src/cherryrudder/node/rategiver.py
@@ -46,7 +46,7 @@
         given = turns.give(giver, ask.sender, ask.count, limit_per_s, now_s)
         outcome = "given" if given.turns else "denied"
         self.state.metrics.turns.labels(outcome).inc()
-        self.links.send(ask.sender, TurnAnswer(engine_id, *given))
+        self.links.send(ask.sender, TurnAnswer(engine_id, given))
 
     def told(self, now_s: float) -> tuple[ToldLimit, ...]:
         """Return the limits as other processes are told them."""
--- a/libs/node/src/cherryrudder/node/ratekeeper.py
+++ b/libs/node/src/cherryrudder/node/ratekeeper.py
@@ -11,7 +11,7 @@
 
 from cherryrudder.platform.messages import AnswerFacts
 from cherryrudder.policy import turns
-from cherryrudder.policy.turns import Given, Held
+from cherryrudder.policy.turns import Held
 from cherryrudder.replica.clock import now_s
 from cherryrudder.routing import ratelimits
 from cherryrudder.routing.ratelimits import Limit, LimitBook
@@ -130,14 +130,16 @@
             continue
         turns.note_ask(held, now_s)
         limit = rates.book.limits[engine_id]
-        told = ToldLimit(engine_id, limit.per_s, now_s - limit.said_s)
-        rates.send_ask(TurnAsk(state.address, told, 1))
+        named = ToldLimit(engine_id, limit.per_s, now_s - limit.said_s)
+        rates.send_ask(TurnAsk(state.address, named, 1))
 
 
 async def obtain(state: "EntryState", engine_ids: Collection[str]) -> None:
     """Ask for a turn at each engine, and wait for the answers for a short time."""
     rates, asked_s = state.rates, now_s()
     needed = [e for e in engine_ids if not may_begin(state, e, asked_s)]
+    if not needed:
+        return
     ask(state, needed, asked_s)
 
     def is_open(engine_id):
@@ -154,8 +156,8 @@
     """Take a giver's answer."""
     rates = state.rates
     held = _held(rates, answer.engine_id)
-    turns.take(held, Given(*answer[1:]), now_s)
-    outcome = "given" if answer.turns else "denied"
+    turns.take(held, answer.given, now_s)
+    outcome = "given" if answer.given.turns else "denied"
     state.metrics.turns.labels(outcome).inc()
     rates.answered.set()
     rates.answered = anyio.Event()
--- a/libs/node/test/entrycase.py
+++ b/libs/node/test/entrycase.py
@@ -9,6 +9,7 @@
 from cherryrudder.node.gossip import TurnAnswer
 from cherryrudder.node.uplink import Uplink
 from cherryrudder.platform import messages
+from cherryrudder.policy.turns import Given
 from cherryrudder.replica.clock import now_s
 
 ENGINE, OTHER = "boot-1", "boot-2"
@@ -69,7 +70,7 @@
         backpressure.note_answer(job, engine_id, status, facts, now_s())
 
     def give(self, turns=1, next_s=0.0, wait_s=0.0, engine_id=ENGINE):
-        self.uplink._take(TurnAnswer(engine_id, turns, next_s, wait_s))
+        self.uplink._take(TurnAnswer(engine_id, Given(turns, next_s, wait_s)))
 
     def may_begin(self, engine_id=ENGINE):
         return backpressure.may_begin(self.state, engine_id, now_s())
--- a/libs/node/test/test_rates.py
+++ b/libs/node/test/test_rates.py
@@ -194,7 +194,7 @@
                 self.beats._take(TurnAsk(sender, limit, 1))
         answers = [m for _, m in self.sent if isinstance(m, TurnAnswer)]
         self.assertEqual(len(answers), 40)
-        self.assertLessEqual(sum(answer.turns for answer in answers), 1)
+        self.assertLessEqual(sum(answer.given.turns for answer in answers), 1)
 
     def test_an_ask_tells_a_control_vm_of_the_limit(self):
         self.beats._take(TurnAsk("entry-a", ToldLimit(ENGINE, 2.5, 0.0), 1))
