Look for rests only while engines rest

Each stream that found no chain listed its first engines to see whether they rest, also with no rest known. One function tells it now for both questions; the answers are the same.

--- a/libs/node/src/cherryrudder/node/streamchains.py
+++ b/libs/node/src/cherryrudder/node/streamchains.py
@@ -111,12 +111,18 @@
 
     An answer that has begun can't be refused, so it waits.
     """
+    if stream.has_begun:
+        return False
+    return _all_rest(stream, now, until_s=_waiting(stream).give_up_s)
+
+
+def _all_rest(stream, now, until_s=0.0):
+    """Tell whether all engines at which a stream could begin rest, until a time."""
     book = stream.job.state.rests
-    if not book.rests or stream.has_begun:
+    if not book.rests:
         return False
-    give_up_s = _waiting(stream).give_up_s
     lefts_s = [rests.left_s(book, one.engine_id, now) for one in _firsts(stream, now)]
-    return bool(lefts_s) and now + min(lefts_s) > give_up_s
+    return min(lefts_s, default=0.0) > max(0.0, until_s - now)
 
 
 def _backpressure_s(stream, now):
@@ -270,8 +276,7 @@
     if limited:
         ratekeeper.ask(job.state, limited, now)
         return LIMITED
-    book, firsts = job.state.rests, _firsts(stream, now)
-    if firsts and all(rests.left_s(book, one.engine_id, now) for one in firsts):
+    if _all_rest(stream, now):
         return RESTING
     is_whole = chains.is_whole(job.service.model, engines)
     return NO_ROOM if is_whole else NO_CHAIN
