--- a/libs/node/src/cherryrudder/node/backpressure.py
+++ b/libs/node/src/cherryrudder/node/backpressure.py
@@ -67,10 +67,16 @@
 
 
 def may_begin(state: "EntryState", engine_id: str, now_s: float) -> bool:
-    """Tell whether a request may be sent to an engine now."""
-    if not rests.may_begin(state.rests, engine_id, now_s):
-        return False
-    return ratekeeper.may_begin(state, engine_id, now_s)
+    """Tell whether a request may be sent to an engine now.
+
+    It is asked for each engine at each choice; most ask for nothing.
+    """
+    if engine_id in state.rests.rests:
+        if not rests.may_begin(state.rests, engine_id, now_s):
+            return False
+    if engine_id in state.rates.book.limits:
+        return ratekeeper.may_begin(state, engine_id, now_s)
+    return True
 
 
 def begin(state: "EntryState", engine_id: str, now_s: float) -> None:
