Count runs that are cut off as their dead engine is found

Cause: a run counts as ended with its engine when its connection breaks. An engine's connections don't all break as it ends; where another stream's break, or a control VM's word, came first, the watch cut the culprit's silent run off itself, and a run that this system cuts was never counted.

Change: a run that is cut off because its first engine was found dead is kept like one that broke. Whether it counts is decided as before, by the control VMs' word on that engine and by what the engine answers afterwards.

Evidence: node/test_crashes.LostFirstTest fails before (the run isn't broken, and nothing is known).

--- a/libs/node/src/cherryrudder/node/reroute.py
+++ b/libs/node/src/cherryrudder/node/reroute.py
@@ -60,6 +60,7 @@
         # It has ended meanwhile, or goes on over the chain that seemed lost.
         return
     job.state.metrics.reroutes.labels("failed").inc()
+    stream.has_lost_first = stream.chain[0].address in lost
     stream.break_off("an engine of the chain died")
 
 
--- a/libs/node/src/cherryrudder/node/stream.py
+++ b/libs/node/src/cherryrudder/node/stream.py
@@ -70,6 +70,8 @@
         # Why the watch broke the present attempt off, and whether for want of time.
         self.broken = ""
         self.is_late = False
+        # The watch has taken the present attempt's first engine as dead.
+        self.has_lost_first = False
         # The present attempt's engine has begun it, or refused it.
         self.has_head = False
         # When that engine began it, None before.
--- a/libs/node/src/cherryrudder/node/streamrelay.py
+++ b/libs/node/src/cherryrudder/node/streamrelay.py
@@ -152,13 +152,15 @@
         is_kept = failed is None or failed.is_not_run
         return failed
     except (AnswerLate, AnswerBroken) as error:
-        is_broken = not stream.broken and isinstance(error, AnswerBroken)
+        is_broken = isinstance(error, AnswerBroken)
+        is_broken = is_broken and (not stream.broken or stream.has_lost_first)
+        reason = stream.broken or str(error)
         if not stream.broken:
             # All streams of an engine that crashes break at the same moment. Each would
             # go straight back to it, and spend its last attempt on a reset connection.
-            supervision.lose_first(stream, str(error), is_unreached=False)
-            _note_break(stream, error, is_broken)
-        reason = stream.broken or str(error)
+            supervision.lose_first(stream, reason, is_unreached=False)
+        if not stream.broken or stream.has_lost_first:
+            _note_break(stream, reason, is_broken)
         return Failed(
             reason,
             is_not_run=False,
@@ -198,7 +200,7 @@
     stream.head_s = now
 
 
-def _note_break(stream, error, is_broken):
+def _note_break(stream, reason, is_broken):
     """Keep how far a run had come when its engine broke it off."""
     job, engine_id, head_s = stream.job, stream.chain[0].engine_id, stream.head_s
     if is_broken and head_s is not None:
@@ -211,13 +213,14 @@
         engine_id=engine_id,
         run_s=None if head_s is None else round(now_s() - head_s, 3),
         last_event=stream.last_event,
-        reason=str(error),
+        reason=reason,
     )
 
 
 def _watch(stream, connection):
     stream.connection = connection
     stream.broken = ""
+    stream.has_lost_first = False
     stream.has_head = False
     stream.head_s = None
     supervision.progressed(stream, now_s())
--- a/libs/node/src/cherryrudder/node/supervision.py
+++ b/libs/node/src/cherryrudder/node/supervision.py
@@ -116,6 +116,7 @@
         silent_s = now - stream.progressed_s
         if silent_s > LOST_AFTER_S:
             lose_first(stream, "silent")
+            stream.has_lost_first = True
             stream.break_off("the first engine is silent")
             return False
         if silent_s > stream.silence_s:
--- a/libs/node/test/test_crashes.py
+++ b/libs/node/test/test_crashes.py
@@ -7,11 +7,14 @@
 import anyio
 from builders import PipedSink, a_control, a_state, an_announcement
 
+from cherryrudder.layers.chains import Part
 from cherryrudder.node import (
     brokenruns,
     crashes,
     entrystate,
+    reroute,
     roster,
+    streamrelay,
     tablesync,
 )
 from cherryrudder.node.controlbeats import ControlBeats
@@ -24,7 +27,9 @@
     Heard,
 )
 from cherryrudder.node.metrics import Metrics
+from cherryrudder.node.stream import Stream
 from cherryrudder.node.uplink import Uplink
+from cherryrudder.relay.errors import AnswerBroken
 from cherryrudder.replica.clock import now_s
 from cherryrudder.routing.crashbook import FINISHED, Crash, Record
 
@@ -156,6 +161,51 @@
         self.assertIn('"fingerprint":"bad"', text)
 
 
+class LostFirstTest(EntryCase):
+    """Guards against ends that go uncounted when the entry finds them out first."""
+
+    def cut(self, lost):
+        """Let a run's watch take one of its engines as dead, and cut the run off."""
+        chain = (Part(f"{FIRST}:80", FIRST, 0, 8), Part(f"{SECOND}:80", SECOND, 8, 16))
+        job = a_job(self.state)
+        job.service.model = SimpleNamespace(usual_answer_tokens=100)
+        job.facts.prompt_tokens = 800
+        job.facts.guessed_answer_tokens = job.facts.max_answer_tokens = 0
+        job.facts.last_event = ""
+        job.route = SimpleNamespace(objective_s=0.5)
+        job.attempts = 0
+        job.left_s = lambda: 10.0
+        job.sending = lambda *_, **fields: SimpleNamespace(**fields)
+        job.note = lambda *_, **__: None
+        stalls = SimpleNamespace(uplink=self.uplink)
+        stream = Stream(job, SimpleNamespace(stalls=stalls, streams=set()))
+        stream.chain = chain
+
+        async def relay(stream, connection):
+            streamrelay._note_head(stream)
+            await reroute.go_on_without(stream, connection, {lost})
+            raise AnswerBroken("the connection was closed")
+
+        opened = mock.AsyncMock(return_value=SimpleNamespace(close=lambda: None))
+        with (
+            mock.patch.object(streamrelay.attempts, "open_for", opened),
+            mock.patch.object(streamrelay.attempts, "send", mock.AsyncMock()),
+            mock.patch.object(streamrelay, "_relay", relay),
+            mock.patch.object(reroute, "without", lambda *_: None),
+        ):
+            return anyio.run(streamrelay._exchange, stream)
+
+    def test_a_run_counts_that_was_cut_off_with_its_dead_engine(self):
+        self.assertTrue(self.cut(f"{FIRST}:80").is_broken)
+        self.uplink._on_frames("", [DeathNotice(FIRST)])
+        self.assertEqual(self.known(), {FIRST})
+
+    def test_not_when_another_part_of_the_chain_was_lost(self):
+        self.assertFalse(self.cut(f"{SECOND}:80").is_broken)
+        self.uplink._on_frames("", [DeathNotice(FIRST), DeathNotice(SECOND)])
+        self.assertEqual(self.known(), set())
+
+
 class BlockTest(EntryCase):
     def block(self, **changes):
         record = a_record(*ENGINES, **changes)
