Let one control VM of a data centre give an engine's turns

Entries ask the first control VM of the engine's data centre that they hear and that confirms. Two entries that hear different ones got the limit twice. A control VM now passes an ask on to the first one that it hears itself, which answers the entry.

node/test_rates plays both sides; on the code before, the later one gave turns itself.

--- a/libs/node/src/cherryrudder/node/rategiver.py
+++ b/libs/node/src/cherryrudder/node/rategiver.py
@@ -35,8 +35,15 @@
                 self.links.send(beat.address, LimitNews(tuple(news)))
 
     def answer(self, ask: TurnAsk, now_s: float) -> None:
-        """Hand out turns of an engine."""
+        """Hand out turns of an engine, or pass the ask on to who does.
+
+        Entries that reach different control VMs would otherwise get the limit twice.
+        """
         self.hear((ask.limit,), now_s)
+        giver_address = self._giver_of(ask.limit.engine_id, now_s)
+        if giver_address != self.state.address:
+            self.links.send(giver_address, ask)
+            return
         engine_id = ask.limit.engine_id
         limit_per_s = ratelimits.limit_of(self.book, engine_id)
         if limit_per_s is None:
@@ -71,6 +78,19 @@
         )
         return True
 
+    def _giver_of(self, engine_id, now_s):
+        """Return the first control VM of an engine's data centre, or of all.
+
+        Each passes on only to one before it, so that no ask goes round in circles.
+        """
+        state = self.state
+        zones = {b.address: b.vm_zone for b in roster.beats(state.roster, now_s)}
+        zones[state.address] = state.settings.vm_zone
+        known = state.endpoints.table.entries.get(engine_id)
+        vm_zone = known.announcement.vm_zone if known is not None else ""
+        beside = [address for address, zone in zones.items() if zone == vm_zone]
+        return min(beside or zones)
+
     def _passes_on_to(self, vm_zone, now_s):
         """Tell whether the entries of a data centre hear of news from here.
 
--- a/libs/node/test/test_rates.py
+++ b/libs/node/test/test_rates.py
@@ -196,6 +196,18 @@
         self.assertEqual(len(answers), 40)
         self.assertLessEqual(sum(answer.given.turns for answer in answers), 1)
 
+    def test_of_two_control_vms_beside_an_engine_one_gives_its_turns(self):
+        ask = TurnAsk("entry-a", ToldLimit(ENGINE, 2.5, 0.0), 1)
+        for address, gives in (("10.0.0.0:1", False), ("10.0.0.2:1", True)):
+            with self.subTest(other=address):
+                self.setUp()
+                beat = ControlStub(address=address, vm_zone=HOME)
+                roster.hear(self.state.roster, address, beat, now_s())
+                self.beats._take(ask)
+                told = self.sent[-1]
+                self.assertEqual(told[0], "entry-a" if gives else address)
+                self.assertEqual(isinstance(told[1], TurnAnswer), gives)
+
     def test_an_ask_tells_a_control_vm_of_the_limit(self):
         self.beats._take(TurnAsk("entry-a", ToldLimit(ENGINE, 2.5, 0.0), 1))
         self.assertEqual(ratelimits.limit_of(self.beats.rates.book, ENGINE), 2.5)
