Refuse a stream for a limit only where nothing else could take it

A stream that found no room was refused for the limit of any engine at which it might begin, with the time until that engine's next turn: 0.1 s instead of the 2 s in which room comes back, where one first engine is limited and the others are full.

--- a/libs/node/src/cherryrudder/node/streamchains.py
+++ b/libs/node/src/cherryrudder/node/streamchains.py
@@ -106,23 +106,26 @@
     ]
 
 
+def _are_barred(stream, now):
+    """Tell whether no engine at which a stream could begin takes a request now."""
+    state = stream.job.state
+    if not state.rests.rests and not state.rates.book.limits:
+        return False
+    firsts = _firsts(stream, now)
+    may_begin = (backpressure.may_begin(state, one.engine_id, now) for one in firsts)
+    return bool(firsts) and not any(may_begin)
+
+
 def _rests_for_too_long(stream, now):
     """Tell whether all engines at which a stream could begin rest past its patience.
 
     An answer that has begun can't be refused, so it waits.
     """
-    if stream.has_begun:
-        return False
-    return _all_rest(stream, now, until_s=_waiting(stream).give_up_s)
-
-
-def _all_rest(stream, now, until_s=0.0):
-    """Tell whether all engines at which a stream could begin rest, until a time."""
     book = stream.job.state.rests
-    if not book.rests:
+    if not book.rests or stream.has_begun:
         return False
     lefts_s = [rests.left_s(book, one.engine_id, now) for one in _firsts(stream, now)]
-    return min(lefts_s, default=0.0) > max(0.0, until_s - now)
+    return min(lefts_s, default=0.0) > max(0.0, _waiting(stream).give_up_s - now)
 
 
 def _backpressure_s(stream, now):
@@ -273,11 +276,9 @@
     """Return why there is no chain, and ask for turns if these are what it lacks."""
     job = stream.job
     limited = _limited_firsts(stream, now)
-    if limited:
-        ratekeeper.ask(job.state, limited, now)
-        return LIMITED
-    if _all_rest(stream, now):
-        return RESTING
+    ratekeeper.ask(job.state, limited, now)
+    if _are_barred(stream, now):
+        return LIMITED if limited else RESTING
     is_whole = chains.is_whole(job.service.model, engines)
     return NO_ROOM if is_whole else NO_CHAIN
 
--- a/libs/node/test/test_backpressure.py
+++ b/libs/node/test/test_backpressure.py
@@ -4,6 +4,7 @@
 from types import SimpleNamespace
 
 import anyio
+from builders import a_model
 from entrycase import ENGINE, OTHER, EntryCase
 
 from cherryrudder.node import backpressure, entrystate, plainrelay, streamchains
@@ -116,6 +117,24 @@
     def test_a_short_one_is(self):
         self.assertFalse(self.is_in_vain(b"0.5"))
 
+    def refusal(self):
+        """Return what a stream lacks when no engine has room for it."""
+        stream = self.a_stream()
+        stream.job.service.model = a_model(8)
+        engines = entrystate.candidates(self.state, "llm", now_s())
+        return streamchains._refusal(stream, engines, now_s())
+
+    def test_it_lacks_a_turn_only_when_no_engine_takes_it_without(self):
+        self.hear(b"2.5", engine_id=ENGINE)
+        self.assertEqual(self.refusal(), streamchains.NO_ROOM)
+        self.hear(engine_id=OTHER, status=503, rest=b"3")
+        self.assertEqual(self.refusal(), streamchains.LIMITED)
+
+    def test_it_lacks_an_engine_that_doesnt_rest(self):
+        for engine_id in (ENGINE, OTHER):
+            self.hear(engine_id=engine_id, status=503, rest=b"3")
+        self.assertEqual(self.refusal(), streamchains.RESTING)
+
     def test_an_answer_that_has_begun_waits(self):
         self.assertFalse(self.is_in_vain(b"3", has_begun=True))
 
