--- a/libs/node/src/cherryrudder/node/controlbeats.py
+++ b/libs/node/src/cherryrudder/node/controlbeats.py
@@ -24,13 +24,13 @@
     Finding,
     LimitNews,
     PaceNews,
+    PermitRequest,
     Question,
     TableMark,
-    TurnAsk,
     Usage,
 )
 from .pacewatch import PaceWatch
-from .rategiver import RateGiver
+from .permitissuer import PermitIssuer
 from .verification import Verifier
 
 BEAT_S = 0.5
@@ -66,7 +66,7 @@
         self.links = Links(group, codec, gossip.KEY, state.address, self._on_down)
         self.verifier = Verifier(state, self.links, group)
         self.pace = PaceWatch(state, self.links, group)
-        self.rates = RateGiver(state, self.links)
+        self.rates = PermitIssuer(state, self.links)
         self._codec = codec
         # Entries' beats that wait for the next confirmation.
         self._waiting: dict[str, EntryBeat] = {}
@@ -152,7 +152,7 @@
                 self.verifier.condemn(message.engine_id)
             case LimitNews():
                 self.rates.hear(message.limits, now_s())
-            case TurnAsk():
+            case PermitRequest():
                 self.rates.answer(message, now_s())
 
     def _on_entry(self, beat):
--- a/libs/node/src/cherryrudder/node/gossip.py
+++ b/libs/node/src/cherryrudder/node/gossip.py
@@ -11,8 +11,8 @@
 from loguru import logger
 
 from cherryrudder.platform.settings import NodeSettings
+from cherryrudder.policy.permits import Grant
 from cherryrudder.policy.sharedbudget import Spent
-from cherryrudder.policy.turns import Given
 from cherryrudder.routing.endpoints import Announcement
 
 log = logger.bind(part="gossip")
@@ -229,7 +229,7 @@
     limits: tuple[ToldLimit, ...]
 
 
-class TurnAsk(NamedTuple):
+class PermitRequest(NamedTuple):
     """An entry has requests that could begin at a limited engine."""
 
     # Where the entry takes the answer.
@@ -238,11 +238,11 @@
     count: int
 
 
-class TurnAnswer(NamedTuple):
+class PermitGrant(NamedTuple):
     """How many requests an entry may send to a limited engine."""
 
     engine_id: str
-    given: Given
+    grant: Grant
 
 
 class Complaint(NamedTuple):
@@ -274,8 +274,8 @@
     Complaint,
     PaceNews,
     LimitNews,
-    TurnAsk,
-    TurnAnswer,
+    PermitRequest,
+    PermitGrant,
 )
 
 # Nobody but this system's processes knows the internal ports; the key only keeps a
--- a/libs/node/src/cherryrudder/node/metrics.py
+++ b/libs/node/src/cherryrudder/node/metrics.py
@@ -19,7 +19,7 @@
         self.orders = self._counter("orders", "Orders to engines", "outcome")
         self.beliefs = self._counter("beliefs", "Changes of belief", "event")
         self.crashes = self._counter("crashes", "Requests that end engines", "event")
-        self.turns = self._counter("turns", "Turns at limited engines", "outcome")
+        self.permits = self._counter("permits", "Permits for engines", "outcome")
         self.first_byte_s = self._histogram("first_byte_seconds", "To the first byte")
         self.total_s = self._histogram("total_seconds", "To the end of the answer")
 
--- a/libs/node/src/cherryrudder/node/rategiver.py
+++ b/libs/node/src/cherryrudder/node/permitissuer.py
@@ -1,4 +1,4 @@
-"""Handing out the turns of engines that limit their requests, at a control VM.
+"""Handing out the permits of engines that limit their requests, at a control VM.
 
 Entries ask a control VM of the engine's data centre. Limits are passed on to the
 entries nearby as soon as they are heard; beats repair what was lost.
@@ -6,24 +6,24 @@
 
 from collections.abc import Collection
 
-from cherryrudder.policy import turns
-from cherryrudder.policy.turns import Giver
+from cherryrudder.policy import permits
+from cherryrudder.policy.permits import Issuer
 from cherryrudder.routing import ratelimits
 from cherryrudder.routing.ratelimits import Limit, LimitBook
 
 from . import ratekeeper, roster
 from .controlstate import ControlState
-from .gossip import LimitNews, ToldLimit, TurnAnswer, TurnAsk
+from .gossip import LimitNews, PermitGrant, PermitRequest, ToldLimit
 
 
-class RateGiver:
-    """The limits that one control process knows, and the turns that it gives."""
+class PermitIssuer:
+    """The limits that one control process knows, and the permits that it gives."""
 
     def __init__(self, state: ControlState, links):
         self.state = state
         self.links = links
         self.book = LimitBook()
-        self._givers: dict[str, Giver] = {}
+        self._issuers: dict[str, Issuer] = {}
 
     def hear(self, told: Collection[ToldLimit], now_s: float) -> None:
         """Take limits that others have heard, and pass on what is news."""
@@ -34,26 +34,26 @@
             if self._passes_on_to(beat.vm_zone, now_s):
                 self.links.send(beat.address, LimitNews(tuple(news)))
 
-    def answer(self, ask: TurnAsk, now_s: float) -> None:
-        """Hand out turns of an engine, or pass the ask on to who does.
+    def answer(self, ask: PermitRequest, now_s: float) -> None:
+        """Hand out permits of an engine, or pass the ask on to who does.
 
         Entries that reach different control VMs would otherwise get the limit twice.
         """
         self.hear((ask.limit,), now_s)
-        giver_address = self._giver_of(ask.limit.engine_id, now_s)
-        if giver_address != self.state.address:
-            self.links.send(giver_address, ask)
+        issuer_address = self._issuer_of(ask.limit.engine_id, now_s)
+        if issuer_address != self.state.address:
+            self.links.send(issuer_address, ask)
             return
         engine_id = ask.limit.engine_id
         limit_per_s = ratelimits.limit_of(self.book, engine_id)
         if limit_per_s is None:
             # It has ended; the news of that is on its way to the sender.
             limit_per_s = ask.limit.per_s or 0.0
-        giver = self._givers.setdefault(engine_id, Giver(now_s))
-        given = turns.give(giver, ask.sender, ask.count, limit_per_s, now_s)
-        outcome = "given" if given.turns else "denied"
-        self.state.metrics.turns.labels(outcome).inc()
-        self.links.send(ask.sender, TurnAnswer(engine_id, given))
+        issuer = self._issuers.setdefault(engine_id, Issuer(now_s))
+        grant = permits.issue(issuer, ask.sender, ask.count, limit_per_s, now_s)
+        outcome = "granted" if grant.permits else "denied"
+        self.state.metrics.permits.labels(outcome).inc()
+        self.links.send(ask.sender, PermitGrant(engine_id, grant))
 
     def told(self, now_s: float) -> tuple[ToldLimit, ...]:
         """Return the limits as other processes are told them."""
@@ -63,7 +63,8 @@
         """Forget engines that are gone, and limits that ended long ago."""
         known = self.state.endpoints.table.entries
         ratelimits.sweep(self.book, known, now_s)
-        self._givers = {e: g for e, g in self._givers.items() if e in self.book.limits}
+        limited = self.book.limits
+        self._issuers = {e: one for e, one in self._issuers.items() if e in limited}
 
     def _is_news(self, one, now_s):
         said = Limit(one.per_s, now_s - one.age_s)
@@ -78,7 +79,7 @@
         )
         return True
 
-    def _giver_of(self, engine_id, now_s):
+    def _issuer_of(self, engine_id, now_s):
         """Return the first control VM of an engine's data centre, or of all.
 
         Each passes on only to one before it, so that no ask goes round in circles.
--- a/libs/node/src/cherryrudder/node/plainrelay.py
+++ b/libs/node/src/cherryrudder/node/plainrelay.py
@@ -26,7 +26,7 @@
 PATIENCE_SHARE = 0.4
 # Time that a second attempt needs to be worth sending: the work is 20 to 70 ms.
 EXPECTED_S = 0.05
-# Between two looks for a turn at endpoints that limit their requests.
+# Between two looks for a permit at endpoints that limit their requests.
 LEAST_PAUSE_S = 0.01
 NO_ENDPOINT = Failed("no endpoint", is_not_run=True, is_sent=False)
 BARRED = Failed("endpoints take no more requests", is_not_run=True, is_sent=False)
@@ -89,15 +89,15 @@
 
 
 async def _takes_it(state, engine_id):
-    """Tell whether an endpoint takes a request; ask for a turn if it needs one."""
+    """Tell whether an endpoint takes a request; ask for a permit if it needs one."""
     if not rests.may_begin(state.rests, engine_id, now_s()):
         return False
-    await ratekeeper.obtain(state, [engine_id])
+    await ratekeeper.acquire(state, [engine_id])
     return backpressure.may_begin(state, engine_id, now_s())
 
 
 def _pick(job, excluded):
-    """Return the best endpoint; far ones without a turn only when no other is left."""
+    """Return the best endpoint; far ones that take nothing now only in need."""
     state, now = job.state, now_s()
     places, home_zone = _places(job), state.settings.vm_zone
     far = {
--- a/libs/node/src/cherryrudder/node/ratekeeper.py
+++ b/libs/node/src/cherryrudder/node/ratekeeper.py
@@ -1,7 +1,7 @@
 """Keeping to the request rates that engines ask for, at an entry.
 
 An entry takes limits from engines' answers and from what other processes tell, and asks
-the engine's giver (`rategiver`) for a turn before it sends a request to a limited one.
+for a permit (`permitissuer`) before it sends a request to a limited one.
 """
 
 from collections.abc import Callable, Collection
@@ -10,19 +10,19 @@
 import anyio
 
 from cherryrudder.platform.messages import AnswerFacts
-from cherryrudder.policy import turns
-from cherryrudder.policy.turns import Held
+from cherryrudder.policy import permits
+from cherryrudder.policy.permits import Holder
 from cherryrudder.replica.clock import now_s
 from cherryrudder.routing import ratelimits
 from cherryrudder.routing.ratelimits import Limit, LimitBook
 
-from .gossip import LimitNews, ToldLimit, TurnAnswer, TurnAsk
+from .gossip import LimitNews, PermitGrant, PermitRequest, ToldLimit
 
 if TYPE_CHECKING:
     from .entrystate import EntryState
     from .job import Job
 
-# A giver in the same data centre answers within some milliseconds, one in another
+# An issuer in the same data centre answers within some milliseconds, one in another
 # region within 50.
 ANSWER_S = 0.06
 # Clients that are told to come back are spread over this much more time.
@@ -36,20 +36,20 @@
     limit_per_s: float | None
     age_s: float
     # Turns that this entry may use now.
-    turns: int
+    permits: int
     wait_s: float
 
 
 class RateKeeper:
-    """What one entry knows of engines' limits, and its turns."""
+    """What one entry knows of engines' limits, and its permits."""
 
     def __init__(self):
         self.book = LimitBook()
-        self.held: dict[str, Held] = {}
-        # Replaced by the uplink: send an ask to an engine's giver, and a limit to all.
-        self.send_ask: Callable[[TurnAsk], None] = lambda ask: None
+        self.holders: dict[str, Holder] = {}
+        # Replaced by the uplink: send an ask to an engine's issuer, and a limit to all.
+        self.send_ask: Callable[[PermitRequest], None] = lambda ask: None
         self.spread: Callable[[LimitNews], None] = lambda news: None
-        # Set when a giver has answered, and replaced by whoever waits for it.
+        # Set when an issuer has answered, and replaced by whoever waits for it.
         self.answered = anyio.Event()
 
 
@@ -103,7 +103,7 @@
 def sweep(rates: RateKeeper, known: Collection[str], now_s: float) -> None:
     """Forget engines that are gone, and limits that ended long ago."""
     ratelimits.sweep(rates.book, known, now_s)
-    rates.held = {e: h for e, h in rates.held.items() if e in rates.book.limits}
+    rates.holders = {e: h for e, h in rates.holders.items() if e in rates.book.limits}
 
 
 def may_begin(state: "EntryState", engine_id: str, now_s: float) -> bool:
@@ -111,31 +111,31 @@
     limit_per_s = ratelimits.limit_of(state.rates.book, engine_id)
     if limit_per_s is None:
         return True
-    held = _held(state.rates, engine_id)
-    return turns.has_turn(held, limit_per_s, state.entries, now_s)
+    holder = _holder(state.rates, engine_id)
+    return permits.has_permit(holder, limit_per_s, state.entries, now_s)
 
 
 def begin(state: "EntryState", engine_id: str, now_s: float) -> None:
-    """Take the turn of a request that is about to be sent."""
+    """Take the permit of a request that is about to be sent."""
     if ratelimits.limit_of(state.rates.book, engine_id) is not None:
-        turns.use(_held(state.rates, engine_id), now_s)
+        permits.use(_holder(state.rates, engine_id), now_s)
 
 
 def ask(state: "EntryState", engine_ids: Collection[str], now_s: float) -> None:
-    """Ask for a turn at each engine whose giver may have one."""
+    """Ask for a permit at each engine whose issuer may have one."""
     rates = state.rates
     for engine_id in engine_ids:
-        held = _held(rates, engine_id)
-        if not turns.may_ask(held, now_s):
+        holder = _holder(rates, engine_id)
+        if not permits.may_ask(holder, now_s):
             continue
-        turns.note_ask(held, now_s)
+        permits.note_ask(holder, now_s)
         limit = rates.book.limits[engine_id]
         named = ToldLimit(engine_id, limit.per_s, now_s - limit.said_s)
-        rates.send_ask(TurnAsk(state.address, named, 1))
+        rates.send_ask(PermitRequest(state.address, named, 1))
 
 
-async def obtain(state: "EntryState", engine_ids: Collection[str]) -> None:
-    """Ask for a turn at each engine, and wait for the answers for a short time."""
+async def acquire(state: "EntryState", engine_ids: Collection[str]) -> None:
+    """Ask for a permit at each engine, and wait for the answers for a short time."""
     rates, asked_s = state.rates, now_s()
     needed = [e for e in engine_ids if not may_begin(state, e, asked_s)]
     if not needed:
@@ -145,20 +145,20 @@
     def is_open(engine_id):
         if may_begin(state, engine_id, now_s()):
             return False
-        return turns.is_pending(_held(rates, engine_id), now_s())
+        return permits.is_pending(_holder(rates, engine_id), now_s())
 
     with anyio.move_on_after(ANSWER_S):
         while any(is_open(engine_id) for engine_id in needed):
             await rates.answered.wait()
 
 
-def take(state: "EntryState", answer: TurnAnswer, now_s: float) -> None:
-    """Take a giver's answer."""
+def take(state: "EntryState", answer: PermitGrant, now_s: float) -> None:
+    """Take an issuer's answer."""
     rates = state.rates
-    held = _held(rates, answer.engine_id)
-    turns.take(held, answer.given, now_s)
-    outcome = "given" if answer.given.turns else "denied"
-    state.metrics.turns.labels(outcome).inc()
+    holder = _holder(rates, answer.engine_id)
+    permits.take(holder, answer.grant, now_s)
+    outcome = "granted" if answer.grant.permits else "denied"
+    state.metrics.permits.labels(outcome).inc()
     rates.answered.set()
     rates.answered = anyio.Event()
 
@@ -167,7 +167,7 @@
     """Return the time until an engine may take one request more, 0 without a limit."""
     if ratelimits.limit_of(state.rates.book, engine_id) is None:
         return 0.0
-    return turns.wait_s(_held(state.rates, engine_id), now_s)
+    return permits.wait_s(_holder(state.rates, engine_id), now_s)
 
 
 def retry_after_s(state: "EntryState", wait_s: float) -> float:
@@ -182,12 +182,12 @@
             engine_id,
             limit.per_s,
             round(now_s - limit.said_s, 3),
-            len(_held(rates, engine_id).until_s),
-            round(turns.wait_s(_held(rates, engine_id), now_s), 3),
+            len(_holder(rates, engine_id).until_s),
+            round(permits.wait_s(_holder(rates, engine_id), now_s), 3),
         )
         for engine_id, limit in rates.book.limits.items()
     ]
 
 
-def _held(rates, engine_id):
-    return rates.held.setdefault(engine_id, Held())
+def _holder(rates, engine_id):
+    return rates.holders.setdefault(engine_id, Holder())
--- a/libs/node/src/cherryrudder/node/streamchains.py
+++ b/libs/node/src/cherryrudder/node/streamchains.py
@@ -24,7 +24,7 @@
 # Some layers are held by no engine that may be used, or by none with room.
 NO_CHAIN = "no chain"
 NO_ROOM = "no room"
-# All engines at which the stream may begin limit their requests, and no turn is free.
+# All engines at which the stream may begin limit their requests, and no permit is free.
 LIMITED = "engines limit their requests"
 # All of them have asked this machine for rest.
 RESTING = "engines ask for rest"
@@ -40,7 +40,7 @@
     job, began_s = stream.job, now_s()
     stream.refusal = ""
     desk = stream.watch.desks.of(job.service.name)
-    await _obtain_turn(stream)
+    await _acquire_permit(stream)
     if _rests_for_too_long(stream, now_s()):
         stream.refusal = RESTING
         stream.retry_after_s = _backpressure_s(stream, now_s())
@@ -66,20 +66,20 @@
     return chain
 
 
-async def _obtain_turn(stream):
-    """Ask for a turn at a limited engine that is beside this entry.
+async def _acquire_permit(stream):
+    """Ask for a permit at a limited engine that is beside this entry.
 
-    Its giver is near, too, and answers sooner than the stream would get to another data
-    centre. Farther engines are asked for when nothing else is left.
+    Its issuer is near, too, and answers sooner than the stream would get to another
+    data centre. Farther engines are asked for when nothing else is left.
     """
     state, now = stream.job.state, now_s()
     if state.rates.book.limits:
         limited = _limited_firsts(stream, now, state.settings.vm_zone)
-        await ratekeeper.obtain(state, limited)
+        await ratekeeper.acquire(state, limited)
 
 
 def _limited_firsts(stream, now, vm_zone=""):
-    """Return the limited engines at which a stream could begin if it had a turn."""
+    """Return the limited engines at which a stream could begin if it had a permit."""
     state = stream.job.state
     if not state.rates.book.limits:
         return []
@@ -273,7 +273,7 @@
 
 
 def _refusal(stream, engines, now):
-    """Return why there is no chain, and ask for turns if these are what it lacks."""
+    """Return why there is no chain, and ask for permits if these are what it lacks."""
     job = stream.job
     limited = _limited_firsts(stream, now)
     ratekeeper.ask(job.state, limited, now)
--- a/libs/node/src/cherryrudder/node/uplink.py
+++ b/libs/node/src/cherryrudder/node/uplink.py
@@ -47,9 +47,9 @@
     EntryBeat,
     LimitNews,
     PaceNews,
+    PermitGrant,
+    PermitRequest,
     TableMark,
-    TurnAnswer,
-    TurnAsk,
 )
 
 BEAT_S = 0.5
@@ -79,7 +79,7 @@
         # what is in force.
         self._beaten_s: dict[str, float] = {}
         self._near_confirmed_s = float("-inf")
-        state.rates.send_ask = self._ask_giver
+        state.rates.send_ask = self._ask_issuer
         state.rates.spread = self._tell_tellers
         state.spread_endpoints = self._spread_endpoints
 
@@ -129,8 +129,8 @@
         if news is not None and news.records:
             self._tell_tellers(news)
 
-    def _ask_giver(self, ask: TurnAsk):
-        """Send an ask to the control VM that gives an engine's turns."""
+    def _ask_issuer(self, ask: PermitRequest):
+        """Send an ask to the control VM that issues an engine's permits."""
         known = self.state.endpoints.table.entries.get(ask.limit.engine_id)
         address = known and self._teller_beside(known.announcement)
         if address:
@@ -236,7 +236,7 @@
                 self._on_pace(message)
             case LimitNews():
                 ratekeeper.hear(self.state, message.limits, now_s())
-            case TurnAnswer():
+            case PermitGrant():
                 ratekeeper.take(self.state, message, now_s())
 
     def _on_answer(self, answer):
--- a/libs/node/test/entrycase.py
+++ b/libs/node/test/entrycase.py
@@ -6,10 +6,10 @@
 from builders import PipedSink, a_state, an_announcement
 
 from cherryrudder.node import backpressure, roster, tablesync
-from cherryrudder.node.gossip import TurnAnswer
+from cherryrudder.node.gossip import PermitGrant
 from cherryrudder.node.uplink import Uplink
 from cherryrudder.platform import messages
-from cherryrudder.policy.turns import Given
+from cherryrudder.policy.permits import Grant
 from cherryrudder.replica.clock import now_s
 
 ENGINE, OTHER = "boot-1", "boot-2"
@@ -69,8 +69,8 @@
         facts = an_answer(*limits, rest=rest)
         backpressure.note_answer(job, engine_id, status, facts, now_s())
 
-    def give(self, turns=1, next_s=0.0, wait_s=0.0, engine_id=ENGINE):
-        self.uplink._take(TurnAnswer(engine_id, Given(turns, next_s, wait_s)))
+    def grant(self, permits=1, next_s=0.0, wait_s=0.0, engine_id=ENGINE):
+        self.uplink._take(PermitGrant(engine_id, Grant(permits, next_s, wait_s)))
 
     def may_begin(self, engine_id=ENGINE):
         return backpressure.may_begin(self.state, engine_id, now_s())
--- a/libs/node/test/test_backpressure.py
+++ b/libs/node/test/test_backpressure.py
@@ -1,4 +1,4 @@
-"""Entries that engines turn away and ask for rest."""
+"""Entries that engines permit away and ask for rest."""
 
 import unittest
 from types import SimpleNamespace
@@ -124,7 +124,7 @@
         engines = entrystate.candidates(self.state, "llm", now_s())
         return streamchains._refusal(stream, engines, now_s())
 
-    def test_it_lacks_a_turn_only_when_no_engine_takes_it_without(self):
+    def test_it_lacks_a_permit_only_when_no_engine_takes_it_without(self):
         self.hear(b"2.5", engine_id=ENGINE)
         self.assertEqual(self.refusal(), streamchains.NO_ROOM)
         self.hear(engine_id=OTHER, status=503, rest=b"3")
--- a/libs/node/test/test_rates.py
+++ b/libs/node/test/test_rates.py
@@ -19,9 +19,9 @@
     EndpointNews,
     Heard,
     LimitNews,
+    PermitGrant,
+    PermitRequest,
     ToldLimit,
-    TurnAnswer,
-    TurnAsk,
 )
 from cherryrudder.replica.clock import now_s
 from cherryrudder.routing import endpoints, ratelimits
@@ -69,7 +69,7 @@
         self.assertTrue(self.may_begin())
 
 
-class TurnTest(EntryCase):
+class PermitTest(EntryCase):
     def setUp(self):
         super().setUp()
         self.hear(b"2.5")
@@ -80,13 +80,13 @@
         found = entrystate.candidates(self.state, "llm", now_s())
         return {engine.engine_id for engine in found if engine.firsts < 1e9}
 
-    def test_no_stream_begins_at_it_without_a_turn(self):
+    def test_no_stream_begins_at_it_without_a_permit(self):
         self.assertEqual(self.firsts(), {OTHER})
-        self.give()
+        self.grant()
         self.assertEqual(self.firsts(), {ENGINE, OTHER})
 
-    def test_a_turn_is_for_one_request(self):
-        self.give()
+    def test_a_permit_is_for_one_request(self):
+        self.grant()
         backpressure.begin(self.state, ENGINE, now_s())
         self.assertFalse(self.may_begin())
 
@@ -95,25 +95,25 @@
         ((address, ask),) = self.sent
         self.assertEqual((address, ask.limit.engine_id), ("a:1", ENGINE))
 
-    def test_it_isnt_asked_again_before_it_has_a_turn(self):
-        self.give(turns=0, next_s=30.0)
+    def test_it_isnt_asked_again_before_it_has_a_permit(self):
+        self.grant(permits=0, next_s=30.0)
         ratekeeper.ask(self.state, [ENGINE], now_s())
         self.assertEqual(self.sent, [])
 
     def test_a_request_waits_for_the_answer(self):
         async def play():
             async with anyio.create_task_group() as group:
-                group.start_soon(ratekeeper.obtain, self.state, [ENGINE])
+                group.start_soon(ratekeeper.acquire, self.state, [ENGINE])
                 await anyio.sleep(0.005)
-                self.give()
+                self.grant()
             return self.may_begin()
 
         self.assertTrue(anyio.run(play))
 
-    def test_it_doesnt_wait_for_a_giver_that_is_gone(self):
+    def test_it_doesnt_wait_for_an_issuer_that_is_gone(self):
         async def play():
             with anyio.fail_after(1.0):
-                await ratekeeper.obtain(self.state, [ENGINE])
+                await ratekeeper.acquire(self.state, [ENGINE])
 
         anyio.run(play)
         self.assertFalse(self.may_begin())
@@ -129,29 +129,29 @@
         self.hear(b"2.5")
         self.assertEqual(self.choose().engine_id, OTHER)
 
-    def test_without_any_turn_it_is_refused_with_the_time_until_the_next(self):
+    def test_without_any_permit_it_is_refused_with_the_time_until_the_next(self):
         for engine_id in (ENGINE, OTHER):
             self.hear(b"0.1", engine_id=engine_id)
-            self.give(turns=0, next_s=9.0, wait_s=9.0, engine_id=engine_id)
+            self.grant(permits=0, next_s=9.0, wait_s=9.0, engine_id=engine_id)
         failed = self.choose()
         self.assertTrue(failed.is_not_run)
         self.assertGreater(failed.retry_after_s, 8.0)
 
-    def test_a_turn_that_comes_in_time_is_waited_for(self):
+    def test_a_permit_that_comes_in_time_is_waited_for(self):
         for engine_id in (ENGINE, OTHER):
             self.hear(b"5", engine_id=engine_id)
-            self.give(turns=0, next_s=0.1, wait_s=0.1, engine_id=engine_id)
+            self.grant(permits=0, next_s=0.1, wait_s=0.1, engine_id=engine_id)
 
         async def play():
             async with anyio.create_task_group() as group:
-                group.start_soon(self.give_later, 0.05)
+                group.start_soon(self.grant_later, 0.05)
                 return await plainrelay._choose(self.a_job(), set())
 
         self.assertEqual(anyio.run(play).engine_id, ENGINE)
 
-    async def give_later(self, pause_s):
+    async def grant_later(self, pause_s):
         await anyio.sleep(pause_s)
-        self.give()
+        self.grant()
 
 
 class ControlTest(unittest.TestCase):
@@ -191,25 +191,25 @@
         limit = ToldLimit(ENGINE, 2.5, 0.0)
         for _ in range(20):
             for sender in ("entry-a", "entry-b"):
-                self.beats._take(TurnAsk(sender, limit, 1))
-        answers = [m for _, m in self.sent if isinstance(m, TurnAnswer)]
+                self.beats._take(PermitRequest(sender, limit, 1))
+        answers = [m for _, m in self.sent if isinstance(m, PermitGrant)]
         self.assertEqual(len(answers), 40)
-        self.assertLessEqual(sum(answer.given.turns for answer in answers), 1)
+        self.assertLessEqual(sum(answer.grant.permits for answer in answers), 1)
 
-    def test_of_two_control_vms_beside_an_engine_one_gives_its_turns(self):
-        ask = TurnAsk("entry-a", ToldLimit(ENGINE, 2.5, 0.0), 1)
-        for address, gives in (("10.0.0.0:1", False), ("10.0.0.2:1", True)):
+    def test_of_two_control_vms_beside_an_engine_one_issues_its_permits(self):
+        ask = PermitRequest("entry-a", ToldLimit(ENGINE, 2.5, 0.0), 1)
+        for address, issues in (("10.0.0.0:1", False), ("10.0.0.2:1", True)):
             with self.subTest(other=address):
                 self.setUp()
                 beat = ControlStub(address=address, vm_zone=HOME)
                 roster.hear(self.state.roster, address, beat, now_s())
                 self.beats._take(ask)
                 told = self.sent[-1]
-                self.assertEqual(told[0], "entry-a" if gives else address)
-                self.assertEqual(isinstance(told[1], TurnAnswer), gives)
+                self.assertEqual(told[0], "entry-a" if issues else address)
+                self.assertEqual(isinstance(told[1], PermitGrant), issues)
 
     def test_an_ask_tells_a_control_vm_of_the_limit(self):
-        self.beats._take(TurnAsk("entry-a", ToldLimit(ENGINE, 2.5, 0.0), 1))
+        self.beats._take(PermitRequest("entry-a", ToldLimit(ENGINE, 2.5, 0.0), 1))
         self.assertEqual(ratelimits.limit_of(self.beats.rates.book, ENGINE), 2.5)
 
     def test_an_engine_whose_answers_call_it_leaving_gets_no_new_work_anywhere(self):
--- a/libs/policy/test/turnsim.py
+++ b/libs/policy/test/permitsim.py
@@ -5,8 +5,8 @@
 import random
 from typing import NamedTuple
 
-from cherryrudder.policy import turns
-from cherryrudder.policy.turns import Giver, Held
+from cherryrudder.policy import permits
+from cherryrudder.policy.permits import Holder, Issuer
 
 WINDOW_S = 4.0
 TRIP_S = (0.0005, 0.02)
@@ -19,12 +19,12 @@
 
     entries: int = 7
     demand: str = "even"
-    way: str = "turns"
+    way: str = "permits"
     per_s: float = 2.5
     requests_per_s: float = 20.0
     length_s: float = 40.0
-    # Another giver takes over, without knowledge, this often.
-    giver_changes_s: float = 1e9
+    # Another issuer takes over, without knowledge, this often.
+    issuer_changes_s: float = 1e9
     lost_share: float = 0.0
 
 
@@ -64,9 +64,9 @@
     def __init__(self, plan, rng):
         self.plan = plan
         self.rng = rng
-        self.held = [Held() for _ in range(plan.entries)]
+        self.holder = [Holder() for _ in range(plan.entries)]
         self.saved = [(0.0, 0.0)] * plan.entries
-        self.giver, self.giver_s = Giver(0.0), 0.0
+        self.issuer, self.issuer_s = Issuer(0.0), 0.0
         self.events: list[tuple] = []
         self.order = itertools.count()
         self.sent_s: list[float] = []
@@ -112,33 +112,33 @@
             saved -= 1.0
         self.saved[entry] = (saved, now_s)
 
-    def arrive_turns(self, now_s, entry):
-        held = self.held[entry]
+    def arrive_permits(self, now_s, entry):
+        holder = self.holder[entry]
         if self.begin(now_s, entry):
             return
-        if turns.may_ask(held, now_s):
-            turns.note_ask(held, now_s)
+        if permits.may_ask(holder, now_s):
+            permits.note_ask(holder, now_s)
             self.messages += 1
             if self.rng.random() >= self.plan.lost_share:
-                self.at(now_s + self.rng.uniform(*TRIP_S), self.give, entry)
+                self.at(now_s + self.rng.uniform(*TRIP_S), self.issue, entry)
 
-    def give(self, now_s, entry):
-        if now_s - self.giver_s > self.plan.giver_changes_s:
-            self.giver, self.giver_s = Giver(now_s), now_s
-        given = turns.give(self.giver, str(entry), 1, self.plan.per_s, now_s)
+    def issue(self, now_s, entry):
+        if now_s - self.issuer_s > self.plan.issuer_changes_s:
+            self.issuer, self.issuer_s = Issuer(now_s), now_s
+        grant = permits.issue(self.issuer, str(entry), 1, self.plan.per_s, now_s)
         self.messages += 1
         if self.rng.random() >= self.plan.lost_share:
-            self.at(now_s + self.rng.uniform(*TRIP_S), self.take, entry, given)
+            self.at(now_s + self.rng.uniform(*TRIP_S), self.take, entry, grant)
 
-    def take(self, now_s, entry, given):
-        turns.take(self.held[entry], given, now_s)
+    def take(self, now_s, entry, grant):
+        permits.take(self.holder[entry], grant, now_s)
         # The request that asked is still there.
         self.begin(now_s, entry)
 
     def begin(self, now_s, entry):
-        held = self.held[entry]
-        if not turns.has_turn(held, self.plan.per_s, self.plan.entries, now_s):
+        holder = self.holder[entry]
+        if not permits.has_permit(holder, self.plan.per_s, self.plan.entries, now_s):
             return False
-        turns.use(held, now_s)
+        permits.use(holder, now_s)
         self.sent_s.append(now_s)
         return True
