--- a/libs/node/src/cherryrudder/node/backpressure.py
+++ b/libs/node/src/cherryrudder/node/backpressure.py
@@ -1,14 +1,14 @@
 """What engines ask of this entry, before any request is sent to them.
 
 An engine may limit the requests of all entries together (`ratekeeper`), and ask this
-machine for rest. Every path on which a request goes out asks here.
+machine to back off. Every path on which a request goes out asks here.
 """
 
 from collections.abc import Collection
 from typing import TYPE_CHECKING
 
 from cherryrudder.platform.messages import AnswerFacts
-from cherryrudder.routing import rests
+from cherryrudder.routing import backoffs
 
 from . import entrystate, ratekeeper, tablesync
 
@@ -28,13 +28,13 @@
     state = job.state
     if facts.is_leaving:
         _note_leaving(job, engine_id, now_s)
-    if asks_for_rest(status, facts):
-        _note_rest(job, engine_id, facts, now_s)
-    elif rests.answered(state.rests, engine_id, job.sent_s):
-        job.note("engine-rest-over", engine_id=engine_id)
+    if asks_for_backoff(status, facts):
+        _note_backoff(job, engine_id, facts, now_s)
+    elif backoffs.answered(state.backoffs, engine_id, job.sent_s):
+        job.note("engine-backoff-over", engine_id=engine_id)
 
 
-def asks_for_rest(status: int, facts: AnswerFacts) -> bool:
+def asks_for_backoff(status: int, facts: AnswerFacts) -> bool:
     """Tell whether an answer turns this machine away for some time."""
     return status in TURNED_AWAY and bool(facts.retry_after_s)
 
@@ -49,20 +49,20 @@
         state.spread_endpoints([engine_id])
 
 
-def _note_rest(job, engine_id, facts, now_s):
+def _note_backoff(job, engine_id, facts, now_s):
     """Leave the engine that answered alone, and the one that it names as at fault."""
-    state, rest_s = job.state, facts.retry_after_s
-    rests.ask(state.rests, engine_id, rest_s, now_s)
+    state, backoff_s = job.state, facts.retry_after_s
+    backoffs.start(state.backoffs, engine_id, backoff_s, now_s)
     named = entrystate.engine_at(state, facts.fault_address, now_s)
     if named is not None:
-        rests.ask(state.rests, named.engine_id, rest_s, now_s)
-    state.metrics.beliefs.labels("engine-rest").inc()
+        backoffs.start(state.backoffs, named.engine_id, backoff_s, now_s)
+    state.metrics.beliefs.labels("engine-backoff").inc()
     job.note(
-        "engine-rest",
+        "engine-backoff",
         True,
         engine_id=engine_id,
         fault_address=facts.fault_address,
-        rest_s=rest_s,
+        backoff_s=backoff_s,
     )
 
 
@@ -71,8 +71,8 @@
 
     It is asked for each engine at each choice; most ask for nothing.
     """
-    if engine_id in state.rests.rests:
-        if not rests.may_begin(state.rests, engine_id, now_s):
+    if engine_id in state.backoffs.backoffs:
+        if not backoffs.may_begin(state.backoffs, engine_id, now_s):
             return False
     if engine_id in state.rates.book.limits:
         return ratekeeper.may_begin(state, engine_id, now_s)
@@ -81,7 +81,7 @@
 
 def begin(state: "EntryState", engine_id: str, now_s: float) -> None:
     """Take note of a request that is about to be sent."""
-    rests.begin(state.rests, engine_id, now_s)
+    backoffs.note_sent(state.backoffs, engine_id, now_s)
     ratekeeper.begin(state, engine_id, now_s)
 
 
@@ -90,7 +90,7 @@
     return min(
         (
             max(
-                rests.left_s(state.rests, engine_id, now_s),
+                backoffs.left_s(state.backoffs, engine_id, now_s),
                 ratekeeper.wait_s(state, engine_id, now_s),
             )
             for engine_id in engine_ids
--- a/libs/node/src/cherryrudder/node/entrystate.py
+++ b/libs/node/src/cherryrudder/node/entrystate.py
@@ -15,10 +15,10 @@
 from cherryrudder.policy.sharedbudget import SharedBudget
 from cherryrudder.relay.pool import Pool
 from cherryrudder.replica.clock import new_id, now_s
-from cherryrudder.routing import endpoints, hangs, rests, slowness, suspicion
+from cherryrudder.routing import backoffs, endpoints, hangs, slowness, suspicion
+from cherryrudder.routing.backoffs import BackoffBook
 from cherryrudder.routing.endpoints import Announcement
 from cherryrudder.routing.hangs import Hangs
-from cherryrudder.routing.rests import RestBook
 from cherryrudder.routing.routetable import RouteTable
 from cherryrudder.routing.slowness import SlownessBook
 from cherryrudder.routing.suspicion import Suspicions
@@ -75,7 +75,7 @@
         self.slowness = SlownessBook()
         self.hangs = Hangs()
         self.rates = RateKeeper()
-        self.rests = RestBook()
+        self.backoffs = BackoffBook()
         # Replaced by the uplink: tells all of engines that said that they leave.
         self.spread_endpoints: Callable[[list[str]], None] = lambda engine_ids: None
         self.crashes = CrashDesk(self.boot, sink, metrics)
@@ -250,8 +250,8 @@
     is_barred = hangs.is_resting(
         state.hangs, announcement.engine_id, now
     ) or not backpressure.may_begin(state, announcement.engine_id, now)
-    is_full = now < state.full_until_s.get(address, 0.0) or rests.is_resting(
-        state.rests, announcement.engine_id, now
+    is_full = now < state.full_until_s.get(address, 0.0) or backoffs.is_active(
+        state.backoffs, announcement.engine_id, now
     )
     return Candidate(
         address=address,
--- a/libs/node/src/cherryrudder/node/plainrelay.py
+++ b/libs/node/src/cherryrudder/node/plainrelay.py
@@ -11,7 +11,7 @@
 from cherryrudder.relay import pool
 from cherryrudder.relay.errors import AnswerBroken, AnswerLate, ConnectFailed
 from cherryrudder.replica.clock import now_s
-from cherryrudder.routing import picking, rests, suspicion
+from cherryrudder.routing import backoffs, picking, suspicion
 from cherryrudder.routing.crashbook import FINISHED
 from cherryrudder.routing.picking import Place
 
@@ -90,7 +90,7 @@
 
 async def _takes_it(state, engine_id):
     """Tell whether an endpoint takes a request; ask for a permit if it needs one."""
-    if not rests.may_begin(state.rests, engine_id, now_s()):
+    if not backoffs.may_begin(state.backoffs, engine_id, now_s()):
         return False
     await ratekeeper.acquire(state, [engine_id])
     return backpressure.may_begin(state, engine_id, now_s())
@@ -183,7 +183,7 @@
         return Failed(
             f"status {head.status} from the endpoint",
             is_not_run=True,
-            is_turned_away=backpressure.asks_for_rest(head.status, facts),
+            is_turned_away=backpressure.asks_for_backoff(head.status, facts),
         )
     whole = Whole(head.status, head.headers, body)
     return attempts.failure_of(whole, job.is_idempotent) or whole
--- a/libs/node/src/cherryrudder/node/streamchains.py
+++ b/libs/node/src/cherryrudder/node/streamchains.py
@@ -7,7 +7,7 @@
 from cherryrudder.layers.chains import Candidate, Chain, Need
 from cherryrudder.policy.roomqueue import Waiting
 from cherryrudder.replica.clock import now_s
-from cherryrudder.routing import rests
+from cherryrudder.routing import backoffs
 
 from . import backpressure, entrystate, ratekeeper
 from .stream import Offer
@@ -26,8 +26,8 @@
 NO_ROOM = "no room"
 # All engines at which the stream may begin limit their requests, and no permit is free.
 LIMITED = "engines limit their requests"
-# All of them have asked this machine for rest.
-RESTING = "engines ask for rest"
+# All of them have asked this machine to back off.
+BACKING_OFF = "engines ask to back off"
 # How long an entry waits after its start before a hole in the layers counts as one and
 # not as an engine that is yet to be heard, in times between two heartbeats.
 ANNOUNCED_SHARE = 0.5
@@ -41,8 +41,8 @@
     stream.refusal = ""
     desk = stream.watch.desks.of(job.service.name)
     await _acquire_permit(stream)
-    if _rests_for_too_long(stream, now_s()):
-        stream.refusal = RESTING
+    if _backs_off_too_long(stream, now_s()):
+        stream.refusal = BACKING_OFF
         stream.retry_after_s = _backpressure_s(stream, now_s())
         return None
     try:
@@ -59,7 +59,7 @@
     job.note_wait(now_s() - began_s, stream.refusal)
     if chain is None:
         stream.retry_after_s = desk.retry_after_s()
-        if stream.refusal in (LIMITED, RESTING):
+        if stream.refusal in (LIMITED, BACKING_OFF):
             told_s = _backpressure_s(stream, now_s())
             stream.retry_after_s = max(stream.retry_after_s, told_s)
         _note_no_chain(stream)
@@ -88,7 +88,7 @@
         for one in _firsts(stream, now)
         if vm_zone in ("", one.vm_zone)
         and not ratekeeper.may_begin(state, one.engine_id, now)
-        and not rests.is_resting(state.rests, one.engine_id, now)
+        and not backoffs.is_active(state.backoffs, one.engine_id, now)
     ]
 
 
@@ -109,22 +109,23 @@
 def _are_barred(stream, now):
     """Tell whether no engine at which a stream could begin takes a request now."""
     state = stream.job.state
-    if not state.rests.rests and not state.rates.book.limits:
+    if not state.backoffs.backoffs and not state.rates.book.limits:
         return False
     firsts = _firsts(stream, now)
     may_begin = (backpressure.may_begin(state, one.engine_id, now) for one in firsts)
     return bool(firsts) and not any(may_begin)
 
 
-def _rests_for_too_long(stream, now):
-    """Tell whether all engines at which a stream could begin rest past its patience.
+def _backs_off_too_long(stream, now):
+    """Tell whether all engines at which a stream could begin want nothing for too long.
 
     An answer that has begun can't be refused, so it waits.
     """
-    book = stream.job.state.rests
-    if not book.rests or stream.has_begun:
+    book = stream.job.state.backoffs
+    if not book.backoffs or stream.has_begun:
         return False
-    lefts_s = [rests.left_s(book, one.engine_id, now) for one in _firsts(stream, now)]
+    firsts = _firsts(stream, now)
+    lefts_s = [backoffs.left_s(book, one.engine_id, now) for one in firsts]
     return min(lefts_s, default=0.0) > max(0.0, _waiting(stream).give_up_s - now)
 
 
@@ -278,7 +279,7 @@
     limited = _limited_firsts(stream, now)
     ratekeeper.ask(job.state, limited, now)
     if _are_barred(stream, now):
-        return LIMITED if limited else RESTING
+        return LIMITED if limited else BACKING_OFF
     is_whole = chains.is_whole(job.service.model, engines)
     return NO_ROOM if is_whole else NO_CHAIN
 
--- a/libs/node/src/cherryrudder/node/streamrelay.py
+++ b/libs/node/src/cherryrudder/node/streamrelay.py
@@ -16,7 +16,7 @@
 from . import attempts, brokenruns, crashes, entrystate, streamchains, supervision
 from .job import Failed, Job, Whole
 from .stream import Stream
-from .streamchains import LIMITED, NO_CHAIN, NO_ROOM, RESTING
+from .streamchains import BACKING_OFF, LIMITED, NO_CHAIN, NO_ROOM
 from .supervision import Watch
 
 # A second attempt is worth sending while this much is left: a prompt is read within
@@ -45,7 +45,7 @@
     NO_CHAIN: HOLE_RETRY_S,
     NO_ROOM: ROOM_RETRY_S,
     LIMITED: 0.0,
-    RESTING: 0.0,
+    BACKING_OFF: 0.0,
 }
 
 
--- a/libs/node/src/cherryrudder/node/uplink.py
+++ b/libs/node/src/cherryrudder/node/uplink.py
@@ -12,10 +12,10 @@
 from cherryrudder.relay import pool
 from cherryrudder.replica.clock import now_s
 from cherryrudder.routing import (
+    backoffs,
     configlog,
     endpoints,
     hangs,
-    rests,
     slowness,
     suspicion,
 )
@@ -173,7 +173,7 @@
             suspicion.forget(state.suspicions, known)
             hangs.forget(state.hangs, known)
             ratekeeper.sweep(state.rates, known, now)
-            rests.forget(state.rests, known)
+            backoffs.forget(state.backoffs, known)
             for engine_id in set(state.leaving_s) - known:
                 del state.leaving_s[engine_id]
             brokenruns.sweep(state.broken, now)
--- a/libs/node/test/entrycase.py
+++ b/libs/node/test/entrycase.py
@@ -24,11 +24,11 @@
     """What a control VM looks at in an entry's beat."""
 
 
-def an_answer(*limits, rest=None):
-    """Return what an answer says that names some limits, or a rest."""
+def an_answer(*limits, backoff=None):
+    """Return what an answer says that names some limits, or a time to back off."""
     headers = [(b"server-limit", limit) for limit in limits]
-    if rest is not None:
-        headers += [(b"retry-after", rest), (b"not-executed", b"1")]
+    if backoff is not None:
+        headers += [(b"retry-after", backoff), (b"not-executed", b"1")]
     return messages.read_answer(headers)
 
 
@@ -63,10 +63,10 @@
         }
         return SimpleNamespace(**fields | changes)
 
-    def hear(self, *limits, engine_id=ENGINE, status=200, rest=None, **changes):
-        """Take an engine's answer that names limits, or a rest."""
+    def hear(self, *limits, engine_id=ENGINE, status=200, backoff=None, **changes):
+        """Take an engine's answer that names limits, or a time to back off."""
         job = self.a_job(**changes)
-        facts = an_answer(*limits, rest=rest)
+        facts = an_answer(*limits, backoff=backoff)
         backpressure.note_answer(job, engine_id, status, facts, now_s())
 
     def grant(self, permits=1, next_s=0.0, wait_s=0.0, engine_id=ENGINE):
--- a/libs/node/test/test_backpressure.py
+++ b/libs/node/test/test_backpressure.py
@@ -1,4 +1,4 @@
-"""Entries that engines permit away and ask for rest."""
+"""Entries that engines turn away and ask to back off."""
 
 import unittest
 from types import SimpleNamespace
@@ -14,15 +14,15 @@
 from cherryrudder.routing import suspicion
 
 
-class RestTest(EntryCase):
-    """Guards against requests to an engine that asked this machine for rest."""
+class BackoffTest(EntryCase):
+    """Guards against requests to an engine that asked this machine to back off."""
 
-    def rest(self, *engine_ids, rest=b"3"):
+    def shed(self, *engine_ids, backoff=b"3"):
         for engine_id in engine_ids:
-            self.hear(engine_id=engine_id, status=503, rest=rest)
+            self.hear(engine_id=engine_id, status=503, backoff=backoff)
 
     def test_no_stream_goes_through_it(self):
-        self.rest(ENGINE)
+        self.shed(ENGINE)
         found = {
             engine.engine_id: engine.tokens
             for engine in entrystate.candidates(self.state, "llm", now_s())
@@ -30,7 +30,7 @@
         self.assertEqual(found[ENGINE], float("inf"))
         self.assertLess(found[OTHER], float("inf"))
 
-    def test_the_engine_that_is_named_rests_too(self):
+    def test_the_engine_that_is_named_is_left_alone_too(self):
         named = (b"at-server", f"{OTHER}:80".encode())
         facts = messages.read_answer([(b"retry-after", b"3"), named])
         backpressure.note_answer(self.job, ENGINE, 503, facts, now_s())
@@ -38,16 +38,16 @@
         self.assertFalse(self.may_begin(OTHER))
 
     def test_a_time_to_come_back_in_a_success_is_none(self):
-        self.hear(rest=b"3")
+        self.hear(backoff=b"3")
         self.assertTrue(self.may_begin())
 
     def test_what_is_no_time_is_none(self):
-        for rest in (b"soon", b"-1", b"nan", b"0"):
-            self.rest(ENGINE, rest=rest)
+        for backoff in (b"soon", b"-1", b"nan", b"0"):
+            self.shed(ENGINE, backoff=backoff)
         self.assertTrue(self.may_begin())
 
     def test_after_it_one_request_goes_alone_until_it_is_served(self):
-        self.rest(ENGINE, rest=b"0.01")
+        self.shed(ENGINE, backoff=b"0.01")
         anyio.run(anyio.sleep, 0.02)
         self.assertTrue(self.may_begin())
         backpressure.begin(self.state, ENGINE, now_s())
@@ -56,12 +56,12 @@
         self.assertTrue(self.may_begin())
 
     def test_a_request_goes_to_the_endpoint_that_serves(self):
-        self.rest(ENGINE)
+        self.shed(ENGINE)
         place = anyio.run(plainrelay._choose, self.a_job(), set())
         self.assertEqual(place.engine_id, OTHER)
 
-    def test_when_all_rest_a_request_is_refused_at_once_with_the_time(self):
-        self.rest(ENGINE, OTHER)
+    def test_when_all_back_off_a_request_is_refused_at_once_with_the_time(self):
+        self.shed(ENGINE, OTHER)
 
         async def play():
             with anyio.fail_after(0.1):
@@ -71,8 +71,8 @@
         self.assertTrue(failed.is_not_run)
         self.assertGreater(failed.retry_after_s, 2.5)
 
-    def test_a_rest_that_ends_in_time_is_waited_for(self):
-        self.rest(ENGINE, OTHER, rest=b"0.1")
+    def test_a_backoff_that_ends_in_time_is_waited_for(self):
+        self.shed(ENGINE, OTHER, backoff=b"0.1")
         place = anyio.run(plainrelay._choose, self.a_job(), set())
         self.assertIn(place.engine_id, (ENGINE, OTHER))
 
@@ -87,7 +87,7 @@
 
 
 class StreamTest(EntryCase):
-    """Guards against streams that wait in vain while all first engines rest."""
+    """Guards against streams that wait in vain while all first engines back off."""
 
     def a_stream(self, has_begun=False):
         job = self.a_job(
@@ -106,12 +106,12 @@
             excluded=lambda _: set(),
         )
 
-    def is_in_vain(self, rest, **changes):
+    def is_in_vain(self, backoff, **changes):
         for engine_id in (ENGINE, OTHER):
-            self.hear(engine_id=engine_id, status=503, rest=rest)
-        return streamchains._rests_for_too_long(self.a_stream(**changes), now_s())
+            self.hear(engine_id=engine_id, status=503, backoff=backoff)
+        return streamchains._backs_off_too_long(self.a_stream(**changes), now_s())
 
-    def test_a_long_rest_is_not_waited_for(self):
+    def test_a_long_backoff_is_not_waited_for(self):
         self.assertTrue(self.is_in_vain(b"3"))
 
     def test_a_short_one_is(self):
@@ -127,13 +127,13 @@
     def test_it_lacks_a_permit_only_when_no_engine_takes_it_without(self):
         self.hear(b"2.5", engine_id=ENGINE)
         self.assertEqual(self.refusal(), streamchains.NO_ROOM)
-        self.hear(engine_id=OTHER, status=503, rest=b"3")
+        self.hear(engine_id=OTHER, status=503, backoff=b"3")
         self.assertEqual(self.refusal(), streamchains.LIMITED)
 
-    def test_it_lacks_an_engine_that_doesnt_rest(self):
+    def test_it_lacks_an_engine_that_takes_anything(self):
         for engine_id in (ENGINE, OTHER):
-            self.hear(engine_id=engine_id, status=503, rest=b"3")
-        self.assertEqual(self.refusal(), streamchains.RESTING)
+            self.hear(engine_id=engine_id, status=503, backoff=b"3")
+        self.assertEqual(self.refusal(), streamchains.BACKING_OFF)
 
     def test_an_answer_that_has_begun_waits(self):
         self.assertFalse(self.is_in_vain(b"3", has_begun=True))
--- a/libs/node/test/test_streamchains.py
+++ b/libs/node/test/test_streamchains.py
@@ -11,7 +11,7 @@
 from cherryrudder.node.roomdesk import RoomDesks
 from cherryrudder.replica.clock import now_s
 from cherryrudder.routing import suspicion
-from cherryrudder.routing.rests import RestBook
+from cherryrudder.routing.backoffs import BackoffBook
 
 CHAIN = (Part("e1:1", "boot-1", 0, 8), Part("e2:1", "boot-2", 8, 16))
 
@@ -19,7 +19,7 @@
 def a_small_state():
     """Return what the counts of a chain need of an entry."""
     return SimpleNamespace(
-        running={}, tokens={}, firsts={}, rates=RateKeeper(), rests=RestBook()
+        running={}, tokens={}, firsts={}, rates=RateKeeper(), backoffs=BackoffBook()
     )
 
 
--- a/libs/soak/src/cherryrudder/soak/faults.py
+++ b/libs/soak/src/cherryrudder/soak/faults.py
@@ -37,9 +37,9 @@
     REVOKE = "revoke"
     # A client repeats a request that ends each engine which begins it.
     CRASHING_REQUEST = "crashing-request"
-    # Engines ask their callers for fewer requests, for a rest, or for no more at all.
+    # Engines ask their callers for fewer requests, to back off, or for no more at all.
     ENGINE_LIMITS = "engine-limits"
-    ENGINE_RESTS = "engine-rests"
+    ENGINE_SHEDS = "engine-sheds"
     ENGINE_TELLS_CALLERS = "engine-tells-callers"
 
 
@@ -52,7 +52,7 @@
     Kind.KILL_ALL_CONTROLS,
 )
 CHANGES = (Kind.CHANGE, Kind.CHANGE, Kind.RACE, Kind.BAD_CHANGE, Kind.REVOKE)
-BACKPRESSURE = (Kind.ENGINE_LIMITS, Kind.ENGINE_RESTS, Kind.ENGINE_TELLS_CALLERS)
+BACKPRESSURE = (Kind.ENGINE_LIMITS, Kind.ENGINE_SHEDS, Kind.ENGINE_TELLS_CALLERS)
 ELSEWHERE = tuple(
     kind
     for kind in Kind
@@ -65,7 +65,7 @@
 # Long enough for three engines to end, for that to be known, and some seconds more.
 CRASHING_S = (8.0, 12.0)
 CRASHING_SHARE = 0.5
-# Long enough for a limit to be known, and for a rest to be asked for again.
+# Long enough for a limit to be known, and for a backoff to be renewed.
 BACKPRESSURE_S = (5.0, 9.0)
 MOST_BACKPRESSURE = 2
 
--- a/libs/soak/src/cherryrudder/soak/promises.py
+++ b/libs/soak/src/cherryrudder/soak/promises.py
@@ -28,7 +28,7 @@
         "engine-leaves",
         "engine-tells-callers",
         "engine-limits",
-        "engine-rests",
+        "engine-sheds",
         "change",
         "race",
         "bad-change",
@@ -44,9 +44,10 @@
 WINDOW_S = 4.0
 LIMIT_SHARE = 1.5
 LIMIT_MORE = 5
-# An engine that rests gets so many requests of one entry, this long after it said so.
-REST_NOTICE_S = 0.5
-MOST_IN_REST = 2
+# Requests of one entry that reach an engine which has asked it to back off, this long
+# after that.
+BACKOFF_NOTICE_S = 0.5
+MOST_IN_BACKOFF = 2
 
 
 class Answer(NamedTuple):
@@ -130,7 +131,7 @@
         _planned_stops_cut_nothing,
         _crashing_requests_stop,
         _limits_are_kept,
-        _rests_are_kept,
+        _backoffs_are_kept,
         lambda history: [f"END: {what}" for what in history.own_ends],
     )
     return [fault for check in checks for fault in check(history)]
@@ -263,23 +264,23 @@
             yield f"LIMIT: {one.engine_id} got {most} requests, {one.per_s} a second"
 
 
-def _rests_are_kept(history):
+def _backoffs_are_kept(history):
     """Count what an entry sent to an engine that had turned it away."""
     nodes = _nodes(history)
     for one in history.turned_away:
-        node, ends_s = nodes.get(one.request_id), one.at_s + one.rest_s
-        if _is_link_struck(history, one.at_s - REST_NOTICE_S, ends_s):
+        node, ends_s = nodes.get(one.request_id), one.at_s + one.backoff_s
+        if _is_link_struck(history, one.at_s - BACKOFF_NOTICE_S, ends_s):
             continue
         if _is_entry_struck(history, node, one.at_s, ends_s):
             continue
         got = sum(
             arrival.engine_id == one.engine_id
             and nodes.get(arrival.request_id) == node
-            and one.at_s + REST_NOTICE_S <= arrival.at_s < ends_s
+            and one.at_s + BACKOFF_NOTICE_S <= arrival.at_s < ends_s
             for arrival in history.arrivals
         )
-        if got > MOST_IN_REST:
-            yield f"BUDGET: {one.engine_id} got {got} requests of {node} in its rest"
+        if got > MOST_IN_BACKOFF:
+            yield f"BUDGET: {one.engine_id} got {got} requests of {node} in its backoff"
             return
 
 
--- a/libs/soak/src/cherryrudder/soak/strike.py
+++ b/libs/soak/src/cherryrudder/soak/strike.py
@@ -18,9 +18,9 @@
 FEWEST_MODEL_ENGINES = 4
 FEWEST_PLAIN_ENGINES = 1
 CRASHING_PAUSE_S = 0.2
-# What a limited engine takes, and how long one that rests wants nothing.
+# What a limited engine takes, and how long one that sheds wants nothing.
 LIMITS_PER_S = (1.0, 4.0)
-RESTS_S = (1.0, 3.0)
+BACKOFFS_S = (1.0, 3.0)
 
 
 class Striker:
@@ -169,14 +169,14 @@
         )
         return f"{engine.engine_id} {limit_per_s} a second"
 
-    async def _engine_rests(self, fault):
-        """Let an engine turn everything away for some time, and ask for rest."""
+    async def _engine_sheds(self, fault):
+        """Let an engine turn everything away for some time, and ask to back off."""
         engine = self._pick(self._calm_engines(), fault)
         if engine is None:
             return ""
-        engine.rest_s = round(_between(RESTS_S, fault.pick * 10 % 1), 2)
+        engine.backoff_s = round(_between(BACKOFFS_S, fault.pick * 10 % 1), 2)
         await anyio.sleep(fault.for_s)
-        engine.rest_s = None
+        engine.backoff_s = None
         return engine.engine_id
 
     async def _engine_tells_callers(self, fault):
@@ -200,7 +200,7 @@
         return [
             engine
             for engine in self._spare_engines()
-            if engine.limit_per_s is None and engine.rest_s is None
+            if engine.limit_per_s is None and engine.backoff_s is None
         ]
 
     def _spare_engines(self):
@@ -263,7 +263,7 @@
     Kind.BAD_CHANGE: lambda s, f: _operate(s.operator.send_broken),
     Kind.CRASHING_REQUEST: Striker._crashing_request,
     Kind.ENGINE_LIMITS: Striker._engine_limits,
-    Kind.ENGINE_RESTS: Striker._engine_rests,
+    Kind.ENGINE_SHEDS: Striker._engine_sheds,
     Kind.ENGINE_TELLS_CALLERS: Striker._engine_tells_callers,
     Kind.REVOKE: lambda s, f: _operate(s.operator.revoke),
 }
--- a/libs/soak/test/test_promises.py
+++ b/libs/soak/test/test_promises.py
@@ -107,7 +107,7 @@
         frozen = (a_disturbance("freeze-entry", "front-0", 89.0, 90.5),)
         self.assert_kept(a_history(an_answer(), **seen, disturbances=frozen))
 
-    def test_an_engine_that_gets_requests_in_its_rest(self):
+    def test_an_engine_that_gets_requests_in_its_backoff(self):
         seen = {
             "turned_away": (TurnedAway("1", "e1", 90.0, 3.0),),
             "arrivals": tuple(an_arrival(at_s=91.0 + n / 4) for n in range(3)),
