Ask each limited engine now and then, however low its limit

What callers would see: an engine that names 0.001 a second was asked once in 1,000 s whether that still holds, one that names 0 every ten; and the smallest numbers that a float has made the wait infinite, which went into Retry-After. An engine that gets nothing never answers, so its limit would outlast its need by as much.

Cause: only 0 had the lowest rate. Change: every limit has it, 0.1 a second. It is 0.1 a second over the engine's word at the most, and the users' rule allows five in 4 s more.

The property test over all limits is unchanged.

--- a/libs/policy/src/cherryrudder/policy/permits.py
+++ b/libs/policy/src/cherryrudder/policy/permits.py
@@ -16,7 +16,7 @@
 # Of the limit, so that a permit that was granted late in one second and used early in
 # the next doesn't put that one over the limit.
 SAFE_SHARE = 0.95
-# An endpoint that takes nothing is asked this often whether that still holds.
+# An endpoint is asked at least this often whether its limit still holds.
 LEAST_PER_S = 0.1
 # Beside one whole permit, what comes free within this time is saved up for whoever asks
 # next.
@@ -57,7 +57,7 @@
 
 def issue(issuer: Issuer, sender: str, count: int, per_s: float, now_s: float) -> Grant:
     """Hand out as many permits of those asked for as the limit has left."""
-    rate = max(SAFE_SHARE * per_s, LEAST_PER_S if per_s == 0 else 0.0)
+    rate = max(SAFE_SHARE * per_s, LEAST_PER_S)
     most = 1.0 + rate * SAVED_S
     issuer.saved = min(most, issuer.saved + rate * (now_s - issuer.filled_s))
     issuer.filled_s = now_s
--- a/libs/policy/test/test_permits.py
+++ b/libs/policy/test/test_permits.py
@@ -66,11 +66,15 @@
         self.assertEqual(sorted(waits_s), waits_s)
         self.assertAlmostEqual(waits_s[2] - waits_s[0], 2.0 / permits.SAFE_SHARE)
 
-    def test_an_endpoint_that_takes_nothing_is_asked_now_and_then(self):
-        issuer = Issuer(0.0)
-        grants = [permits.issue(issuer, "e", 1, 0.0, now_s) for now_s in range(100)]
-        granted = sum(grant.permits for grant in grants)
-        self.assertEqual(granted, int(99 * permits.LEAST_PER_S))
+    def test_an_endpoint_that_takes_next_to_nothing_is_asked_now_and_then(self):
+        for per_s in (0.0, 5e-324, 0.001):
+            with self.subTest(per_s=per_s):
+                issuer = Issuer(0.0)
+                grants = [permits.issue(issuer, "e", 1, per_s, t) for t in range(100)]
+                granted = sum(grant.permits for grant in grants)
+                self.assertEqual(granted, int(99 * permits.LEAST_PER_S))
+                longest_s = max(grant.wait_s for grant in grants)
+                self.assertLessEqual(longest_s, 1.0 / permits.LEAST_PER_S)
 
     @settings(deadline=None, max_examples=60, derandomize=True)
     @given(
