Tell of asks for a permit that nobody answers

What operators saw: nothing. An entry waits 60 ms for a permit and then goes on; when the control VM that issues them was gone, every stream at a limited engine lost that time without a line or a count.

What is sent or waited for is the same.

--- a/libs/node/src/cherryrudder/node/ratekeeper.py
+++ b/libs/node/src/cherryrudder/node/ratekeeper.py
@@ -147,9 +147,12 @@
             return False
         return permits.is_pending(_holder(rates, engine_id), now_s())
 
-    with anyio.move_on_after(ANSWER_S):
+    with anyio.move_on_after(ANSWER_S) as scope:
         while any(is_open(engine_id) for engine_id in needed):
             await rates.answered.wait()
+    if scope.cancelled_caught:
+        state.metrics.permits.labels("unanswered").inc()
+        state.sink.write("rates", "permit-unanswered", engine_ids=needed)
 
 
 def take(state: "EntryState", answer: PermitGrant, now_s: float) -> None:
--- a/libs/node/test/test_rates.py
+++ b/libs/node/test/test_rates.py
@@ -116,6 +116,7 @@
 
         anyio.run(play)
         self.assertFalse(self.may_begin())
+        self.assertIn('"event":"permit-unanswered"', self.piped.text())
 
 
 class PlainTest(EntryCase):
