Keep the time to come back beside both kinds of backpressure

ratekeeper held how clients are told to come back, for limits and for backoffs alike; a reader of the latter looked for it in vain. It stands in backpressure now, its least time with a name.

--- a/libs/node/src/cherryrudder/node/backpressure.py
+++ b/libs/node/src/cherryrudder/node/backpressure.py
@@ -18,6 +18,9 @@
 
 # An engine's answer with one of these may say for how long it wants nothing more.
 TURNED_AWAY = frozenset({429, 503})
+# Clients are told to come back after this at least, spread over so much more time.
+LEAST_RETRY_S = 0.1
+RETRY_SPREAD = 0.5
 
 
 def note_answer(
@@ -97,3 +100,8 @@
         ),
         default=0.0,
     )
+
+
+def retry_after_s(state: "EntryState", wait_s: float) -> float:
+    """Return when a client may come back, spread so that not all come at once."""
+    return max(LEAST_RETRY_S, wait_s) * (1.0 + RETRY_SPREAD * state.rng.random())
--- a/libs/node/src/cherryrudder/node/plainrelay.py
+++ b/libs/node/src/cherryrudder/node/plainrelay.py
@@ -83,7 +83,7 @@
         now = now_s()
         wait_s = backpressure.wait_s(state, barred, now)
         if now + wait_s > job.arrived_s + job.route.objective_s - EXPECTED_S:
-            retry_after_s = ratekeeper.retry_after_s(state, wait_s)
+            retry_after_s = backpressure.retry_after_s(state, wait_s)
             return BARRED._replace(retry_after_s=retry_after_s)
         await anyio.sleep(max(LEAST_PAUSE_S, wait_s))
 
--- a/libs/node/src/cherryrudder/node/ratekeeper.py
+++ b/libs/node/src/cherryrudder/node/ratekeeper.py
@@ -25,8 +25,6 @@
 # An issuer in the same data centre answers within some milliseconds, one in another
 # region within 50.
 ANSWER_S = 0.06
-# Clients that are told to come back are spread over this much more time.
-RETRY_SPREAD = 0.5
 
 
 class LimitShown(NamedTuple):
@@ -173,11 +171,6 @@
     return permits.wait_s(_holder(state.rates, engine_id), now_s)
 
 
-def retry_after_s(state: "EntryState", wait_s: float) -> float:
-    """Return when a client may come back, spread so that not all come at once."""
-    return max(0.1, wait_s) * (1.0 + RETRY_SPREAD * state.rng.random())
-
-
 def dump(rates: RateKeeper, now_s: float) -> list[LimitShown]:
     """Return the limits for the operators."""
     return [
--- a/libs/node/src/cherryrudder/node/streamchains.py
+++ b/libs/node/src/cherryrudder/node/streamchains.py
@@ -134,7 +134,7 @@
     state = stream.job.state
     engine_ids = [one.engine_id for one in _firsts(stream, now)]
     wait_s = backpressure.wait_s(state, engine_ids, now)
-    return ratekeeper.retry_after_s(state, wait_s)
+    return backpressure.retry_after_s(state, wait_s)
 
 
 def _waiting(stream):
