--- a/libs/node/src/cherryrudder/node/tablesync.py
+++ b/libs/node/src/cherryrudder/node/tablesync.py
@@ -30,12 +30,17 @@
     shared.changed[engine_id] = shared.table.version
 
 
+def _noted(shared, engine_id, is_news):
+    """Take note of an endpoint if it has changed; tell whether it has."""
+    if is_news:
+        note(shared, engine_id)
+    return is_news
+
+
 def hear(shared: SharedTable, heard: Announcement, now_s: float) -> bool:
     """Take a heartbeat; tell whether it is news."""
     is_news = endpoints.hear(shared.table, heard, now_s)
-    if is_news:
-        note(shared, heard.engine_id)
-    return is_news
+    return _noted(shared, heard.engine_id, is_news)
 
 
 def observe(
@@ -43,33 +48,25 @@
 ) -> bool:
     """Take the layers that an endpoint was seen to hold; tell whether it is news."""
     is_news = endpoints.observe(shared.table, engine_id, holding, now_s)
-    if is_news:
-        note(shared, engine_id)
-    return is_news
+    return _noted(shared, engine_id, is_news)
 
 
 def sign_off(shared: SharedTable, engine_id: str, now_s: float) -> bool:
     """Take an endpoint's word that it signs off; tell whether it is news."""
     is_news = endpoints.sign_off(shared.table, engine_id, now_s)
-    if is_news:
-        note(shared, engine_id)
-    return is_news
+    return _noted(shared, engine_id, is_news)
 
 
 def tell_senders(shared: SharedTable, engine_id: str, now_s: float) -> bool:
     """Take an endpoint's word in an answer that it leaves; tell whether it is news."""
     is_news = endpoints.tell_senders(shared.table, engine_id, now_s)
-    if is_news:
-        note(shared, engine_id)
-    return is_news
+    return _noted(shared, engine_id, is_news)
 
 
 def depart(shared: SharedTable, engine_id: str, now_s: float) -> bool:
     """Take a departure; tell whether it is news."""
     is_news = endpoints.depart(shared.table, engine_id, now_s)
-    if is_news:
-        note(shared, engine_id)
-    return is_news
+    return _noted(shared, engine_id, is_news)
 
 
 def take(shared: SharedTable, heard: tuple[Heard, ...], now_s: float) -> list[str]:
