End the calls of a voter that has ended

Callers saw: a control process whose disk was full ended by itself with code 1. Its table of endpoints, its followers and the permits that it issues were gone until it was back 0.67 to 0.91 s later, and operators' calls that waited lost their connection without an answer.

Cause: a voter's end wasn't recorded. `ControlGossip._confirm`, the operators' calls and a stop hold the voter from outside its task group. After a failed write they went on waiting for effects that no task ran, and after 0.4 s sent to the leader over links whose task group had ended: RuntimeError for the first message to an address, a wait until the deadline for any other. `feed` took events into the core as before.

Fix: the voter closes itself on a failed write, a broken protocol and the end of its task group, and can be closed. Its waiting and later calls raise VoterFailed at once, `feed` refuses events before the core sees them, and its links drop messages. The APIs of the control VMs answer such calls with 503.

Looked for elsewhere: all holders of `state.voter`, all users of `Links.send` and of task groups of others in node, replica and daemon. The confirmed version was read from the current voter, not the one that was asked; the daemon closed its disk before its voter at a planned stop. Both are changed here. All other links live as long as their process.

--- a/libs/daemon/src/cherryrudder/daemon/controlapi.py
+++ b/libs/daemon/src/cherryrudder/daemon/controlapi.py
@@ -11,7 +11,7 @@
 from cherryrudder.wire.asgi import Routes, json_reply
 
 from .clock import now_s
-from .errors import NoQuorum
+from .errors import ReplicaError
 
 PROPOSE_TIMEOUT_S = 4.0
 MAX_WATCH_S = 30.0
@@ -24,8 +24,8 @@
     lease_s: float
 
 
-def no_quorum(error: NoQuorum) -> RequestError:
-    """Return the error of a control VM that cannot reach a majority."""
+def no_quorum(error: ReplicaError) -> RequestError:
+    """Return the error of a control VM without a majority or a voter."""
     return RequestError(503, "no-quorum", str(error))
 
 
@@ -39,7 +39,7 @@
             payload = machine.encode_command(command)
             try:
                 return json_reply(await voter.propose(payload, PROPOSE_TIMEOUT_S))
-            except NoQuorum as error:
+            except ReplicaError as error:
                 raise no_quorum(error) from error
 
         return run
@@ -48,7 +48,7 @@
         query = request.query
         try:
             await voter.wait_for_read_index(PROPOSE_TIMEOUT_S)
-        except NoQuorum as error:
+        except ReplicaError as error:
             raise no_quorum(error) from error
         claim = machine.find_claim(
             voter.state, query.get("customer", ""), query.get("key", "")
@@ -58,7 +58,7 @@
     async def fence(request):
         try:
             await voter.wait_for_read_index(PROPOSE_TIMEOUT_S)
-        except NoQuorum as error:
+        except ReplicaError as error:
             raise no_quorum(error) from error
         endpoint = request.query.get("endpoint", "")
         return json_reply({"fence": machine.fence_of(voter.state, endpoint)})
@@ -78,7 +78,7 @@
         fresh = request.query.get("fresh") == "1"
         try:
             answer = await control.watches.watch(request.query, wait_s, fresh)
-        except NoQuorum as error:
+        except ReplicaError as error:
             raise no_quorum(error) from error
         return json_reply(answer)
 
--- a/libs/daemon/src/cherryrudder/daemon/controlrole.py
+++ b/libs/daemon/src/cherryrudder/daemon/controlrole.py
@@ -51,6 +51,7 @@
     # election timeout.
     control.voter.feed(TransferLeadership())
     await anyio.sleep(LEADER_TRANSFER_S)
+    control.voter.close()
     control.voter.disk.close()
     process.stop()
 
--- a/libs/daemon/src/cherryrudder/daemon/errors.py
+++ b/libs/daemon/src/cherryrudder/daemon/errors.py
@@ -1,9 +1,9 @@
 """Errors of the daemon's roles."""
 
 from cherryrudder.model.errors import CherryrudderError
-from cherryrudder.replica.errors import NoQuorum, VoterFailed
+from cherryrudder.replica.errors import NoQuorum, ReplicaError, VoterFailed
 
-__all__ = ["DaemonError", "NoQuorum", "StartError", "VoterFailed"]
+__all__ = ["DaemonError", "NoQuorum", "ReplicaError", "StartError", "VoterFailed"]
 
 
 class DaemonError(CherryrudderError):
--- a/libs/daemon/src/cherryrudder/daemon/operatorapi.py
+++ b/libs/daemon/src/cherryrudder/daemon/operatorapi.py
@@ -15,7 +15,7 @@
 from cherryrudder.wire.asgi import Request, Routes, json_reply
 
 from .controlapi import PROPOSE_TIMEOUT_S, VoterChange, no_quorum
-from .errors import NoQuorum
+from .errors import ReplicaError
 
 CHANGES = {
     "put-contract": PutContract,
@@ -34,7 +34,7 @@
         # An operator must never get state that a majority has since changed.
         try:
             await voter.wait_for_read_index(PROPOSE_TIMEOUT_S)
-        except NoQuorum as error:
+        except ReplicaError as error:
             raise no_quorum(error) from error
         return voter.state
 
@@ -56,7 +56,7 @@
             answer = await voter.propose(
                 machine.encode_command(command), PROPOSE_TIMEOUT_S
             )
-        except NoQuorum as error:
+        except ReplicaError as error:
             # The change may still be committed; a resend with its id gets the answer.
             raise no_quorum(error) from error
         answer = jsoncodec.plain(answer)
@@ -74,7 +74,7 @@
             done = await voter.change_voters(
                 value.action, value.voter, PROPOSE_TIMEOUT_S
             )
-        except NoQuorum as error:
+        except ReplicaError as error:
             raise no_quorum(error) from error
         if not done:
             raise RequestError(409, "refused", "the leader refused the change")
--- a/libs/daemon/src/cherryrudder/daemon/voter.py
+++ b/libs/daemon/src/cherryrudder/daemon/voter.py
@@ -11,7 +11,7 @@
 from cherryrudder.state.commands import Clock
 
 from .clock import wall_s
-from .errors import StartError
+from .errors import StartError, VoterFailed
 
 # Interval at which the leader appends the wall-clock time to the log, which retention
 # uses. Retention needs no finer resolution.
@@ -41,7 +41,11 @@
         while True:
             await anyio.sleep(CLOCK_INTERVAL_S)
             payload = machine.encode_command(Clock(wall_s()))
-            self.feed(events.Propose("clock", payload))
+            try:
+                self.feed(events.Propose("clock", payload))
+            except VoterFailed:
+                # The task that saw the failure reports it.
+                return
 
 
 def _voter_config(process):
--- a/libs/daemon/src/cherryrudder/daemon/watches.py
+++ b/libs/daemon/src/cherryrudder/daemon/watches.py
@@ -11,7 +11,7 @@
 from cherryrudder.state import machine
 
 from .clock import now_s
-from .errors import NoQuorum
+from .errors import NoQuorum, ReplicaError
 
 CONFIRM_INTERVAL_S = 0.5
 # Two missed rounds and the duration of one. An isolated VM stops answering within this
@@ -99,7 +99,7 @@
             started_s = now_s()
             try:
                 await self.voter.wait_for_read_index(CONFIRM_INTERVAL_S * 2)
-            except NoQuorum:
+            except ReplicaError:
                 pass
             else:
                 self._confirmed_s = started_s
--- a/libs/node/src/cherryrudder/node/controlgossip.py
+++ b/libs/node/src/cherryrudder/node/controlgossip.py
@@ -288,7 +288,8 @@
         except ReplicaError as error:
             log.debug("No confirmation: {}.", error)
             return -1
-        return self.state.version
+        # Not that of `state.voter`, which may be another one by now that is behind.
+        return voter.state.version
 
     def _answer(self, heartbeat, version):
         state, now = self.state, now_s()
--- a/libs/node/src/cherryrudder/node/voterrunner.py
+++ b/libs/node/src/cherryrudder/node/voterrunner.py
@@ -58,7 +58,6 @@
         except* (DiskError, ReplicaError) as group:
             for error in group.exceptions:
                 state.sink.write("voter", "lost", True, error=str(error))
-        state.voter = None
         await anyio.sleep(REOPEN_DELAY_S)
 
 
@@ -75,6 +74,7 @@
             group.start_soon(_watch_leader, state, voter)
             group.start_soon(_review, state, voter)
     finally:
+        state.voter = None
         disk.close()
 
 
--- a/libs/replica/src/cherryrudder/replica/peers.py
+++ b/libs/replica/src/cherryrudder/replica/peers.py
@@ -18,6 +18,7 @@
 
 from .clock import new_id
 from .config import VoterConfig
+from .errors import VoterFailed
 from .pending import Pending
 
 log = logger.bind(part="peers")
@@ -66,6 +67,7 @@
         self._on_message = on_message
         self._on_call = on_call
         self._waiting: dict[str, Pending] = {}
+        self._error: VoterFailed | None = None
 
     def start(self, stopping: anyio.Event) -> None:
         """Listen for the other control VMs until `stopping` is set."""
@@ -78,12 +80,24 @@
             stopping,
         )
 
+    def close(self, error: VoterFailed) -> None:
+        """Stop sending; calls that wait and later calls raise the error."""
+        self._error = error
+        for pending in self._waiting.values():
+            pending.fail(error)
+        self.links.close()
+
     def send(self, address: str, message: dict) -> None:
         """Send a message of the voter's core; it may be lost."""
         self.links.send(address, QuorumMessage(self._config.vm, message))
 
     async def call(self, address: str, kind: str, value, deadline_s: float) -> Any:
-        """Call the leader and return its answer, or None at the deadline."""
+        """Call the leader and return its answer, or None at the deadline.
+
+        Raises VoterFailed once this VM's voter is closed.
+        """
+        if self._error is not None:
+            raise self._error
         call_id = new_id()
         pending = self._waiting[call_id] = Pending(address)
         text = jsoncodec.encode(value).decode()
@@ -117,5 +131,8 @@
         except (msgspec.DecodeError, KeyError) as error:
             log.warning("A call of kind {} was refused: {}.", call.kind, error)
             value = None
+        except VoterFailed:
+            # The caller asks the next leader.
+            value = None
         text = jsoncodec.encode(value).decode()
         self.links.send(call.reply_to, LeaderReply(call.call_id, text))
--- a/libs/replica/src/cherryrudder/replica/pending.py
+++ b/libs/replica/src/cherryrudder/replica/pending.py
@@ -13,6 +13,7 @@
     def __init__(self, address: str = ""):
         self.address = address
         self.answer: Any = None
+        self._error: Exception | None = None
         self._done = anyio.Event()
 
     def resolve(self, answer: Any) -> None:
@@ -20,8 +21,15 @@
         self.answer = answer
         self._done.set()
 
+    def fail(self, error: Exception) -> None:
+        """Wake the waiting task, whose wait raises the error."""
+        self._error = error
+        self._done.set()
+
     async def wait(self, deadline_s: float) -> Any:
         """Wait for the answer and return it, or None at the deadline."""
         with anyio.move_on_after(max(0.0, deadline_s - now_s())):
             await self._done.wait()
+        if self._error is not None:
+            raise self._error
         return self.answer
--- a/libs/replica/src/cherryrudder/replica/voter.py
+++ b/libs/replica/src/cherryrudder/replica/voter.py
@@ -53,6 +53,9 @@
         self._heartbeat_s = config.timing.heartbeat_s
         self._effects = deque()
         self._effects_added = anyio.Event()
+        # The error of all calls once the voter has ended, and the one that ended it,
+        # unless it was closed.
+        self._end: VoterFailed | None = None
         self._failure: VoterFailed | None = None
         self._answers: dict[int, Any] = {}
         self._waiting: dict[str, Pending] = {}
@@ -63,24 +66,33 @@
         self.group.start_soon(self._run_effects)
         self.group.start_soon(self._tick)
 
+    def close(self) -> None:
+        """Refuse events from now on; waiting and later calls raise VoterFailed.
+
+        Call it before the disk is closed. A voter whose disk or task group fails closes
+        itself.
+        """
+        self._close(VoterFailed("the voter was closed"))
+
     def feed(self, event) -> None:
         """Pass an event to the core. Raises VoterFailed."""
+        if self._end is not None:
+            raise self._end
         try:
             self._effects.extend(core.handle(self.node, event, now_s()))
         except ProtocolError as error:
             # The core has processed only part of the event. Failing the current
-            # request is not enough: `_run_effects` ends the process with this error.
-            self._failure = VoterFailed(str(error))
-        self._effects_added.set()
-        if self._failure is not None:
-            raise self._failure
+            # request is not enough: `_run_effects` ends the voter with this error.
+            raise self._fail(error) from error
+        finally:
+            self._effects_added.set()
 
     def status(self) -> dict:
         """Return the core's status with the index applied to this VM's state."""
         return core.status(self.node) | {"applied": self.applied_index}
 
     async def propose(self, payload: str, timeout_s: float) -> Any:
-        """Commit a command through the current leader. Raises NoQuorum.
+        """Commit a command through the leader. Raises NoQuorum and VoterFailed.
 
         Every command carries an id that makes it idempotent, so it is safe to propose
         it again if the leader was lost before it answered.
@@ -96,7 +108,7 @@
     async def wait_for_read_index(self, timeout_s: float) -> int:
         """Wait until the local state has every change accepted before this call.
 
-        Returns the applied index. Raises NoQuorum.
+        Returns the applied index. Raises NoQuorum and VoterFailed.
         """
         deadline_s = now_s() + timeout_s
         while now_s() < deadline_s:
@@ -108,7 +120,10 @@
         raise NoQuorum(NO_QUORUM)
 
     async def change_voters(self, action, voter, timeout_s: float) -> bool:
-        """Change one voter; return False if the leader refused. Raises NoQuorum."""
+        """Change one voter; return False if the leader refused.
+
+        Raises NoQuorum and VoterFailed.
+        """
         value = {"action": action, "voter": voter}
         done = await self._call_leader("voters", value, now_s() + timeout_s)
         if done is None:
@@ -153,29 +168,50 @@
     async def _on_call(self, kind, value):
         return await self._call_here(kind, value, now_s() + ATTEMPT_TIMEOUT_S)
 
+    def _close(self, end):
+        if self._end is not None:
+            return
+        self._end = end
+        for pending in self._waiting.values():
+            pending.fail(end)
+        self.peers.close(end)
+        self._wake_applied()
+
+    def _fail(self, error):
+        self._failure = VoterFailed(str(error))
+        self._close(self._failure)
+        return self._failure
+
     def _on_message(self, sender, message):
-        self.feed(events.Received(sender, message))
+        if self._end is None:
+            self.feed(events.Received(sender, message))
 
     async def _wait_applied(self, index, deadline_s):
         while self.applied_index < index:
+            if self._end is not None:
+                raise self._end
             with anyio.move_on_after(deadline_s - now_s()) as scope:
                 await self.applied_event.wait()
             if scope.cancelled_caught:
                 raise NoQuorum("the log has not caught up in time")
 
     async def _tick(self):
-        while True:
+        while self._end is None:
             self.feed(events.Tick())
             await anyio.sleep(self._heartbeat_s / 2)
 
     async def _run_effects(self):
-        while True:
-            while self._effects and self._failure is None:
-                await self._run_effect(self._effects.popleft())
-            if self._failure is not None:
-                raise self._failure
-            self._effects_added = anyio.Event()
-            await self._effects_added.wait()
+        try:
+            while True:
+                while self._effects and self._end is None:
+                    await self._run_effect(self._effects.popleft())
+                if self._failure is not None:
+                    raise self._failure
+                self._effects_added = anyio.Event()
+                await self._effects_added.wait()
+        finally:
+            # Callers outside the task group would wait for effects that never run.
+            self.close()
 
     async def _run_effect(self, effect):
         match effect:
@@ -185,7 +221,8 @@
                 # Requests that are ready share the next fsync, and messages sent
                 # before this effect go out before the disk write blocks.
                 await anyio.lowlevel.checkpoint()
-                self._write(self.disk.persist, effect)
+                if self._end is None:
+                    self._write(self.disk.persist, effect)
             case events.SaveSnapshot():
                 self._write(self.disk.save_snapshot, effect)
             case events.Apply():
@@ -206,7 +243,7 @@
             write(effect)
         except DiskError as error:
             # The disk's content is unknown now until it is opened again.
-            raise VoterFailed(str(error)) from error
+            raise self._fail(error) from error
         self.feed(events.Persisted(effect.write_id))
 
     def _apply(self, entries):
@@ -221,6 +258,9 @@
 
     def _set_applied_index(self, index):
         self.applied_index = index
+        self._wake_applied()
+
+    def _wake_applied(self):
         self.applied_event.set()
         self.applied_event = anyio.Event()
 
--- a/libs/wire/src/cherryrudder/wire/links.py
+++ b/libs/wire/src/cherryrudder/wire/links.py
@@ -55,9 +55,15 @@
         self._hello = Hello(key, own_address)
         self._on_down = on_down
         self._links: dict[str, _Link] = {}
+        self._is_closed = False
 
     def send(self, address: str, message: Any) -> None:
-        """Queue a message; `on_down` is called if the link to the peer fails."""
+        """Queue a message; `on_down` is called if the link to the peer fails.
+
+        After `close` the message is dropped.
+        """
+        if self._is_closed:
+            return
         link = self._links.get(address)
         if link is None:
             link = self._links[address] = _Link()
@@ -67,6 +73,11 @@
         if len(link.queued) > MAX_QUEUED_MESSAGES:
             self._remove(address, link)
 
+    def close(self) -> None:
+        """Drop the links and all later messages; call it before the group ends."""
+        self._is_closed = True
+        self._links.clear()
+
     def peers(self) -> list[str]:
         """Return the addresses with a link."""
         return list(self._links)
--- a/libs/wire/test/test_links.py
+++ b/libs/wire/test/test_links.py
@@ -98,3 +98,20 @@
 
         _, down = self.run_pair("key", act)
         self.assertEqual(down, [nowhere])
+
+    def test_messages_after_the_links_are_closed_are_dropped(self):
+        """Guards against a send by a caller that outlives the links' task group."""
+
+        async def main():
+            async with anyio.create_task_group() as group:
+                links = Links(
+                    group, FrameCodec([Message]), "key", "127.0.0.1:2", lambda _: None
+                )
+                links.send("127.0.0.1:1", Message(1, ()))
+                links.close()
+                group.cancel_scope.cancel()
+            for address in ("127.0.0.1:1", "127.0.0.1:3"):
+                links.send(address, Message(2, ()))
+            self.assertEqual(links.peers(), [])
+
+        anyio.run(main)
