Keep an ended incarnation's name and start so that it ends earlier ones

What callers saw: requests routed to an incarnation of an engine that had ended. A late heartbeat of e@1 made it live again although e@2 had started and ended since. Cause: a departure that arrives before the first heartbeat was kept without name and start, and the heartbeat that followed was dropped instead of completing the entry. Nothing then showed that e@1 was the earlier one. Merging had the same fault: a reader of a complete ended entry took over its id alone, and passed it on as one that had merely signed off, so that a third table kept the ended incarnation as live. And a sign-off before the first heartbeat counted as the end, after it as a sign-off: tables that had heard the same disagreed. Depart e@2, heartbeat e@2, heartbeat e@1: e@1 accepts requests. The same for a table that merges the ended e@2 before or after e@1's heartbeat. Sign off e@2, draining heartbeat of e@2, heartbeat of e@1: the same. Why it works: whichever arrives first, an entry holds the notices, and the first heartbeat adds name and start to them and then ends earlier incarnations, or is ended by a later one. A merged end keeps the announcement. Such an entry is marked as changed, so that readers get it with the next heartbeat, but it isn't sent at once, as nobody uses it. Messages are unchanged.

--- a/libs/node/src/cherryrudder/node/tablesync.py
+++ b/libs/node/src/cherryrudder/node/tablesync.py
@@ -41,9 +41,12 @@
 def record_heartbeat(
     shared: SharedTable, announcement: Announcement, now_s: float
 ) -> bool:
-    """Record an endpoint's heartbeat; return whether it changes the table."""
+    """Record an endpoint's heartbeat; return whether to publish the endpoint."""
+    version = shared.table.version
     is_new = endpoints.record_heartbeat(shared.table, announcement, now_s)
-    return _mark_if_changed(shared, announcement.engine_id, is_new)
+    is_changed = shared.table.version != version
+    _mark_if_changed(shared, announcement.engine_id, is_changed)
+    return is_new
 
 
 def record_holding(
@@ -75,14 +78,15 @@
 def merge(
     shared: SharedTable, reported: tuple[EndpointState, ...], now_s: float
 ) -> list[str]:
-    """Merge another process's endpoints; return the changed incarnations."""
+    """Merge another process's endpoints; return the incarnations to publish."""
     changed = []
     for one in reported:
         engine_id = one.announcement.engine_id
         entry = TableEntry(one.announcement, 0.0, one.is_gone)
+        version = shared.table.version
         if endpoints.merge(shared.table, entry, one.age_s, now_s):
-            mark_changed(shared, engine_id)
             changed.append(engine_id)
+        _mark_if_changed(shared, engine_id, shared.table.version != version)
     return changed
 
 
--- a/libs/node/test/test_tablesync.py
+++ b/libs/node/test/test_tablesync.py
@@ -99,3 +99,71 @@
         answer = tablesync.changes_since(source, SyncPosition("", 0), 0.0)
         tablesync.merge(reader, answer, 0.0)
         self.assertEqual(held(reader), held(source))
+
+
+class ExchangeTest(unittest.TestCase):
+    """Guards against an ended incarnation that another process counts as live again."""
+
+    def exchange(self, tables, positions, rng, loss):
+        """Let each table answer every other one's heartbeat, some of them lost."""
+        for source in tables:
+            for reader in tables:
+                if source is reader or rng.random() < loss:
+                    continue
+                key = source.boot, reader.boot
+                acked = positions.get(key, SyncPosition("", 0))
+                changes = tablesync.changes_since(source, acked, 0.0)
+                alive = tablesync.recent_liveness(source, 0.0)
+                tablesync.merge(reader, changes, 0.0)
+                tablesync.merge_liveness(reader, alive, 0.0)
+                positions[key] = SyncPosition(source.boot, source.table.version)
+
+    def hear(self, table, rng, started_ms):
+        """Record an event of one incarnation; return its kind and its number."""
+        engine_id = f"e@{started_ms}"
+        kind = rng.choice(["heartbeat", "heartbeat", "departure"])
+        number = rng.randrange(1, 5)
+        if kind == "departure":
+            tablesync.record_departure(table, engine_id, 0.0)
+        else:
+            heartbeat = an_announcement(
+                engine_id, number, (0, number), name="e", started_ms=started_ms
+            )
+            tablesync.record_heartbeat(table, heartbeat, 0.0)
+        return kind, number
+
+    @settings(max_examples=300, deadline=None, derandomize=True)
+    @given(st.integers(0, 2**32))
+    def test_tables_agree_once_their_heartbeats_have_arrived(self, seed):
+        rng = random.Random(seed)
+        tables = [SharedTable(boot) for boot in ("a", "b", "c")]
+        positions = {}
+        announced, departed = {}, set()
+        for _ in range(rng.randrange(1, 12)):
+            started_ms = rng.randrange(1, 4)
+            kind, number = self.hear(rng.choice(tables), rng, started_ms)
+            if kind == "departure":
+                departed.add(started_ms)
+            else:
+                known = announced.get(started_ms, 0)
+                announced[started_ms] = max(number, known)
+            self.exchange(tables, positions, rng, 0.7)
+        for _ in tables:
+            self.exchange(tables, positions, rng, 0.0)
+        newest = max(announced, default=None)
+        is_there = newest is not None and newest not in departed
+        expected = {f"e@{newest}": (0, announced[newest])} if is_there else {}
+        for table in tables:
+            self.assertEqual(held(table), expected)
+
+    def test_the_heartbeat_of_an_ended_incarnation_reaches_readers(self):
+        source, reader = SharedTable("source"), SharedTable("reader")
+        tablesync.record_heartbeat(
+            reader, an_announcement("e@1", name="e", started_ms=1), 0.0
+        )
+        tablesync.record_departure(source, "e@2", 0.0)
+        position = SyncPosition(source.boot, source.table.version)
+        later = an_announcement("e@2", name="e", started_ms=2)
+        self.assertFalse(tablesync.record_heartbeat(source, later, 0.0))
+        tablesync.merge(reader, tablesync.changes_since(source, position, 0.0), 0.0)
+        self.assertEqual(held(reader), {})
--- a/libs/routing/src/cherryrudder/routing/endpoints.py
+++ b/libs/routing/src/cherryrudder/routing/endpoints.py
@@ -5,7 +5,7 @@
 endpoint the heartbeat with the highest number counts, and leaving is never undone. An
 endpoint may restart under the same name. Its later incarnation then ends the earlier
 one: that one's memory is lost, and its delayed heartbeats must not be taken for the new
-incarnation's.
+incarnation's. This also holds if the later one has ended itself.
 """
 
 from typing import NamedTuple
@@ -56,7 +56,11 @@
 
 
 class TableEntry(NamedTuple):
-    """An announcement, and when it was received, by this process's clock."""
+    """An announcement, and when it was received, by this process's clock.
+
+    If only a notice of leaving has arrived, the announcement has no address. Its
+    endpoint counts as gone until a heartbeat arrives.
+    """
 
     announcement: Announcement
     last_seen_s: float
@@ -80,16 +84,11 @@
 ) -> bool:
     """Merge a heartbeat; return whether to forward it to others at once."""
     known = table.entries.get(received.engine_id)
-    if known is None:
-        if _has_later_incarnation(table, received):
-            return False
-        _end_earlier_incarnations(table, received, now_s)
-        table.entries[received.engine_id] = TableEntry(received, now_s)
-        table.version += 1
-        return True
+    if known is None and _has_later_incarnation(table, received):
+        return False
+    if known is None or not known.announcement.address:
+        return _record_first_heartbeat(table, known, received, now_s)
     if known.is_gone:
-        # It has ended already, but its heartbeat still ends earlier incarnations.
-        _end_earlier_incarnations(table, received, now_s)
         return False
     if received.number <= known.announcement.number:
         return has_leaving_notice(received) and _merge_notices(
@@ -105,6 +104,22 @@
     return is_changed
 
 
+def _record_first_heartbeat(table, known, received, now_s):
+    """Record an incarnation's first heartbeat, which notices may have overtaken.
+
+    Return whether it may be used: others get an ended one's with the next heartbeat.
+    """
+    if known is not None:
+        received = _with_notices(received, known.announcement)
+    entry = TableEntry(received, now_s)
+    if _has_ended(received) or _has_later_incarnation(table, received):
+        entry = _gone_entry(received, now_s)
+    table.entries[received.engine_id] = entry
+    table.version += 1
+    _end_earlier_incarnations(table, received, now_s)
+    return not entry.is_gone
+
+
 def has_leaving_notice(announcement: Announcement) -> bool:
     """Return whether an endpoint has given any notice of leaving."""
     return (
@@ -156,7 +171,7 @@
 
 def _end_earlier_incarnations(table, received, now_s):
     for entry in _incarnations_of(table, received):
-        if entry.announcement.started_ms >= received.started_ms:
+        if entry.is_gone or entry.announcement.started_ms >= received.started_ms:
             continue
         # Kept as gone, so that its late heartbeats have no effect.
         table.entries[entry.announcement.engine_id] = _gone_entry(
@@ -214,7 +229,11 @@
     """Record that an endpoint has signed off; return whether that is new."""
     known = table.entries.get(engine_id)
     if known is None:
-        return record_departure(table, engine_id, now_s)
+        # Its heartbeat may still be in flight, and shows whether it has drained.
+        unknown = _unknown(engine_id)._replace(has_signed_off=True)
+        table.entries[engine_id] = TableEntry(unknown, now_s, True)
+        table.version += 1
+        return True
     if known.is_gone:
         return False
     signed = known.announcement._replace(has_signed_off=True)
@@ -232,14 +251,28 @@
 
 def record_departure(table: EndpointTable, engine_id: str, now_s: float) -> bool:
     """Record that an endpoint has ended; return whether that is new."""
-    known = table.entries.get(engine_id)
-    if known is not None and known.is_gone:
+    return _record_end(table, _unknown(engine_id), now_s)
+
+
+def _unknown(engine_id):
+    """Return the announcement of an endpoint whose heartbeats are in flight or lost."""
+    return Announcement(engine_id, "", "", "", "", 0, 0)
+
+
+def _record_end(table, announcement, now_s):
+    """Record that an endpoint has ended; return whether the table changes.
+
+    Its name and start time are kept, so that it still ends earlier incarnations.
+    """
+    known = table.entries.get(announcement.engine_id)
+    if known is not None and known.announcement.address:
+        announcement = known.announcement
+    ended = _gone_entry(announcement, now_s)
+    if known is not None and known.is_gone and known.announcement == ended.announcement:
         return False
-    # Heartbeats of an endpoint that is not known yet may still be in flight.
-    unknown = Announcement(engine_id, "", "", "", "", 0, 0)
-    announcement = known.announcement if known else unknown
-    table.entries[engine_id] = _gone_entry(announcement, now_s)
+    table.entries[announcement.engine_id] = ended
     table.version += 1
+    _end_earlier_incarnations(table, announcement, now_s)
     return True
 
 
@@ -255,7 +288,7 @@
         # The sender never received its heartbeat and has no record whether it drained.
         return sign_off(table, engine_id, now_s)
     if received.is_gone:
-        return record_departure(table, engine_id, now_s)
+        return _record_end(table, received.announcement, now_s)
     known = table.entries.get(engine_id)
     is_changed = record_heartbeat(table, received.announcement, now_s - age_s)
     known_later = known is not None and known.last_seen_s > now_s - age_s
