Keep an address from an incarnation that started before one that ended there

What callers saw: an engine crashes, another starts at its address and ends in an orderly way. Cause: live() chose the latest start among the incarnations at an address, but left ended ones out first, so the end of the later one brought back the earlier one. Evidence: heartbeat x@1, heartbeat y@2 at the same address, depart y@2: x@1 accepts requests on the code before, where the new test test_the_end_of_the_later_one_does_not_bring_back_the_earlier_one fails (`tools/runtests.py routing`). Why it works: an ended incarnation excludes those that started before it from its address for as long as a silent one does, LOST_AFTER_S. After that, an engine whose clock is behind may use the address again. Merged ends keep their age, so that this time is the same in each table. Limit: it needs start times. Without them the latest heartbeat decides, as before.

--- a/libs/routing/src/cherryrudder/routing/endpoints.py
+++ b/libs/routing/src/cherryrudder/routing/endpoints.py
@@ -284,14 +284,15 @@
     Return whether to forward it to others.
     """
     engine_id = received.announcement.engine_id
+    seen_s = now_s - age_s
     if received.is_gone and not received.announcement.address:
         # The sender never received its heartbeat and has no record whether it drained.
-        return sign_off(table, engine_id, now_s)
+        return sign_off(table, engine_id, seen_s)
     if received.is_gone:
-        return _record_end(table, received.announcement, now_s)
+        return _record_end(table, received.announcement, seen_s)
     known = table.entries.get(engine_id)
-    is_changed = record_heartbeat(table, received.announcement, now_s - age_s)
-    known_later = known is not None and known.last_seen_s > now_s - age_s
+    is_changed = record_heartbeat(table, received.announcement, seen_s)
+    known_later = known is not None and known.last_seen_s > seen_s
     if known_later and not table.entries[engine_id].is_gone:
         entry = table.entries[engine_id]
         table.entries[engine_id] = entry._replace(last_seen_s=known.last_seen_s)
@@ -313,15 +314,26 @@
 def live(table: EndpointTable, now_s: float) -> list[Announcement]:
     """Return the endpoints that are neither gone nor lost, one for each address."""
     newest: dict[str, TableEntry] = {}
+    # Latest start of an ended incarnation, by address: any that started there before
+    # it has ended as well.
+    ended_ms: dict[str, int] = {}
     for entry in table.entries.values():
-        if entry.is_gone or now_s - entry.last_seen_s > LOST_AFTER_S:
+        if now_s - entry.last_seen_s > LOST_AFTER_S:
             continue
         address = entry.announcement.address
+        if entry.is_gone:
+            started_ms = entry.announcement.started_ms
+            ended_ms[address] = max(started_ms, ended_ms.get(address, 0))
+            continue
         other = newest.get(address)
         # A later incarnation, also of another service, may reuse an address.
         if other is None or _is_later(entry, other):
             newest[address] = entry
-    return [entry.announcement for entry in newest.values()]
+    return [
+        entry.announcement
+        for address, entry in newest.items()
+        if not 0 < entry.announcement.started_ms < ended_ms.get(address, 0)
+    ]
 
 
 def _is_later(entry, other):
--- a/libs/routing/test/test_endpoints.py
+++ b/libs/routing/test/test_endpoints.py
@@ -172,6 +172,30 @@
         endpoints.record_heartbeat(table, an_announcement("new", number=4), 2.2)
         self.assertEqual(known(table, 2.2), {"new"})
 
+    def test_the_end_of_the_later_one_does_not_bring_back_the_earlier_one(self):
+        table = EndpointTable()
+        old = an_announcement("old", 2, name="old", started_ms=100)
+        new = an_announcement("new", 2, name="new", started_ms=200)
+        endpoints.record_heartbeat(table, old, 0.0)
+        endpoints.record_heartbeat(table, new, 1.0)
+        endpoints.record_departure(table, "new", 1.5)
+        self.assertEqual(known(table, 1.5), set())
+        endpoints.record_heartbeat(table, old._replace(number=4), 2.0)
+        self.assertEqual(known(table, 2.0), set())
+
+    def test_an_endpoint_whose_clock_is_behind_may_reuse_the_address_later(self):
+        table = EndpointTable()
+        ended = an_announcement("a", name="a", started_ms=200)
+        behind = an_announcement("b", name="b", started_ms=100)
+        endpoints.record_heartbeat(table, ended, 0.0)
+        endpoints.record_departure(table, "a", 1.0)
+        behind_s = 1.1 + endpoints.LOST_AFTER_S
+        merged = EndpointTable()
+        endpoints.merge(merged, table.entries["a"], behind_s - 1.0, behind_s)
+        for each in (table, merged):
+            endpoints.record_heartbeat(each, behind, behind_s)
+            self.assertEqual(known(each, behind_s), {"b"})
+
 
 class RestartTest(unittest.TestCase):
     """Guards against mixing up two incarnations of an engine that restarts.
