Compare the end of an entry's start with a sum instead of a difference

What was seen: test_entrystate.StartTest.test_a_later_report_counts failed once. A report that arrives exactly STARTUP_S after the start still counted as an early one. Cause: the product's comparison. The difference of two clock values is rounded, and where the clock crosses a power of two meanwhile it may come out below STARTUP_S. Callers saw nothing of it, as the moment is off by less than a nanosecond. Why it works: the bound is the sum that a caller who waits for it computes as well, so that both round alike. The failing test is unchanged, and another one checks the last clock value before the bound. Elsewhere: policy compares its leases with sums already. Other bounds of this kind in node compare a difference (`_started_s` in layercontroller, `started_s` in streamchains); no test stands exactly at theirs.

--- a/libs/node/src/cherryrudder/node/entrystate.py
+++ b/libs/node/src/cherryrudder/node/entrystate.py
@@ -178,7 +178,7 @@
     """Update the other entries' load and the number of entries nearby."""
     reported = {one.address: Load(*one[1:]) for one in usages}
     peerload.update_reported(state.peer_load, reported)
-    is_new = now_s - state.started_s < STARTUP_S
+    is_new = now_s < state.started_s + STARTUP_S
     min_peers = INITIAL_PEERS if is_new else 0.0
     state.peers = max(min_peers, state.entries / max(1, data_centres) - 1)
 
--- a/libs/node/test/test_entrystate.py
+++ b/libs/node/test/test_entrystate.py
@@ -1,3 +1,4 @@
+import math
 import unittest
 
 from builders import PipedSink, a_state, an_announcement
@@ -41,6 +42,22 @@
         entrystate.update_peer_load(self.state, (), 3, later_s)
         self.assertEqual(self.others_seen().firsts, 10)
 
+    def test_a_report_at_the_end_of_the_start_counts_at_any_clock_value(self):
+        """Guards against a rounded difference that is below the bound."""
+        for started_s in (62.1, 126.7, 1048575.9):
+            with self.subTest(started_s=started_s):
+                self.state.started_s = started_s
+                self.test_a_later_report_counts()
+
+    def test_a_report_just_before_the_end_of_the_start_is_ignored(self):
+        self.state.entries = 6
+        for started_s in (62.1, 126.7, 1048575.9):
+            with self.subTest(started_s=started_s):
+                self.state.started_s = started_s
+                before_s = math.nextafter(started_s + entrystate.STARTUP_S, 0.0)
+                entrystate.update_peer_load(self.state, (), 3, before_s)
+                self.assertGreaterEqual(self.others_seen().firsts, 50)
+
 
 class UnreadTest(unittest.TestCase):
     CHAIN = (Part("e1:1", "boot-1", 0, 8), Part("e2:1", "boot-2", 8, 16))
