Give the nodes of control_scale.py what the follower and the granter read

What was seen: `bench/control_scale.py` ended with "the nodes did not start". Cause: the stub of a daemon's process in bench/nodes.py lacked `process.vm`, by which the follower without the table ranks control VMs, and the granter of credits takes the process instead of its settings. Evidence: before, the nodes' process ended with AttributeError ('process') at the first node. Why it works: the stub holds all that the three parts read. Elsewhere: no other benchmark builds such a stub.

--- a/bench/nodes.py
+++ b/bench/nodes.py
@@ -28,21 +28,27 @@
 ANNOUNCE_INTERVAL_S = 0.5
 LEASE_S = 2.0
 SLOTS = 16
+INCARNATION = "1"
 
 
 class Node:
     """Control traffic of one sidecar or entry."""
 
     def __init__(self, group, name, kind, addresses, key):
-        self.name = name
         self.key = key
         self.group = group
         self.frames = free_address()
-        # The parts of a daemon's process that the announcer and the follower use.
+        # The parts of a daemon's process that the announcer, the follower and the
+        # credit granter use.
         self.process = SimpleNamespace(
             group=group,
             client=Client(key),
-            settings=SimpleNamespace(control=SimpleNamespace(addresses=addresses)),
+            incarnation=INCARNATION,
+            settings=SimpleNamespace(
+                control=SimpleNamespace(addresses=addresses),
+                process=SimpleNamespace(vm=name),
+                sidecar=SimpleNamespace(endpoint=name, slots=SLOTS),
+            ),
         )
         announcement = make_announcement(name, kind, self.frames)
         self.announcer = Announcer(
@@ -62,13 +68,12 @@
         await self.follower.ready.wait()
         codec = FrameCodec(DATA_MESSAGES)
         links = Links(self.group, codec, self.key, self.frames, lambda address: None)
-        settings = SimpleNamespace(endpoint=self.name, slots=SLOTS)
-        desk = CreditGranter(settings, links)
+        granter = CreditGranter(self.process, links)
 
         def on_messages(peer, messages):
             for message in messages:
                 if isinstance(message, CreditReport):
-                    desk.handle_report(message, time.monotonic())
+                    granter.handle_report(message, time.monotonic())
 
         self.announcer.start()
         await listen_frames(self.frames, codec, self.key, on_messages, anyio.Event())
@@ -79,7 +84,7 @@
     return Announcement(
         endpoint=name,
         kind=kind,
-        incarnation="1",
+        incarnation=INCARNATION,
         sequence=0,
         place=Place(name, "dc-1", "region-1"),
         address=frames,
