Acknowledge endpoints only from messages meant for this process

What callers could see: an entry or control VM that has restarted lacks all endpoints that haven't changed since, from one sender or, if all senders meet it, altogether. Requests then have fewer engines than there are. Cause: a process that restarts keeps its address. What a peer still sends for the process before holds only what that one lacked, but the new process took over its version as its own position and acknowledged it. The sender then left out everything unchanged for good. A control VM sends a heartbeat to one that has just restarted, gets its first heartbeat, and sends again: the table of the restarted one stays empty on the code before. Why it works: a control VM takes over a position only from a sender that has already received something of this process, as the sender's own position shows. Until then it acknowledges version -1 of that sender, by which the sender knows it and still sends everything. An entry compares the time in the answer with its own start.

--- a/libs/node/src/cherryrudder/node/controlgossip.py
+++ b/libs/node/src/cherryrudder/node/controlgossip.py
@@ -187,8 +187,11 @@
                 address=heartbeat.address,
             )
         roster.add_reported(state.roster, heartbeat.controls, now)
+        # A sender that hasn't received anything since this process started leaves out
+        # what the process before had acknowledged.
+        is_complete = heartbeat.acked.boot == state.boot
         self._positions[heartbeat.address] = SyncPosition(
-            heartbeat.boot, heartbeat.table_version
+            heartbeat.boot, heartbeat.table_version if is_complete else -1
         )
         # Not forwarded: the others receive the same heartbeats and updates.
         tablesync.merge(state.endpoints, heartbeat.endpoints, now)
--- a/libs/node/src/cherryrudder/node/gossip.py
+++ b/libs/node/src/cherryrudder/node/gossip.py
@@ -49,6 +49,7 @@
     """How far a reader has followed one process's numbered changes."""
 
     boot: str
+    # -1 if the reader needs everything.
     version: int
 
 
--- a/libs/node/src/cherryrudder/node/uplink.py
+++ b/libs/node/src/cherryrudder/node/uplink.py
@@ -257,9 +257,11 @@
         roster.add_reported(state.controls, answer.controls, now)
         self._merge_endpoints(answer.endpoints)
         tablesync.merge_liveness(state.endpoints, answer.alive, now)
-        self._positions[answer.address] = SyncPosition(
-            answer.boot, answer.table_version
-        )
+        # An answer to the process before leaves out what that had acknowledged.
+        if answer.sent_s >= state.started_s:
+            self._positions[answer.address] = SyncPosition(
+                answer.boot, answer.table_version
+            )
         state.entries = answer.entries
         if answer.usage is not None:
             data_centres = len(
--- a/libs/node/test/test_controlgossip.py
+++ b/libs/node/test/test_controlgossip.py
@@ -3,11 +3,12 @@
 from unittest import mock
 
 import anyio
-from builders import PipedSink, a_control
+from builders import PipedSink, a_control, an_announcement
 
-from cherryrudder.node import controlgossip
+from cherryrudder.node import controlgossip, tablesync
 from cherryrudder.node.controlgossip import ControlGossip
 from cherryrudder.node.gossip import EntryHeartbeat, SyncPosition
+from cherryrudder.replica.clock import now_s
 
 
 def a_heartbeat(number, version):
@@ -54,5 +55,35 @@
         self.assertEqual(self.answered(5, 5), {"entry-0:1"})
 
 
+class RestartedReaderTest(unittest.TestCase):
+    """Guards against a restarted control VM that misses all unchanged endpoints."""
+
+    def a_gossip(self, ip):
+        """Return the gossip of a control process that has just started."""
+        piped = PipedSink()
+        self.addCleanup(piped.close)
+        return ControlGossip(a_control(piped.sink, ip), None)
+
+    def send(self, source, reader):
+        """Deliver the next heartbeat of one process to another."""
+        heartbeat = source._make_heartbeat(reader.state.address, now_s())
+        reader._handle(heartbeat)
+
+    def test_a_heartbeat_for_the_process_before_is_not_acknowledged(self):
+        source, before = self.a_gossip("10.0.0.1"), self.a_gossip("10.0.0.2")
+        tablesync.record_heartbeat(source.state.endpoints, an_announcement(), now_s())
+        for _ in range(2):
+            self.send(before, source)
+            self.send(source, before)
+        restarted = self.a_gossip("10.0.0.2")
+        self.send(source, restarted)
+        self.send(restarted, source)
+        self.send(source, restarted)
+        self.assertIn("boot-1", restarted.state.endpoints.table.entries)
+        self.send(restarted, source)
+        repeated = source._make_heartbeat(restarted.state.address, now_s())
+        self.assertEqual(repeated.endpoints, ())
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/libs/node/test/test_uplink.py
+++ b/libs/node/test/test_uplink.py
@@ -2,7 +2,10 @@
 from types import SimpleNamespace
 from typing import NamedTuple
 
+from builders import PipedSink, a_state
+
 from cherryrudder.node import roster
+from cherryrudder.node.gossip import ControlAnswer, SyncPosition
 from cherryrudder.node.ratelimiter import RateLimiter
 from cherryrudder.node.roster import Roster
 from cherryrudder.node.uplink import (
@@ -77,5 +80,39 @@
         self.assertTrue(self.due(near_age_s=LOCAL_FRESH_S + 0.1, far_age_s=HEARTBEAT_S))
 
 
+class RestartedEntryTest(unittest.TestCase):
+    """Guards against a restarted entry that misses all unchanged endpoints."""
+
+    def acked_after(self, sent_age_s):
+        """Return what an entry acknowledges after an answer to a heartbeat."""
+        piped = PipedSink()
+        self.addCleanup(piped.close)
+        state = a_state(piped.sink)
+        uplink = Uplink(state, None)
+        answer = ControlAnswer(
+            boot="control",
+            address="c:1",
+            sent_s=state.started_s - sent_age_s,
+            version=-1,
+            controls=(),
+            table_version=7,
+            endpoints=(),
+            alive=(),
+            vm_zone="a",
+            usage=None,
+            spent=None,
+            spent_age_s=0.0,
+            entries=1,
+        )
+        uplink._handle(answer)
+        return uplink._make_heartbeat("c:1", {}, state.started_s).acked
+
+    def test_an_answer_to_the_process_before_is_not_acknowledged(self):
+        self.assertEqual(self.acked_after(sent_age_s=0.5), SyncPosition("", 0))
+
+    def test_an_answer_to_this_process_is_acknowledged(self):
+        self.assertEqual(self.acked_after(sent_age_s=0.0), SyncPosition("control", 7))
+
+
 if __name__ == "__main__":
     unittest.main()
