Keep an address from an incarnation last seen before the one that ended there

What callers saw: the same as with start times: an engine crashes, another with an id of its own starts at the address, drains and signs off, and within nine seconds of the first one's last heartbeat requests go to it again. Cause: engines need not send a start time, and then an ended incarnation had no claim on its address at all. Why it works: an ended incarnation is compared like a live one, by start time if both have it, else by the last sign of life. A sign-off that arrives late is no sign of life, so it doesn't hide a successor that has already sent a heartbeat. Limit: without start times, a heartbeat of the crashed one that arrives after the later one's last sign of life still counts for up to nine seconds.

--- a/libs/routing/src/cherryrudder/routing/endpoints.py
+++ b/libs/routing/src/cherryrudder/routing/endpoints.py
@@ -113,7 +113,8 @@
         received = _with_notices(received, known.announcement)
     entry = TableEntry(received, now_s)
     if _has_ended(received) or _has_later_incarnation(table, received):
-        entry = _gone_entry(received, now_s)
+        seen_s = now_s if known is None else known.last_seen_s
+        entry = _gone_entry(received, seen_s)
     table.entries[received.engine_id] = entry
     table.version += 1
     _end_earlier_incarnations(table, received, now_s)
@@ -314,25 +315,21 @@
 def live(table: EndpointTable, now_s: float) -> list[Announcement]:
     """Return the endpoints that are neither gone nor lost, one for each address."""
     newest: dict[str, TableEntry] = {}
-    # Latest start of an ended incarnation, by address: any that started there before
-    # it has ended as well.
-    ended_ms: dict[str, int] = {}
+    # Any incarnation that was at the address before an ended one has ended as well.
+    ended: dict[str, TableEntry] = {}
     for entry in table.entries.values():
         if now_s - entry.last_seen_s > LOST_AFTER_S:
             continue
+        latest = ended if entry.is_gone else newest
         address = entry.announcement.address
-        if entry.is_gone:
-            started_ms = entry.announcement.started_ms
-            ended_ms[address] = max(started_ms, ended_ms.get(address, 0))
-            continue
-        other = newest.get(address)
+        other = latest.get(address)
         # A later incarnation, also of another service, may reuse an address.
         if other is None or _is_later(entry, other):
-            newest[address] = entry
+            latest[address] = entry
     return [
         entry.announcement
         for address, entry in newest.items()
-        if not 0 < entry.announcement.started_ms < ended_ms.get(address, 0)
+        if address not in ended or not _is_later(ended[address], entry)
     ]
 
 
--- a/libs/routing/test/test_endpoints.py
+++ b/libs/routing/test/test_endpoints.py
@@ -183,6 +183,20 @@
         endpoints.record_heartbeat(table, old._replace(number=4), 2.0)
         self.assertEqual(known(table, 2.0), set())
 
+    def test_without_start_times_the_last_sign_of_life_decides(self):
+        table, merged = EndpointTable(), EndpointTable()
+        endpoints.record_heartbeat(table, an_announcement("old", 2), 0.0)
+        draining = an_announcement("new", 2, is_leaving=True)
+        endpoints.record_heartbeat(table, draining, 1.0)
+        endpoints.sign_off(table, "new", 1.5)
+        for engine_id in ("new", "old"):
+            entry = table.entries[engine_id]
+            endpoints.merge(merged, entry, 2.0 - entry.last_seen_s, 2.0)
+        for each in (table, merged):
+            self.assertEqual(known(each, 2.0), set())
+            endpoints.record_heartbeat(each, an_announcement("newest", 2), 2.5)
+            self.assertEqual(known(each, 2.5), {"newest"})
+
     def test_an_endpoint_whose_clock_is_behind_may_reuse_the_address_later(self):
         table = EndpointTable()
         ended = an_announcement("a", name="a", started_ms=200)
