Leave out incarnations that a reader knows to be superseded

What callers saw: an entry of the daemon routes to an endpoint's incarnation that has ended, for up to some three seconds. Cause: a reader chooses the latest incarnation that any control VM lists, and forgot one that was no longer listed. A control VM that fell silent before the restart still listed the earlier one, which was live again. Evidence: control VM A silent from 0 s, the endpoint restarts, announces to B at 0.4 s and ends. On the code before the reader lists the later incarnation at 0.5 s and the earlier one from 2.5 to 5.2 s; now nothing from 2.5 s on. test_an_ended_incarnation_does_not_bring_back_an_earlier_one fails on the code before in both parts (`tools/runtests.py membership`). Why it works: the reader keeps the latest incarnation that a control VM stopped listing for as long as views of silent control VMs, and leaves out earlier ones. Not for longer, so that an endpoint whose clock was set back is found once the control VMs have restarted (tested as well; it passed before). Limit: a control VM that thaws later than that may still list the earlier one until its lease runs out, two seconds. Elsewhere: the tables of control VMs keep lost endpoints for ten minutes and refuse earlier incarnations; crash records only grow until they expire.

--- a/libs/membership/src/cherryrudder/membership/reader.py
+++ b/libs/membership/src/cherryrudder/membership/reader.py
@@ -40,6 +40,13 @@
     last_seen_s: float
 
 
+class Ended(NamedTuple):
+    """An incarnation that a control VM no longer lists, and since when."""
+
+    incarnation: str
+    at_s: float
+
+
 class View:
     """A control VM's table as last received, and the one before its restart."""
 
@@ -67,6 +74,9 @@
         self.reconnected_s = 0.0
         self.views: dict[str, View] = {}
         self.links: dict[str, Link] = {}
+        # The latest incarnation that ended, by endpoint. A control VM that is silent by
+        # then may still list an earlier one.
+        self.ended: dict[str, Ended] = {}
 
 
 def merge(reader: Reader, source: str, delta: TableDelta, now_s: float) -> MergeResult:
@@ -82,14 +92,19 @@
     view.last_seen_s = now_s
     if delta.epoch != view.epoch:
         _change_epoch(view, delta.epoch, now_s)
+    before = view.endpoints
     if delta.full:
         view.endpoints = {}
     view.version = delta.version
     for name in delta.gone:
+        _record_ended(reader, before.get(name), now_s)
         view.endpoints.pop(name, None)
     for announcement in delta.announced:
         view.endpoints[announcement.endpoint] = announcement
         _update_link(reader, announcement)
+    if delta.full:
+        for name in before.keys() - view.endpoints.keys():
+            _record_ended(reader, before[name], now_s)
     _drop_expired(reader, now_s)
     return MergeResult.TAKEN
 
@@ -113,7 +128,9 @@
         if not any_fresh or not _is_expired(reader, view.restarted_s, now_s):
             _take_newest(best, view.previous_endpoints.values())
     _take_newest(best, _live_links(reader, now_s))
-    return tuple(best[name] for name in sorted(best))
+    return tuple(
+        best[name] for name in sorted(best) if not _is_superseded(reader, best[name])
+    )
 
 
 def record_link_seen(
@@ -163,6 +180,21 @@
     view.epoch = epoch
 
 
+def _record_ended(reader, announcement, now_s):
+    if announcement is None:
+        return
+    known = reader.ended.get(announcement.endpoint)
+    if known is None or announcement.incarnation >= known.incarnation:
+        ended = Ended(announcement.incarnation, now_s)
+        reader.ended[announcement.endpoint] = ended
+
+
+def _is_superseded(reader, announcement):
+    """Return whether a later incarnation was listed and has ended."""
+    ended = reader.ended.get(announcement.endpoint)
+    return ended is not None and announcement.incarnation < ended.incarnation
+
+
 def _any_fresh(reader, now_s):
     return any(
         view.epoch and now_s - view.last_seen_s <= reader.stale_timeout_s
@@ -182,6 +214,14 @@
         if _is_expired(reader, view.last_seen_s, now_s):
             view.endpoints = {}
             view.version = 0
+    # Not kept for longer: a control VM that restarted may list an endpoint again whose
+    # clock was set back.
+    for name in [
+        name
+        for name, ended in reader.ended.items()
+        if _is_expired(reader, ended.at_s, now_s)
+    ]:
+        del reader.ended[name]
     limit_s = now_s - reader.link_timeout_s
     for name in [n for n, link in reader.links.items() if link.last_seen_s < limit_s]:
         del reader.links[name]
--- a/libs/membership/test/test_reader.py
+++ b/libs/membership/test/test_reader.py
@@ -119,6 +119,26 @@
         self.receive("north", "desk-1", now_s=0.0, version=2, start=2)
         self.assertFalse(readers.endpoints(self.reader, 0.0)[0].leaving)
 
+    def test_an_ended_incarnation_does_not_bring_back_an_earlier_one(self):
+        """A control VM that froze before the restart still lists the earlier one."""
+        for full in (True, False):
+            with self.subTest(full=full):
+                self.setUp()
+                self.receive("south", "desk-1", now_s=0.4, version=2, start=2)
+                gone = TableDelta("1", 3, full, gone=("desk-1",), since=2, asked="1")
+                readers.merge(self.reader, "south", gone, 2.5)
+                self.assertNotIn("desk-1", self.names(2.5))
+                self.assertNotIn("desk-1", self.names(3600.0))
+
+    def test_a_restarted_endpoint_whose_clock_was_set_back_is_live_later(self):
+        """Its earlier incarnation seems to be the later one."""
+        self.receive("south", "desk-1", now_s=0.4, version=2, start=2)
+        self.receive("south", now_s=1.0, epoch="2", version=0)
+        self.receive("north", now_s=1.0, epoch="2", version=0)
+        for now_s in (3.0, 5.0, 1.1 + RETENTION_S):
+            self.receive("south", "desk-1", now_s=now_s, epoch="2", version=2)
+        self.assertIn("desk-1", self.names(1.1 + RETENTION_S))
+
     def test_gap_is_reported(self):
         gaps = TableDelta("1", 9, False, since=5), TableDelta("2", 9, False, asked="1")
         for delta in gaps:
