Name the error in the log of a failed request handler

The line said only that a handler had failed: the sink writes the text of a message and drops the exception, so the log of a control process couldn't tell a call that ended with its voter from a fault of the handler.

The tests of node passed (199); lint passed.

--- a/libs/node/src/cherryrudder/node/httpserver.py
+++ b/libs/node/src/cherryrudder/node/httpserver.py
@@ -50,7 +50,7 @@
         except Exception as error:
             # An error in one answer must not end all others. The connection closes
             # without an answer that looks complete.
-            log.opt(exception=error).error("A request's handler failed.")
+            log.opt(exception=error).error("A request's handler failed: {!r}.", error)
         finally:
             server.connections.discard(connection)
 
