Log why an entry takes an engine as dead

Symptom: `test_streams_are_moved_before_it_ends` fails at times on a busy machine, as a first engine that lives is taken as dead. The `engine-dead` line says "silent or stalled" only, so that a pause of the entry, one of the engine and a slow connect look alike.

Change: the line carries the failed tries (time limit, duration, error: a connect says so) and the ages of the reports that the entry has of the chain's other engines.

--- a/libs/node/src/cherryrudder/node/stalls.py
+++ b/libs/node/src/cherryrudder/node/stalls.py
@@ -53,11 +53,20 @@
 log = logger.bind(part="stalls")
 
 
+class FailedTry(NamedTuple):
+    """A request for a report that got none: its time limit, duration and error."""
+
+    limit_s: float
+    took_s: float
+    error: str
+
+
 class SharedReport(NamedTuple):
     """An engine's report, None if it gave none, and the time it counts from."""
 
     report: Report | None
     valid_from_s: float
+    failed_tries: tuple[FailedTry, ...] = ()
 
 
 class StallDetector:
@@ -95,12 +104,14 @@
             if known is not None and _is_fresh(known, now_s()):
                 return known
             asked_s = now_s()
-            report = await self._ask(address, is_first)
+            failed_tries: list[FailedTry] = []
+            report = await self._ask(address, is_first, failed_tries)
             valid_from_s = now_s() if report is None else asked_s
-            fresh = self._reports[key] = SharedReport(report, valid_from_s)
+            fresh = SharedReport(report, valid_from_s, tuple(failed_tries))
+            self._reports[key] = fresh
             return fresh
 
-    async def _ask(self, address, is_first):
+    async def _ask(self, address, is_first, failed_tries):
         """Return an engine's report, or None if it gives none in any try."""
         zone = self._zone_of(address)
         times = self._answer_times.setdefault(zone, AnswerTimes())
@@ -113,7 +124,7 @@
             # Other engines' answers may have changed the usual time meanwhile.
             limit_s = share * answertimes.timeout_s(times, REPORT_BOUNDS) + retransmit_s
             limit_s += extra_s if is_first else 0.0
-            report = await self._report(address, limit_s)
+            report = await self._report(address, limit_s, failed_tries)
             if report is not None:
                 # Counted from the first try: an engine that needs a second one is busy.
                 answertimes.record_time(times, now_s() - began_s)
@@ -125,7 +136,7 @@
         engine = entrystate.engine_at(self.state, address, now_s())
         return engine.vm_zone if engine else self.state.settings.vm_zone
 
-    async def _report(self, address, timeout_s):
+    async def _report(self, address, timeout_s, failed_tries):
         """Return an engine's report, or None; ask again if this process stalled."""
         while True:
             asked_s = now_s()
@@ -133,7 +144,9 @@
                 return await enginecalls.get_report(address, timeout_s, self.state.pool)
             except EngineCallFailed as error:
                 log.info("No report: {}.", error)
-            if now_s() - asked_s < timeout_s + PROCESS_STALL_S:
+                took_s = now_s() - asked_s
+                failed_tries.append(FailedTry(timeout_s, took_s, str(error)))
+            if took_s < timeout_s + PROCESS_STALL_S:
                 return None
 
     def drop_unknown(self, known: set[str]) -> None:
@@ -142,10 +155,13 @@
             del self._reports[key]
             self._locks.pop(key, None)
 
-    def mark_dead(self, address: str, why: str, is_unreached: bool = False) -> None:
+    def mark_dead(
+        self, address: str, why: str, is_unreached: bool = False, **evidence
+    ) -> None:
         """Record an engine as dead for this entry, and ask control VMs to verify it.
 
-        `is_unreached` means that no connection to it could be opened.
+        `is_unreached` means that no connection to it could be opened; the evidence
+        is written to the log.
         """
         state, now = self.state, now_s()
         engine = entrystate.engine_at(state, address, now)
@@ -158,7 +174,13 @@
         self.uplink.report_suspect(engine_id, engine.vm_zone)
         state.metrics.beliefs.labels("engine-dead").inc()
         state.sink.write(
-            "stalls", "engine-dead", True, address=address, engine_id=engine_id, why=why
+            "stalls",
+            "engine-dead",
+            True,
+            address=address,
+            engine_id=engine_id,
+            why=why,
+            **evidence,
         )
 
 
@@ -171,6 +193,21 @@
     return len(starts_ms) < 2
 
 
+def describe(reports: dict[str, SharedReport], address: str, now: float) -> dict:
+    """Return the failed tries at one engine, and the ages of the others' reports."""
+    return {
+        "tries": [
+            (round(one.limit_s, 3), round(one.took_s, 3), one.error)
+            for one in reports[address].failed_tries
+        ],
+        "report_ages_s": {
+            other: round(now - shared.valid_from_s, 3)
+            for other, shared in reports.items()
+            if shared.report is not None
+        },
+    }
+
+
 def _is_fresh(shared, now):
     limit_s = SILENT_MAX_AGE_S if shared.report is None else REPORT_MAX_AGE_S
     return now - shared.valid_from_s < limit_s
--- a/libs/node/src/cherryrudder/node/supervision.py
+++ b/libs/node/src/cherryrudder/node/supervision.py
@@ -228,7 +228,8 @@
             if stalled.request_id == request_id and stalled.address in addresses:
                 silent.add(stalled.address)
         for address in silent:
-            self.stalls.mark_dead(address, "silent or stalled")
+            evidence = stalls.describe(reports, address, now_s())
+            self.stalls.mark_dead(address, "silent or stalled", **evidence)
         return silent
 
     def _report_paces(self, chain, reports):
