Count only the time that a process ran towards its timeouts

Symptom: on a busy machine an entry takes living engines as dead.

Cause: a timer runs out while the process waits for CPU time or its event loop is blocked. A call needs several loop iterations (connect, send, read), and is cancelled before it reads what has arrived. A timeout was taken for a pause only if it was noticed 0.03 s late: shorter pauses, several of them, and one that ends before the limit counted as the engine's silence. Where each iteration is later than that, an entry asked again without end, and the check of the stream never ended.

Change: `wire.timeouts` counts a timeout in ticks of the event loop, a late one like a punctual one, and lets the loop run once more before it gives up after a pause. It is used where a timeout is taken as evidence against an endpoint or a control VM: connecting, the head of an answer, reports and other calls to engines, probes' answers of other control VMs, permits. The limits themselves are as they were. A suspended VM is still found by the clock, which the loop's timers don't see. The error of a call says how long the process paused, and whether it was connecting or waiting for the answer; `engine-dead` lines carry it.

Not changed: timeouts with a single wait for a future (the event loop handles the socket before the timer, and anyio doesn't cancel a task whose future is done), and the reviews of streams, which know their own lateness.

--- a/libs/node/src/cherryrudder/node/enginecalls.py
+++ b/libs/node/src/cherryrudder/node/enginecalls.py
@@ -1,6 +1,6 @@
 """The router's own calls to engines: reports, orders and reroutes."""
 
-import anyio
+import math
 
 from cherryrudder.layers.chains import Chain
 from cherryrudder.platform import calls, engines
@@ -8,6 +8,7 @@
 from cherryrudder.relay.errors import RelayError
 from cherryrudder.relay.pool import Pool
 from cherryrudder.replica.clock import now_s
+from cherryrudder.wire import timeouts
 
 from .errors import EngineCallFailed
 
@@ -56,16 +57,20 @@
 
 
 async def _call(address, call, timeout_s, kept=None):
+    connection = None
     try:
-        with anyio.fail_after(timeout_s):
-            return await _exchange(address, call, timeout_s, kept or Pool())
+        with timeouts.fail_after(timeout_s) as timeout:
+            kept = kept or Pool()
+            connection, _ = await pool.acquire(kept, address, math.inf, now_s())
+            return await _exchange(address, call, connection, kept)
     except (RelayError, TimeoutError) as error:
-        raise EngineCallFailed(f"{address}: {call[1]}: {error or 'timeout'}") from error
+        stage = "connect" if connection is None else "answer"
+        message = f"{address}: {call[1]}: {stage}: {str(error) or 'timeout'}"
+        raise EngineCallFailed(message, timeout.paused_s) from error
 
 
-async def _exchange(address, call, timeout_s, kept):
+async def _exchange(address, call, connection, kept):
     method, path, body = call
-    connection, _ = await pool.acquire(kept, address, timeout_s, now_s())
     is_done = False
     try:
         headers = [(b"host", address.encode())]
@@ -73,7 +78,7 @@
             headers.append((b"content-type", b"application/json"))
             headers.append((b"content-length", b"%d" % len(body)))
         await connection.send(method, path.encode(), headers, body)
-        head = await connection.read_head(timeout_s)
+        head = await connection.read_head(math.inf)
         answer = await _read_body(connection)
         is_done = True
         return head.status, answer
--- a/libs/node/src/cherryrudder/node/errors.py
+++ b/libs/node/src/cherryrudder/node/errors.py
@@ -12,4 +12,11 @@
 
 
 class EngineCallFailed(NodeError):
-    """An engine gave no usable answer to one of the router's own calls."""
+    """An engine gave no usable answer to one of the router's own calls.
+
+    `paused_s` is how long this process did not run during the call, as far as known.
+    """
+
+    def __init__(self, message: str, paused_s: float = 0.0):
+        super().__init__(message)
+        self.paused_s = paused_s
--- a/libs/node/src/cherryrudder/node/ratelimiter.py
+++ b/libs/node/src/cherryrudder/node/ratelimiter.py
@@ -15,6 +15,7 @@
 from cherryrudder.replica.clock import now_s
 from cherryrudder.routing import ratelimits
 from cherryrudder.routing.ratelimits import Limit, LimitBook
+from cherryrudder.wire import timeouts
 
 from .gossip import LimitUpdate, PermitGrant, PermitRequest, ReportedLimit
 
@@ -150,10 +151,10 @@
             return False
         return permits.is_pending(_holder(rates, engine_id), now_s())
 
-    with anyio.move_on_after(PERMIT_TIMEOUT_S) as scope:
+    with timeouts.move_on_after(PERMIT_TIMEOUT_S) as timeout:
         while any(is_pending(engine_id) for engine_id in needed):
             await rates.answered.wait()
-    if scope.cancelled_caught:
+    if timeout.is_expired:
         state.metrics.permits.labels("unanswered").inc()
         state.sink.write("rates", "permit-unanswered", engine_ids=needed)
 
--- a/libs/node/src/cherryrudder/node/stalls.py
+++ b/libs/node/src/cherryrudder/node/stalls.py
@@ -54,10 +54,11 @@
 
 
 class FailedTry(NamedTuple):
-    """A request for a report that got none: its time limit, duration and error."""
+    """A request for a report that got none, and the pauses of this process in it."""
 
     limit_s: float
     took_s: float
+    paused_s: float
     error: str
 
 
@@ -145,8 +146,10 @@
             except EngineCallFailed as error:
                 log.info("No report: {}.", error)
                 took_s = now_s() - asked_s
-                failed_tries.append(FailedTry(timeout_s, took_s, str(error)))
-            if took_s < timeout_s + PROCESS_STALL_S:
+                paused_s = error.paused_s
+                failed = FailedTry(timeout_s, took_s, paused_s, str(error))
+                failed_tries.append(failed)
+            if took_s - paused_s < timeout_s + PROCESS_STALL_S:
                 return None
 
     def drop_unknown(self, known: set[str]) -> None:
@@ -197,7 +200,7 @@
     """Return the failed tries at one engine, and the ages of the others' reports."""
     return {
         "tries": [
-            (round(one.limit_s, 3), round(one.took_s, 3), one.error)
+            [*(round(seconds, 3) for seconds in one[:-1]), one.error]
             for one in reports[address].failed_tries
         ],
         "report_ages_s": {
--- a/libs/node/src/cherryrudder/node/verification.py
+++ b/libs/node/src/cherryrudder/node/verification.py
@@ -22,6 +22,7 @@
 
 from cherryrudder.replica.clock import now_s
 from cherryrudder.routing import endpoints
+from cherryrudder.wire import timeouts
 
 from . import enginecalls, roster, stalls
 from .controlstate import ControlState
@@ -155,7 +156,7 @@
         own = await self._probe(engine_id)
         peers = self._ask(engine_id) if own is Observation.SILENT else None
         if peers is not None and peers.asked:
-            with anyio.move_on_after(PEER_ANSWER_TIMEOUT_S):
+            with timeouts.move_on_after(PEER_ANSWER_TIMEOUT_S):
                 await peers.is_over.wait()
         self._peer_probes.pop(engine_id, None)
         senders = self._waiting.pop(engine_id)
@@ -281,7 +282,8 @@
                 return await enginecalls.get_report(address, timeout_s)
             except EngineCallFailed as error:
                 log.info("No report: {}.", error)
-            if now_s() - asked_s < timeout_s + stalls.PROCESS_STALL_S:
+                counted_s = now_s() - asked_s - error.paused_s
+            if counted_s < timeout_s + stalls.PROCESS_STALL_S:
                 return None
         return None
 
--- a/libs/node/test/builders.py
+++ b/libs/node/test/builders.py
@@ -1,6 +1,9 @@
 """Test data for the tests of entries and control VMs."""
 
+import contextlib
 import os
+import socket
+import threading
 
 from cherryrudder.layers.profile import NO_LAYERS, KindProfile, LayerRange, ModelProfile
 from cherryrudder.node.controlstate import ControlState
@@ -89,6 +92,28 @@
     return ControlState(settings, sink, Metrics())
 
 
+@contextlib.contextmanager
+def answering_engine():
+    """Run an engine in a thread that answers each report at once; yield its address."""
+
+    def answer(connection):
+        with connection, contextlib.suppress(OSError):
+            while b"\r\n\r\n" in connection.recv(65536):
+                connection.sendall(b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}")
+
+    def accept():
+        with contextlib.suppress(OSError):
+            while True:
+                connection, _ = server.accept()
+                threading.Thread(target=answer, args=[connection], daemon=True).start()
+
+    with socket.create_server(("127.0.0.1", 0)) as server:
+        threading.Thread(target=accept, daemon=True).start()
+        yield f"127.0.0.1:{server.getsockname()[1]}"
+        # Closing alone would leave the thread in `accept`.
+        server.shutdown(socket.SHUT_RDWR)
+
+
 class PipedSink:
     """A line sink that writes into a pipe, and a reader of the pipe."""
 
--- a/libs/wire/src/cherryrudder/wire/sockets.py
+++ b/libs/wire/src/cherryrudder/wire/sockets.py
@@ -11,9 +11,9 @@
 import socket
 from collections.abc import Awaitable, Callable
 
-import anyio
 from anyio.abc import TaskGroup
 
+from . import timeouts
 from .errors import ConnectFailed, StreamBroken, StreamEnded
 
 BACKLOG = 1024
@@ -154,7 +154,7 @@
     host, _, port = address.rpartition(":")
     loop = asyncio.get_running_loop()
     try:
-        with anyio.fail_after(timeout_s):
+        with timeouts.fail_after(timeout_s):
             _, stream = await loop.create_connection(Stream, host, int(port))
     except (OSError, TimeoutError) as error:
         raise ConnectFailed(f"{address}: {error or 'timeout'}") from error
