Take an engine as dead only while another one answers

Symptom: under load a living first engine is taken as dead and its streams run twice (`test_streams_are_moved_before_it_ends`); parts in the middle are replaced without need.

A failing run:

tries [[0.165, 0.191], [0.380, 0.381]], report ages of the others 0.572 and 0.548 s

and one at load 36 without any forced pause:

tries [[0.067, 0.069], [0.096, 0.099]], report ages of the others 0.168 and 0.168 s

The whole host of the engines did not run. That most engines of a chain are silent is taken as a cut-off machine, and nobody is accused; but an answer from the moment before the pause, or one kept for up to 0.3 s, counted as one given meanwhile, so that only the last engine seemed silent.

Change: from its second try on a silent engine is asked together with one that has answered. It counts as dead only if that witness answers within its usual time. Without a witness the engine is asked once more beside all that have answered in the check; if none of them answers now, the stream is checked again later. Time limits and numbers of tries are as they were. The witness is written to the `engine-dead` line.

An entry can tell a pause of its own, of a link, or of a host with several engines of a chain. It can't tell one of a single engine's process from its death: there its streams go on elsewhere, and the control VMs decide whether others avoid the engine.

--- a/libs/node/src/cherryrudder/node/stalls.py
+++ b/libs/node/src/cherryrudder/node/stalls.py
@@ -5,6 +5,11 @@
 late, and a pause of 200 ms already makes the stream late. So every engine of the chain
 is asked for its report at the same time. Within a data centre living engines answer in
 a few milliseconds; an engine that does not is taken as dead.
+
+Problem: a whole host or link pauses for some tenths of a second. Engines that answered
+just before seem to prove that only the silent one is dead, and living engines lose
+their streams. So another engine of the chain is asked together with a silent one, and
+must answer meanwhile.
 """
 
 from typing import NamedTuple
@@ -68,6 +73,13 @@
     report: Report | None
     valid_from_s: float
     failed_tries: tuple[FailedTry, ...] = ()
+    # Another engine that answered while this one was silent. Without one the silence
+    # may be that of a whole host or link.
+    witness: str = ""
+
+    def is_settled(self) -> bool:
+        """Return whether there is a report, or a silence that has a witness."""
+        return self.report is not None or bool(self.witness)
 
 
 class StallDetector:
@@ -89,49 +101,101 @@
         # Kept apart from the shared reports: an address may be dropped meanwhile.
         found: dict[str, SharedReport] = {}
 
-        async def fetch(address):
-            found[address] = await self._get_shared(address, address == addresses[0])
+        async def fetch(address, get):
+            found[address] = await get(address, address == addresses[0], found)
 
-        async with anyio.create_task_group() as group:
-            for address in addresses:
-                group.start_soon(fetch, address)
+        for get in (self._get_shared, self._get_settled):
+            async with anyio.create_task_group() as group:
+                for address in addresses:
+                    group.start_soon(fetch, address, get)
         return found
 
-    async def _get_shared(self, address, is_first):
+    async def _get_shared(self, address, is_first, found):
         key = (address, is_first)
-        lock = self._locks.setdefault(key, anyio.Lock())
-        async with lock:
+        async with self._locks.setdefault(key, anyio.Lock()):
             known = self._reports.get(key)
             if known is not None and _is_fresh(known, now_s()):
                 return known
-            asked_s = now_s()
-            failed_tries: list[FailedTry] = []
-            report = await self._ask(address, is_first, failed_tries)
-            valid_from_s = now_s() if report is None else asked_s
-            fresh = SharedReport(report, valid_from_s, tuple(failed_tries))
+            fresh = self._reports[key] = await self._ask(address, is_first, found)
+            return fresh
+
+    async def _get_settled(self, address, is_first, found):
+        """Ask a silent engine once more if its silence has no witness yet."""
+        key, known = (address, is_first), found[address]
+        if known.is_settled():
+            return known
+        async with self._locks.setdefault(key, anyio.Lock()):
+            newest = self._reports.get(key, known)
+            if newest.is_settled() and _is_fresh(newest, now_s()):
+                return newest
+            witnesses = self._answered(address, found)
+            if not witnesses:
+                return known
+            share, retransmit_s = self._tries(address)[-1]
+            limit_s = share * self._usual_s(address) + retransmit_s
+            tries = known.failed_tries
+            fresh = await self._ask_with(witnesses, address, limit_s, tries)
             self._reports[key] = fresh
             return fresh
 
-    async def _ask(self, address, is_first, failed_tries):
-        """Return an engine's report, or None if it gives none in any try."""
-        zone = self._zone_of(address)
-        times = self._answer_times.setdefault(zone, AnswerTimes())
-        is_near = zone == self.state.settings.vm_zone
-        began_s = now_s()
-        tries = NEAR_TRIES if is_near else FAR_TRIES
-        for (share, retransmit_s), extra_s in zip(tries, FIRST_EXTRA_S, strict=False):
+    async def _ask(self, address, is_first, found):
+        """Return an engine's report, or its silence after several tries."""
+        zone, began_s = self._zone_of(address), now_s()
+        silent = SharedReport(None, began_s)
+        tries = zip(self._tries(address), FIRST_EXTRA_S, strict=False)
+        for (share, retransmit_s), extra_s in tries:
             if retransmit_s and self._answered_s.get(zone, 0.0) > began_s:
                 break
             # Other engines' answers may have changed the usual time meanwhile.
-            limit_s = share * answertimes.timeout_s(times, REPORT_BOUNDS) + retransmit_s
+            limit_s = share * self._usual_s(address) + retransmit_s
             limit_s += extra_s if is_first else 0.0
-            report = await self._report(address, limit_s, failed_tries)
-            if report is not None:
+            failed_tries = silent.failed_tries
+            witnesses = self._answered(address, found)[:1] if failed_tries else []
+            result = await self._ask_with(witnesses, address, limit_s, failed_tries)
+            if result.report is not None:
                 # Counted from the first try: an engine that needs a second one is busy.
+                times = self._answer_times.setdefault(zone, AnswerTimes())
                 answertimes.record_time(times, now_s() - began_s)
                 self._answered_s[zone] = now_s()
-                return report
-        return None
+                return result._replace(valid_from_s=began_s)
+            silent = result
+        return silent
+
+    async def _ask_with(self, witnesses, address, limit_s, failed_tries):
+        """Ask an engine and its possible witnesses at the same time."""
+        asked_s, failed, answered = now_s(), list(failed_tries), []
+
+        async def ask_witness(witness):
+            usual_s = self._usual_s(witness)
+            report = await self._report(witness, max(limit_s, usual_s), [])
+            # An answer near the end of the time limit shows that both were slow.
+            if report is not None and now_s() - asked_s <= usual_s:
+                answered.append(witness)
+
+        async with anyio.create_task_group() as group:
+            for witness in witnesses:
+                group.start_soon(ask_witness, witness)
+            report = await self._report(address, limit_s, failed)
+            if report is not None:
+                group.cancel_scope.cancel()
+        if report is not None:
+            return SharedReport(report, asked_s, tuple(failed))
+        return SharedReport(None, now_s(), tuple(failed), "".join(answered[:1]))
+
+    def _answered(self, address, found):
+        """Return the engines that have answered, those over the same link first."""
+        zone = self._zone_of(address)
+        answered = [a for a, shared in found.items() if shared.report is not None]
+        return sorted(answered, key=lambda other: self._zone_of(other) != zone)
+
+    def _tries(self, address):
+        is_near = self._zone_of(address) == self.state.settings.vm_zone
+        return NEAR_TRIES if is_near else FAR_TRIES
+
+    def _usual_s(self, address):
+        """Return the time within which an engine usually gives its report."""
+        times = self._answer_times.setdefault(self._zone_of(address), AnswerTimes())
+        return answertimes.timeout_s(times, REPORT_BOUNDS)
 
     def _zone_of(self, address):
         engine = entrystate.engine_at(self.state, address, now_s())
@@ -199,6 +263,7 @@
 def describe(reports: dict[str, SharedReport], address: str, now: float) -> dict:
     """Return the failed tries at one engine, and the ages of the others' reports."""
     return {
+        "witness": reports[address].witness,
         "tries": [
             [*(round(seconds, 3) for seconds in one[:-1]), one.error]
             for one in reports[address].failed_tries
--- a/libs/node/src/cherryrudder/node/supervision.py
+++ b/libs/node/src/cherryrudder/node/supervision.py
@@ -221,6 +221,7 @@
         if len(silent) * 2 > len(addresses):
             # Most engines don't answer: more likely this machine is cut off.
             return set()
+        silent = {address for address in silent if reports[address].is_settled()}
         self._report_paces(chain, reports)
         first = reports[addresses[0]].report
         request_id = stream.job.facts.request_id
