End a call to a silent engine in a process that hardly runs

Symptom: where each loop iteration is late by more than 0.03 s, the check of a silent stream never ends if its engine is frozen: each try's end is noticed late, counts as a stall of the process, and the engine is asked again.

Change: that pause is counted as well.

--- a/libs/node/test/builders.py
+++ b/libs/node/test/builders.py
@@ -92,6 +92,13 @@
     return ControlState(settings, sink, Metrics())
 
 
+@contextlib.contextmanager
+def silent_engine():
+    """Accept connections without answering, as a frozen engine; yield the address."""
+    with socket.create_server(("127.0.0.1", 0)) as server:
+        yield f"127.0.0.1:{server.getsockname()[1]}"
+
+
 @contextlib.contextmanager
 def answering_engine():
     """Run an engine in a thread that answers each report at once; yield its address."""
--- a/libs/node/test/test_pauses.py
+++ b/libs/node/test/test_pauses.py
@@ -6,7 +6,7 @@
 import anyio
 import builders
 
-from cherryrudder.node import verification
+from cherryrudder.node import stalls, verification
 from cherryrudder.node.stalls import PROCESS_STALL_S, StallDetector
 from cherryrudder.node.verification import Observation
 from cherryrudder.replica.clock import now_s
@@ -64,6 +64,19 @@
         found = anyio.run(scenario)
         self.assertEqual([s.failed_tries for s in found.values()], [(), ()])
 
+    def test_an_entry_gives_up_a_silent_engine(self):
+        """Guards against asking again without end, as each timeout is noticed late."""
+        detector = StallDetector(builders.a_state(self.sink), None)
+
+        async def scenario():
+            with builders.silent_engine() as address:
+                return await call_while_starved(
+                    2 * PROCESS_STALL_S, lambda: detector.get_reports([address])
+                )
+
+        (shared,) = anyio.run(scenario).values()
+        self.assertEqual(len(shared.failed_tries), len(stalls.NEAR_TRIES))
+
     def test_a_control_vm_finds_that_it_lives(self):
         state = builders.a_control(self.sink, "127.0.0.1")
 
--- a/libs/wire/src/cherryrudder/wire/timeouts.py
+++ b/libs/wire/src/cherryrudder/wire/timeouts.py
@@ -30,6 +30,7 @@
         self._left_s = timeout_s
         self._tick_s = max(min(TICK_S, timeout_s / MIN_TICKS), timeout_s / MAX_TICKS)
         self._is_last_tick = False
+        self._expired_s: float | None = None
         self._handle: asyncio.TimerHandle | None = None
         if timeout_s <= 0:
             scope.cancel()
@@ -37,9 +38,11 @@
             self._schedule(min(self._tick_s, timeout_s))
 
     def stop(self) -> None:
-        """Stop counting ticks."""
+        """Stop counting; the pause before the body noticed its end counts as well."""
         if self._handle is not None:
             self._handle.cancel()
+        if self._expired_s is not None:
+            self.paused_s += asyncio.get_running_loop().time() - self._expired_s
 
     def _schedule(self, wait_s):
         loop = asyncio.get_running_loop()
@@ -47,7 +50,8 @@
         self._handle = loop.call_at(due_s, self._count, due_s, wait_s)
 
     def _count(self, due_s, wait_s):
-        late_s = max(0.0, asyncio.get_running_loop().time() - due_s)
+        now_s = asyncio.get_running_loop().time()
+        late_s = max(0.0, now_s - due_s)
         self.paused_s += late_s
         self._left_s -= wait_s
         if self._left_s > 0:
@@ -57,6 +61,7 @@
             self._is_last_tick = True
             self._schedule(TICK_S)
         else:
+            self._expired_s = now_s
             self._scope.cancel()
 
 
