--- a/libs/node/src/cherryrudder/node/supervision.py
+++ b/libs/node/src/cherryrudder/node/supervision.py
@@ -221,6 +221,7 @@
         if len(silent) * 2 > len(addresses):
             # Most engines don't answer: more likely this machine is cut off.
             return set()
+        silent = {address for address in silent if reports[address].is_settled()}
         self._report_paces(chain, reports)
         first = reports[addresses[0]].report
         request_id = stream.job.facts.request_id
@@ -228,7 +229,8 @@
             if stalled.request_id == request_id and stalled.address in addresses:
                 silent.add(stalled.address)
         for address in silent:
-            self.stalls.mark_dead(address, "silent or stalled")
+            evidence = stalls.describe(reports, address, now_s())
+            self.stalls.mark_dead(address, "silent or stalled", **evidence)
         return silent
 
     def _report_paces(self, chain, reports):
