Log how each attempt of a service call ended

Callers saw: a filing ended as `not-run` while two of three services lived. The entry's log named the endpoints of failed attempts, but not how an attempt ended, what was sent, or why the call was not sent again.

Change: each attempt has one line with its number, endpoint, time and end, at info level unless the service answered; the end names the claim that was found not run, which may be one for another endpoint. The prefix of the existing line stays. Granted and refused claims are logged at debug level.

No decision changes.

--- a/libs/daemon/src/cherryrudder/daemon/services.py
+++ b/libs/daemon/src/cherryrudder/daemon/services.py
@@ -49,6 +49,13 @@
     deadline_s: float
 
 
+class AttemptResult(NamedTuple):
+    """How an attempt ended; `reply` is None if the call may be sent again."""
+
+    reply: Reply | None
+    detail: str
+
+
 class Services:
     """The service calls of one entry."""
 
@@ -108,18 +115,17 @@
             began_s = now_s()
             endpoint = sent.stages[0]
             try:
-                reply = await attempt(endpoint)
+                result = await attempt(endpoint)
             except BaseException:
                 self.entry.requests.cancel(request_id, 1)
                 raise
-            if reply is not None:
-                self.entry.requests.finish(request_id, 1, now_s() - began_s)
-                return reply
+            took_s = now_s() - began_s
+            log_attempt(request_id, number, endpoint.endpoint, took_s, result)
+            if result.reply is not None:
+                self.entry.requests.finish(request_id, 1, took_s)
+                return result.reply
             # An idempotent attempt without a reply may have run. A claimed one has
             # certainly not run if it gives no reply.
-            log.info(
-                "{}: attempt {} at {} failed.", request_id, number, endpoint.endpoint
-            )
             may_have_run = may_have_run or work.is_idempotent
             sent = await self._retry(request_id, endpoint.endpoint, may_have_run)
 
@@ -128,24 +134,27 @@
             return await self.entry.requests.retry(
                 request_id, endpoint, not may_have_run
             )
+        except RequestFailed as error:
+            log.info("{}: {} ({}).", request_id, error, error.outcome)
+            raise
         except RequestRefused as error:
+            log.info("{}: not sent again: {}.", request_id, error)
             # The second attempt was refused before it ran, but the first one may have
             # run, so "not run" could be false.
             if may_have_run:
                 raise RequestFailed(Outcome.UNKNOWN, str(error)) from error
             raise
 
-    async def _forward(self, announcement, call) -> Reply | None:
+    async def _forward(self, announcement, call) -> AttemptResult:
         try:
-            return service_reply(
-                await self._post(announcement, "forward", call, RUN_TIMEOUT_S)
-            )
+            verdict = await self._post(announcement, "forward", call, RUN_TIMEOUT_S)
         except WireError as error:
             log.info("{} failed: {}.", announcement.endpoint, error)
-            return None
+            return AttemptResult(None, f"no answer: {error}")
+        return service_result(verdict)
 
-    async def _attempt(self, claimed, announcement) -> Reply | None:
-        """Return the final answer, or None when this attempt certainly did not run."""
+    async def _attempt(self, claimed, announcement) -> AttemptResult:
+        """Return the final answer, or none when this attempt certainly did not run."""
         command = OpenClaim(
             customer=claimed.customer,
             key=claimed.key,
@@ -162,7 +171,8 @@
         except (NoQuorum, StatusError) as error:
             # The claim may still be committed, but only this entry may send its attempt
             # and it does not, so "not run" is certain.
-            return not_run_reply(str(error))
+            return not_run_result(str(error))
+        log.debug("{}: claim {} is {}.", claimed.key, command.attempt_id, answer.code)
         if answer.code == "granted":
             return await self._run(answer.claim, claimed.call)
         if answer.code == "body-differs":
@@ -171,7 +181,7 @@
             )
         if answer.code == "exists":
             return await self._answer_resend(answer.claim)
-        return not_run_reply(f"the claim was refused: {answer.code}")
+        return not_run_result(f"the claim was refused: {answer.code}")
 
     async def _run(self, claim, call):
         """Send the call of a granted claim, once."""
@@ -183,7 +193,7 @@
             if not error.may_have_run:
                 # No byte was sent, and no other entry sends this entry's claim.
                 await self._close(claim, Outcome.NOT_RUN)
-                return None
+                return AttemptResult(None, f"{claim.key} was not sent: {error}")
             return await self._query(claim)
         if verdict.action == "forgotten":
             # The gate refused the only copy of this attempt, so it has not run.
@@ -193,30 +203,31 @@
     async def _answer_resend(self, claim):
         """Return the reply to a call whose key was claimed before."""
         if claim.outcome == Outcome.DONE:
-            return service_reply(Verdict("replay", claim.status, claim.body))
+            return service_result(Verdict("replay", claim.status, claim.body))
         if claim.outcome == Outcome.UNKNOWN:
-            return unknown_reply()
+            return unknown_result("recorded as unknown")
         if claim.outcome == Outcome.NOT_RUN:
             # The state machine limits how often a key is reopened.
-            return not_run_reply("this key has been tried too often; use another one")
+            return not_run_result("this key has been tried too often; use another one")
         return await self._query(claim)
 
     async def _query(self, claim):
         try:
             verdict = await self._post_claim(claim, "run/query", claim, QUERY_TIMEOUT_S)
-        except WireError:
+        except WireError as error:
             # Reply at once: the sidecar may be dead, and waiting would not help.
-            return unknown_reply()
+            return unknown_result(f"query of {claim.endpoint}: {error}")
         return await self._apply_verdict(claim, verdict)
 
     async def _apply_verdict(self, claim, verdict):
         if verdict.action == "tombstone":
             await self._close(claim, Outcome.NOT_RUN)
-            return None
+            detail = f"{claim.endpoint} did not run {claim.key}, {claim.attempt_id}"
+            return AttemptResult(None, detail)
         if verdict.action != "replay" or verdict.status == NO_ANSWER:
-            return unknown_reply()
+            return unknown_result(f"{claim.endpoint}: {verdict.action} without answer")
         await self._close(claim, Outcome.DONE, verdict)
-        return service_reply(verdict)
+        return service_result(verdict)
 
     async def _close(self, claim: Claim, outcome, verdict=None):
         command = CloseClaim(claim.customer, claim.key, claim.attempt_id, outcome)
@@ -281,18 +292,39 @@
     return ClaimedCall(customer, key, digest, name, call, caller.deadline_s)
 
 
-def service_reply(verdict: Verdict) -> Reply:
+def service_result(verdict: Verdict) -> AttemptResult:
     """Return the service's own answer, new or replayed."""
     headers = (("content-type", "application/json"), (OUTCOME_HEADER, Outcome.DONE))
-    return Reply(verdict.status, verdict.body.encode(), headers)
+    reply = Reply(verdict.status, verdict.body.encode(), headers)
+    return AttemptResult(reply, f"answered with status {verdict.status}")
 
 
-def not_run_reply(message: str) -> Reply:
-    """Return the reply to a call that certainly did not run."""
-    return failure_reply(503, "not-run", message, Outcome.NOT_RUN)
+def not_run_result(message: str) -> AttemptResult:
+    """Return the final reply to a call that certainly did not run."""
+    reply = failure_reply(503, "not-run", message, Outcome.NOT_RUN)
+    return AttemptResult(reply, f"not run: {message}")
 
 
-def unknown_reply() -> Reply:
-    """Return the reply to a call that may or may not have run."""
+def unknown_result(detail: str) -> AttemptResult:
+    """Return the final reply to a call that may or may not have run."""
     message = "the call may have run; a resend with the same key cannot run it twice"
-    return failure_reply(502, "unknown", message, Outcome.UNKNOWN)
+    reply = failure_reply(502, "unknown", message, Outcome.UNKNOWN)
+    return AttemptResult(reply, f"unknown: {detail}")
+
+
+def log_attempt(
+    request_id: str, number: int, endpoint: str, took_s: float, result: AttemptResult
+) -> None:
+    """Log how an attempt ended; at debug level if the service answered."""
+    reply = result.reply
+    is_done = reply is not None and (OUTCOME_HEADER, Outcome.DONE) in reply.headers
+    log.log(
+        "DEBUG" if is_done else "INFO",
+        "{}: attempt {} at {} {} after {:.3f} s: {}.",
+        request_id,
+        number,
+        endpoint,
+        "failed" if reply is None else "ended",
+        took_s,
+        result.detail,
+    )
