Close the claim of an attempt that did not run before the next attempt

Callers saw: a filing ended as `not-run` while two of three services lived (test_atmostonce, FilingTest, a dead service). The three lines of that run: the service behind `filing-1` took no connection in time, the record of that attempt was not taken by the control VMs in time, and the killed service behind `filing-0` refused.

Cause: the entry goes on to the next endpoint although the claim of its own attempt is still open. The next `OpenClaim` is answered with `exists`, for the first endpoint. The entry asks that sidecar, closes the claim, and reports the attempt as failed at the second endpoint, which was never called. That uses up one of three attempts, excludes a live endpoint from the rest of the call, and counts as a failure in its health. With the killed service in third place the call ends with `too-many`. If the first sidecar can't be reached, its query fails as well, and a call that was never sent ends as `unknown`. The same happens to the first attempt of a resend whose key an ended entry had claimed.

Evidence: the log of attempts on the parent, real processes, control VMs frozen while the claim is closed: "attempt 2 at filing-0 failed: filing-1 did not run t-0", with the attempt id of the first one. On the parent 3 of the 4 tests of test_services fail, one of them in the order of the failed run: s0 unsent, record lost, s1 live and not called, s2 dead, `too-many` (`python -m unittest test_services` in libs/daemon/test). The fourth one, that no second attempt is made while the claim stays open, passes before and after.

Why it works: an entry knows which attempts of its call did not run. A claim that one of them still holds is closed, then the call is claimed again for the same endpoint, within the attempt. Each turn ends one attempt id, of which a key has 64 at most. Without a majority the call ends as not run, as when its claim can't be opened.

Looked at elsewhere: the query after a run whose answer was lost is about the attempt's own claim and endpoint, and stays an attempt.

--- a/libs/daemon/src/cherryrudder/daemon/services.py
+++ b/libs/daemon/src/cherryrudder/daemon/services.py
@@ -12,6 +12,7 @@
 
 from loguru import logger
 
+from cherryrudder.model.endpoints import Announcement
 from cherryrudder.model.errors import RequestError
 from cherryrudder.model.outcomes import Outcome
 from cherryrudder.policy.admission import Offer
@@ -104,7 +105,10 @@
 
     async def _run_once(self, claimed):
         work = work_for(claimed.customer, claimed.service, claimed.deadline_s, False)
-        return await self._send(work, lambda to: self._attempt(claimed, to))
+        not_run_ids = set()
+        return await self._send(
+            work, lambda to: self._attempt(claimed, to, not_run_ids)
+        )
 
     async def _send(self, work, attempt):
         """Retry until an attempt is answered; raises RequestRefused, RequestFailed."""
@@ -153,35 +157,61 @@
             return AttemptResult(None, f"no answer: {error}")
         return service_result(verdict)
 
-    async def _attempt(self, claimed, announcement) -> AttemptResult:
-        """Return the final answer, or none when this attempt certainly did not run."""
-        command = OpenClaim(
-            customer=claimed.customer,
-            key=claimed.key,
-            body_sha256=claimed.body_sha256,
-            attempt_id=new_id(),
-            service=claimed.service,
-            endpoint=announcement.endpoint,
-            incarnation=announcement.incarnation,
-            address=announcement.address,
-        )
-        try:
-            timeout_s = min(CALL_TIMEOUT_S, claimed.deadline_s - now_s())
-            answer = await self.entry.controls.open_claim(command, timeout_s)
-        except (NoQuorum, StatusError) as error:
-            # The claim may still be committed, but only this entry may send its attempt
-            # and it does not, so "not run" is certain.
-            return not_run_result(str(error))
-        log.debug("{}: claim {} is {}.", claimed.key, command.attempt_id, answer.code)
-        if answer.code == "granted":
-            return await self._run(answer.claim, claimed.call)
-        if answer.code == "body-differs":
-            raise RequestError(
-                422, "body-differs", "the key was used with another body", KEY_HEADER
-            )
-        if answer.code == "exists":
-            return await self._answer_resend(answer.claim)
-        return not_run_result(f"the claim was refused: {answer.code}")
+    async def _attempt(self, claimed, announcement, not_run_ids) -> AttemptResult:
+        """Return the final answer, or none when this attempt certainly did not run.
+
+        `not_run_ids` are attempts of this key that certainly did not run. A claim that
+        one of them still holds is closed first, so that this attempt is made here.
+        """
+        while True:
+            command = open_command(claimed, announcement)
+            try:
+                answer = await self.entry.controls.open_claim(
+                    command, claim_timeout_s(claimed, now_s())
+                )
+                log.debug(
+                    "{}: claim {} is {}.", claimed.key, command.attempt_id, answer.code
+                )
+                if answer.code == "exists" and not answer.claim.outcome:
+                    result = await self._close_earlier(
+                        claimed, answer.claim, not_run_ids
+                    )
+                    if result is None:
+                        continue
+                    return result
+            except (NoQuorum, StatusError) as error:
+                # The claim may still be committed, but only this entry may send its
+                # attempt and it does not, so "not run" is certain.
+                return not_run_result(str(error))
+            if answer.code == "granted":
+                # A retry follows only if this attempt did not run.
+                not_run_ids.add(command.attempt_id)
+                return await self._run(answer.claim, claimed.call)
+            if answer.code == "body-differs":
+                raise RequestError(
+                    422,
+                    "body-differs",
+                    "the key was used with another body",
+                    KEY_HEADER,
+                )
+            if answer.code == "exists":
+                return recorded_result(answer.claim)
+            return not_run_result(f"the claim was refused: {answer.code}")
+
+    async def _close_earlier(self, claimed, claim, not_run_ids):
+        """Return the reply of an earlier attempt, or None if it did not run."""
+        if claim.attempt_id in not_run_ids:
+            # The first request to close it got no answer.
+            command = close_command(claim, Outcome.NOT_RUN)
+            timeout_s = claim_timeout_s(claimed, now_s())
+            await self.entry.controls.close_claim(command, timeout_s)
+            return None
+        result = await self._query(claim)
+        if result.reply is not None:
+            return result
+        log.info("{}: {}; it is claimed again.", claimed.key, result.detail)
+        not_run_ids.add(claim.attempt_id)
+        return None
 
     async def _run(self, claim, call):
         """Send the call of a granted claim, once."""
@@ -200,17 +230,6 @@
             verdict = Verdict("tombstone")
         return await self._apply_verdict(claim, verdict)
 
-    async def _answer_resend(self, claim):
-        """Return the reply to a call whose key was claimed before."""
-        if claim.outcome == Outcome.DONE:
-            return service_result(Verdict("replay", claim.status, claim.body))
-        if claim.outcome == Outcome.UNKNOWN:
-            return unknown_result("recorded as unknown")
-        if claim.outcome == Outcome.NOT_RUN:
-            # The state machine limits how often a key is reopened.
-            return not_run_result("this key has been tried too often; use another one")
-        return await self._query(claim)
-
     async def _query(self, claim):
         try:
             verdict = await self._post_claim(claim, "run/query", claim, QUERY_TIMEOUT_S)
@@ -230,9 +249,7 @@
         return service_result(verdict)
 
     async def _close(self, claim: Claim, outcome, verdict=None):
-        command = CloseClaim(claim.customer, claim.key, claim.attempt_id, outcome)
-        if verdict is not None:
-            command = command._replace(status=verdict.status, body=verdict.body)
+        command = close_command(claim, outcome, verdict)
         try:
             await self.entry.controls.close_claim(command, CLOSE_TIMEOUT_S)
         except (NoQuorum, StatusError) as error:
@@ -292,6 +309,45 @@
     return ClaimedCall(customer, key, digest, name, call, caller.deadline_s)
 
 
+def claim_timeout_s(claimed: ClaimedCall, now_s: float) -> float:
+    """Return how long a call may wait for the control VMs."""
+    return min(CALL_TIMEOUT_S, claimed.deadline_s - now_s)
+
+
+def open_command(claimed: ClaimedCall, announcement: Announcement) -> OpenClaim:
+    """Return the command that claims a call for a new attempt at an endpoint."""
+    return OpenClaim(
+        customer=claimed.customer,
+        key=claimed.key,
+        body_sha256=claimed.body_sha256,
+        attempt_id=new_id(),
+        service=claimed.service,
+        endpoint=announcement.endpoint,
+        incarnation=announcement.incarnation,
+        address=announcement.address,
+    )
+
+
+def close_command(
+    claim: Claim, outcome: Outcome, verdict: Verdict | None = None
+) -> CloseClaim:
+    """Return the command that records an attempt's outcome, and its answer if any."""
+    command = CloseClaim(claim.customer, claim.key, claim.attempt_id, outcome)
+    if verdict is None:
+        return command
+    return command._replace(status=verdict.status, body=verdict.body)
+
+
+def recorded_result(claim: Claim) -> AttemptResult:
+    """Return the result of a call whose key was claimed before and has an outcome."""
+    if claim.outcome == Outcome.DONE:
+        return service_result(Verdict("replay", claim.status, claim.body))
+    if claim.outcome == Outcome.UNKNOWN:
+        return unknown_result("recorded as unknown")
+    # The state machine limits how often a key is reopened.
+    return not_run_result("this key has been tried too often; use another one")
+
+
 def service_result(verdict: Verdict) -> AttemptResult:
     """Return the service's own answer, new or replayed."""
     headers = (("content-type", "application/json"), (OUTCOME_HEADER, Outcome.DONE))
--- /dev/null
+++ b/libs/daemon/test/test_services.py
@@ -0,0 +1,49 @@
+"""Attempts of service calls: at which endpoints, and which of them count."""
+
+import unittest
+
+from claimsim import ServiceEntry, claim_as_another_entry
+
+
+class LostRecordTest(unittest.TestCase):
+    """The record that an attempt did not run is lost on its way to the control VMs."""
+
+    def setUp(self):
+        self.entry = ServiceEntry("s0", "s1", "s2")
+        self.sidecars = self.entry.sidecars
+        self.entry.controls.lost_closes = 1
+
+    def test_a_live_service_is_called_before_a_dead_one_ends_the_call(self):
+        """Guards against an attempt that counts although its endpoint wasn't called."""
+        self.sidecars.dead_services = {"s0", "s2"}
+        self.assertEqual(self.entry.call(), "done")
+        self.assertEqual(self.sidecars.called, ["s0", "s1"])
+        self.assertEqual(self.sidecars.ran, ["s1"])
+        self.assertEqual(self.entry.failures("s1"), 0)
+
+    def test_a_call_that_reached_no_sidecar_is_not_unknown(self):
+        """Guards against asking an unreachable sidecar about the call's own attempt."""
+        self.sidecars.dead_sidecars = {"s0"}
+        self.assertEqual(self.entry.call(), "done")
+        self.assertEqual(self.sidecars.called, ["s0", "s1"])
+
+    def test_a_record_that_stays_lost_leaves_the_call_not_run(self):
+        """Guards against a second attempt while the first one's claim is open."""
+        self.sidecars.dead_services = {"s0"}
+        self.entry.controls.lost_closes = 100
+        self.assertEqual(self.entry.call(), "not-run")
+        self.assertEqual(self.sidecars.ran, [])
+
+
+class AbandonedClaimTest(unittest.TestCase):
+    def test_a_resend_is_run_where_it_was_placed(self):
+        """Guards against blaming an endpoint for the claim of an entry that ended."""
+        entry = ServiceEntry("s0", "s1")
+        claim_as_another_entry(entry, "s1")
+        self.assertEqual(entry.call(), "done")
+        self.assertEqual(entry.sidecars.ran, ["s0"])
+        self.assertEqual(entry.failures("s0"), 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
