Wait for a full endpoint rather than repeat at one that failed

Callers would see: a call to a service ends as `not-run` or `unknown` within milliseconds while other endpoints of the service live and are only busy.

Cause: a retry leaves out the endpoints that failed it. If none of the others had a free slot at that moment, the retry went back to a failed one at once, although the reason given for that, that every endpoint has failed it, did not hold. A service that refuses connections fails three attempts before a slot elsewhere is free.

Evidence: on the parent, with two endpoints of one slot each, a call that one has refused is sent there again while the other has a call in flight; found by reading while test_atmostonce (FilingTest, a dead service) was traced, and not seen in a run of it. `python -m unittest test_dispatch` in libs/policy/test fails on the parent in test_a_retry_waits_for_an_endpoint_that_is_busy.

Why it works: while an endpoint is left that is announced, not leaving, not ejected and whose link stands, the retry stays in the queue, for as long as its deadline and its contract's longest wait allow, and reports its demand for credits like any other. It is deferred, so that other calls may use free slots elsewhere; without the deferral a later call found no endpoint (test_a_retry_that_waits_holds_up_no_other_call). An endpoint that is silent is ejected, and one that ended loses its link, so neither is waited for.

Looked at elsewhere: a lost stage of a running completion is replaced at the lost endpoint only if no other has capacity, and the credits of an endpoint whose link broke are revoked, so that path doesn't repeat at a dead one; left as it is.

--- a/libs/policy/src/cherryrudder/policy/dispatch.py
+++ b/libs/policy/src/cherryrudder/policy/dispatch.py
@@ -262,13 +262,26 @@
 
 def _choose(dispatcher, need, service, now_s):
     chain = _choose_once(dispatcher, need, service, now_s)
-    if chain is None and need.exclude:
-        # Every endpoint that can serve the request has failed it once, for example the
-        # only endpoint of a service after a lost connection. Trying it again is better
-        # than waiting for others.
-        need = need._replace(exclude=frozenset())
-        return _choose_once(dispatcher, need, service, now_s)
-    return chain
+    if chain is not None or not need.exclude:
+        return chain
+    if _is_untried_full(dispatcher, need, service, now_s):
+        # A live endpoint is only full. Repeats at one that refuses connections would
+        # fail within milliseconds, and use up the attempts before a slot is free.
+        return None
+    # Every endpoint that can serve the request has failed it once, for example the only
+    # endpoint of a service after a lost connection. Trying it again is better than
+    # waiting for others.
+    need = need._replace(exclude=frozenset())
+    return _choose_once(dispatcher, need, service, now_s)
+
+
+def _is_untried_full(dispatcher, need, service, now_s):
+    """Return whether only full endpoints are left that have not failed a request."""
+    if not service or not need.exclude:
+        return False
+    if _choose_once(dispatcher, need, service, now_s) is not None:
+        return False
+    return placement.has_service(dispatcher.fleet, service, need.exclude, now_s)
 
 
 def _choose_once(dispatcher, need, service, now_s):
@@ -295,6 +308,10 @@
 
 def _should_defer(dispatcher, request_id, waited_s, now_s):
     work = dispatcher.works[request_id]
+    if work.service:
+        # The endpoint that it waits for differs from what the others may use.
+        need = _need(dispatcher, work)
+        return _is_untried_full(dispatcher, need, work.service, now_s)
     if not work.prefix:
         return False
     need = _need(dispatcher, work)
--- a/libs/policy/src/cherryrudder/policy/fleet.py
+++ b/libs/policy/src/cherryrudder/policy/fleet.py
@@ -46,6 +46,8 @@
         self.health.signal_s = now_s
         self.is_announced = True
         self.is_leaving = False
+        # The link broke, and no credits were granted since.
+        self.is_link_lost = False
 
 
 class OpenList:
@@ -135,6 +137,7 @@
     if member is not None and given.number > member.credits_number:
         member.credits_number = given.number
         member.credits = given.count
+        member.is_link_lost = False
         refresh(member, now_s)
 
 
@@ -148,6 +151,7 @@
     member = fleet.members.get(endpoint)
     if member is not None:
         member.credits = 0
+        member.is_link_lost = True
         # From now on the credits are what the endpoint grants, not its announced slots.
         member.credits_number = max(1, member.credits_number)
         refresh(member, now_s)
--- a/libs/policy/src/cherryrudder/policy/placement.py
+++ b/libs/policy/src/cherryrudder/policy/placement.py
@@ -50,6 +50,7 @@
     "choose_chain",
     "choose_service",
     "choose_stage",
+    "has_service",
     "revoke_credits",
     "dump",
     "record_success",
@@ -178,6 +179,17 @@
     return _best_of_group(fleet, group, need, now_s)
 
 
+def has_service(
+    fleet: Fleet, service: str, exclude: Iterable[str], now_s: float
+) -> bool:
+    """Return whether a live endpoint of a plain service is left, even if it is full."""
+    group = fleet.groups.get(("service", service))
+    members = group.members.items() if group else ()
+    return any(
+        name not in exclude and _is_live(member, now_s) for name, member in members
+    )
+
+
 def _best_chain(fleet: Fleet, layer_map: LayerMap, need: Need, now_s):
     beams = {0: [PartialChain(0.0, 0.0, fleet.home, ())]}
     finished = []
@@ -223,6 +235,13 @@
     return partial.slowest_s + partial.links_s
 
 
+def _is_live(member, now_s):
+    """Return whether an endpoint may be sent requests once it has a free slot."""
+    if not member.is_announced or member.is_leaving or member.is_link_lost:
+        return False
+    return not ejection.is_ejected(member.health, now_s)
+
+
 def _best_of_group(fleet, group, need, now_s):
     if group is None:
         return None
--- a/libs/policy/test/test_dispatch.py
+++ b/libs/policy/test/test_dispatch.py
@@ -17,9 +17,9 @@
         self.fleet = a_fleet(*engines, service)
         self.dispatcher = Dispatcher(an_admission(a_contract()), self.fleet)
 
-    def submit(self, name, **changes):
+    def submit(self, name, now_s=0.0, **changes):
         work = Work(an_offer(name), **changes)
-        return dispatch.submit(self.dispatcher, work, 0.0)
+        return dispatch.submit(self.dispatcher, work, now_s)
 
     def in_flight(self):
         return {n: m.in_flight for n, m in self.fleet.members.items() if m.in_flight}
@@ -65,6 +65,46 @@
         self.assertIsInstance(again, Send)
         self.assertEqual(self.in_flight(), {"s": 1})
 
+    def fail_unsent(self, request_id, sent, now_s):
+        """Fail an attempt of which nothing was sent; return the effects."""
+        endpoint = sent.stages[0].endpoint
+        return dispatch.fail_attempt(self.dispatcher, request_id, endpoint, True, now_s)
+
+    def add_services(self, count, slots=1):
+        """Replace the endpoints by those of one service."""
+        services = [
+            an_engine(f"s{n}", kind=Kind.SERVICE, service="filing", slots=slots)
+            for n in range(count)
+        ]
+        placement.update(self.fleet, services, 0.0)
+
+    def test_a_retry_waits_for_an_endpoint_that_is_busy(self):
+        """Guards against repeats at a dead endpoint while the others are only full."""
+        self.add_services(2)
+        (busy,) = self.submit("r1", service="filing", is_idempotent=False)
+        (dead,) = self.submit("r2", service="filing", is_idempotent=False)
+        self.assertEqual(self.fail_unsent("r2", dead, 0.1), [])
+        (again,) = dispatch.finish(self.dispatcher, "r1", 1, 0.2, 0.2)
+        self.assertEqual((again.request_id, again.stages), ("r2", busy.stages))
+
+    def test_a_retry_that_waits_holds_up_no_other_call(self):
+        """Guards against free slots that stay unused behind a retry in the queue."""
+        self.add_services(2)
+        self.submit("r1", service="filing", is_idempotent=False)
+        (dead,) = self.submit("r2", service="filing", is_idempotent=False)
+        self.assertEqual(self.fail_unsent("r2", dead, 0.1), [])
+        (other,) = self.submit("r3", 0.2, service="filing", is_idempotent=False)
+        self.assertEqual((other.request_id, other.stages), ("r3", dead.stages))
+
+    def test_a_retry_does_not_wait_for_an_endpoint_without_a_link(self):
+        """Guards against a call that waits for an endpoint that has ended."""
+        self.add_services(2)
+        (sent,) = self.submit("r1", service="filing", is_idempotent=False)
+        (other,) = {"s0", "s1"} - {sent.stages[0].endpoint}
+        placement.revoke_credits(self.fleet, other, 0.0)
+        (again,) = self.fail_unsent("r1", sent, 0.1)
+        self.assertEqual(again.stages, sent.stages)
+
     def test_silent_stage_is_reported_and_replaced_and_the_other_kept(self):
         (sent,) = self.submit("r1")
         lost = sent.stages[0].endpoint
