Try every live endpoint for a call that was never sent

Callers would see: a service of more than three endpoints, three of which refuse connections, and a call that ends as `not-run` with `too-many` while the others live.

Cause: three attempts bound what one request may do to endpoints and how much load its repeats add. An attempt of which nothing was sent does neither, yet it counted. The platform's relay of plain services doesn't count such attempts.

Evidence: `python -m unittest test_dispatch` in libs/policy/test fails on the parent in test_a_call_that_was_never_sent_tries_each_endpoint (five endpoints, `too-many` after three) and test_a_call_that_was_never_sent_spends_the_retry_budget. Not seen in a run of processes.

Why it works: the bound doesn't apply while the request certainly has not run and an endpoint is left that is live and hasn't failed it. Each such attempt goes to an endpoint of its own, and the deadline and the retry budget bound them as before. When all have failed it, the bound of three applies again, so a call that nobody can serve still ends at once. A request that may have run keeps the bound.

Looked at elsewhere: calls that may be repeated count as possibly run after any failed attempt, also when nothing was sent; that keeps "not run" true, and they keep the bound. By reading, the platform's relays of plain services and of streams count only attempts that were sent.

--- a/libs/policy/src/cherryrudder/policy/dispatch.py
+++ b/libs/policy/src/cherryrudder/policy/dispatch.py
@@ -148,6 +148,7 @@
         is_certain_not_run,
         expected_s,
         work.offer.deadline_s,
+        has_untried=_has_untried(dispatcher, work, now_s),
     )
     verdict = retries.may_retry(dispatcher.budget, attempt, now_s)
     if verdict == Verdict.RETRY:
@@ -306,6 +307,13 @@
     return True
 
 
+def _has_untried(dispatcher, work, now_s):
+    tried = dispatcher.tried.get(work.offer.request_id, ())
+    return bool(work.service) and placement.has_service(
+        dispatcher.fleet, work.service, tried, now_s
+    )
+
+
 def _should_defer(dispatcher, request_id, waited_s, now_s):
     work = dispatcher.works[request_id]
     if work.service:
--- a/libs/policy/src/cherryrudder/policy/retries.py
+++ b/libs/policy/src/cherryrudder/policy/retries.py
@@ -33,7 +33,10 @@
 
 
 class Attempt(NamedTuple):
-    """A failed attempt; `expected_s` is how long the next one would take."""
+    """A failed attempt; `expected_s` is how long the next one would take.
+
+    `has_untried` states that a live endpoint is left that hasn't failed the request.
+    """
 
     attempts: int
     is_idempotent: bool
@@ -41,6 +44,7 @@
     expected_s: float
     deadline_s: float
     max_attempts: int = MAX_ATTEMPTS
+    has_untried: bool = False
 
 
 class RetryBudget:
@@ -68,7 +72,10 @@
         return Verdict.MAY_HAVE_RUN
     if now_s + attempt.expected_s >= attempt.deadline_s:
         return Verdict.TOO_LATE
-    if attempt.attempts >= attempt.max_attempts:
+    # A request that was never sent can't be what ended the attempts, so it may reach
+    # every endpoint once.
+    is_limited = not (attempt.is_certain_not_run and attempt.has_untried)
+    if is_limited and attempt.attempts >= attempt.max_attempts:
         return Verdict.TOO_MANY
     if budget.saved < 1.0:
         return Verdict.NO_BUDGET
--- a/libs/policy/test/test_dispatch.py
+++ b/libs/policy/test/test_dispatch.py
@@ -4,7 +4,7 @@
 
 from cherryrudder.model.endpoints import Kind
 from cherryrudder.model.outcomes import Outcome
-from cherryrudder.policy import dispatch, gauges, placement
+from cherryrudder.policy import dispatch, gauges, placement, retries
 from cherryrudder.policy.dispatch import Dispatcher, Failed, Refuse, Send, Silent, Work
 from cherryrudder.policy.retries import Verdict
 
@@ -78,6 +78,30 @@
         ]
         placement.update(self.fleet, services, 0.0)
 
+    def test_a_call_that_was_never_sent_tries_each_endpoint(self):
+        """Guards against "not run" while an endpoint lives that wasn't tried."""
+        self.add_services(5)
+        (sent,) = self.submit("r1", service="filing", is_idempotent=False)
+        tried = {sent.stages[0].endpoint}
+        for number in range(4):
+            (sent,) = self.fail_unsent("r1", sent, 0.1 * number)
+            self.assertIsInstance(sent, Send)
+            tried.add(sent.stages[0].endpoint)
+        self.assertEqual(len(tried), 5)
+        (failure,) = self.fail_unsent("r1", sent, 0.5)
+        self.assertEqual(failure, Failed("r1", Outcome.NOT_RUN, Verdict.TOO_MANY))
+
+    def test_a_call_that_was_never_sent_spends_the_retry_budget(self):
+        """Guards against a storm of attempts when no endpoint can be reached."""
+        self.add_services(40)
+        (sent,) = self.submit("r1", service="filing", is_idempotent=False)
+        attempts = 1
+        while isinstance(sent, Send):
+            (sent,) = self.fail_unsent("r1", sent, 0.01 * attempts)
+            attempts += 1
+        self.assertEqual(sent, Failed("r1", Outcome.NOT_RUN, Verdict.NO_BUDGET))
+        self.assertLessEqual(attempts, retries.FIRST_SAVED + 2)
+
     def test_a_retry_waits_for_an_endpoint_that_is_busy(self):
         """Guards against repeats at a dead endpoint while the others are only full."""
         self.add_services(2)
