Tell a read that was never sent from one that may have run

Callers would see: a call that may be repeated ends as `unknown` although no service got it, and after three attempts while endpoints live that were not tried.

Cause: every failed attempt of such a call counted as one that may have run, also when the sidecar could not be reached, when it was leaving, and when its service refused the connection. The sidecar answered the last case as it answers a lost answer.

Evidence: `python -m unittest test_services` in libs/daemon/test; on the parent test_a_read_that_was_never_sent_tries_each_endpoint, test_a_read_that_was_never_sent_is_not_run and, with real processes, test_a_read_that_a_dead_service_refused_is_not_run fail. test_a_read_that_may_have_run_is_unknown passes before and after.

Why it works: an attempt states whether it may have run. The entry knows it for a connection that failed and for a sidecar that answers `leaving`; the sidecar answers `not-sent` when its connection to the service failed. One attempt that may have run keeps the call `unknown`.

Looked at elsewhere: other errors of a sidecar still count as possibly run.

--- a/libs/daemon/src/cherryrudder/daemon/servicehost.py
+++ b/libs/daemon/src/cherryrudder/daemon/servicehost.py
@@ -133,7 +133,8 @@
         try:
             status, body = await self._call(call)
         except WireError as error:
-            raise RequestError(502, "no-answer", str(error)) from error
+            code = "no-answer" if error.may_have_run else "not-sent"
+            raise RequestError(502, code, str(error)) from error
         finally:
             self.forwarding -= 1
         return json_reply(Verdict("replay", status, body))
--- a/libs/daemon/src/cherryrudder/daemon/services.py
+++ b/libs/daemon/src/cherryrudder/daemon/services.py
@@ -35,6 +35,8 @@
 QUERY_TIMEOUT_S = 35.0
 # Short, since the record only serves a later resend: the outcome is already known.
 CLOSE_TIMEOUT_S = 1.0
+# Errors of a sidecar that did not send an idempotent call to its service.
+NOT_FORWARDED_CODES = frozenset({"leaving", "not-sent"})
 
 log = logger.bind(part="services")
 
@@ -55,6 +57,7 @@
 
     reply: Reply | None
     detail: str
+    may_have_run: bool = False
 
 
 class Services:
@@ -128,9 +131,7 @@
             if result.reply is not None:
                 self.entry.requests.finish(request_id, 1, took_s)
                 return result.reply
-            # An idempotent attempt without a reply may have run. A claimed one has
-            # certainly not run if it gives no reply.
-            may_have_run = may_have_run or work.is_idempotent
+            may_have_run = may_have_run or result.may_have_run
             sent = await self._retry(request_id, endpoint.endpoint, may_have_run)
 
     async def _retry(self, request_id, endpoint, may_have_run):
@@ -154,7 +155,7 @@
             verdict = await self._post(announcement, "forward", call, RUN_TIMEOUT_S)
         except WireError as error:
             log.info("{} failed: {}.", announcement.endpoint, error)
-            return AttemptResult(None, f"no answer: {error}")
+            return AttemptResult(None, f"no answer: {error}", may_have_run(error))
         return service_result(verdict)
 
     async def _attempt(self, claimed, announcement, not_run_ids) -> AttemptResult:
@@ -309,6 +310,13 @@
     return ClaimedCall(customer, key, digest, name, call, caller.deadline_s)
 
 
+def may_have_run(error: WireError) -> bool:
+    """Return whether a call may have run that a sidecar did not forward or answer."""
+    if isinstance(error, StatusError) and isinstance(error.body, dict):
+        return error.body.get("error", {}).get("code") not in NOT_FORWARDED_CODES
+    return error.may_have_run
+
+
 def claim_timeout_s(claimed: ClaimedCall, now_s: float) -> float:
     """Return how long a call may wait for the control VMs."""
     return min(CALL_TIMEOUT_S, claimed.deadline_s - now_s)
--- a/libs/daemon/test/claimsim.py
+++ b/libs/daemon/test/claimsim.py
@@ -18,7 +18,7 @@
 )
 from cherryrudder.daemon.errors import NoQuorum
 from cherryrudder.daemon.fleet import FleetView
-from cherryrudder.daemon.gate import Gate
+from cherryrudder.daemon.gate import Gate, Verdict
 from cherryrudder.daemon.requestdispatch import RequestDispatch
 from cherryrudder.daemon.services import KEY_HEADER, Services
 from cherryrudder.model.endpoints import Announcement, Kind, Place
@@ -72,6 +72,8 @@
         self.gates = {name: Gate(RUN) for name in names}
         self.dead_services: set[str] = set()
         self.dead_sidecars: set[str] = set()
+        # Errors of calls that may be repeated, after the service ran them.
+        self.forward_errors: dict[str, Exception] = {}
         # Sidecars that were sent the call, and services that ran it, in order.
         self.called: list[str] = []
         self.ran: list[str] = []
@@ -79,12 +81,17 @@
     async def call(self, method, url, value, kind, timeout_s):
         """Answer an entry's request to a sidecar."""
         name, _, path = url.removeprefix("http://").partition("/v1/")
-        if path == "run":
+        if path in ("run", "forward"):
             self.called.append(name)
         if name in self.dead_sidecars:
             raise ConnectFailed(f"{url}: ConnectTimeout")
         if path == "run":
             return self._run(name, value)
+        if path == "forward":
+            self.ran.append(name)
+            if name in self.forward_errors:
+                raise self.forward_errors[name]
+            return Verdict("replay", 200, BODY)
         return gate.query(self.gates[name], value)
 
     def _run(self, name, run):
--- a/libs/daemon/test/test_services.py
+++ b/libs/daemon/test/test_services.py
@@ -2,8 +2,13 @@
 
 import unittest
 
+from builders import CUSTOMER, WAIT_S, DeploymentTestCase, services
 from claimsim import ServiceEntry, claim_as_another_entry
 
+from cherryrudder.wire.errors import StatusError, WireError
+
+NO_ANSWER_BODY = {"error": {"code": "no-answer", "message": "reset"}}
+
 
 class LostRecordTest(unittest.TestCase):
     """The record that an attempt did not run is lost on its way to the control VMs."""
@@ -45,5 +50,46 @@
         self.assertEqual(entry.failures("s0"), 0)
 
 
+class UnsentReadTest(unittest.TestCase):
+    def test_a_read_that_was_never_sent_tries_each_endpoint(self):
+        """Guards against counting unsent attempts of a call that may be repeated."""
+        entry = ServiceEntry("s0", "s1", "s2", "s3", "s4")
+        entry.sidecars.dead_sidecars = {"s0", "s1", "s2", "s3"}
+        self.assertEqual(entry.call("GET"), "done")
+        self.assertEqual(entry.sidecars.ran, ["s4"])
+
+    def test_a_read_that_was_never_sent_is_not_run(self):
+        """Guards against "unknown" for a call of which nothing was sent."""
+        entry = ServiceEntry("s0", "s1")
+        entry.sidecars.dead_sidecars = {"s0", "s1"}
+        self.assertEqual(entry.call("GET"), "not-run")
+
+    def test_a_read_that_may_have_run_is_unknown(self):
+        """Guards against a false "not run" after a read whose answer was lost."""
+        for error in (WireError("reset"), StatusError(502, NO_ANSWER_BODY)):
+            with self.subTest(error):
+                entry = ServiceEntry("s0", "s1", "s2")
+                entry.sidecars.forward_errors = {"s0": error}
+                entry.sidecars.dead_sidecars = {"s1", "s2"}
+                self.assertEqual(entry.call("GET"), "unknown")
+
+
+class DeadServiceTest(DeploymentTestCase):
+    services = services(1)
+
+    def read(self):
+        """Make a call that may be repeated and return its outcome."""
+        address = self.deployment.entries[0].addresses["caller"]
+        headers = {"authorization": f"Bearer {CUSTOMER}"}
+        url = f"http://{address}/services/slots/free"
+        answer = self.deployment.http.get(url, headers=headers, timeout=WAIT_S)
+        return answer.headers["cherryrudder-outcome"]
+
+    def test_a_read_that_a_dead_service_refused_is_not_run(self):
+        """Guards against "unknown" when the sidecar's connection was refused."""
+        self.deployment.nodes["filing-0.service"].kill()
+        self.assertEqual(self.read(), "not-run")
+
+
 if __name__ == "__main__":
     unittest.main()
