Test the outcomes of service calls under any lost messages

A call and its resend through one entry, with any of four services and sidecars dead, runs, answers and records lost, and the key claimed by an entry that ended: at most one run, and each outcome but `unknown` is true.

--- a/libs/daemon/test/claimsim.py
+++ b/libs/daemon/test/claimsim.py
@@ -27,7 +27,7 @@
 from cherryrudder.state.commands import OpenClaim
 from cherryrudder.state.records import State
 from cherryrudder.wire.asgi import Request
-from cherryrudder.wire.errors import ConnectFailed
+from cherryrudder.wire.errors import ConnectFailed, WireError
 
 SERVICE = "slots"
 PATH = "/filings"
@@ -72,6 +72,9 @@
         self.gates = {name: Gate(RUN) for name in names}
         self.dead_services: set[str] = set()
         self.dead_sidecars: set[str] = set()
+        # Sidecars for which a claimed call, or the answer to it, is lost.
+        self.lost_runs: set[str] = set()
+        self.lost_answers: set[str] = set()
         # Errors of calls that may be repeated, after the service ran them.
         self.forward_errors: dict[str, Exception] = {}
         # Sidecars that were sent the call, and services that ran it, in order.
@@ -86,7 +89,12 @@
         if name in self.dead_sidecars:
             raise ConnectFailed(f"{url}: ConnectTimeout")
         if path == "run":
-            return self._run(name, value)
+            if name in self.lost_runs:
+                raise WireError(f"{url}: ReadError")
+            verdict = self._run(name, value)
+            if name in self.lost_answers:
+                raise WireError(f"{url}: ReadError")
+            return verdict
         if path == "forward":
             self.ran.append(name)
             if name in self.forward_errors:
--- a/libs/daemon/test/test_services.py
+++ b/libs/daemon/test/test_services.py
@@ -4,6 +4,7 @@
 
 from builders import CUSTOMER, WAIT_S, DeploymentTestCase, services
 from claimsim import ServiceEntry, claim_as_another_entry
+from hypothesis import given, settings, strategies as st
 
 from cherryrudder.wire.errors import StatusError, WireError
 
@@ -50,6 +51,32 @@
         self.assertEqual(entry.failures("s0"), 0)
 
 
+NAMES = ("s0", "s1", "s2", "s3")
+SOME = st.sets(st.sampled_from(NAMES))
+
+
+class AnyFaultsTest(unittest.TestCase):
+    @settings(max_examples=300, deadline=None, derandomize=True)
+    @given(SOME, SOME, SOME, SOME, st.integers(0, 4), st.booleans())
+    def test_an_outcome_is_true_whatever_is_lost(
+        self, services, sidecars, runs, answers, lost_closes, is_claimed
+    ):
+        """Guards against a second run, and against a false "not run" or "done"."""
+        entry = ServiceEntry(*NAMES)
+        entry.sidecars.dead_services = services
+        entry.sidecars.dead_sidecars = sidecars
+        entry.sidecars.lost_runs = runs
+        entry.sidecars.lost_answers = answers
+        entry.controls.lost_closes = lost_closes
+        if is_claimed:
+            claim_as_another_entry(entry, "s1")
+        for _ in range(2):
+            outcome, ran = entry.call(), len(entry.sidecars.ran)
+            self.assertLessEqual(ran, 1)
+            if outcome != "unknown":
+                self.assertEqual(ran, int(outcome == "done"))
+
+
 class UnsentReadTest(unittest.TestCase):
     def test_a_read_that_was_never_sent_tries_each_endpoint(self):
         """Guards against counting unsent attempts of a call that may be repeated."""
