Keep the first outcome of a pending answer

Callers saw: an operator's change was committed and in force, and its caller was told 503 with the error of the leader's disk.

Cause: `Pending` kept the last outcome that was set before its task ran. `resolve(None)` for a lost link replaced a reply in the same way.

Why it works: the first outcome is the one that holds. What follows it is the end of the link or of the voter, which doesn't undo a commit.

Looked for elsewhere: the other events with a result in node and daemon (chainscheduler, verification, requestdispatch, servicehost), by reading. None has two setters that can disagree.

--- a/libs/replica/src/cherryrudder/replica/pending.py
+++ b/libs/replica/src/cherryrudder/replica/pending.py
@@ -8,7 +8,7 @@
 
 
 class Pending:
-    """The future answer to one request."""
+    """The future answer to one request; the first answer or error stays."""
 
     def __init__(self, address: str = ""):
         self.address = address
@@ -18,13 +18,15 @@
 
     def resolve(self, answer: Any) -> None:
         """Set the answer and wake the waiting task."""
-        self.answer = answer
-        self._done.set()
+        if not self._done.is_set():
+            self.answer = answer
+            self._done.set()
 
     def fail(self, error: Exception) -> None:
         """Wake the waiting task, whose wait raises the error."""
-        self._error = error
-        self._done.set()
+        if not self._done.is_set():
+            self._error = error
+            self._done.set()
 
     async def wait(self, deadline_s: float) -> Any:
         """Wait for the answer and return it, or None at the deadline."""
--- a/libs/replica/test/builders.py
+++ b/libs/replica/test/builders.py
@@ -21,6 +21,8 @@
 TIMING = Timing(0.05, 60.0, 90.0, 1000)
 # A lone voter elects itself.
 LONE_TIMING = Timing(0.05, 0.05, 0.1, 1000)
+# Its first command causes a snapshot.
+SNAPSHOT_TIMING = Timing(0.05, 0.05, 0.1, 2)
 MACHINE = StateMachine(
     list, lambda state, index, payload: state.append(payload) or index, str, list
 )
@@ -41,6 +43,16 @@
     save_snapshot = persist
 
 
+class SnapshotFailingDisk(FailingDisk):
+    """Has room for entries, but not for a snapshot."""
+
+    def persist(self, effect):
+        """Keep nothing."""
+
+    def save_snapshot(self, effect):
+        raise DiskError("snapshot: no space left on device")
+
+
 def free_address():
     """Return an unused loopback address."""
     with socket.socket() as probe:
@@ -64,6 +76,11 @@
     return FailingDisk(SavedState(Identity("cluster", "a", "disk-a", address, (own,))))
 
 
+def a_lone_disk_without_snapshots(address):
+    """Return the disk of a lone voter that fails at the first snapshot."""
+    return SnapshotFailingDisk(a_lone_disk(address).saved)
+
+
 def an_append(leader_address, entries=(), prev_index=1, term=1):
     """Return a leader's message with entries, a heartbeat without."""
     message = {
--- a/libs/replica/test/test_voter.py
+++ b/libs/replica/test/test_voter.py
@@ -6,8 +6,10 @@
 import anyio
 from builders import (
     LONE_TIMING,
+    SNAPSHOT_TIMING,
     SilentLeader,
     a_lone_disk,
+    a_lone_disk_without_snapshots,
     an_append,
     an_entry,
     free_address,
@@ -261,6 +263,23 @@
 
         self.check_told(anyio.run(main))
 
+    def test_a_committed_change_is_answered_although_its_snapshot_fails(self):
+        """Guards against a committed change whose caller is told of a failure."""
+
+        async def main():
+            result = []
+            async with running_voter(
+                a_lone_disk_without_snapshots, SNAPSHOT_TIMING
+            ) as scene:
+                await until(lambda: scene.voter.status()["commit"] == 1)
+                await outcome_of(
+                    lambda: scene.voter.propose("x", CALL_TIMEOUT_S), result
+                )
+                await scene.ended.wait()
+            return result
+
+        self.assertEqual(anyio.run(main), [2])
+
 
 if __name__ == "__main__":
     unittest.main()
