Let the replies of an ended voter use its open links

Callers saw: a change sent through a follower was committed, and its caller was told after the retries what a lost leader gives: for a change of the voters 503, though it was made.

Cause: `Links.close` removed the links at once.

`close` now refuses only new links. Those that exist end with the group, and a cancelled link removes itself, so that nothing is queued for it any more.

Looked for elsewhere: Links.close has no other caller.

--- a/libs/replica/src/cherryrudder/replica/peers.py
+++ b/libs/replica/src/cherryrudder/replica/peers.py
@@ -81,7 +81,7 @@
         )
 
     def close(self, error: VoterFailed) -> None:
-        """Stop sending; calls that wait and later calls raise the error."""
+        """Open no more links; calls that wait and later calls raise the error."""
         self._error = error
         for pending in self._waiting.values():
             pending.fail(error)
--- a/libs/replica/test/test_voter.py
+++ b/libs/replica/test/test_voter.py
@@ -280,6 +280,33 @@
 
         self.assertEqual(anyio.run(main), [2])
 
+    def test_a_follower_gets_the_answer_of_a_leader_whose_snapshot_fails(self):
+        """Guards against a committed change whose reply the voter's end drops."""
+
+        async def main():
+            results = []
+            async with (
+                anyio.create_task_group() as group,
+                running_voter(a_lone_disk_without_snapshots, SNAPSHOT_TIMING) as scene,
+            ):
+                voter = scene.voter
+                await until(lambda: voter.status()["commit"] == 1)
+                config = VoterConfig("c", free_address(), "key", LONE_TIMING, "2")
+                peers = Peers(config, group, None, None)
+                peers.start(anyio.Event())
+                # The read opens the links of both sides.
+                for kind in ("read-index", "propose"):
+                    await outcome_of(
+                        lambda k=kind: peers.call(
+                            voter.peers.address, k, "x", now_s() + CALL_TIMEOUT_S
+                        ),
+                        results,
+                    )
+                group.cancel_scope.cancel()
+            return results
+
+        self.assertEqual(anyio.run(main), [1, 2])
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/libs/wire/src/cherryrudder/wire/links.py
+++ b/libs/wire/src/cherryrudder/wire/links.py
@@ -60,12 +60,12 @@
     def send(self, address: str, message: Any) -> None:
         """Queue a message; `on_down` is called if the link to the peer fails.
 
-        After `close` the message is dropped.
+        After `close` it is dropped unless there is a link to the peer.
         """
-        if self._is_closed:
-            return
         link = self._links.get(address)
         if link is None:
+            if self._is_closed:
+                return
             link = self._links[address] = _Link()
             self._group.start_soon(self._run, address, link)
         link.queued.append(message)
@@ -74,9 +74,8 @@
             self._remove(address, link)
 
     def close(self) -> None:
-        """Drop the links and all later messages; call it before the group ends."""
+        """Open no more links; call it before the group ends, which ends the others."""
         self._is_closed = True
-        self._links.clear()
 
     def peers(self) -> list[str]:
         """Return the addresses with a link."""
@@ -89,6 +88,16 @@
             self._on_down(address)
 
     async def _run(self, address, link):
+        try:
+            await self._connect_and_write(address, link)
+        except BaseException:
+            # A cancelled link takes no more messages.
+            if self._links.get(address) is link:
+                del self._links[address]
+            raise
+        self._remove(address, link)
+
+    async def _connect_and_write(self, address, link):
         try:
             stream = await sockets.connect(address, CONNECT_TIMEOUT_S)
             try:
@@ -100,7 +109,6 @@
         except* WireError:
             # `_remove` reports the failure.
             pass
-        self._remove(address, link)
 
     async def _watch_disconnect(self, stream, scope):
         # The peer never writes on this connection: any data or error ends the link.
