Close connections that arrive as their listener closes

A peer that connects in the turn in which a listener closes, as at the end of a voter that is opened again at its address, keeps a link that nobody reads. Its messages are lost without an error, until a garbage collection closes the socket.

Cause: asyncio makes the transport of an accepted connection in a later turn than it accepts it. If the listener was closed between the two, `Server._attach` raises and the transport stays in a reference cycle with its open socket.

Evidence: a peer that connects 0 to 7 turns before the close.

Why it works: the protocol's factory runs before the transport is made and raises if the listener no longer serves. Nothing then refers to the socket, which closes.

Looked for elsewhere: `sockets.listen` is the only listener of links and of the node's HTTP servers. The latter close only with their process.

--- a/libs/wire/src/cherryrudder/wire/sockets.py
+++ b/libs/wire/src/cherryrudder/wire/sockets.py
@@ -142,11 +142,19 @@
     server = socket.create_server((host, int(port)), backlog=BACKLOG)
     server.setblocking(False)
 
+    listener = None
+
     def make():
+        # Between accepting a connection and this call the loop may close the listener.
+        # It then drops the connection without closing it, and the peer's messages are
+        # lost without an error until garbage collection.
+        if listener is not None and not listener.is_serving():
+            raise StreamBroken("the listener is closed")
         return Stream(lambda stream: group.start_soon(handle, stream))
 
     loop = asyncio.get_running_loop()
-    return await loop.create_server(make, sock=server, backlog=BACKLOG)
+    listener = await loop.create_server(make, sock=server, backlog=BACKLOG)
+    return listener
 
 
 async def connect(address: str, timeout_s: float) -> Stream:
--- a/libs/wire/test/test_links.py
+++ b/libs/wire/test/test_links.py
@@ -1,10 +1,12 @@
 """Tests of frame links over loopback."""
 
+import gc
 import socket
 import unittest
 from typing import NamedTuple
 
 import anyio
+import anyio.lowlevel
 
 from cherryrudder.wire.errors import FrameError
 from cherryrudder.wire.frames import FrameBuffer, FrameCodec
@@ -115,3 +117,42 @@
             self.assertEqual(links.peers(), [])
 
         anyio.run(main)
+
+    def test_a_link_to_a_closing_listener_is_ended(self):
+        """Guards against links that a closed listener keeps open and never reads."""
+
+        async def end_of_link(turns):
+            """Return what a peer reads that connects shortly before the close."""
+            address = free_address()
+            host, port = address.split(":")
+            scope = anyio.CancelScope()
+
+            async def listen():
+                with scope:
+                    await listen_frames(
+                        address, FrameCodec([Message]), "key", print, anyio.Event()
+                    )
+
+            async with anyio.create_task_group() as group:
+                group.start_soon(listen)
+                await anyio.wait_all_tasks_blocked()
+                with socket.create_connection((host, int(port))) as peer:
+                    peer.setblocking(False)
+                    for _ in range(turns):
+                        await anyio.lowlevel.checkpoint()
+                    scope.cancel()
+                    with anyio.move_on_after(2):
+                        while True:
+                            try:
+                                return peer.recv(1)
+                            except BlockingIOError:
+                                await anyio.sleep(0.005)
+                            except ConnectionError:
+                                return b""
+            return "open"
+
+        gc.disable()
+        self.addCleanup(gc.enable)
+        for turns in range(8):
+            with self.subTest(turns=turns):
+                self.assertEqual(anyio.run(end_of_link, turns), b"")
