End the time for an answer's head by the clock

What callers would see: an entry that is short of CPU time holds a request past its deadline. With every iteration of the event loop 0.05 s late, a wait of 0.5 s for an answer's head took 3.4 s.

Cause: timeouts that leave out the pauses of the process are for judging a peer. The time for an answer's head is also what is left of the caller's deadline, which runs on.

One wait for data needs no more: the event loop handles a readable socket before its timers, so that what arrived during a pause is read first. The other users of these timeouts (connecting, reports, probes, permits) have limits of their own, far below a deadline.

--- a/libs/relay/src/cherryrudder/relay/client.py
+++ b/libs/relay/src/cherryrudder/relay/client.py
@@ -7,9 +7,10 @@
 
 from typing import NamedTuple
 
+import anyio
 import h11
 
-from cherryrudder.wire import sockets, timeouts
+from cherryrudder.wire import sockets
 from cherryrudder.wire.errors import (
     ConnectFailed as NotConnected,
     StreamBroken,
@@ -66,7 +67,8 @@
     async def read_head(self, timeout_s: float) -> Head:
         """Return the answer's status and headers; raises AnswerLate, AnswerBroken."""
         try:
-            with timeouts.fail_after(timeout_s):
+            # By the clock, as for the caller: a pause of this process counts as well.
+            with anyio.fail_after(max(0.0, timeout_s)):
                 while True:
                     event = await self._next_event()
                     if isinstance(event, h11.Response):
--- a/libs/relay/test/test_client.py
+++ b/libs/relay/test/test_client.py
@@ -1,6 +1,8 @@
 import asyncio
+import time
 import unittest
 
+import anyio
 from builders import a_reset, an_end, free_address, in_loop, scripted_engine
 
 from cherryrudder.relay import pool
@@ -13,6 +15,11 @@
 HEADERS = [(b"host", b"h")]
 
 
+def block_event_loop(wait_s):
+    """Block the event loop, as a process that waits for CPU time."""
+    time.sleep(wait_s)
+
+
 async def ask(connection, timeout_s=2.0):
     """Send a request and return the answer's status and whole body."""
     await connection.send(b"GET", b"/", HEADERS, b"")
@@ -66,6 +73,28 @@
                 await ask(connection, 0.1)
             connection.close()
 
+    @in_loop
+    async def test_the_time_for_an_answer_ends_by_the_clock(self):
+        """Guards against a caller's deadline that passes while this process starves."""
+        timeout_s, blocked_s = 0.5, 0.05
+
+        async def starve():
+            while True:
+                block_event_loop(blocked_s)
+                await anyio.sleep(0)
+
+        async with scripted_engine(b"") as (address, _):
+            connection = await open_connection(address, 1.0, 0.0)
+            async with anyio.create_task_group() as group:
+                group.start_soon(starve)
+                began_s = time.monotonic()
+                with self.assertRaises(AnswerLate):
+                    await connection.read_head(timeout_s)
+                took_s = time.monotonic() - began_s
+                group.cancel_scope.cancel()
+            connection.close()
+        self.assertLess(took_s, 2 * timeout_s)
+
     @in_loop
     async def test_connecting_fails_when_nobody_listens(self):
         with self.assertRaises(ConnectFailed):
