Let the tests of failed calls make real attempts

Change: what they assert and the errors they raise stay. The attempt is the entry's own, at a sidecar that loses the answer of a GET, or that has not run a claimed call. So they also check how an attempt is classified, which the stub had left out.

Evidence: `python -m unittest test_callers` in libs/daemon/test, 4 tests, OK. In scratch copies two of the three fail when a lost answer counts as not run, and two when every failed attempt counts as possibly run.

--- a/libs/daemon/test/test_callers.py
+++ b/libs/daemon/test/test_callers.py
@@ -7,10 +7,13 @@
 from builders import a_contract
 
 from cherryrudder.daemon.callers import contracts_by_key
+from cherryrudder.daemon.gate import Call, Verdict
 from cherryrudder.daemon.requestdispatch import RequestFailed, RequestRefused
-from cherryrudder.daemon.services import Services, work_for
+from cherryrudder.daemon.services import ClaimedCall, Services, work_for
 from cherryrudder.model.endpoints import Announcement, Kind, Place
 from cherryrudder.model.outcomes import Outcome, Refusal
+from cherryrudder.state.commands import Claim, ClaimAnswer
+from cherryrudder.wire.errors import WireError
 
 
 class KeyTest(unittest.TestCase):
@@ -49,15 +52,44 @@
         """Do nothing."""
 
 
+class FakeControls:
+    """Control VMs that grant every claim and record every outcome."""
+
+    async def open_claim(self, command, timeout_s):
+        """Grant the claim."""
+        return ClaimAnswer("granted", Claim(**command._asdict(), index=1))
+
+    async def close_claim(self, command, timeout_s):
+        """Record the outcome."""
+
+
+class FakeSidecar:
+    """A sidecar that loses the answer of a GET, and has not run a claimed call."""
+
+    async def call(self, method, url, value, kind, timeout_s):
+        """Answer an entry's request."""
+        if url.endswith("/v1/forward"):
+            raise WireError("ReadError")
+        return Verdict("tombstone")
+
+
 class ServicesTest(unittest.TestCase):
     def failed(self, is_idempotent, error):
         """Fail an attempt without an answer; return the recorded retries."""
         dispatch = FakeDispatch(error)
-        services = Services(SimpleNamespace(requests=dispatch))
+        process = SimpleNamespace(client=FakeSidecar())
+        entry = SimpleNamespace(
+            requests=dispatch, controls=FakeControls(), process=process
+        )
+        services = Services(entry)
         work = work_for("petra-tours", "slots", 1e9, is_idempotent)
+        call = Call("GET" if is_idempotent else "POST", "/", "")
+        claimed = ClaimedCall("petra-tours", "k", "0" * 64, "slots", call, 1e9)
 
         async def attempt(announcement):
-            return None
+            if is_idempotent:
+                return await services._forward(announcement, call)
+            return await services._attempt(claimed, announcement, set())
 
         try:
             anyio.run(services._send, work, attempt)
