Keep a data folder that another process uses

Callers saw: nothing yet. A second process on the folder of a control VM logged `disk-damaged ... in use by another process`, emptied the folder of the process that runs, with its accepted entries, and joined with a new disk.

Cause: `files._lock` raised a plain DiskError, which `open_or_replace` takes for damage.

Evidence: `tools/runtests.py node`: test_a_disk_in_use_is_not_replaced fails on the code before (`DiskError not raised`, the folder was replaced); two traces made apart came to the same.

Fix: the error is DiskUnavailable, as for any other refusal of the system, so the folder is kept and opened at a later try. The daemon opens without replacing and prints the same line.

Looked for elsewhere: the other plain DiskErrors of `open_disk`. All name damage but one, a disk of another VM, which `open_or_replace` replaces too; that is unchanged.

--- a/libs/node/test/test_voterdisk.py
+++ b/libs/node/test/test_voterdisk.py
@@ -5,6 +5,7 @@
 from builders import PipedSink, a_voter
 
 from cherryrudder.node import voterdisk
+from cherryrudder.quorum.errors import DiskError
 
 
 class DiskTest(unittest.TestCase):
@@ -54,3 +55,15 @@
         self.assertNotEqual(disk.saved.identity.disk_id, before)
         disk.close()
         self.assertIn("disk-damaged", self.pipe.text())
+
+    def test_a_disk_in_use_is_not_replaced(self):
+        """Guards against a living process whose disk another process wipes."""
+        voterdisk.create_learner(self.folder, "a", "a:7000")
+        disk = self.open()
+        self.addCleanup(disk.close)
+        with open(f"{self.folder}/identity", "rb") as file:
+            before = file.read()
+        with self.assertRaises(DiskError):
+            self.open().close()
+        with open(f"{self.folder}/identity", "rb") as file:
+            self.assertEqual(file.read(), before)
--- a/libs/quorum/src/cherryrudder/quorum/errors.py
+++ b/libs/quorum/src/cherryrudder/quorum/errors.py
@@ -16,4 +16,4 @@
 
 
 class DiskUnavailable(DiskError):
-    """The operating system refused a read or write; the data may still be intact."""
+    """The system refused a read, write or lock; the data may still be intact."""
--- a/libs/quorum/src/cherryrudder/quorum/files.py
+++ b/libs/quorum/src/cherryrudder/quorum/files.py
@@ -206,7 +206,7 @@
     try:
         fs.lock(lock_fd)
     except OSError as error:
-        raise DiskError(f"{folder}: in use by another process") from error
+        raise DiskUnavailable(f"{folder}: in use by another process") from error
 
 
 def _load(fs, folder, vm, lock_fd):
