Replace a damaged disk without a moment lacking its identity

Callers saw: nothing yet. An initial voter whose disk was damaged came back empty under its old disk id if its process or power ended, or its disk was full, while the disk was replaced. It has lost its votes and entries, and only `election.is_recreated` then keeps it from answering.

Cause: `create_learner` emptied the folder and then wrote the new identity. In between there is none, and the next start creates the disk of an initial voter whose id is fixed. The lock file went too, while another process may hold it.

Up to the last step the folder has an identity and reads as damaged, so each later try replaces it again. Emptying the log also frees the space for what follows.

The fake disk learned to remove a file, and to be full.

Looked for elsewhere: the creation of a disk writes the identity last, and a folder without one never voted.

--- a/libs/node/src/cherryrudder/node/voterdisk.py
+++ b/libs/node/src/cherryrudder/node/voterdisk.py
@@ -12,6 +12,7 @@
     join_disk,
     new_disk_id,
     open_disk,
+    replace_disk,
 )
 from cherryrudder.quorum.saved_state import Identity, SavedState
 
@@ -66,14 +67,14 @@
     if isinstance(result.error, DiskUnavailable):
         raise result.error
     sink.write("voter", "disk-damaged", True, error=str(result.error))
-    create_learner(folder, vm, address)
+    _raise_error(replace_disk(folder, vm, address))
     result = open_disk(folder, vm)
     _raise_error(result)
     return result.ok
 
 
 def _clear(folder):
-    """Empty a folder whose disk is incomplete or damaged."""
+    """Empty a folder whose disk is incomplete."""
     try:
         os.makedirs(folder, exist_ok=True)
         for name in os.listdir(folder):
--- a/libs/quorum/src/cherryrudder/quorum/files.py
+++ b/libs/quorum/src/cherryrudder/quorum/files.py
@@ -1,6 +1,7 @@
 """The data folder of one voter: identity, snapshot and log.
 
-    identity   the disk's identity; written once, by `init_disk` or `join_disk`
+    identity   the disk's identity; written by `init_disk`, `join_disk` or
+               `replace_disk`
     snapshot   one record: the newest snapshot
     log        a header record, then one record for each `Persist`
     synced     size of the synced part of the log; written without an fsync
@@ -18,7 +19,7 @@
 from expression import Error, Ok, Result
 
 from . import logfile
-from .atomic_files import read_record, write_atomically
+from .atomic_files import TEMPORARY_SUFFIX, read_record, write_atomically
 from .errors import DiskError, DiskUnavailable
 from .events import Persist, SaveSnapshot, Voter
 from .filesystem import FileSystem, real_filesystem
@@ -149,6 +150,30 @@
     return _create(folder, identity, fs or real_filesystem())
 
 
+def replace_disk(
+    folder: str, vm: str, address: str, fs: FileSystem | None = None
+) -> Result[Identity, DiskError]:
+    """Replace a damaged disk by an empty one that will join a cluster as a learner.
+
+    After a stop at any point the folder has either identity and still reads as damaged:
+    without one, an initial voter would be created again under its old disk id.
+    """
+    fs = fs or real_filesystem()
+    identity = Identity("", vm, new_disk_id(), address, ())
+    try:
+        lock_fd = fs.open(f"{folder}/{LOCK}")
+        try:
+            _lock(fs, folder, lock_fd)
+            _replace_content(fs, folder, identity)
+        finally:
+            fs.close(lock_fd)
+    except OSError as error:
+        return Error(DiskUnavailable(f"{folder}: {error}"))
+    except DiskError as error:
+        return Error(error)
+    return Ok(identity)
+
+
 def open_disk(
     folder: str, vm: str, fs: FileSystem | None = None
 ) -> Result[Disk, DiskError]:
@@ -189,6 +214,18 @@
     return Ok(identity)
 
 
+def _replace_content(fs, folder, identity):
+    # First, so that neither the old nor the new identity is opened with the old log.
+    logfile.invalidate(fs, folder)
+    for name in fs.list_folder(folder):
+        if name in (SNAPSHOT, logfile.SYNCED) or name.endswith(TEMPORARY_SUFFIX):
+            fs.remove(f"{folder}/{name}")
+    # Syncs the folder, so that no power loss brings the snapshot back.
+    write_atomically(fs, folder, IDENTITY, [msgspec.json.encode(identity)])
+    # Last, as the folder opens from here on.
+    logfile.create(fs, folder, 1, 0, "", Log()).close()
+
+
 def _open(fs, folder, vm):
     if IDENTITY not in fs.list_folder(folder):
         raise DiskError(f"{folder}: no identity; create the disk by init or join")
--- a/libs/quorum/src/cherryrudder/quorum/filesystem.py
+++ b/libs/quorum/src/cherryrudder/quorum/filesystem.py
@@ -20,6 +20,7 @@
     sync: Callable[[int], None]
     close: Callable[[int], None]
     rename: Callable[[str, str], None]
+    remove: Callable[[str], None]
 
 
 def real_filesystem() -> FileSystem:
@@ -36,6 +37,7 @@
         sync=os.fsync,
         close=os.close,
         rename=os.replace,
+        remove=os.unlink,
     )
 
 
--- a/libs/quorum/src/cherryrudder/quorum/logfile.py
+++ b/libs/quorum/src/cherryrudder/quorum/logfile.py
@@ -104,6 +104,19 @@
     return LogFile(fs, folder, generation, size)
 
 
+def invalidate(fs: FileSystem, folder: str) -> None:
+    """Empty the log file durably, so that the folder reads as damaged. Raises OSError.
+
+    A full disk has room for this, and it frees the log's space.
+    """
+    fd = fs.open(f"{folder}/{LOG}")
+    try:
+        fs.truncate(fd, 0)
+        fs.sync(fd)
+    finally:
+        fs.close(fd)
+
+
 def load(fs: FileSystem, folder: str) -> tuple[LogFile, Contents]:
     """Open the log file and drop a torn tail. Raises OSError and DiskError."""
     path = f"{folder}/{LOG}"
--- a/libs/quorum/test/fakedisk.py
+++ b/libs/quorum/test/fakedisk.py
@@ -1,5 +1,6 @@
 """In-memory disk that loses unsynced data when power fails."""
 
+import errno
 import itertools
 
 from cherryrudder.quorum.filesystem import FileSystem
@@ -51,6 +52,7 @@
     def __init__(self):
         self.names = {}
         self.durable = {}
+        self.removed = set()
         self.handles = {}
         self.locked = set()
         self.numbers = itertools.count()
@@ -70,17 +72,19 @@
             sync=lambda fd: self._do(self.handles[fd].sync),
             close=self._close,
             rename=self._rename,
+            remove=lambda path: self._do(self._remove, path.rpartition("/")[2]),
         )
 
     def crash(self, rng):
         """Simulate a power loss: each unsynced write and rename is kept or lost."""
         for name in set(self.names) | set(self.durable):
-            if rng.random() < 0.5 or self.names.get(name) is None:
+            is_gone = name not in self.names and name not in self.removed
+            if rng.random() < 0.5 or is_gone:
                 self._revert(name)
         files = {id(file): file for file in self.names.values()}
         for file in files.values():
             file.crash(rng)
-        self.durable = dict(self.names)
+        self._sync_names()
         self.handles.clear()
         self.locked.clear()
         self.power_loss_at = None
@@ -126,8 +130,54 @@
     def _move(self, old, new):
         self.names[new] = self.names.pop(old)
 
+    def _remove(self, name):
+        del self.names[name]
+        self.removed.add(name)
+
     def _sync_folder(self, path):
         self._do(self._sync_names)
 
     def _sync_names(self):
         self.durable = dict(self.names)
+        self.removed.clear()
+
+
+class FullFileSystem:
+    """Files of a fake disk that is full from one changing operation on."""
+
+    def __init__(self, disk, full_at, kept_bytes):
+        self._fs = disk.filesystem()
+        self._operations = 0
+        self._full_at = full_at
+        self._kept_bytes = kept_bytes
+
+    def filesystem(self):
+        """Return the operations; once full, each that changes the disk fails."""
+        return self._fs._replace(
+            write=self._write,
+            truncate=self._checked(self._fs.truncate),
+            sync=self._checked(self._fs.sync),
+            rename=self._checked(self._fs.rename),
+            remove=self._checked(self._fs.remove),
+            sync_folder=self._checked(self._fs.sync_folder),
+        )
+
+    def _checked(self, operation):
+        def run(*arguments):
+            self._check()
+            return operation(*arguments)
+
+        return run
+
+    def _write(self, fd, offset, data):
+        try:
+            self._check()
+        except OSError:
+            self._fs.write(fd, offset, data[: self._kept_bytes])
+            raise
+        self._fs.write(fd, offset, data)
+
+    def _check(self):
+        self._operations += 1
+        if self._operations >= self._full_at:
+            raise OSError(errno.ENOSPC, "no space left on device")
