Make durable what the opening of a data folder reads

Callers saw: nothing yet. After a failed fsync, a voter that was opened again counted the record that the failed write had left in the page cache, could vote and acknowledge with it, and wrote the next one behind it. After a power loss the record was gone: the folder read as damaged before an intact record, and a healthy disk was replaced with all its accepted entries. The same way a rename whose folder sync had failed could be undone, up to the identity of an initial voter, which then was created a second time.

Cause: `logfile.load` took each intact record for a durable one. The next fsync reports success without the data that the failed one dropped.

Fix: the opening syncs the folder, and writes the log again, as a new generation, if its end is past the recorded synced size. What fits the recorded size, or was there before the file got its name, is left as it is. No record is dropped.

Such a log can't be opened while the disk is full.

--- a/libs/quorum/src/cherryrudder/quorum/files.py
+++ b/libs/quorum/src/cherryrudder/quorum/files.py
@@ -9,7 +9,8 @@
 
 Every call blocks until its sync is done. After a failed write or sync the disk is
 unusable until it is opened again: after a failed fsync the operating system may drop
-the data and report success the next time.
+the data and report success the next time. Opening therefore writes a log again whose
+end isn't known to be synced.
 """
 
 import secrets
@@ -247,6 +248,9 @@
 
 
 def _load(fs, folder, vm, lock_fd):
+    # If the sync after a rename failed, the new file is read here, but a power loss
+    # would bring the old one back.
+    fs.sync_folder(folder)
     identity = _decode(fs, folder, IDENTITY, Identity)
     if identity.vm != vm:
         raise DiskError(f"{folder}: the disk of VM {identity.vm}, not of {vm}")
--- a/libs/quorum/src/cherryrudder/quorum/logfile.py
+++ b/libs/quorum/src/cherryrudder/quorum/logfile.py
@@ -19,6 +19,8 @@
 LOG = "log"
 SYNCED = "synced"
 SYNCED_FORMAT = struct.Struct(">QQ")
+# Records that a log file has, synced, before it gets its name.
+CREATED_RECORDS = 2
 
 
 class Header(NamedTuple):
@@ -118,7 +120,10 @@
 
 
 def load(fs: FileSystem, folder: str) -> tuple[LogFile, Contents]:
-    """Open the log file and drop a torn tail. Raises OSError and DiskError."""
+    """Open the log file, drop a torn tail and make what was read durable.
+
+    Raises OSError and DiskError.
+    """
     path = f"{folder}/{LOG}"
     data = read_bytes(fs, path)
     found = scan(data)
@@ -134,6 +139,11 @@
             f"{path}: damaged at offset {found.end}, though synced up to {synced}; "
             "restore the file or replace this disk"
         )
+    if len(found.payloads) > CREATED_RECORDS and synced < found.end:
+        # The sync of the last records may have failed. The system may have dropped
+        # their data since, and would report success for another sync of this file.
+        contents = contents._replace(generation=contents.generation + 1)
+        return create(fs, folder, *contents), contents
     file = LogFile(fs, folder, contents.generation, found.end)
     if found.end < len(data):
         file.truncate_tail()
@@ -152,7 +162,7 @@
 def _replay(path, payloads):
     # The file had both records when it was renamed into place, so a crash cannot
     # explain a missing one.
-    if len(payloads) < 2:
+    if len(payloads) < CREATED_RECORDS:
         raise DiskError(f"{path}: damaged at offset 0")
     try:
         header = msgspec.json.decode(payloads[0], type=Header)
--- a/libs/quorum/test/test_files.py
+++ b/libs/quorum/test/test_files.py
@@ -1,5 +1,6 @@
 """Tests of the data folder: power loss, damage, and folders that must not open."""
 
+import errno
 import random
 import tempfile
 import unittest
@@ -12,9 +13,9 @@
     new_disk,
     save_snapshot,
 )
-from fakedisk import FullFileSystem, PowerLoss
+from fakedisk import FakeDisk, FullFileSystem, PowerLoss
 
-from cherryrudder.quorum.errors import DiskUnavailable
+from cherryrudder.quorum.errors import DiskError, DiskUnavailable
 from cherryrudder.quorum.events import Persist
 from cherryrudder.quorum.files import init_disk, join_disk, open_disk, replace_disk
 
@@ -239,6 +240,102 @@
             append_to(disk, 1, 1)
 
 
+class FullDiskTest(unittest.TestCase):
+    def run_until_full(self, full_at, kept_bytes, forgets=False):
+        """Work until an operation finds the disk full; return what was answered."""
+        fake, disk = new_disk()
+        answered = [disk.saved]
+        full = FullFileSystem(fake, full_at, kept_bytes, forgets)
+        disk.close()
+        opened = open_disk(FOLDER, "a", full.filesystem())
+        if opened.is_error():
+            self.assertIsInstance(opened.error, DiskUnavailable)
+            return fake, full, answered
+        disk = opened.ok
+        work = PowerLossTest()
+        try:
+            work.work(disk, answered)
+        except DiskError:
+            pass
+        disk.close()
+        return fake, full, answered + work.expected(answered)
+
+    def test_a_disk_that_was_full_opens_with_what_was_accepted(self):
+        """Guards against a full disk that is taken for a damaged one, and wiped.
+
+        The disk is full at each write, sync, truncation, rename and folder sync in
+        turn; a write that fails leaves none, a part or all of its bytes.
+        """
+        for kept_bytes in (0, 7, 90, 1 << 20):
+            for full_at in range(1, 45):
+                with self.subTest(kept_bytes=kept_bytes, full_at=full_at):
+                    fake, _, allowed = self.run_until_full(full_at, kept_bytes)
+                    opened = open_disk(FOLDER, "a", fake.filesystem())
+                    self.assertTrue(opened.is_ok(), opened)
+                    self.assertIn(opened.ok.saved, allowed[-2:])
+
+    def test_what_an_opening_reads_survives_a_power_loss(self):
+        """Guards against a voter that answers for what only the page cache has."""
+        for full_at in range(1, 45):
+            for seed in range(8):
+                for votes in (False, True):
+                    with self.subTest(full_at=full_at, seed=seed, votes=votes):
+                        fake, _, allowed = self.run_until_full(full_at, 1 << 20, True)
+                        disk = open_disk(FOLDER, "a", fake.filesystem()).ok
+                        self.assertIn(disk.saved, allowed[-2:])
+                        self.check_power_loss(fake, disk, votes, seed)
+
+    def test_a_creation_whose_last_sync_failed_survives_a_power_loss(self):
+        """Guards against a founder that votes and is created a second time."""
+        for seed in range(8):
+            with self.subTest(seed=seed):
+                fake = FakeDisk()
+                # Each file takes a truncation, a write, a sync, a rename and a sync of
+                # the folder.
+                full = FullFileSystem(fake, 10, 1 << 20, True).filesystem()
+                voters = make_voters(1)
+                created = init_disk(FOLDER, "a", "10.0.0.1:1", voters, full)
+                self.assertIsInstance(created.error, DiskUnavailable)
+                disk = open_disk(FOLDER, "a", fake.filesystem()).ok
+                self.check_power_loss(fake, disk, True, seed)
+
+    def check_power_loss(self, fake, disk, votes, seed):
+        """Check that a power loss leaves what an open disk has, after a vote."""
+        if votes:
+            disk.persist(Persist(1, 7, "disk-c", ()))
+        saved = disk.saved
+        fake.crash(random.Random(seed))
+        opened = open_disk(FOLDER, "a", fake.filesystem())
+        self.assertTrue(opened.is_ok(), opened)
+        self.assertEqual(opened.ok.saved, saved)
+
+    def test_a_record_whose_sync_failed_is_synced_before_it_counts(self):
+        """Guards against a voter that answers for a record which is not on the disk.
+
+        After a failed sync the system may drop the data, but a reader still sees it
+        until the page is evicted.
+        """
+        fake, disk = new_disk()
+        append_to(disk, 1, 3)
+
+        def fail(fd):
+            fake.handles[fd].forget()
+            raise OSError(errno.ENOSPC, "no space left on device")
+
+        disk._file._fs = fake.filesystem()._replace(sync=fail)
+        with self.assertRaises(DiskError):
+            append_to(disk, 4, 1)
+        disk.close()
+        disk = open_disk(FOLDER, "a", fake.filesystem()).ok
+        reported = len(disk.saved.entries)
+        append_to(disk, reported + 1, 1)
+        disk.close()
+        fake.crash(random.Random(1))
+        opened = open_disk(FOLDER, "a", fake.filesystem())
+        self.assertTrue(opened.is_ok(), opened)
+        self.assertEqual(len(opened.ok.saved.entries), reported + 1)
+
+
 class ReplacementTest(unittest.TestCase):
     """Guards against a damaged founder that returns empty under its old disk id.
 
