Refuse writes to a data folder that was closed

Callers saw: nothing yet. A record that was persisted after `Disk.close` went without an error into whatever file had got the descriptor meanwhile; a second close closed that file. If closing the log failed, the folder stayed locked.

Cause: a closed `Disk` kept its descriptors, and `close` gave the lock back last.

Evidence: the three tests of ClosedDiskTest fail on a scratch copy with the `files.py` before (`DiskError not raised`, `1 != 0` files open, `Bad file descriptor`).

Fix: a closed disk raises DiskError, a second close does nothing, and the lock is released whatever closing the files does.

Looked for elsewhere: the daemon closes its voter before its disk since, and the runner of the node closes it after the voter's tasks.

--- a/libs/quorum/src/cherryrudder/quorum/files.py
+++ b/libs/quorum/src/cherryrudder/quorum/files.py
@@ -54,6 +54,7 @@
         self._voted_for = contents.voted_for
         self._log = contents.log
         self._failed = ""
+        self._is_closed = False
 
     @property
     def saved(self) -> SavedState:
@@ -79,9 +80,17 @@
         self._snapshot = snapshot
 
     def close(self) -> None:
-        """Close the files and release the lock on the folder."""
-        self._file.close()
-        self._fs.close(self._lock_fd)
+        """Close the files and release the lock on the folder. Raises OSError.
+
+        Later writes raise DiskError: other files may get the descriptors.
+        """
+        if self._is_closed:
+            return
+        self._is_closed = True
+        try:
+            self._file.close()
+        finally:
+            self._fs.close(self._lock_fd)
 
     def _replace(self, snapshot):
         payload = msgspec.json.encode(snapshot)
@@ -104,6 +113,8 @@
         old.close()
 
     def _run_operation(self, operation):
+        if self._is_closed:
+            raise DiskError(f"{self._folder}: closed")
         if self._failed:
             raise DiskError(f"{self._folder}: an earlier write failed: {self._failed}")
         try:
