Open a voter again after an error of the system

Callers saw: nothing yet. A control process whose log address was in use for a moment, or whose disk couldn't be closed after a failed write, ended instead of opening its voter again. A failure in a nested task group was logged as "unhandled errors (1 sub-exception)".

Cause: `voterrunner.run` caught DiskError and ReplicaError only, and wrote the text of the groups in the group that it caught.

Evidence: of the four tests of node/test_voterrunner three fail on the code before: the address in use and the failing close end the process's tasks with `OSError: [Errno 98]` and `[Errno 5]`, and the cause isn't in the log. The one without descriptors at the opening passes before and after: it is a DiskUnavailable already.

Fix: an OSError is logged as `lost` like a failing disk, and the voter is opened again; what is logged are the innermost errors.

Looked for elsewhere: the daemon ends with such an error by design, with one line for the operator.

On this code: test_voterrunner and test_voterdisk passed ten times in a row.

--- a/libs/node/src/cherryrudder/node/voterrunner.py
+++ b/libs/node/src/cherryrudder/node/voterrunner.py
@@ -55,12 +55,21 @@
     while True:
         try:
             await _run_voter(state, on_applied)
-        except* (DiskError, ReplicaError) as group:
-            for error in group.exceptions:
+        except* (DiskError, ReplicaError, OSError) as group:
+            # An OSError is an address in use, or a file that can't be closed.
+            for error in _innermost(group):
                 state.sink.write("voter", "lost", True, error=str(error))
         await anyio.sleep(REOPEN_DELAY_S)
 
 
+def _innermost(group):
+    for error in group.exceptions:
+        if isinstance(error, BaseExceptionGroup):
+            yield from _innermost(error)
+        else:
+            yield error
+
+
 async def _run_voter(state, on_applied):
     disk = await _open_disk(state)
     state.disk_id = disk.saved.identity.disk_id
