--- a/libs/quorum/src/cherryrudder/quorum/files.py
+++ b/libs/quorum/src/cherryrudder/quorum/files.py
@@ -1,6 +1,7 @@
 """The data folder of one voter: identity, snapshot and log.
 
-    identity   the disk's identity; written once, by `init_disk` or `join_disk`
+    identity   the disk's identity; written by `init_disk`, `join_disk` or
+               `replace_disk`
     snapshot   one record: the newest snapshot
     log        a header record, then one record for each `Persist`
     synced     size of the synced part of the log; written without an fsync
@@ -8,7 +9,8 @@
 
 Every call blocks until its sync is done. After a failed write or sync the disk is
 unusable until it is opened again: after a failed fsync the operating system may drop
-the data and report success the next time.
+the data and report success the next time. Opening therefore writes a log again whose
+end isn't known to be synced.
 """
 
 import secrets
@@ -18,7 +20,7 @@
 from expression import Error, Ok, Result
 
 from . import logfile
-from .atomic_files import read_record, write_atomically
+from .atomic_files import TEMPORARY_SUFFIX, read_record, write_atomically
 from .errors import DiskError, DiskUnavailable
 from .events import Persist, SaveSnapshot, Voter
 from .filesystem import FileSystem, real_filesystem
@@ -52,6 +54,7 @@
         self._voted_for = contents.voted_for
         self._log = contents.log
         self._failed = ""
+        self._is_closed = False
 
     @property
     def saved(self) -> SavedState:
@@ -77,9 +80,17 @@
         self._snapshot = snapshot
 
     def close(self) -> None:
-        """Close the files and release the lock on the folder."""
-        self._file.close()
-        self._fs.close(self._lock_fd)
+        """Close the files and release the lock on the folder. Raises OSError.
+
+        Later writes raise DiskError: other files may get the descriptors.
+        """
+        if self._is_closed:
+            return
+        self._is_closed = True
+        try:
+            self._file.close()
+        finally:
+            self._fs.close(self._lock_fd)
 
     def _replace(self, snapshot):
         payload = msgspec.json.encode(snapshot)
@@ -102,6 +113,8 @@
         old.close()
 
     def _run_operation(self, operation):
+        if self._is_closed:
+            raise DiskError(f"{self._folder}: closed")
         if self._failed:
             raise DiskError(f"{self._folder}: an earlier write failed: {self._failed}")
         try:
@@ -149,6 +162,30 @@
     return _create(folder, identity, fs or real_filesystem())
 
 
+def replace_disk(
+    folder: str, vm: str, address: str, fs: FileSystem | None = None
+) -> Result[Identity, DiskError]:
+    """Replace a damaged disk by an empty one that will join a cluster as a learner.
+
+    After a stop at any point the folder has either identity and still reads as damaged:
+    without one, an initial voter would be created again under its old disk id.
+    """
+    fs = fs or real_filesystem()
+    identity = Identity("", vm, new_disk_id(), address, ())
+    try:
+        lock_fd = fs.open(f"{folder}/{LOCK}")
+        try:
+            _lock(fs, folder, lock_fd)
+            _replace_content(fs, folder, identity)
+        finally:
+            fs.close(lock_fd)
+    except OSError as error:
+        return Error(DiskUnavailable(f"{folder}: {error}"))
+    except DiskError as error:
+        return Error(error)
+    return Ok(identity)
+
+
 def open_disk(
     folder: str, vm: str, fs: FileSystem | None = None
 ) -> Result[Disk, DiskError]:
@@ -189,6 +226,18 @@
     return Ok(identity)
 
 
+def _replace_content(fs, folder, identity):
+    # First, so that neither the old nor the new identity is opened with the old log.
+    logfile.invalidate(fs, folder)
+    for name in fs.list_folder(folder):
+        if name in (SNAPSHOT, logfile.SYNCED) or name.endswith(TEMPORARY_SUFFIX):
+            fs.remove(f"{folder}/{name}")
+    # Syncs the folder, so that no power loss brings the snapshot back.
+    write_atomically(fs, folder, IDENTITY, [msgspec.json.encode(identity)])
+    # Last, as the folder opens from here on.
+    logfile.create(fs, folder, 1, 0, "", Log()).close()
+
+
 def _open(fs, folder, vm):
     if IDENTITY not in fs.list_folder(folder):
         raise DiskError(f"{folder}: no identity; create the disk by init or join")
@@ -206,10 +255,13 @@
     try:
         fs.lock(lock_fd)
     except OSError as error:
-        raise DiskError(f"{folder}: in use by another process") from error
+        raise DiskUnavailable(f"{folder}: in use by another process") from error
 
 
 def _load(fs, folder, vm, lock_fd):
+    # If the sync after a rename failed, the new file is read here, but a power loss
+    # would bring the old one back.
+    fs.sync_folder(folder)
     identity = _decode(fs, folder, IDENTITY, Identity)
     if identity.vm != vm:
         raise DiskError(f"{folder}: the disk of VM {identity.vm}, not of {vm}")
@@ -218,18 +270,26 @@
         snapshot = _decode(fs, folder, SNAPSHOT, Snapshot)
     opened = logfile.load(fs, folder)
     disk = Disk(fs, folder, lock_fd, identity, snapshot, opened)
-    base_index = opened[1].log.base_index
+    try:
+        _match_log(disk, snapshot)
+    except (OSError, DiskError):
+        disk._file.close()
+        raise
+    return disk
+
+
+def _match_log(disk, snapshot):
+    """Complete an interrupted replacement of the log; refuse one without its start."""
+    base_index = disk._log.base_index
     snapshot_index = snapshot.index if snapshot else 0
     if base_index > snapshot_index:
-        disk._file.close()
         raise DiskError(
-            f"{folder}/{SNAPSHOT}: the log begins after {base_index}, but the "
+            f"{disk._folder}/{SNAPSHOT}: the log begins after {base_index}, but the "
             f"snapshot covers {snapshot_index}; restore the file or replace this disk"
         )
     if base_index < snapshot_index:
         trim_log_to_snapshot(disk._log, snapshot)
         disk._replace_log()
-    return disk
 
 
 def _decode(fs, folder, name, kind):
--- a/libs/quorum/src/cherryrudder/quorum/logfile.py
+++ b/libs/quorum/src/cherryrudder/quorum/logfile.py
@@ -19,6 +19,8 @@
 LOG = "log"
 SYNCED = "synced"
 SYNCED_FORMAT = struct.Struct(">QQ")
+# Records that a log file has, synced, before it gets its name.
+CREATED_RECORDS = 2
 
 
 class Header(NamedTuple):
@@ -58,7 +60,11 @@
         self._fs = fs
         self._end = end
         self._fd = fs.open(f"{folder}/{LOG}")
-        self._synced_fd = fs.open(f"{folder}/{SYNCED}")
+        try:
+            self._synced_fd = fs.open(f"{folder}/{SYNCED}")
+        except OSError:
+            fs.close(self._fd)
+            raise
 
     def append(self, effect: Persist) -> None:
         """Write and sync one record. Raises OSError."""
@@ -78,8 +84,10 @@
 
     def close(self) -> None:
         """Close the log file and the file with its synced size."""
-        self._fs.close(self._fd)
-        self._fs.close(self._synced_fd)
+        try:
+            self._fs.close(self._fd)
+        finally:
+            self._fs.close(self._synced_fd)
 
     def _write_synced_size(self):
         """Store the synced size of the log file.
@@ -104,8 +112,24 @@
     return LogFile(fs, folder, generation, size)
 
 
+def invalidate(fs: FileSystem, folder: str) -> None:
+    """Empty the log file durably, so that the folder reads as damaged. Raises OSError.
+
+    A full disk has room for this, and it frees the log's space.
+    """
+    fd = fs.open(f"{folder}/{LOG}")
+    try:
+        fs.truncate(fd, 0)
+        fs.sync(fd)
+    finally:
+        fs.close(fd)
+
+
 def load(fs: FileSystem, folder: str) -> tuple[LogFile, Contents]:
-    """Open the log file and drop a torn tail. Raises OSError and DiskError."""
+    """Open the log file, drop a torn tail and make what was read durable.
+
+    Raises OSError and DiskError.
+    """
     path = f"{folder}/{LOG}"
     data = read_bytes(fs, path)
     found = scan(data)
@@ -121,9 +145,18 @@
             f"{path}: damaged at offset {found.end}, though synced up to {synced}; "
             "restore the file or replace this disk"
         )
+    if len(found.payloads) > CREATED_RECORDS and synced < found.end:
+        # The sync of the last records may have failed. The system may have dropped
+        # their data since, and would report success for another sync of this file.
+        contents = contents._replace(generation=contents.generation + 1)
+        return create(fs, folder, *contents), contents
     file = LogFile(fs, folder, contents.generation, found.end)
     if found.end < len(data):
-        file.truncate_tail()
+        try:
+            file.truncate_tail()
+        except OSError:
+            file.close()
+            raise
     return file, contents
 
 
@@ -139,7 +172,7 @@
 def _replay(path, payloads):
     # The file had both records when it was renamed into place, so a crash cannot
     # explain a missing one.
-    if len(payloads) < 2:
+    if len(payloads) < CREATED_RECORDS:
         raise DiskError(f"{path}: damaged at offset 0")
     try:
         header = msgspec.json.decode(payloads[0], type=Header)
--- a/libs/quorum/test/fakedisk.py
+++ b/libs/quorum/test/fakedisk.py
@@ -1,5 +1,6 @@
 """In-memory disk that loses unsynced data when power fails."""
 
+import errno
 import itertools
 
 from cherryrudder.quorum.filesystem import FileSystem
@@ -16,12 +17,16 @@
         self.data = bytearray()
         self.synced = b""
         self.pending = []
+        # Offsets of bytes that readers see and no sync writes.
+        self.forgotten = set()
 
     def write(self, offset, data):
+        self.forgotten -= set(range(offset, offset + len(data)))
         self.data[offset : offset + len(data)] = data
         self.pending.append((offset, bytes(data)))
 
     def truncate(self, size):
+        self.forgotten = {offset for offset in self.forgotten if offset < size}
         del self.data[size:]
         self.pending.append((size, None))
 
@@ -29,9 +34,18 @@
         self.synced = bytes(self.data)
         self.pending = []
 
+    def forget(self):
+        """Drop the unsynced writes, as a failed sync does; readers still see them."""
+        for offset, data in self.pending:
+            self.forgotten |= set(range(offset, offset + len(data or b"")))
+        self.pending = []
+
     def crash(self, rng):
         """Keep a random part of the unsynced writes; the last one may be torn."""
         self.data = bytearray(self.synced)
+        for offset in self.forgotten:
+            self.data[offset : offset + 1] = bytes(offset < len(self.data))
+        self.forgotten = set()
         kept = [write for write in self.pending if rng.random() < 0.5]
         for number, (offset, data) in enumerate(kept):
             if data is None:
@@ -51,6 +65,7 @@
     def __init__(self):
         self.names = {}
         self.durable = {}
+        self.removed = set()
         self.handles = {}
         self.locked = set()
         self.numbers = itertools.count()
@@ -70,17 +85,19 @@
             sync=lambda fd: self._do(self.handles[fd].sync),
             close=self._close,
             rename=self._rename,
+            remove=lambda path: self._do(self._remove, path.rpartition("/")[2]),
         )
 
     def crash(self, rng):
         """Simulate a power loss: each unsynced write and rename is kept or lost."""
         for name in set(self.names) | set(self.durable):
-            if rng.random() < 0.5 or self.names.get(name) is None:
+            is_gone = name not in self.names and name not in self.removed
+            if rng.random() < 0.5 or is_gone:
                 self._revert(name)
         files = {id(file): file for file in self.names.values()}
         for file in files.values():
             file.crash(rng)
-        self.durable = dict(self.names)
+        self._sync_names()
         self.handles.clear()
         self.locked.clear()
         self.power_loss_at = None
@@ -126,8 +143,86 @@
     def _move(self, old, new):
         self.names[new] = self.names.pop(old)
 
+    def _remove(self, name):
+        del self.names[name]
+        self.removed.add(name)
+
     def _sync_folder(self, path):
         self._do(self._sync_names)
 
     def _sync_names(self):
         self.durable = dict(self.names)
+        self.removed.clear()
+
+
+class FullFileSystem:
+    """Files of a fake disk that is full from one changing operation on.
+
+    With `forgets`, a sync that fails drops the unsynced writes.
+    """
+
+    def __init__(self, disk, full_at, kept_bytes, forgets=False):
+        self._disk = disk
+        self._forgets = forgets
+        self._fs = disk.filesystem()
+        self._operations = 0
+        self._full_at = full_at
+        self._kept_bytes = kept_bytes
+
+    def filesystem(self):
+        """Return the operations; once full, each that changes the disk fails."""
+        return self._fs._replace(
+            write=self._write,
+            truncate=self._checked(self._fs.truncate),
+            sync=self._sync,
+            rename=self._checked(self._fs.rename),
+            remove=self._checked(self._fs.remove),
+            sync_folder=self._checked(self._fs.sync_folder),
+        )
+
+    def _checked(self, operation):
+        def run(*arguments):
+            self._check()
+            return operation(*arguments)
+
+        return run
+
+    def _write(self, fd, offset, data):
+        try:
+            self._check()
+        except OSError:
+            self._fs.write(fd, offset, data[: self._kept_bytes])
+            raise
+        self._fs.write(fd, offset, data)
+
+    def _sync(self, fd):
+        try:
+            self._check()
+        except OSError:
+            if self._forgets:
+                self._disk.handles[fd].forget()
+            raise
+        self._fs.sync(fd)
+
+    def _check(self):
+        self._operations += 1
+        if self._operations >= self._full_at:
+            raise OSError(errno.ENOSPC, "no space left on device")
+
+
+def failing_once(fs, fails_at):
+    """Return file operations of which one fails; closing a file isn't counted."""
+    numbers = itertools.count(1)
+
+    def counted(operation):
+        def run(*arguments):
+            if next(numbers) == fails_at:
+                raise OSError(errno.EMFILE, "too many open files")
+            return operation(*arguments)
+
+        return run
+
+    operations = fs._asdict()
+    del operations["close"]
+    counted_operations = {name: counted(run) for name, run in operations.items()}
+    return fs._replace(**counted_operations)
