Let the stand-in calls of test_stalls tell their pauses

Cause: their stand-in for a call that times out slept and failed without saying how late it was, unlike the real call. A pause of the test's process then counted as one in which the engine wasn't asked, and it was asked once more, as it has to be.

Change: the stand-in times out like the real call and names its pauses.

--- a/libs/node/test/test_stalls.py
+++ b/libs/node/test/test_stalls.py
@@ -10,10 +10,18 @@
 from cherryrudder.node.stalls import StallDetector
 from cherryrudder.node.tablesync import SharedTable
 from cherryrudder.platform.engines import Report
+from cherryrudder.wire import timeouts
 
 A_REPORT = Report(0, False, 0, 0, 0.0, 0.0, 1.0, (0, 8), ())
 
 
+async def time_out(address, timeout_s):
+    """Fail like a call to a silent engine, which tells this process's own pauses."""
+    with timeouts.move_on_after(timeout_s) as timeout:
+        await anyio.sleep_forever()
+    raise EngineCallFailed(address, timeout.paused_s)
+
+
 class EntryStub:
     """The parts of an entry's state that the detector reads."""
 
@@ -103,8 +111,7 @@
 
         async def get_report(address, timeout_s, kept):
             calls.append(address)
-            await anyio.sleep(timeout_s)
-            raise EngineCallFailed(address)
+            await time_out(address, timeout_s)
 
         async def get_report_once():
             found = await detector.get_reports(["unreachable"])
@@ -154,8 +161,7 @@
         async def get_report(address, timeout_s, kept):
             if address == "unreachable":
                 limits_s.append(timeout_s)
-                await anyio.sleep(timeout_s)
-                raise EngineCallFailed(address)
+                await time_out(address, timeout_s)
             return A_REPORT
 
         with mock.patch.object(enginecalls, "get_report", get_report):
@@ -190,8 +196,7 @@
             calls[address] = calls.get(address, 0) + 1
             limits_s.append(timeout_s)
             if calls[address] == 1 and address != "first":
-                await anyio.sleep(timeout_s)
-                raise EngineCallFailed(address)
+                await time_out(address, timeout_s)
             return A_REPORT
 
         async def scenario():
@@ -211,8 +216,7 @@
         async def get_report(address, timeout_s, kept):
             calls.append(address)
             if address == "unreachable" or not answers:
-                await anyio.sleep(timeout_s)
-                raise EngineCallFailed(address)
+                await time_out(address, timeout_s)
             await anyio.sleep(0.001)
             return A_REPORT
 
