Keep a data folder whose identity can't be looked up

Callers saw: nothing yet. If the system refused to look up the identity's file for a moment, an intact disk counted as never created; it was emptied and, at a founder, created again under its old disk id.

Cause: `os.path.exists` returns False for any error.

Evidence: test_an_identity_that_cannot_be_looked_up_is_not_taken_for_missing fails on the code before (`DiskUnavailable not raised`; python -m unittest test_voterdisk).

Fix: only a missing file counts as missing; another error is DiskUnavailable, and the runner tries again.

Looked for elsewhere: `open_disk` lists the folder and turns each OSError into DiskUnavailable.

On this code: test_voterdisk passed ten times in a row.

--- a/libs/node/src/cherryrudder/node/voterdisk.py
+++ b/libs/node/src/cherryrudder/node/voterdisk.py
@@ -36,8 +36,17 @@
 
 
 def is_created(folder: str) -> bool:
-    """Return whether a folder holds a disk that was created completely."""
-    return os.path.exists(f"{folder}/{IDENTITY}")
+    """Return whether a folder holds a disk that was created completely.
+
+    Raises DiskError if the system doesn't tell.
+    """
+    try:
+        os.stat(f"{folder}/{IDENTITY}")
+    except FileNotFoundError:
+        return False
+    except OSError as error:
+        raise DiskUnavailable(f"{folder}: {error}") from error
+    return True
 
 
 def create_founder(
--- a/libs/node/test/test_voterdisk.py
+++ b/libs/node/test/test_voterdisk.py
@@ -10,7 +10,7 @@
 
 from cherryrudder.node import voterdisk, voterrunner
 from cherryrudder.quorum import files
-from cherryrudder.quorum.errors import DiskError
+from cherryrudder.quorum.errors import DiskError, DiskUnavailable
 
 
 class DiskTest(unittest.TestCase):
@@ -99,3 +99,18 @@
         disk = anyio.run(voterrunner._open_disk, state)
         self.addCleanup(disk.close)
         self.assertNotEqual(disk.saved.identity.disk_id, founder_id)
+
+    def test_an_identity_that_cannot_be_looked_up_is_not_taken_for_missing(self):
+        """Guards against an intact disk that is created again after a failed stat."""
+        voterdisk.create_learner(self.folder, "a", "a:7000")
+        stat = os.stat
+
+        def fail(path, **options):
+            if str(path).endswith("/identity"):
+                raise OSError(errno.EIO, "input/output error")
+            return stat(path, **options)
+
+        with mock.patch.object(os, "stat", fail):
+            with self.assertRaises(DiskUnavailable):
+                voterdisk.is_created(self.folder)
+        self.assertTrue(voterdisk.is_created(self.folder))
