--- a/libs/node/test/test_pauses.py
+++ b/libs/node/test/test_pauses.py
@@ -41,10 +41,7 @@
 
 
 class StarvedProcessTest(unittest.TestCase):
-    """Guards against taking a living engine as dead when this process hardly runs.
-
-    Each answer lies in the socket when the time limit passes.
-    """
+    """Guards against taking a living engine as dead when this process hardly runs."""
 
     def setUp(self):
         piped = builders.PipedSink()
--- a/libs/node/test/test_witnesses.py
+++ b/libs/node/test/test_witnesses.py
@@ -54,10 +54,7 @@
 
 
 class HostPauseTest(unittest.TestCase):
-    """Guards against taking a living engine as dead when its whole host pauses.
-
-    Reports from before the pause seemed to show that only one engine was silent.
-    """
+    """Guards against taking a living engine as dead when its whole host pauses."""
 
     def find_lost(self, host, prepare=None):
         """Return the engines that the check of a silent stream takes as dead."""
--- a/libs/quorum/test/test_files.py
+++ b/libs/quorum/test/test_files.py
@@ -2,7 +2,6 @@
 
 import errno
 import itertools
-import os
 import random
 import tempfile
 import unittest
@@ -19,7 +18,7 @@
 
 from cherryrudder.quorum.errors import DiskError, DiskUnavailable
 from cherryrudder.quorum.events import Persist
-from cherryrudder.quorum.files import init_disk, join_disk, open_disk, replace_disk
+from cherryrudder.quorum.files import init_disk, join_disk, open_disk
 
 
 class CreationTest(unittest.TestCase):
@@ -263,11 +262,7 @@
         return fake, full, answered + work.expected(answered)
 
     def test_a_disk_that_was_full_opens_with_what_was_accepted(self):
-        """Guards against a full disk that is taken for a damaged one, and wiped.
-
-        The disk is full at each write, sync, truncation, rename and folder sync in
-        turn; a write that fails leaves none, a part or all of its bytes.
-        """
+        """Guards against a full disk that is taken for a damaged one, and wiped."""
         for kept_bytes in (0, 7, 90, 1 << 20):
             for full_at in range(1, 45):
                 with self.subTest(kept_bytes=kept_bytes, full_at=full_at):
@@ -337,11 +332,7 @@
         self.assertEqual(opened.ok.saved, saved)
 
     def test_a_record_whose_sync_failed_is_synced_before_it_counts(self):
-        """Guards against a voter that answers for a record which is not on the disk.
-
-        After a failed sync the system may drop the data, but a reader still sees it
-        until the page is evicted.
-        """
+        """Guards against a voter that answers for a record which is not on the disk."""
         fake, disk = new_disk()
         append_to(disk, 1, 3)
 
@@ -363,135 +354,5 @@
         self.assertEqual(len(opened.ok.saved.entries), reported + 1)
 
 
-class ClosedDiskTest(unittest.TestCase):
-    def test_a_closed_disk_refuses_writes(self):
-        """Guards against a record that is written into another file after a close."""
-        with tempfile.TemporaryDirectory() as folder:
-            path = f"{folder}/other"
-            join_disk(f"{folder}/data", "a", "10.0.0.1:1")
-            disk = open_disk(f"{folder}/data", "a").ok
-            disk.close()
-            fds = [
-                os.open(path, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC) for _ in range(3)
-            ]
-            try:
-                with self.assertRaises(DiskError):
-                    append_to(disk, 1, 1)
-                self.assertEqual(os.path.getsize(path), 0)
-            finally:
-                for fd in fds:
-                    os.close(fd)
-
-    def test_a_close_that_fails_releases_the_lock(self):
-        """Guards against a folder that stays locked by the process that closed it."""
-        for name in ("log", "synced"):
-            fake, disk = new_disk()
-
-            def close(fd, fake=fake, name=name):
-                fails = fake.handles[fd] is fake.names[name]
-                fake.filesystem().close(fd)
-                if fails:
-                    raise OSError(errno.EIO, "input/output error")
-
-            disk._file._fs = fake.filesystem()._replace(close=close)
-            with self.assertRaises(OSError):
-                disk.close()
-            self.assertEqual(len(fake.handles), 0)
-            self.assertTrue(open_disk(FOLDER, "a", fake.filesystem()).is_ok())
-
-    def test_a_second_close_does_nothing(self):
-        """Guards against closing another file that got the descriptor."""
-        with tempfile.TemporaryDirectory() as folder:
-            join_disk(f"{folder}/data", "a", "10.0.0.1:1")
-            disk = open_disk(f"{folder}/data", "a").ok
-            disk.close()
-            with open(f"{folder}/other", "wb") as other:
-                disk.close()
-                other.write(b"text")
-
-
-class ReplacementTest(unittest.TestCase):
-    """Guards against a damaged founder that returns empty under its old disk id.
-
-    The replacement stops at each operation, with the log, the snapshot or the identity
-    damaged.
-    """
-
-    LAST_OPERATION = 14
-
-    def damaged_disk(self, name):
-        fake, disk = new_disk()
-        append_to(disk, 1, 5)
-        save_snapshot(disk, 3)
-        append_to(disk, 6, 2)
-        disk.close()
-        for file in fake.names.values():
-            file.sync()
-        fake.names[name].data[-1] ^= 1
-        fake.names[name].sync()
-        return fake
-
-    def check(self, fake):
-        """Open the folder, replaced again if it's damaged: it is a new learner's."""
-        self.assertIn("identity", fake.names)
-        fs = fake.filesystem()
-        opened = open_disk(FOLDER, "a", fs)
-        if opened.is_error():
-            self.assertNotIsInstance(opened.error, DiskUnavailable)
-            self.assertTrue(replace_disk(FOLDER, "a", "10.0.0.1:1", fs).is_ok())
-            opened = open_disk(FOLDER, "a", fs)
-        saved = opened.ok.saved
-        self.assertNotEqual(saved.identity.disk_id, "disk-a")
-        self.assertEqual((saved.identity.voters, saved.identity.cluster), ((), ""))
-        self.assertEqual((saved.entries, saved.snapshot, saved.term), ((), None, 0))
-
-    def cases(self):
-        for name in ("log", "snapshot", "identity"):
-            for stop_at in range(1, self.LAST_OPERATION + 2):
-                yield name, stop_at
-
-    def test_a_replacement_whose_process_or_power_ends(self):
-        """Guards against a folder without identity, which is created again."""
-        for name, stop_at in self.cases():
-            for seed in range(6):
-                with self.subTest(name=name, stop_at=stop_at, seed=seed):
-                    fake = self.damaged_disk(name)
-                    fake.power_loss_at = fake.operations + stop_at
-                    try:
-                        replace_disk(FOLDER, "a", "10.0.0.1:1", fake.filesystem())
-                        self.assertGreater(stop_at, self.LAST_OPERATION)
-                    except PowerLoss:
-                        self.assertLessEqual(stop_at, self.LAST_OPERATION)
-                    if seed == 0:
-                        fake.handles.clear()
-                        fake.locked.clear()
-                        fake.power_loss_at = None
-                    else:
-                        fake.crash(random.Random(seed))
-                    self.check(fake)
-
-    def test_a_replacement_whose_disk_is_full(self):
-        """Guards against a folder without identity, which is created again."""
-        for name, stop_at in self.cases():
-            with self.subTest(name=name, stop_at=stop_at):
-                fake = self.damaged_disk(name)
-                full = FullFileSystem(fake, stop_at, 7).filesystem()
-                done = replace_disk(FOLDER, "a", "10.0.0.1:1", full)
-                self.assertEqual(done.is_ok(), stop_at > self.LAST_OPERATION)
-                if done.is_error():
-                    self.assertIsInstance(done.error, DiskUnavailable)
-                self.assertEqual(len(fake.handles), 0)
-                self.check(fake)
-
-    def test_a_disk_in_use_is_not_replaced(self):
-        """Guards against a living process whose disk another process wipes."""
-        fake, disk = new_disk()
-        before = bytes(fake.names["log"].data)
-        replaced = replace_disk(FOLDER, "a", "10.0.0.1:1", fake.filesystem())
-        self.assertIsInstance(replaced.error, DiskUnavailable)
-        self.assertEqual(bytes(fake.names["log"].data), before)
-        disk.close()
-
-
 if __name__ == "__main__":
     unittest.main()
