Give the kept chain of its test time to be used

test_the_kept_chain_is_used failed once on a busy machine. A kept chain holds for 0.05 s; with a pause of the process between keeping and using it (forced: 0.1 s) the test fails each time, as the chain has expired by then and another one is searched for. The test of using it keeps it for 60 s now; what it asserts is as before, and that an expired one isn't used has a test of its own. With the same forced pause it passes.

--- a/libs/node/test/test_streamchains.py
+++ b/libs/node/test/test_streamchains.py
@@ -268,6 +268,7 @@
         self.assertTrue(streamchains.has_other_chain(stream, {"boot-1:80"}))
         return stream, state
 
+    @mock.patch.object(streamchains, "KEPT_CHAIN_S", 60.0)
     def test_the_kept_chain_is_used(self):
         stream, _ = self.stream_with_kept_chain()
         with mock.patch.object(streamchains, "_choose", side_effect=AssertionError):
