Test callers of a voter that ends while they wait

A control process whose disk is full ended with code 1. A caller outside the voter's task group waits for an answer, the disk's DiskError ends the group, and the next attempt sends over links whose group is not active any more: a RuntimeError that no caller expects. With a link to the leader the same caller waits until its deadline instead and is told that there is no majority.

The data folder's tests cover what a full disk leaves. What passes: after a failed write, sync, truncation, rename or folder sync at any point, with none, a part or all of the bytes kept, the folder opens with what was accepted and is not taken for damaged. What fails: descriptors stay open when opening fails; a record whose sync failed counts after opening, and its loss later reads as damage; a closed disk writes into whatever file has its descriptor; a disk in use is replaced; and a damaged founder on a full disk comes back empty under its old disk id.

--- a/libs/node/test/test_controlgossip.py
+++ b/libs/node/test/test_controlgossip.py
@@ -54,5 +54,37 @@
         self.assertEqual(self.answered(5, 5), {"entry-0:1"})
 
 
+class EndedVoterTest(unittest.TestCase):
+    def confirmed_version(self, wait_for_read_index, current):
+        """Return the version that a voter confirms which is replaced meanwhile."""
+        piped = PipedSink()
+        self.addCleanup(piped.close)
+        state = a_control(piped.sink, "127.0.0.1")
+        voted = SimpleNamespace(version=6, packed=b"")
+
+        async def wait(timeout_s):
+            state.voter = current
+            return await wait_for_read_index(timeout_s)
+
+        state.voter = SimpleNamespace(wait_for_read_index=wait, state=voted)
+
+        async def scenario():
+            async with anyio.create_task_group() as group:
+                return await ControlGossip(state, group)._confirmed_version()
+
+        return anyio.run(scenario)
+
+    def test_a_version_is_confirmed_by_the_voter_that_has_it(self):
+        """Guards against an older version, as confirmed, of a voter opened since."""
+
+        async def confirm(_):
+            return 1
+
+        opened = SimpleNamespace(state=SimpleNamespace(version=5))
+        for current in (None, opened):
+            with self.subTest(current=current):
+                self.assertIn(self.confirmed_version(confirm, current), (6, -1))
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/libs/node/test/test_voterdisk.py
+++ b/libs/node/test/test_voterdisk.py
@@ -1,10 +1,16 @@
+import errno
 import os
 import tempfile
 import unittest
+from types import SimpleNamespace
+from unittest import mock
 
-from builders import PipedSink, a_voter
+import anyio
+from builders import PipedSink, a_control, a_voter
 
-from cherryrudder.node import voterdisk
+from cherryrudder.node import voterdisk, voterrunner
+from cherryrudder.quorum import files
+from cherryrudder.quorum.errors import DiskError
 
 
 class DiskTest(unittest.TestCase):
@@ -54,3 +60,42 @@
         self.assertNotEqual(disk.saved.identity.disk_id, before)
         disk.close()
         self.assertIn("disk-damaged", self.pipe.text())
+
+    def test_a_disk_in_use_is_not_replaced(self):
+        """Guards against a living process whose disk another process wipes."""
+        voterdisk.create_learner(self.folder, "a", "a:7000")
+        disk = self.open()
+        self.addCleanup(disk.close)
+        with open(f"{self.folder}/identity", "rb") as file:
+            before = file.read()
+        with self.assertRaises(DiskError):
+            self.open().close()
+        with open(f"{self.folder}/identity", "rb") as file:
+            self.assertEqual(file.read(), before)
+
+    def test_a_founder_whose_disk_was_damaged_and_full_gets_a_new_identity(self):
+        """Guards against a founder that returns empty under its old disk id."""
+        state = a_control(self.pipe.sink, "127.0.0.1")
+        state.settings = state.settings._replace(
+            data_folder=self.folder, is_founding=True, seeds=("127.0.0.1:1",)
+        )
+        state.seed_addresses = (state.address,)
+        state.roster = SimpleNamespace(seeds=(), peers={})
+        vm = state.settings.vm
+        disk = anyio.run(voterrunner._open_disk, state)
+        founder_id = disk.saved.identity.disk_id
+        self.assertEqual(founder_id, f"{vm}-founder")
+        disk.close()
+        with open(f"{self.folder}/log", "r+b") as file:
+            file.write(b"damage")
+
+        def fail(fd, offset, data):
+            raise OSError(errno.ENOSPC, "no space left on device")
+
+        full = files.real_filesystem()._replace(write=fail)
+        with mock.patch.object(files, "real_filesystem", lambda: full):
+            with self.assertRaises(DiskError):
+                anyio.run(voterrunner._open_disk, state)
+        disk = anyio.run(voterrunner._open_disk, state)
+        self.addCleanup(disk.close)
+        self.assertNotEqual(disk.saved.identity.disk_id, founder_id)
--- a/libs/quorum/test/fakedisk.py
+++ b/libs/quorum/test/fakedisk.py
@@ -1,5 +1,6 @@
 """In-memory disk that loses unsynced data when power fails."""
 
+import errno
 import itertools
 
 from cherryrudder.quorum.filesystem import FileSystem
@@ -16,12 +17,16 @@
         self.data = bytearray()
         self.synced = b""
         self.pending = []
+        # Offsets of bytes that readers see and no sync writes.
+        self.forgotten = set()
 
     def write(self, offset, data):
+        self.forgotten -= set(range(offset, offset + len(data)))
         self.data[offset : offset + len(data)] = data
         self.pending.append((offset, bytes(data)))
 
     def truncate(self, size):
+        self.forgotten = {offset for offset in self.forgotten if offset < size}
         del self.data[size:]
         self.pending.append((size, None))
 
@@ -29,9 +34,18 @@
         self.synced = bytes(self.data)
         self.pending = []
 
+    def forget(self):
+        """Drop the unsynced writes, as a failed sync does; readers still see them."""
+        for offset, data in self.pending:
+            self.forgotten |= set(range(offset, offset + len(data or b"")))
+        self.pending = []
+
     def crash(self, rng):
         """Keep a random part of the unsynced writes; the last one may be torn."""
         self.data = bytearray(self.synced)
+        for offset in self.forgotten:
+            self.data[offset : offset + 1] = bytes(offset < len(self.data))
+        self.forgotten = set()
         kept = [write for write in self.pending if rng.random() < 0.5]
         for number, (offset, data) in enumerate(kept):
             if data is None:
@@ -131,3 +145,43 @@
 
     def _sync_names(self):
         self.durable = dict(self.names)
+
+
+class FullFileSystem:
+    """Files of a fake disk that is full from one changing operation on."""
+
+    def __init__(self, disk, full_at, kept_bytes):
+        self._fs = disk.filesystem()
+        self._operations = 0
+        self._full_at = full_at
+        self._kept_bytes = kept_bytes
+
+    def filesystem(self):
+        """Return the operations; once full, each that changes the disk fails."""
+        return self._fs._replace(
+            write=self._write,
+            truncate=self._checked(self._fs.truncate),
+            sync=self._checked(self._fs.sync),
+            rename=self._checked(self._fs.rename),
+            sync_folder=self._checked(self._fs.sync_folder),
+        )
+
+    def _checked(self, operation):
+        def run(*arguments):
+            self._check()
+            return operation(*arguments)
+
+        return run
+
+    def _write(self, fd, offset, data):
+        try:
+            self._check()
+        except OSError:
+            self._fs.write(fd, offset, data[: self._kept_bytes])
+            raise
+        self._fs.write(fd, offset, data)
+
+    def _check(self):
+        self._operations += 1
+        if self._operations >= self._full_at:
+            raise OSError(errno.ENOSPC, "no space left on device")
--- a/libs/quorum/test/test_files.py
+++ b/libs/quorum/test/test_files.py
@@ -1,5 +1,7 @@
 """Tests of the data folder: power loss, damage, and folders that must not open."""
 
+import errno
+import os
 import random
 import tempfile
 import unittest
@@ -12,8 +14,9 @@
     new_disk,
     save_snapshot,
 )
-from fakedisk import PowerLoss
+from fakedisk import FullFileSystem, PowerLoss
 
+from cherryrudder.quorum.errors import DiskError
 from cherryrudder.quorum.events import Persist
 from cherryrudder.quorum.files import init_disk, join_disk, open_disk
 
@@ -238,5 +241,93 @@
             append_to(disk, 1, 1)
 
 
+class FullDiskTest(unittest.TestCase):
+    def run_until_full(self, full_at, kept_bytes):
+        """Work until an operation finds the disk full; return what was answered."""
+        fake, disk = new_disk()
+        answered = [disk.saved]
+        full = FullFileSystem(fake, full_at, kept_bytes)
+        disk.close()
+        disk = open_disk(FOLDER, "a", full.filesystem()).ok
+        work = PowerLossTest()
+        try:
+            work.work(disk, answered)
+        except DiskError:
+            pass
+        disk.close()
+        return fake, full, answered + work.expected(answered)
+
+    def test_a_disk_that_was_full_opens_with_what_was_accepted(self):
+        """Guards against a full disk that is taken for a damaged one, and wiped.
+
+        The disk is full at each write, sync, truncation, rename and folder sync in
+        turn; a write that fails leaves none, a part or all of its bytes.
+        """
+        for kept_bytes in (0, 7, 90, 1 << 20):
+            for full_at in range(1, 45):
+                with self.subTest(kept_bytes=kept_bytes, full_at=full_at):
+                    fake, _, allowed = self.run_until_full(full_at, kept_bytes)
+                    opened = open_disk(FOLDER, "a", fake.filesystem())
+                    self.assertTrue(opened.is_ok(), opened)
+                    self.assertIn(opened.ok.saved, allowed[-2:])
+
+    def test_opening_a_full_disk_leaves_no_file_open(self):
+        """Guards against a voter that uses up descriptors while its disk is full."""
+        for full_at in range(1, 45):
+            with self.subTest(full_at=full_at):
+                fake, full, _ = self.run_until_full(full_at, 7)
+                self.assertEqual(len(fake.handles), 0)
+                opened = open_disk(FOLDER, "a", full.filesystem())
+                if opened.is_ok():
+                    opened.ok.close()
+                self.assertEqual(len(fake.handles), 0)
+
+    def test_a_record_whose_sync_failed_is_synced_before_it_counts(self):
+        """Guards against a voter that answers for a record which is not on the disk.
+
+        After a failed sync the system may drop the data, but a reader still sees it
+        until the page is evicted.
+        """
+        fake, disk = new_disk()
+        append_to(disk, 1, 3)
+
+        def fail(fd):
+            fake.handles[fd].forget()
+            raise OSError(errno.ENOSPC, "no space left on device")
+
+        disk._file._fs = fake.filesystem()._replace(sync=fail)
+        with self.assertRaises(DiskError):
+            append_to(disk, 4, 1)
+        disk.close()
+        disk = open_disk(FOLDER, "a", fake.filesystem()).ok
+        reported = len(disk.saved.entries)
+        append_to(disk, reported + 1, 1)
+        disk.close()
+        fake.crash(random.Random(1))
+        opened = open_disk(FOLDER, "a", fake.filesystem())
+        self.assertTrue(opened.is_ok(), opened)
+        self.assertEqual(len(opened.ok.saved.entries), reported + 1)
+
+
+class ClosedDiskTest(unittest.TestCase):
+    def test_a_closed_disk_refuses_writes(self):
+        """Guards against a record that is written into another file after a close."""
+        with tempfile.TemporaryDirectory() as folder:
+            path = f"{folder}/other"
+            join_disk(f"{folder}/data", "a", "10.0.0.1:1")
+            disk = open_disk(f"{folder}/data", "a").ok
+            disk.close()
+            fds = [
+                os.open(path, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC) for _ in range(3)
+            ]
+            try:
+                with self.assertRaises(DiskError):
+                    append_to(disk, 1, 1)
+                self.assertEqual(os.path.getsize(path), 0)
+            finally:
+                for fd in fds:
+                    os.close(fd)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/libs/wire/test/test_links.py
+++ b/libs/wire/test/test_links.py
@@ -98,3 +98,40 @@
 
         _, down = self.run_pair("key", act)
         self.assertEqual(down, [nowhere])
+
+    def test_a_send_after_the_end_of_the_group_is_reported(self):
+        """Guards against a send that raises in a caller which outlives the group."""
+        self.check_ended(lambda links: None)
+
+    def test_a_send_to_a_known_peer_after_the_end_is_reported(self):
+        """Guards against messages that are queued for a link without a task."""
+        self.check_ended(lambda links: links.send("127.0.0.1:1", Message(1, ())))
+
+    def check_ended(self, before_end):
+        """Send a message over links whose group has ended; it counts as lost."""
+        down = []
+
+        async def main():
+            async with anyio.create_task_group() as group:
+                links = Links(
+                    group, FrameCodec([Message]), "key", "127.0.0.1:2", down.append
+                )
+                before_end(links)
+                group.cancel_scope.cancel()
+            down.clear()
+            links.send("127.0.0.1:1", Message(2, ()))
+            self.assertEqual(links.peers(), [])
+
+        anyio.run(main)
+        self.assertEqual(down, ["127.0.0.1:1"])
+
+    def test_the_end_of_the_group_is_reported(self):
+        """Guards against callers that wait for a peer whose link was cancelled."""
+
+        async def act(links, address, got, down):
+            links.send(address, Message(1, ()))
+            while not got:
+                await anyio.sleep(0.01)
+
+        _, down = self.run_pair("key", act)
+        self.assertEqual(len(down), 1)
