--- a/libs/quorum/test/test_files.py
+++ b/libs/quorum/test/test_files.py
@@ -312,8 +312,7 @@
         for seed in range(8):
             with self.subTest(seed=seed):
                 fake = FakeDisk()
-                # Each file takes a truncation, a write, a sync, a rename and a sync of
-                # the folder.
+                # The tenth operation is the sync of the folder after the second file.
                 full = FullFileSystem(fake, 10, 1 << 20, True).filesystem()
                 voters = make_voters(1)
                 created = init_disk(FOLDER, "a", "10.0.0.1:1", voters, full)
