Keep or announce the connection of an early refusal

What callers saw: a request on a kept connection ended with "Server disconnected without sending a response" after the one before it had been refused with 401 or 404. Listed as test_surface.CallerTest.test_wrong_type_names_the_field, which failed once on a busy machine.

Cause: such a refusal is sent when the head has been read. If the body comes later, hypercorn closes the connection after an answer to an incomplete request, and the answer doesn't say so. Only bodies over the size limit announced it.

Why it works: the refusal is still sent at once, and the rest of the body is discarded afterwards, within the size limit and 5 s, so that the request is complete and the connection stays in use. Where the body isn't known to fit, the answer announces the close.

--- a/libs/wire/src/cherryrudder/wire/asgi.py
+++ b/libs/wire/src/cherryrudder/wire/asgi.py
@@ -15,6 +15,8 @@
 
 BODY_TOO_LARGE = 413
 DEFAULT_MAX_BODY_BYTES = 16 * 1024 * 1024
+# A client that has its answer may still be sending the body for this long.
+DRAIN_TIMEOUT_S = 5.0
 
 
 class Reply(NamedTuple):
@@ -47,6 +49,10 @@
         }
         self._receive = receive
         self._max_body_bytes = max_body_bytes
+        length = self.headers.get("content-length", "0")
+        self._is_chunked = "transfer-encoding" in self.headers
+        self._length_bytes = int(length) if length.isdecimal() else 0
+        self.has_unread_body = self._is_chunked or self._length_bytes > 0
 
     @property
     def query(self) -> dict[str, str]:
@@ -79,8 +85,23 @@
                 text = f"the body is over {self._max_body_bytes} bytes"
                 raise RequestError(BODY_TOO_LARGE, "body-too-large", text)
             if not message.get("more_body", False):
+                self.has_unread_body = False
                 return b"".join(parts)
 
+    def is_drainable(self) -> bool:
+        """Return whether the rest of the body is known to be within the size limit."""
+        return not self._is_chunked and self._length_bytes <= self._max_body_bytes
+
+    async def drain(self) -> None:
+        """Discard the rest of the body, up to the size limit and a timeout."""
+        size_bytes = 0
+        with anyio.move_on_after(DRAIN_TIMEOUT_S):
+            while size_bytes <= self._max_body_bytes:
+                message = await self._receive()
+                size_bytes += len(message.get("body", b""))
+                if not message.get("more_body", False):
+                    return
+
     async def json(self, kind=dict):
         """Decode the JSON body as a value of type `kind`; raises RequestError 400."""
         data = await self.body()
@@ -114,10 +135,6 @@
     body = {"code": error.code, "message": str(error)}
     if error.field:
         body["field"] = error.field
-    if error.status == BODY_TOO_LARGE:
-        # The rest of the body stays unread, so the server closes the connection.
-        # Without this header the client's next request on it would be cut off.
-        headers = (*headers, ("connection", "close"))
     return json_reply({"error": body}, error.status, headers)
 
 
@@ -142,7 +159,7 @@
                 return await _send_stream(reply, request, send)
             finally:
                 reply.on_end()
-        return await _send(reply, send)
+        return await _send(reply, request, send)
 
     return app
 
@@ -193,10 +210,19 @@
     return {"type": "http.response.start", "status": reply.status, "headers": headers}
 
 
-async def _send(reply, send):
-    size = ("content-length", str(len(reply.body)))
-    await send(_start_message(reply._replace(headers=(*reply.headers, size))))
-    await send({"type": "http.response.body", "body": reply.body})
+async def _send(reply, request, send):
+    headers = (*reply.headers, ("content-length", str(len(reply.body))))
+    # The server closes the connection after an answer to an incomplete request. A
+    # client that isn't told so loses its next request on it.
+    is_early = request.has_unread_body
+    if is_early and not request.is_drainable():
+        headers = (*headers, ("connection", "close"))
+    await send(_start_message(reply._replace(headers=headers)))
+    message = {"type": "http.response.body", "body": reply.body}
+    await send(message | {"more_body": is_early})
+    if is_early:
+        await request.drain()
+        await send({"type": "http.response.body", "body": b""})
 
 
 async def _send_stream(reply, request, send):
