Announce that a leaving process closes its connections

What callers saw: a request on a kept connection to an entry that stops can end without an answer, although the entry had answered on it while it drained.

Cause: as for early refusals, the answers of a draining process didn't say that their connection would close. Found by looking for the same fault elsewhere.

Evidence: the test of the leaving entry fails on the code before (no such header; `python -m unittest test_pipelineprocesses -k leaving_entry` in libs/daemon/test).

Why it works: from the signal on each answer announces the close, so that the caller's next request goes to another connection, and through the balancer to another entry.

--- a/libs/daemon/src/cherryrudder/daemon/process.py
+++ b/libs/daemon/src/cherryrudder/daemon/process.py
@@ -40,7 +40,7 @@
 
     def listen(self, address: str, routes: Routes, key: str = "", **options) -> None:
         """Serve routes at an address until the process stops."""
-        app = make_app(routes, key, **options)
+        app = make_app(routes, key, is_closing=self.leaving.is_set, **options)
 
         async def run():
             try:
--- a/libs/daemon/test/test_pipelineprocesses.py
+++ b/libs/daemon/test/test_pipelineprocesses.py
@@ -1,6 +1,7 @@
 """Completions through real processes: under failure complete, or an explicit error."""
 
 import json
+import signal
 import threading
 import unittest
 from collections import Counter
@@ -10,12 +11,14 @@
     CUSTOMER,
     LAYERS,
     MODEL,
+    WAIT_S,
     DeploymentTestCase,
     a_contract,
     two_chains,
 )
 
 from cherryrudder.fakes import fold
+from cherryrudder.fakes.deployment import wait_for
 
 PROMPT = "weather hold at the pad"
 TOKENS = 60
@@ -312,6 +315,22 @@
         self.assertEqual(code, 0)
         self.deployment.restart(node.name)
 
+    def test_a_leaving_entry_announces_that_its_connections_close(self):
+        """Guards against a request lost on a connection that a stopping entry closes.
+
+        A caller keeps its connection, and an entry that drains answers on it.
+        """
+        node = self.deployment.entries[1]
+        stream = Stream(self, entry=1, max_tokens=120)
+        stream.wait_parts(5)
+        node.signal(signal.SIGTERM)
+        wait_for(lambda: self.deployment.dump(node)["leaving"], WAIT_S, "leaving")
+        answer = self.post("/v1/completions", entry=1, json={}, customer="nobody")
+        self.assertEqual(answer.headers.get("connection"), "close")
+        stream.assert_whole()
+        node.process.wait(WAIT_S)
+        self.deployment.restart(node.name)
+
     def test_a_vm_with_a_planned_stop_gets_no_new_work(self):
         """An operator announces a stop of a VM in the middle of a stream.
 
--- a/libs/wire/src/cherryrudder/wire/asgi.py
+++ b/libs/wire/src/cherryrudder/wire/asgi.py
@@ -138,11 +138,17 @@
     return json_reply({"error": body}, error.status, headers)
 
 
-def make_app(routes: Routes, key: str = "", max_body_bytes=DEFAULT_MAX_BODY_BYTES):
+def make_app(
+    routes: Routes,
+    key: str = "",
+    max_body_bytes: int = DEFAULT_MAX_BODY_BYTES,
+    is_closing: Callable[[], bool] = lambda: False,
+):
     """Return an ASGI application; a route whose path ends in / matches all paths below.
 
     If a key is given, every path requires it as bearer token, except for the load
-    balancer's health checks.
+    balancer's health checks. While it is closing, its answers announce that their
+    connections close.
     """
 
     async def app(scope, receive, send):
@@ -152,6 +158,10 @@
             return None
         request = Request(scope, receive, max_body_bytes)
         reply = await _answer(routes, key, request)
+        # The server closes the connection after an answer to an incomplete request, and
+        # when it stops. A client that isn't told so loses its next request on it.
+        if is_closing() or (request.has_unread_body and not request.is_drainable()):
+            reply = reply._replace(headers=(*reply.headers, ("connection", "close")))
         if isinstance(reply, StreamReply):
             # A `finally` in the chunks' generator would not do: it does not run if the
             # client disconnects before the generator has started.
@@ -211,13 +221,9 @@
 
 
 async def _send(reply, request, send):
-    headers = (*reply.headers, ("content-length", str(len(reply.body))))
-    # The server closes the connection after an answer to an incomplete request. A
-    # client that isn't told so loses its next request on it.
+    size = ("content-length", str(len(reply.body)))
+    await send(_start_message(reply._replace(headers=(*reply.headers, size))))
     is_early = request.has_unread_body
-    if is_early and not request.is_drainable():
-        headers = (*headers, ("connection", "close"))
-    await send(_start_message(reply._replace(headers=headers)))
     message = {"type": "http.response.body", "body": reply.body}
     await send(message | {"more_body": is_early})
     if is_early:
--- a/libs/wire/test/test_asgi.py
+++ b/libs/wire/test/test_asgi.py
@@ -1,4 +1,4 @@
-"""Answers that are sent before the whole request has arrived."""
+"""Answers on connections that close, or before the whole request has arrived."""
 
 import unittest
 
@@ -8,8 +8,8 @@
 BODY = b"{}"
 
 
-class EarlyAnswerTest(unittest.TestCase):
-    """Guards against connections that close unannounced after an early refusal."""
+class ClosingConnectionTest(unittest.TestCase):
+    """Guards against connections that close unannounced after an answer."""
 
     def check_next_is_answered(self, head, status):
         """Check that a request is answered on the connection of an early refusal."""
@@ -33,7 +33,7 @@
         self.check_next_is_answered(a_head(path="/other"), 404)
 
     def check_announces_close(self, head, status, rest=b"", **options):
-        """Check that an early refusal says that its connection closes."""
+        """Check that an answer says that its connection closes."""
 
         async def run():
             async with serving(**options) as address, raw_client(address) as client:
@@ -54,6 +54,9 @@
         head = a_head("content-length: 40", key="other")
         self.check_announces_close(head, 401, b" " * 40, max_body_bytes=8)
 
+    def test_answers_of_a_closing_server_announce_the_close(self):
+        self.check_announces_close(a_head() + BODY, 200, is_closing=lambda: True)
+
 
 if __name__ == "__main__":
     unittest.main()
