Hold a test process's ports until it ends

Cause: ports were chosen from the process's pid times 400, modulo the range. Two test processes whose pids differ by 57 walk the same ports, 32 apart, and each probes them before its daemons listen, so that a daemon ends at its start or answers another test's calls.

Why it works: the ports are divided into blocks, and a process locks a block before it takes ports from it. The kernel releases the lock when the process ends.

--- a/libs/fakes/src/cherryrudder/fakes/deployment.py
+++ b/libs/fakes/src/cherryrudder/fakes/deployment.py
@@ -4,12 +4,13 @@
 processes that were started here, by pid.
 """
 
-import itertools
+import fcntl
 import os
 import signal
 import socket
 import subprocess
 import sys
+import tempfile
 import time
 from pathlib import Path
 from typing import NamedTuple
@@ -27,9 +28,8 @@
 # otherwise occupy a port between its choice and its use.
 FIRST_PORT = 10_000
 END_PORT = 32_768
-# More than a deployment needs: parallel test processes mostly have consecutive pids,
-# and their port ranges must not overlap.
-PORTS_PER_PROCESS = 400
+# More than most test processes need.
+PORTS_PER_BLOCK = 400
 
 
 class EngineSpec(NamedTuple):
@@ -322,11 +322,35 @@
 
 
 def _candidate_ports():
-    start = os.getpid() * PORTS_PER_PROCESS
-    for offset in itertools.count(start):
-        yield FIRST_PORT + offset % (END_PORT - FIRST_PORT)
-
+    """Yield the ports of each block that no other process holds.
 
+    A port is probed long before its process listens, so that a probe alone doesn't keep
+    two test processes from choosing the same one.
+    """
+    blocks = (END_PORT - FIRST_PORT) // PORTS_PER_BLOCK
+    for offset in range(blocks):
+        block = (os.getpid() + offset) % blocks
+        if _lock_block(block):
+            first = FIRST_PORT + block * PORTS_PER_BLOCK
+            yield from range(first, first + PORTS_PER_BLOCK)
+    raise RuntimeError("all blocks of ports are in use")
+
+
+def _lock_block(block):
+    """Lock a block until this process ends; return false if another one holds it."""
+    folder = Path(tempfile.gettempdir(), f"cherryrudder-ports-{os.getuid()}")
+    folder.mkdir(exist_ok=True)
+    lock = open(folder / str(block), "w")
+    try:
+        fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+    except BlockingIOError:
+        lock.close()
+        return False
+    _held_locks.append(lock)
+    return True
+
+
+_held_locks: list = []
 _ports = _candidate_ports()
 
 
