--- a/libs/fakes/src/cherryrudder/fakes/deployment.py
+++ b/libs/fakes/src/cherryrudder/fakes/deployment.py
@@ -146,9 +146,16 @@
         self.http.close()
 
     def wait_ready(self, node: Node, timeout_s: float = START_TIMEOUT_S) -> None:
-        """Wait until a process reports that it is ready."""
+        """Wait until a process reports that it is ready; raise if it has ended."""
         url = f"http://{node.addresses['internal']}/readyz"
-        wait_for(lambda: self._status(url) == 200, timeout_s, f"{node.name} ready")
+
+        def is_ready():
+            code = node.process.poll()
+            if code is not None:
+                raise RuntimeError(f"{node.name} ended with code {code}")
+            return self._status(url) == 200
+
+        wait_for(is_ready, timeout_s, f"{node.name} ready")
 
     def restart(self, name: str) -> None:
         """Start a process that has ended and wait until it answers."""
--- a/libs/soak/src/cherryrudder/soak/run.py
+++ b/libs/soak/src/cherryrudder/soak/run.py
@@ -3,6 +3,7 @@
 import random
 import tempfile
 import time
+from collections import Counter
 from collections.abc import Sequence
 from pathlib import Path
 from typing import NamedTuple
@@ -53,10 +54,7 @@
     operator = Operator(testbed, random.Random(f"operator-{seed}"))
     injector = FaultInjector(testbed, operator)
     is_over = anyio.Event()
-    with anyio.fail_after(START_TIMEOUT_S):
-        await testbed.start()
-        await operator.change()
-        await wait_served(testbed, operator)
+    await _start(testbed, operator)
     async with anyio.create_task_group() as group:
         for caller in testbed.callers:
             group.start_soon(caller.run, operator.used_keys, is_over)
@@ -69,6 +67,24 @@
     return _history(testbed, operator, injector), violations
 
 
+async def _start(testbed, operator):
+    """Start everything and wait until it serves; raise TimeoutError with what is known.
+
+    The message has what the probes got, as nothing else of a failed start is reported.
+    """
+    with anyio.move_on_after(START_TIMEOUT_S) as scope:
+        await testbed.start()
+        await operator.change()
+        await wait_served(testbed, operator)
+    if scope.cancelled_caught:
+        answers = Counter((a.node, a.kind, a.status) for a in testbed.extra_answers)
+        raise TimeoutError(
+            f"not served within {START_TIMEOUT_S} s of the start: answers "
+            f"{dict(answers)}, acknowledged {len(operator.acks)}, ended "
+            f"{testbed.unexpected_exits()}, logs in {testbed.deployment.folder}"
+        )
+
+
 async def _inject_all(injector, planned, length_s):
     began_s = time.monotonic()
     async with anyio.create_task_group() as group:
@@ -83,14 +99,16 @@
     for node in testbed.deployment.nodes:
         address = testbed.caller_proxies[node.name].listen_address
         caller = Caller(node.name, address, EVENTS, testbed.rng)
-        for kind in ("stream", "filing", "query"):
-            while True:
-                answer = await caller.ask(kind, operator.keys[-1])
-                if answer is not None and answer.status == 200 and answer.is_whole:
-                    break
-                await anyio.sleep(PAUSE_S)
-        caller.close()
-        testbed.extra_answers += caller.answers
+        try:
+            for kind in ("stream", "filing", "query"):
+                while True:
+                    answer = await caller.ask(kind, operator.keys[-1])
+                    if answer is not None and answer.status == 200 and answer.is_whole:
+                        break
+                    await anyio.sleep(PAUSE_S)
+        finally:
+            caller.close()
+            testbed.extra_answers += caller.answers
 
 
 async def _recover(testbed, operator):
