Repeat the soak's first configuration until it is acknowledged

Cause: the soak's operator sends a configuration 60 times, 0.1 s apart, and then gives up without a word. Processes that need longer than 6 s to listen never got one, and the probes asked in vain for the rest of the 40 s. The product is not at fault.

Evidence: with all processes on one core beside five busy ones the error occurred in 1 of 2 runs: "answers {('front-0', 'stream', 503): 22}, acknowledged 0", and all refusals of the entry read "no configuration yet".

Why it works: the start sends the change until it is acknowledged. The limit of 40 s and all checks of the run stay as they are.

--- a/libs/soak/src/cherryrudder/soak/run.py
+++ b/libs/soak/src/cherryrudder/soak/run.py
@@ -74,7 +74,10 @@
     """
     with anyio.move_on_after(START_TIMEOUT_S) as scope:
         await testbed.start()
-        await operator.change()
+        # An operator gives up after some tries, which may end before the processes
+        # have started. Without a configuration nothing is ever served.
+        while not operator.acks:
+            await operator.change()
         await wait_served(testbed, operator)
     if scope.cancelled_caught:
         answers = Counter((a.node, a.kind, a.status) for a in testbed.extra_answers)
