Give the answers that are queued when a voter ends

Callers of a leader whose disk was full were told 503 although a majority had their change and it is in force: contracts, settings and claims in one daemon, the configuration in the other, and changes of the voters. The same at a stop, and to a caller at a follower whose link for the reply was open.

Before a write the voter lets other tasks run for one turn. An acknowledgement that arrives in that turn commits the change before, and its answer is queued behind the write. The end of the voter dropped the queue.

A voter that ends now applies the entries and gives the answers in its queue. They don't depend on the write that failed or isn't made: the core hands out an entry only once it is synced here and at a majority, and a read once a majority has confirmed the round.

Both daemons run this voter; neither has a queue of its own.

--- a/libs/replica/src/cherryrudder/replica/voter.py
+++ b/libs/replica/src/cherryrudder/replica/voter.py
@@ -172,11 +172,30 @@
         if self._end is not None:
             return
         self._end = end
+        self._settle()
         for pending in self._waiting.values():
             pending.fail(end)
         self.peers.close(end)
         self._wake_applied()
 
+    def _settle(self):
+        """Execute the answers that the core gave before the end.
+
+        They are queued behind a write that failed or won't be made, but don't depend
+        on it.
+        """
+        while self._effects:
+            match effect := self._effects.popleft():
+                case events.RestoreSnapshot():
+                    # Only a follower installs one, and it has no answers behind it.
+                    return
+                case events.Apply():
+                    self._apply(effect.entries)
+                case events.Committed() | events.Rejected():
+                    self._resolve(effect.proposal_id, effect)
+                case events.ReadReady():
+                    self._resolve(effect.read_id, effect)
+
     def _fail(self, error):
         self._failure = VoterFailed(str(error))
         self._close(self._failure)
