Keep a data folder that belongs to another VM

A control VM whose settings named another VM's data folder, or that was renamed, took the folder for a damaged disk and emptied it: the other VM's votes and entries were gone.

The refusal to open it was a plain DiskError, which stands for damage. A damaged identity names no VM, and such a folder is replaced as before.

--- a/libs/node/src/cherryrudder/node/voterdisk.py
+++ b/libs/node/src/cherryrudder/node/voterdisk.py
@@ -67,8 +67,8 @@
     """Open the disk; replace a damaged one by an empty disk that joins as a learner.
 
     A damaged disk has lost committed entries, like one that is gone, and no repair can
-    tell which ones. A disk that the system refuses to read is kept for a later try.
-    Raises DiskError.
+    tell which ones. A disk that the system refuses to read, or that belongs to another
+    VM, is kept for a later try. Raises DiskError.
     """
     result = open_disk(folder, vm)
     if result.is_ok():
--- a/libs/quorum/src/cherryrudder/quorum/errors.py
+++ b/libs/quorum/src/cherryrudder/quorum/errors.py
@@ -17,3 +17,7 @@
 
 class DiskUnavailable(DiskError):
     """The system refused a read, write or lock; the data may still be intact."""
+
+
+class ForeignDisk(DiskUnavailable):
+    """The data folder belongs to another VM and is kept."""
--- a/libs/quorum/src/cherryrudder/quorum/files.py
+++ b/libs/quorum/src/cherryrudder/quorum/files.py
@@ -21,7 +21,7 @@
 
 from . import logfile
 from .atomic_files import TEMPORARY_SUFFIX, read_record, write_atomically
-from .errors import DiskError, DiskUnavailable
+from .errors import DiskError, DiskUnavailable, ForeignDisk
 from .events import Persist, SaveSnapshot, Voter
 from .filesystem import FileSystem, real_filesystem
 from .log import Log
@@ -176,6 +176,7 @@
         lock_fd = fs.open(f"{folder}/{LOCK}")
         try:
             _lock(fs, folder, lock_fd)
+            _refuse_foreign(fs, folder, vm)
             _replace_content(fs, folder, identity)
         finally:
             fs.close(lock_fd)
@@ -263,8 +264,7 @@
     # would bring the old one back.
     fs.sync_folder(folder)
     identity = _decode(fs, folder, IDENTITY, Identity)
-    if identity.vm != vm:
-        raise DiskError(f"{folder}: the disk of VM {identity.vm}, not of {vm}")
+    _check_owner(folder, identity, vm)
     snapshot = None
     if SNAPSHOT in fs.list_folder(folder):
         snapshot = _decode(fs, folder, SNAPSHOT, Snapshot)
@@ -278,6 +278,22 @@
     return disk
 
 
+def _refuse_foreign(fs, folder, vm):
+    """Raise ForeignDisk if an intact identity names another VM."""
+    if IDENTITY not in fs.list_folder(folder):
+        return
+    try:
+        identity = _decode(fs, folder, IDENTITY, Identity)
+    except DiskError:
+        return
+    _check_owner(folder, identity, vm)
+
+
+def _check_owner(folder, identity, vm):
+    if identity.vm != vm:
+        raise ForeignDisk(f"{folder}: the disk of VM {identity.vm}, not of {vm}")
+
+
 def _match_log(disk, snapshot):
     """Complete an interrupted replacement of the log; refuse one without its start."""
     base_index = disk._log.base_index
