Don't ask the next leader for a change of voters that may be made

An operator was told 409 "refused" for a change of the voters that is in force or on its way: a leader that was deposed doesn't know what becomes of its last changes, and the call went on to the next leader, which refuses the change as made already, or as another one, the first, is under way.

A command carries an id and is safe to propose again; a change of the voters carries none. The call now ends with NoQuorum, a 503, which claims nothing. A deposed leader answers a follower's call with null, as it did.

Only operators ask for changes by hand; the runner of the other daemon looks at the voter set before each change.

--- a/libs/replica/src/cherryrudder/replica/peers.py
+++ b/libs/replica/src/cherryrudder/replica/peers.py
@@ -18,7 +18,7 @@
 
 from .clock import new_id
 from .config import VoterConfig
-from .errors import VoterFailed
+from .errors import ReplicaError, VoterFailed
 from .pending import Pending
 
 log = logger.bind(part="peers")
@@ -131,8 +131,8 @@
         except (msgspec.DecodeError, KeyError) as error:
             log.warning("A call of kind {} was refused: {}.", call.kind, error)
             value = None
-        except VoterFailed:
-            # The caller asks the next leader.
+        except ReplicaError:
+            # The caller asks the next leader, or is told that the outcome is unknown.
             value = None
         text = jsoncodec.encode(value).decode()
         self.links.send(call.reply_to, LeaderReply(call.call_id, text))
--- a/libs/replica/src/cherryrudder/replica/voter.py
+++ b/libs/replica/src/cherryrudder/replica/voter.py
@@ -32,6 +32,7 @@
 # Answers to proposals that no task here waits for, kept in case one does later.
 MAX_KEPT_ANSWERS = 4096
 NO_QUORUM = "no majority of the control VMs answered in time"
+UNCONFIRMED = "the change of voters was not confirmed in time"
 
 log = logger.bind(part="voter")
 
@@ -127,7 +128,7 @@
         value = {"action": action, "voter": voter}
         done = await self._call_leader("voters", value, now_s() + timeout_s)
         if done is None:
-            raise NoQuorum("the change of voters was not confirmed in time")
+            raise NoQuorum(UNCONFIRMED)
         return done
 
     async def _call_leader(self, kind, value, deadline_s):
@@ -150,6 +151,9 @@
                 return self._answers.pop(result.index, True)
             case events.ReadReady():
                 return result.index
+            case events.Rejected() if kind == "voters" and not result.certain:
+                # The next leader may have the change, and would refuse it as made.
+                raise NoQuorum(UNCONFIRMED)
             case events.Rejected() if kind == "voters" and result.reason:
                 # A reason means that the leader refused; without one this VM does
                 # not lead.
