Say in each 503 of a change that it may still be accepted

A caller whose change met a failing voter was told the error of its disk, "no space left on device", and nothing of the change, which the other voters may have and commit. Read as "not stored", that is false.

The answers to changes, claims, fences, changes of the voters and configurations now say that the change may still be accepted. Reads keep their text, and so does a voter that isn't open, where nothing was asked.

--- a/libs/daemon/src/cherryrudder/daemon/controlapi.py
+++ b/libs/daemon/src/cherryrudder/daemon/controlapi.py
@@ -15,6 +15,7 @@
 
 PROPOSE_TIMEOUT_S = 4.0
 MAX_WATCH_S = 30.0
+MAY_BE_ACCEPTED = "the change may still be accepted"
 
 
 class Announce(NamedTuple):
@@ -29,6 +30,11 @@
     return RequestError(503, "no-quorum", str(error))
 
 
+def unconfirmed(error: ReplicaError) -> RequestError:
+    """Return the error of a change whose outcome is not known."""
+    return RequestError(503, "no-quorum", f"{error}; {MAY_BE_ACCEPTED}")
+
+
 def internal_routes(control) -> Routes:
     """Return the routes for entries and sidecars."""
     voter = control.voter
@@ -40,7 +46,7 @@
             try:
                 return json_reply(await voter.propose(payload, PROPOSE_TIMEOUT_S))
             except ReplicaError as error:
-                raise no_quorum(error) from error
+                raise unconfirmed(error) from error
 
         return run
 
--- a/libs/daemon/src/cherryrudder/daemon/operatorapi.py
+++ b/libs/daemon/src/cherryrudder/daemon/operatorapi.py
@@ -14,7 +14,7 @@
 )
 from cherryrudder.wire.asgi import Request, Routes, json_reply
 
-from .controlapi import PROPOSE_TIMEOUT_S, VoterChange, no_quorum
+from .controlapi import PROPOSE_TIMEOUT_S, VoterChange, no_quorum, unconfirmed
 from .errors import ReplicaError
 
 CHANGES = {
@@ -57,8 +57,8 @@
                 machine.encode_command(command), PROPOSE_TIMEOUT_S
             )
         except ReplicaError as error:
-            # The change may still be committed; a resend with its id gets the answer.
-            raise no_quorum(error) from error
+            # A resend with its id gets the answer.
+            raise unconfirmed(error) from error
         answer = jsoncodec.plain(answer)
         return json_reply(answer, STATUS_OF_CODE.get(answer["code"], 400))
 
@@ -75,7 +75,7 @@
                 value.action, value.voter, PROPOSE_TIMEOUT_S
             )
         except ReplicaError as error:
-            raise no_quorum(error) from error
+            raise unconfirmed(error) from error
         if not done:
             raise RequestError(409, "refused", "the leader refused the change")
         return json_reply({"done": True})
--- a/libs/node/src/cherryrudder/node/controlapi.py
+++ b/libs/node/src/cherryrudder/node/controlapi.py
@@ -141,7 +141,7 @@
             payload = configlog.encode(configlog.Put(version, configlog.pack(text)))
             outcome = await voter.propose(payload, ANSWER_TIMEOUT_S)
         except ReplicaError as error:
-            return 503, str(error)
+            return 503, f"{error}; the configuration may still be accepted"
         # The operators' rule: a version that isn't higher is acknowledged and changes
         # nothing, even if its content differs from that of the same version in force.
         return 200, outcome
