Make the data folder itself durable before its files

A power loss after a founder's first vote could take the whole data folder. The founder then counted as never created: it was created again under its old disk id, without its vote and its entries.

The files and the folder were synced, but not the folder above, which holds the data folder's name. The folders are now made one by one, each synced into its parent before the next, and all before the first file. A folder that is there already may come from an interrupted creation, so that its parent is synced as well, unless it may not be listed. Both daemons create through the same function; the runner's own makedirs is gone.

--- a/libs/node/src/cherryrudder/node/voterdisk.py
+++ b/libs/node/src/cherryrudder/node/voterdisk.py
@@ -85,8 +85,14 @@
 def _clear(folder):
     """Empty a folder whose disk is incomplete."""
     try:
-        os.makedirs(folder, exist_ok=True)
-        for name in os.listdir(folder):
+        names = os.listdir(folder)
+    except FileNotFoundError:
+        # Its creation makes it durable.
+        return
+    except OSError as error:
+        raise DiskUnavailable(f"{folder}: {error}") from error
+    try:
+        for name in names:
             path = f"{folder}/{name}"
             if os.path.isdir(path):
                 shutil.rmtree(path)
--- a/libs/quorum/src/cherryrudder/quorum/filesystem.py
+++ b/libs/quorum/src/cherryrudder/quorum/filesystem.py
@@ -26,7 +26,7 @@
 def real_filesystem() -> FileSystem:
     """Return the operating system's blocking file operations."""
     return FileSystem(
-        make_folder=lambda path: os.makedirs(path, exist_ok=True),
+        make_folder=_make_folder,
         list_folder=lambda path: sorted(os.listdir(path)),
         sync_folder=_sync_folder,
         open=lambda path: os.open(path, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600),
@@ -41,6 +41,24 @@
     )
 
 
+def _make_folder(path):
+    """Create a folder and its missing parents, each durable before the next one."""
+    missing = []
+    present = os.path.abspath(path)
+    while not os.path.isdir(present):
+        missing.append(present)
+        present = os.path.dirname(present)
+    try:
+        # An interrupted call may have created it without syncing its parent.
+        _sync_folder(os.path.dirname(present))
+    except PermissionError:
+        # Created by somebody else, as this process can't list the parent.
+        pass
+    for folder in reversed(missing):
+        os.mkdir(folder)
+        _sync_folder(os.path.dirname(folder))
+
+
 def _sync_folder(path):
     fd = os.open(path, os.O_RDONLY | os.O_DIRECTORY | os.O_CLOEXEC)
     try:
