Open a full disk's log without new space

A control VM whose disk was full stayed without a voter until there was space, and answered neither reads nor the calls that it passes to the leader, though opening a log has nothing to add.

Now the first case writes those records again in place. They were read before, so that a failed sync which dropped their pages is made good by a write and a sync, while a sync alone would report success. A power loss meanwhile finds the same bytes.

Both daemons open disks through this function.

--- a/libs/quorum/src/cherryrudder/quorum/files.py
+++ b/libs/quorum/src/cherryrudder/quorum/files.py
@@ -9,8 +9,8 @@
 
 Every call blocks until its sync is done. After a failed write or sync the disk is
 unusable until it is opened again: after a failed fsync the operating system may drop
-the data and report success the next time. Opening therefore writes a log again whose
-end isn't known to be synced.
+the data and report success the next time. Opening therefore writes the end of a log
+again that isn't known to be synced.
 """
 
 import secrets
@@ -207,11 +207,16 @@
     from a deposed leader. If they were kept, this voter would vote for candidates
     without the entries that the snapshot covers.
     """
-    index = snapshot.index
-    if log.holds(index) and log.term_at(index) == snapshot.term:
-        log.compact(index)
+    if _follows(log, snapshot):
+        log.compact(snapshot.index)
     else:
-        log.reset(index, snapshot.term)
+        log.reset(snapshot.index, snapshot.term)
+
+
+def _follows(log, snapshot):
+    """Return whether the log's entries after a snapshot belong to it."""
+    index = snapshot.index
+    return log.holds(index) and log.term_at(index) == snapshot.term
 
 
 def _create(folder, identity, fs):
@@ -295,7 +300,11 @@
 
 
 def _match_log(disk, snapshot):
-    """Complete an interrupted replacement of the log; refuse one without its start."""
+    """Drop the log up to the snapshot; refuse a log without its start.
+
+    The file keeps entries that the log's tail follows, until the next snapshot: a full
+    disk has no space to replace it.
+    """
     base_index = disk._log.base_index
     snapshot_index = snapshot.index if snapshot else 0
     if base_index > snapshot_index:
@@ -304,8 +313,10 @@
             f"snapshot covers {snapshot_index}; restore the file or replace this disk"
         )
     if base_index < snapshot_index:
+        is_kept = _follows(disk._log, snapshot)
         trim_log_to_snapshot(disk._log, snapshot)
-        disk._replace_log()
+        if not is_kept:
+            disk._replace_log()
 
 
 def _decode(fs, folder, name, kind):
--- a/libs/quorum/src/cherryrudder/quorum/logfile.py
+++ b/libs/quorum/src/cherryrudder/quorum/logfile.py
@@ -14,7 +14,7 @@
 from .events import Entry, Persist
 from .filesystem import FileSystem
 from .log import Log
-from .records import encode_record, scan
+from .records import HEADER, encode_record, scan
 
 LOG = "log"
 SYNCED = "synced"
@@ -82,6 +82,16 @@
         self._fs.truncate(self._fd, self._end)
         self._fs.sync(self._fd)
 
+    def rewrite_tail(self, start: int, data: bytes) -> None:
+        """Write the last records again as they were read. Raises OSError.
+
+        Their sync may have failed. The system may have dropped their data since, and
+        would report success for another sync without a write. In place this needs no
+        space, and a power loss finds the same bytes whether it is done or not.
+        """
+        self._fs.write(self._fd, start, data)
+        self._fs.sync(self._fd)
+
     def close(self) -> None:
         """Close the log file and the file with its synced size."""
         try:
@@ -145,18 +155,16 @@
             f"{path}: damaged at offset {found.end}, though synced up to {synced}; "
             "restore the file or replace this disk"
         )
-    if len(found.payloads) > CREATED_RECORDS and synced < found.end:
-        # The sync of the last records may have failed. The system may have dropped
-        # their data since, and would report success for another sync of this file.
-        contents = contents._replace(generation=contents.generation + 1)
-        return create(fs, folder, *contents), contents
     file = LogFile(fs, folder, contents.generation, found.end)
-    if found.end < len(data):
-        try:
+    try:
+        if found.end < len(data):
             file.truncate_tail()
-        except OSError:
-            file.close()
-            raise
+        start = max(synced, _size(found.payloads[:CREATED_RECORDS]))
+        if start < found.end:
+            file.rewrite_tail(start, data[start : found.end])
+    except OSError:
+        file.close()
+        raise
     return file, contents
 
 
@@ -185,6 +193,11 @@
     return Contents(header.generation, record.term, record.voted_for, log)
 
 
+def _size(payloads):
+    """Return the size of the records of some payloads."""
+    return sum(HEADER.size + len(payload) for payload in payloads)
+
+
 def _synced_bytes(fs, folder, generation):
     found = scan(read_bytes(fs, f"{folder}/{SYNCED}"))
     if not found.payloads or len(found.payloads[0]) != SYNCED_FORMAT.size:
