Send changes to entries whose own control VM lags

Callers saw: while one control VM's disk was full and the configuration changed every 0.3 to 0.5 s, the entries of its data centre refused them with 503, `configuration unconfirmed`, for up to 8.2 s after the last confirmation.

Cause: a control VM sent a change to entries of other data centres only once its newest change was 0.4 s old. With faster changes it never was. The control VM of the entries' own data centre had no space for the change, and a confirmation of a version that an entry lacks doesn't count.

With forced times four of four cases of an entry that is behind fail on the code before; those of an entry that isn't pass on both.

Fix: the delay counts from the oldest change that the entry lacks.

Why it works: an entry that its own control VM updates lacks a change for some milliseconds, and is still sent nothing from elsewhere. One that doesn't get a change lacks it for longer than the delay, however many follow.

Looked for elsewhere: the first plan of the layers also waits for a time without a change, here without new engines; that is meant, and stays.

--- a/libs/node/src/cherryrudder/node/controlgossip.py
+++ b/libs/node/src/cherryrudder/node/controlgossip.py
@@ -1,5 +1,8 @@
 """A control VM's gossip: answers to entries, heartbeats to its peers, and updates."""
 
+from collections import deque
+from typing import NamedTuple
+
 import anyio
 from loguru import logger
 
@@ -56,6 +59,13 @@
 log = logger.bind(part="control")
 
 
+class AppliedVersion(NamedTuple):
+    """A version of the configuration, and when this VM's voter applied it."""
+
+    version: int
+    applied_s: float
+
+
 class ControlGossip:
     """The frame links of one control process."""
 
@@ -73,7 +83,8 @@
         self._wake = anyio.Event()
         # Set when a waiting entry has no configuration yet.
         self._urgent = anyio.Event()
-        self._changed_s = 0.0
+        # The latest versions, from the newest one that is older than the longest delay.
+        self._applied: deque[AppliedVersion] = deque()
         self._positions: dict[str, SyncPosition] = {}
 
     def start(self) -> None:
@@ -95,15 +106,31 @@
         version = self.state.version
         if not version:
             return
-        self._changed_s = now_s()
+        now = now_s()
+        self._record_applied(version, now)
         update = ConfigurationUpdate(version, self.state.voter.state.packed)
-        for heartbeat in roster.live_messages(self.state.entries, now_s()):
+        for heartbeat in roster.live_messages(self.state.entries, now):
             if (
                 heartbeat.vm_zone == self.state.settings.vm_zone
                 and heartbeat.version < version
             ):
                 self.links.send(heartbeat.address, update)
 
+    def _record_applied(self, version, now):
+        applied = self._applied
+        if applied and applied[-1].version == version:
+            return
+        applied.append(AppliedVersion(version, now))
+        while len(applied) > 1 and now - applied[1].applied_s > REMOTE_SEND_DELAY_S:
+            applied.popleft()
+
+    def _settled_version(self, delay_s, now):
+        """Return the newest version that was applied longer ago than the delay."""
+        settled = (
+            one.version for one in self._applied if now - one.applied_s > delay_s
+        )
+        return max(settled, default=0)
+
     def publish_endpoints(self, engine_ids) -> None:
         """Send changed endpoints to all live control VMs and entries."""
         reported = tablesync.report_endpoints(self.state.endpoints, engine_ids, now_s())
@@ -303,7 +330,7 @@
             delay_s = (
                 REMOTE_SEND_DELAY_S if heartbeat.version else FIRST_REMOTE_SEND_DELAY_S
             )
-            if is_local or now - self._changed_s > delay_s:
+            if is_local or heartbeat.version < self._settled_version(delay_s, now):
                 update = ConfigurationUpdate(voter.state.version, voter.state.packed)
                 self.links.send(heartbeat.address, update)
         others = self._other_heartbeats(heartbeat, now)
--- a/libs/node/test/test_controlgossip.py
+++ b/libs/node/test/test_controlgossip.py
@@ -7,7 +7,11 @@
 
 from cherryrudder.node import controlgossip, tablesync
 from cherryrudder.node.controlgossip import ControlGossip
-from cherryrudder.node.gossip import EntryHeartbeat, SyncPosition
+from cherryrudder.node.gossip import (
+    ConfigurationUpdate,
+    EntryHeartbeat,
+    SyncPosition,
+)
 from cherryrudder.replica.clock import now_s
 
 
@@ -87,6 +91,58 @@
                 self.assertIn(self.confirmed_version(confirm, current), (6, -1))
 
 
+class LaggingDataCentreTest(unittest.TestCase):
+    """Guards against callers refused while a data centre's control VM is behind."""
+
+    def update_times_s(self, interval_s, lag_s):
+        """Return when another data centre's entry is sent updates within 10 s.
+
+        The configuration changes at each interval; the entry's heartbeats, every half
+        second, report the version of that long ago.
+        """
+        piped = PipedSink()
+        self.addCleanup(piped.close)
+        state = a_control(piped.sink, "127.0.0.1")
+        state.voter = SimpleNamespace(state=SimpleNamespace(version=1, packed=""))
+        gossip = ControlGossip(state, None)
+        clock_s, sent_s = 100.0, []
+
+        def send(_, message):
+            if isinstance(message, ConfigurationUpdate):
+                sent_s.append(clock_s - 100.0)
+
+        gossip.links.send = send
+        with mock.patch.object(controlgossip, "now_s", lambda: clock_s):
+            gossip.on_applied()
+            next_change_s, next_heartbeat_s = 101.0, 101.3
+            while clock_s < 110.0:
+                clock_s = min(next_change_s, next_heartbeat_s)
+                if clock_s == next_change_s:
+                    next_change_s += interval_s
+                    state.voter.state.version += 1
+                    gossip.on_applied()
+                    continue
+                next_heartbeat_s += 0.5
+                version = state.version
+                known = max(1, version - max(1, int(lag_s / interval_s)))
+                heartbeat = a_heartbeat(0, known)._replace(vm_zone="b")
+                gossip._answer(heartbeat, version)
+        return sent_s
+
+    def test_an_entry_that_is_behind_gets_changes_however_often_they_come(self):
+        for interval_s in (0.05, 0.15, 0.3, 0.39):
+            with self.subTest(interval_s=interval_s):
+                sent_s = self.update_times_s(interval_s, 10.0)
+                # One for each heartbeat, from the second after the first change.
+                self.assertGreaterEqual(len(sent_s), 17)
+                self.assertLess(sent_s[0], 2.0)
+
+    def test_an_entry_that_its_own_control_vm_updates_gets_none(self):
+        for interval_s in (0.05, 0.15, 0.3, 0.39):
+            with self.subTest(interval_s=interval_s):
+                self.assertEqual(self.update_times_s(interval_s, 0.35), [])
+
+
 class RestartedReaderTest(unittest.TestCase):
     """Guards against a restarted control VM that misses all unchanged endpoints."""
 
