Wait for the leader's answers after a failed write

Callers saw: an operator's change went through a control VM that doesn't lead and whose disk was full, and was answered with 503 and this disk's error. It was in force 1 to 10 ms later.

Cause: the leader sends the change to this VM, whose write of it fails. This ended all waiting calls, also those that the leader was about to answer. It commits with the other voter.

With a forced order, an answer sent after the failed write, the three kinds of call get VoterFailed on the code before (`python -m unittest test_voter`, three of three times).

Fix: after a failed write the voter takes no more events, opens no links and refuses new calls as before, but its task group ends only once the calls to the leader are answered, or after 0.1 s.

Why it works: what the leader says doesn't depend on this disk. Its answers come over the links and the listener, which last as long as the task group. A read is answered only if this voter had applied the index before.

Looked for elsewhere: a broken protocol and a cancelled group still end the calls at once, as this voter's state isn't to be relied on, or its process stops. Not mended: a leader whose own disk fails can't know whether its followers commit.

--- a/libs/replica/src/cherryrudder/replica/peers.py
+++ b/libs/replica/src/cherryrudder/replica/peers.py
@@ -16,7 +16,7 @@
 from cherryrudder.wire.frames import FrameCodec
 from cherryrudder.wire.links import Links, listen_frames
 
-from .clock import new_id
+from .clock import new_id, now_s
 from .config import VoterConfig
 from .errors import VoterFailed
 from .pending import Pending
@@ -81,11 +81,20 @@
         )
 
     def close(self, error: VoterFailed) -> None:
-        """Open no more links; calls that wait and later calls raise the error."""
+        """Open no more links; later calls raise the error."""
         self._error = error
+        self.links.close()
+
+    async def wait_for_calls(self, timeout_s: float) -> None:
+        """Wait until no call waits for the leader's answer."""
+        deadline_s = now_s() + timeout_s
+        for pending in list(self._waiting.values()):
+            await pending.wait_done(deadline_s)
+
+    def end_calls(self, error: VoterFailed) -> None:
+        """Make the calls that wait raise the error."""
         for pending in self._waiting.values():
             pending.fail(error)
-        self.links.close()
 
     def send(self, address: str, message: dict) -> None:
         """Send a message of the voter's core; it may be lost."""
--- a/libs/replica/src/cherryrudder/replica/pending.py
+++ b/libs/replica/src/cherryrudder/replica/pending.py
@@ -30,8 +30,12 @@
 
     async def wait(self, deadline_s: float) -> Any:
         """Wait for the answer and return it, or None at the deadline."""
-        with anyio.move_on_after(max(0.0, deadline_s - now_s())):
-            await self._done.wait()
+        await self.wait_done(deadline_s)
         if self._error is not None:
             raise self._error
         return self.answer
+
+    async def wait_done(self, deadline_s: float) -> None:
+        """Wait until there is an answer or an error, at most until the deadline."""
+        with anyio.move_on_after(max(0.0, deadline_s - now_s())):
+            await self._done.wait()
--- a/libs/replica/src/cherryrudder/replica/voter.py
+++ b/libs/replica/src/cherryrudder/replica/voter.py
@@ -29,6 +29,9 @@
 # a second.
 ATTEMPT_TIMEOUT_S = 0.4
 RETRY_DELAY_S = 0.05
+# How long a voter whose disk fails waits for answers of the leader, which take about
+# 40 ms.
+LAST_ANSWERS_TIMEOUT_S = 0.1
 # Answers to proposals that no task here waits for, kept in case one does later.
 MAX_KEPT_ANSWERS = 4096
 NO_QUORUM = "no majority of the control VMs answered in time"
@@ -73,6 +76,7 @@
         itself.
         """
         self._close(VoterFailed("the voter was closed"))
+        self.peers.end_calls(self._end)
 
     def feed(self, event) -> None:
         """Pass an event to the core. Raises VoterFailed."""
@@ -222,9 +226,9 @@
                 # before this effect go out before the disk write blocks.
                 await anyio.lowlevel.checkpoint()
                 if self._end is None:
-                    self._write(self.disk.persist, effect)
+                    await self._write(self.disk.persist, effect)
             case events.SaveSnapshot():
-                self._write(self.disk.save_snapshot, effect)
+                await self._write(self.disk.save_snapshot, effect)
             case events.Apply():
                 self._apply(effect.entries)
             case events.RestoreSnapshot():
@@ -238,12 +242,15 @@
             case events.ReadReady():
                 self._resolve(effect.read_id, effect)
 
-    def _write(self, write, effect):
+    async def _write(self, write, effect):
         try:
             write(effect)
         except DiskError as error:
             # The disk's content is unknown now until it is opened again.
-            raise self._fail(error) from error
+            failure = self._fail(error)
+            # Another VM that leads can commit without it.
+            await self.peers.wait_for_calls(LAST_ANSWERS_TIMEOUT_S)
+            raise failure from error
         self.feed(events.Persisted(effect.write_id))
 
     def _apply(self, entries):
--- a/libs/replica/test/builders.py
+++ b/libs/replica/test/builders.py
@@ -14,7 +14,7 @@
 from cherryrudder.replica.peers import LeaderCall, LeaderReply, QuorumMessage
 from cherryrudder.replica.voter import Voter
 from cherryrudder.wire.frames import FrameCodec
-from cherryrudder.wire.links import listen_frames
+from cherryrudder.wire.links import Links, listen_frames
 
 KEY = "key"
 # Elections are far away, so that only the test's own events change the core.
@@ -107,7 +107,7 @@
 
 
 class SilentLeader:
-    """A leader's address that takes calls and answers none."""
+    """A leader's address that takes calls and answers none by itself."""
 
     def __init__(self):
         self.address = free_address()
@@ -118,6 +118,12 @@
         """Take calls until `stopping` is set."""
         await listen_frames(self.address, self._codec, KEY, self._on_messages, stopping)
 
+    def answer(self, group, value):
+        """Send the answer to all calls that it has taken."""
+        links = Links(group, self._codec, KEY, self.address, lambda address: None)
+        for call in self.calls:
+            links.send(call.reply_to, LeaderReply(call.call_id, value))
+
     def _on_messages(self, peer, messages):
         self.calls += [m for m in messages if isinstance(m, LeaderCall)]
 
--- a/libs/replica/test/test_voter.py
+++ b/libs/replica/test/test_voter.py
@@ -110,6 +110,34 @@
         self.run_waiting(cancel_group)
 
 
+class FailingFollowerTest(VoterCase):
+    def test_the_leaders_answers_arrive_although_the_disk_fails(self):
+        """Guards against a committed change whose caller is told of a full disk."""
+
+        async def main():
+            leader = SilentLeader()
+            async with anyio.create_task_group() as group, running_voter() as scene:
+                group.start_soon(leader.listen, anyio.Event())
+                scene.voter.feed(an_append(leader.address))
+                await until(lambda: scene.voter.status()["leader"] == "b")
+                results = await self.call_all(group, scene.voter)
+                await until(lambda: len(leader.calls) == len(CALLS))
+                fail_disk(scene, leader.address)
+                await until(lambda: scene.voter._failure is not None)
+                leader.answer(group, "1")
+                await scene.ended.wait()
+                await self.wait_told(results)
+                group.cancel_scope.cancel()
+            return results
+
+        with (
+            mock.patch.object(voter_module, "ATTEMPT_TIMEOUT_S", CALL_TIMEOUT_S),
+            mock.patch.object(voter_module, "LAST_ANSWERS_TIMEOUT_S", CALL_TIMEOUT_S),
+        ):
+            results = anyio.run(main)
+        self.assertEqual(results, {"read": [1], "propose": [1], "change": [1]})
+
+
 class LaterCallsTest(VoterCase):
     def run_unlinked(self, call_before_end, end=fail_disk):
         """Call a voter that has no link to its leader, before or after its end."""
