End waits that leave out this process's pauses by the clock as well

What callers saw: an entry that is short of CPU time holds a request at a dead VM for seconds, in place of trying another one; its probes, permits and links wait as long. In a loop whose iterations are late by 0.02, 0.05 and 0.1 s, connecting with 0.3 s to a listener whose backlog is full took 1.36, 3.37 and 6.73 s, and a wait of 0.1 s 0.88, 2.18 and 4.32 s.

Cause: `wire.timeouts` counted ticks of the event loop alone. Where each iteration is late, a tick of some milliseconds takes two iterations of any length, and 32 of them make the wait.

Why it works: pauses still don't count, but the wait ends at twice its timeout by the clock, once the loop has had the eight iterations that an exchange takes. Late iterations are counted one by one, by timers that are due at once, since the loop handles sockets before timers. A single pause that outlasts the timeout, a stop of the process, is followed by eight more ticks, once, in which what arrived meanwhile is read; `was_stopped` tells the caller that the expiry says little about the peer. `limit_s` is for a caller's deadline.

Weighed: a plain timer ends nearest to the asked time, but cancels an exchange of several iterations before its answer is read. Fewer iterations than eight don't let an exchange complete in a starved process, so that every peer would look dead; a wait that is shorter than eight of the loop's iterations lasts for them.

--- a/libs/wire/src/cherryrudder/wire/timeouts.py
+++ b/libs/wire/src/cherryrudder/wire/timeouts.py
@@ -1,9 +1,14 @@
-"""Timeouts that leave out the pauses of this process.
+"""Timeouts that leave out the pauses of this process, within a bound by the clock.
 
 Load pattern: the machine is short of CPU time, or a long computation blocks the event
 loop. When the process runs again, timers expire before the answers that arrived
-meanwhile are read, and a peer that answered in time is taken for dead. A timeout here
-is a number of event loop ticks: a late tick counts no more than a punctual one.
+meanwhile are read, and a peer that answered in time is taken for dead. So the pauses of
+the process don't count towards the timeout.
+
+Problem: where each iteration of the event loop is late, nearly all time is a pause, and
+the callers of the process wait many times as long as asked. So a wait ends by the clock
+at `MAX_STRETCH` times its timeout, once the event loop had the iterations that an
+exchange takes. A caller's own deadline ends it without either.
 """
 
 import asyncio
@@ -18,6 +23,8 @@
 MIN_TICKS = 8
 # Waiting for seconds should not wake the process all the time.
 MAX_TICKS = 32
+# A timeout ends at this many times its length by the clock.
+MAX_STRETCH = 2.0
 
 
 class Timeout:
@@ -26,49 +33,69 @@
     def __init__(self, scope: anyio.CancelScope, timeout_s: float):
         self.paused_s = 0.0
         self.is_expired = False
+        # A single pause outlasted the timeout, so that its expiry says little about
+        # the peer.
+        self.was_stopped = False
         self._scope = scope
+        self._timeout_s = timeout_s
         self._left_s = timeout_s
         self._tick_s = max(min(TICK_S, timeout_s / MIN_TICKS), timeout_s / MAX_TICKS)
-        self._is_last_tick = False
-        self._expired_s: float | None = None
+        self._ticks = 0
         self._handle: asyncio.TimerHandle | None = None
+        self._last_s = asyncio.get_running_loop().time()
+        self._end_s = self._last_s + MAX_STRETCH * timeout_s
         if timeout_s <= 0:
             scope.cancel()
         elif timeout_s < math.inf:
-            self._schedule(min(self._tick_s, timeout_s))
+            self._schedule(self._tick_s)
 
     def stop(self) -> None:
         """Stop counting; the pause before the body noticed its end counts as well."""
         if self._handle is not None:
             self._handle.cancel()
-        if self._expired_s is not None:
-            self.paused_s += asyncio.get_running_loop().time() - self._expired_s
+            self._record(asyncio.get_running_loop().time())
 
     def _schedule(self, wait_s):
-        loop = asyncio.get_running_loop()
-        due_s = loop.time() + wait_s
-        self._handle = loop.call_at(due_s, self._count, due_s, wait_s)
+        self._handle = asyncio.get_running_loop().call_at(
+            self._last_s + wait_s, self._count
+        )
+
+    def _record(self, now_s):
+        """Record the time since the last tick; return how much of it was a pause."""
+        passed_s, self._last_s = now_s - self._last_s, now_s
+        paused_s = max(0.0, passed_s - self._tick_s)
+        self.paused_s += paused_s
+        self._left_s -= passed_s - paused_s
+        return paused_s
 
-    def _count(self, due_s, wait_s):
+    def _count(self):
         now_s = asyncio.get_running_loop().time()
-        late_s = max(0.0, now_s - due_s)
-        self.paused_s += late_s
-        self._left_s -= wait_s
-        if self._left_s > 0:
-            self._schedule(min(self._tick_s, self._left_s))
-        elif late_s > TICK_S and not self._is_last_tick:
+        paused_s = self._record(now_s)
+        self._ticks += 1
+        if paused_s > self._timeout_s and not self.was_stopped:
             # What arrived during the pause is read in the next iterations.
-            self._is_last_tick = True
+            self.was_stopped = True
+            self._ticks = 1
+        is_late = paused_s > TICK_S
+        is_over = self._left_s <= 0 and not is_late
+        if is_over or (now_s >= self._end_s and self._ticks >= MIN_TICKS):
+            self._scope.cancel()
+        elif self._left_s <= 0:
             self._schedule(TICK_S)
+        elif is_late:
+            # A tick for each iteration, as an iteration may take longer than a tick.
+            self._schedule(0.0)
         else:
-            self._expired_s = now_s
-            self._scope.cancel()
+            self._schedule(min(self._tick_s, self._left_s))
 
 
 @contextlib.contextmanager
-def move_on_after(timeout_s: float) -> Iterator[Timeout]:
-    """Cancel the body after some seconds in which this process was able to run."""
-    with anyio.CancelScope() as scope:
+def move_on_after(timeout_s: float, limit_s: float = math.inf) -> Iterator[Timeout]:
+    """Cancel the body after some seconds in which this process was able to run.
+
+    After `limit_s`, what is left of a caller's deadline, it is cancelled in any case.
+    """
+    with anyio.move_on_after(max(0.0, limit_s)) as scope:
         timeout = Timeout(scope, timeout_s)
         try:
             yield timeout
@@ -78,9 +105,12 @@
 
 
 @contextlib.contextmanager
-def fail_after(timeout_s: float) -> Iterator[Timeout]:
-    """Raise TimeoutError after some seconds in which this process was able to run."""
-    with move_on_after(timeout_s) as timeout:
+def fail_after(timeout_s: float, limit_s: float = math.inf) -> Iterator[Timeout]:
+    """Raise TimeoutError after some seconds in which this process was able to run.
+
+    After `limit_s`, what is left of a caller's deadline, it is raised in any case.
+    """
+    with move_on_after(timeout_s, limit_s) as timeout:
         yield timeout
     if timeout.is_expired:
         raise TimeoutError
