End a connection attempt with its caller's deadline

What callers saw: with 0.1 s left of a request's time and iterations of the event loop that are late by 0.02, 0.05 and 0.1 s, an entry tried to connect to an engine that can't be reached for 0.22, 0.50 and 1.01 s (0.89, 2.16 and 4.32 s before waits ended by the clock as well); with 0.2 s left for 0.43, 0.50 and 1.00 s.

Cause: the time left was passed as the timeout of the connection, which leaves out the pauses of the process and lasts for some iterations at least. A deadline is the caller's and runs on.

Why it works: the timeout stays the judgement of the engine, and what is left of the deadline goes beside it, as a cancellation at a time of the clock.

--- a/libs/node/src/cherryrudder/node/attempts.py
+++ b/libs/node/src/cherryrudder/node/attempts.py
@@ -37,10 +37,14 @@
     engine may close it at that moment, and then it is uncertain whether the request
     ran.
     """
-    timeout_s = max(0.0, min(CONNECT_TIMEOUT_S, job.left_s()))
+    kept, limit_s = job.state.pool, job.left_s()
     if not job.is_idempotent:
-        return await pool.acquire_new(job.state.pool, address, timeout_s, now_s())
-    connection, _ = await pool.acquire(job.state.pool, address, timeout_s, now_s())
+        return await pool.acquire_new(
+            kept, address, CONNECT_TIMEOUT_S, now_s(), limit_s
+        )
+    connection, _ = await pool.acquire(
+        kept, address, CONNECT_TIMEOUT_S, now_s(), limit_s
+    )
     return connection
 
 
--- a/libs/node/test/builders.py
+++ b/libs/node/test/builders.py
@@ -14,6 +14,9 @@
 from cherryrudder.quorum.events import Voter
 from cherryrudder.routing.endpoints import Announcement
 
+# Connections that fill a listener's backlog, and those that the kernel adds to it.
+FILLING_CONNECTIONS = 4
+
 
 def an_announcement(engine_id="boot-1", number=2, layers=None, **changes):
     """Return an engine's announcement."""
@@ -99,6 +102,18 @@
         yield f"127.0.0.1:{server.getsockname()[1]}"
 
 
+@contextlib.contextmanager
+def full_listener():
+    """Listen with a full backlog, so that connecting hangs; yield the address."""
+    with contextlib.ExitStack() as opened:
+        server = opened.enter_context(socket.create_server(("127.0.0.1", 0), backlog=0))
+        for _ in range(FILLING_CONNECTIONS):
+            filling = opened.enter_context(socket.socket())
+            filling.setblocking(False)
+            filling.connect_ex(server.getsockname())
+        yield f"127.0.0.1:{server.getsockname()[1]}"
+
+
 @contextlib.contextmanager
 def answering_engine():
     """Run an engine in a thread that answers each report at once; yield its address."""
--- a/libs/relay/src/cherryrudder/relay/client.py
+++ b/libs/relay/src/cherryrudder/relay/client.py
@@ -5,6 +5,7 @@
 was reset.
 """
 
+import math
 from typing import NamedTuple
 
 import anyio
@@ -152,11 +153,11 @@
 
 
 async def open_connection(
-    address: str, timeout_s: float, now_s: float
+    address: str, timeout_s: float, now_s: float, limit_s: float = math.inf
 ) -> EngineConnection:
-    """Connect to an engine; raises ConnectFailed."""
+    """Connect to an engine, within the time left in any case; raises ConnectFailed."""
     try:
-        stream = await sockets.connect(address, timeout_s)
+        stream = await sockets.connect(address, timeout_s, limit_s)
     except NotConnected as error:
         raise ConnectFailed(str(error)) from error
     return EngineConnection(address, stream, now_s)
--- a/libs/relay/src/cherryrudder/relay/pool.py
+++ b/libs/relay/src/cherryrudder/relay/pool.py
@@ -1,5 +1,7 @@
 """Pool of idle keep-alive connections to engines."""
 
+import math
+
 from .client import EngineConnection, open_connection
 
 # Engines close connections after the idle time that they state. A request sent just
@@ -21,7 +23,7 @@
 
 
 async def acquire(
-    pool: Pool, address: str, timeout_s: float, now_s: float
+    pool: Pool, address: str, timeout_s: float, now_s: float, limit_s: float = math.inf
 ) -> tuple[EngineConnection, bool]:
     """Return a pooled or new connection and whether it is new; raises ConnectFailed."""
     idle = pool.idle.get(address, [])
@@ -30,15 +32,15 @@
         if _is_fresh(connection, now_s) and not connection.is_readable():
             return connection, False
         connection.close()
-    return await acquire_new(pool, address, timeout_s, now_s), True
+    return await acquire_new(pool, address, timeout_s, now_s, limit_s), True
 
 
 async def acquire_new(
-    pool: Pool, address: str, timeout_s: float, now_s: float
+    pool: Pool, address: str, timeout_s: float, now_s: float, limit_s: float = math.inf
 ) -> EngineConnection:
     """Open a new connection and count it; raises ConnectFailed."""
     pool.opened += 1
-    return await open_connection(address, timeout_s, now_s)
+    return await open_connection(address, timeout_s, now_s, limit_s)
 
 
 def release(pool: Pool, connection: EngineConnection, now_s: float) -> None:
--- a/libs/wire/src/cherryrudder/wire/sockets.py
+++ b/libs/wire/src/cherryrudder/wire/sockets.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import contextlib
+import math
 import socket
 from collections.abc import Awaitable, Callable
 
@@ -157,12 +158,15 @@
     return listener
 
 
-async def connect(address: str, timeout_s: float) -> Stream:
-    """Connect to IP:PORT; raises ConnectFailed."""
+async def connect(address: str, timeout_s: float, limit_s: float = math.inf) -> Stream:
+    """Connect to IP:PORT; raises ConnectFailed.
+
+    `limit_s` is what is left of a caller's deadline.
+    """
     host, _, port = address.rpartition(":")
     loop = asyncio.get_running_loop()
     try:
-        with timeouts.fail_after(timeout_s):
+        with timeouts.fail_after(timeout_s, limit_s):
             _, stream = await loop.create_connection(Stream, host, int(port))
     except (OSError, TimeoutError) as error:
         raise ConnectFailed(f"{address}: {error or 'timeout'}") from error
--- a/libs/wire/test/builders.py
+++ b/libs/wire/test/builders.py
@@ -6,7 +6,7 @@
 
 import anyio
 
-# Connections that fill a listener's backlog of one, and those that the kernel adds.
+# Connections that fill a listener's backlog, and those that the kernel adds to it.
 FILLING_CONNECTIONS = 4
 
 
