Take no engine as dead for want of time to reach it

What callers saw: a request whose deadline had passed, or passed 0.05 s later, ejected the engine that it was to be sent to (`engine-dead`), for all requests of this entry and for 2 s or more. So did a stop of this process during the attempt.

Cause: each failed connection attempt counted as evidence against the engine, whatever ended it.

The tests of wire, relay, node and replica passed, none changed.

Why it works: a timeout says whether its expiry is unclear, and the errors of a connection carry it.

--- a/libs/node/src/cherryrudder/node/job.py
+++ b/libs/node/src/cherryrudder/node/job.py
@@ -48,6 +48,8 @@
     is_late: bool = False
     # The engine broke its answer off, or gave none before the connection ended.
     is_broken: bool = False
+    # The attempt says nothing about the engine.
+    is_unclear: bool = False
     # An engine's own error answer, relayed if no later attempt gives a better one.
     answer: WholeAnswer | None = None
     # The engine asked this machine to back off.
--- a/libs/node/src/cherryrudder/node/plainrelay.py
+++ b/libs/node/src/cherryrudder/node/plainrelay.py
@@ -161,7 +161,9 @@
     try:
         connection = await attempts.open_connection(job, endpoint.address)
     except ConnectFailed as error:
-        return FailedAttempt(str(error), is_not_run=True, is_sent=False)
+        return FailedAttempt(
+            str(error), is_not_run=True, is_sent=False, is_unclear=error.is_unclear
+        )
     job.attempts += 1
     is_kept = False
     try:
@@ -223,7 +225,7 @@
 def _record_health(job, endpoint, result):
     """Record the attempt's result in the endpoint's health."""
     suspicions, engine_id, now = job.state.suspicions, endpoint.engine_id, now_s()
-    if isinstance(result, FailedAttempt) and result.is_backoff:
+    if isinstance(result, FailedAttempt) and (result.is_backoff or result.is_unclear):
         # The endpoint is alive, but a backoff is no evidence of healthy answers.
         return
     if isinstance(result, FailedAttempt) and not result.is_sent:
--- a/libs/node/src/cherryrudder/node/streamrelay.py
+++ b/libs/node/src/cherryrudder/node/streamrelay.py
@@ -16,7 +16,7 @@
 
 from . import attempts, brokenruns, crashes, entrystate, streamchains, supervision
 from .job import FailedAttempt, Job, WholeAnswer
-from .stream import Stream
+from .stream import FIRST_ENGINE_EXCLUSION_S, Stream
 from .streamchains import BACKING_OFF, LIMITED, NO_CHAIN, NO_ROOM
 from .supervision import StreamSupervisor
 
@@ -133,7 +133,10 @@
     try:
         connection = await attempts.open_connection(job, first.address)
     except ConnectFailed as error:
-        supervision.mark_first_dead(stream, str(error))
+        if error.is_unclear:
+            stream.exclude(first.address, now_s() + FIRST_ENGINE_EXCLUSION_S)
+        else:
+            supervision.mark_first_dead(stream, str(error))
         return FailedAttempt(str(error), is_not_run=True, is_sent=False)
     job.attempts += 1
     is_kept = False
--- a/libs/node/test/test_connecting.py
+++ b/libs/node/test/test_connecting.py
@@ -3,14 +3,17 @@
 import time
 import unittest
 from types import SimpleNamespace
+from unittest import mock
 
 import anyio
 import builders
 
-from cherryrudder.node import attempts
+from cherryrudder.layers.chains import Part
+from cherryrudder.node import attempts, plainrelay, streamrelay, supervision
 from cherryrudder.relay.errors import ConnectFailed
 from cherryrudder.relay.pool import Pool
 from cherryrudder.replica.clock import now_s
+from cherryrudder.routing.suspicion import Suspicions
 
 # Iterations of the event loop until the end of a wait is noticed.
 NOTICED_TURNS = 3
@@ -25,7 +28,9 @@
     """Return a stub of a request whose caller leaves after some seconds."""
     end_s = now_s() + left_s
     return SimpleNamespace(
-        state=SimpleNamespace(pool=Pool()),
+        state=SimpleNamespace(
+            pool=Pool(), running={}, tokens={}, suspicions=Suspicions()
+        ),
         is_idempotent=is_idempotent,
         left_s=lambda: end_s - now_s(),
     )
@@ -68,5 +73,49 @@
                         self.assertLess(took_s, left_s + NOTICED_TURNS * late_s)
 
 
+class EvidenceTest(unittest.TestCase):
+    """Guards against taking a living engine as dead for want of time to reach it.
+
+    The caller's deadline ends the attempt, or this process was stopped meanwhile.
+    """
+
+    STOP_S = 0.8
+
+    async def find_ejected(self, address, job, stop_s):
+        """Return whether a stream and a plain request eject an unreachable engine."""
+        part = Part(address, "boot-1", 0, 8)
+        stream = SimpleNamespace(job=job, chain=(part,), exclude=mock.Mock())
+        endpoint = SimpleNamespace(address=address, engine_id="boot-1")
+
+        async def stop():
+            block_event_loop(stop_s)
+
+        with mock.patch.object(supervision, "mark_first_dead") as mark_first_dead:
+            for attempt in (
+                lambda: streamrelay._exchange(stream),
+                lambda: plainrelay._attempt(job, endpoint),
+            ):
+                async with anyio.create_task_group() as group:
+                    group.start_soon(stop)
+                    failed = await attempt()
+                self.assertFalse(failed.is_sent)
+        return mark_first_dead.called, bool(job.state.suspicions.records)
+
+    def is_ejected(self, left_s, stop_s=0.0):
+        with builders.full_listener() as address:
+            return anyio.run(self.find_ejected, address, a_job(left_s), stop_s)
+
+    def test_a_deadline_that_comes_first_is_no_evidence(self):
+        for left_s in (0.0, 0.05):
+            with self.subTest(left_s=left_s):
+                self.assertEqual(self.is_ejected(left_s), (False, False))
+
+    def test_a_stop_of_this_process_is_no_evidence(self):
+        self.assertEqual(self.is_ejected(5.0, self.STOP_S), (False, False))
+
+    def test_an_unreachable_engine_is_ejected(self):
+        self.assertEqual(self.is_ejected(5.0), (True, True))
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/libs/relay/src/cherryrudder/relay/client.py
+++ b/libs/relay/src/cherryrudder/relay/client.py
@@ -159,7 +159,7 @@
     try:
         stream = await sockets.connect(address, timeout_s, limit_s)
     except NotConnected as error:
-        raise ConnectFailed(str(error)) from error
+        raise ConnectFailed(str(error), error.is_unclear) from error
     return EngineConnection(address, stream, now_s)
 
 
--- a/libs/relay/src/cherryrudder/relay/errors.py
+++ b/libs/relay/src/cherryrudder/relay/errors.py
@@ -20,7 +20,15 @@
 
 
 class ConnectFailed(RelayError):
-    """Connecting to an engine failed, so that nothing of the request was sent."""
+    """Connecting to an engine failed, so that nothing of the request was sent.
+
+    `is_unclear` means that the failure is no evidence against the engine: the caller's
+    deadline came first, or this process was stopped meanwhile.
+    """
+
+    def __init__(self, message: str, is_unclear: bool = False):
+        super().__init__(message)
+        self.is_unclear = is_unclear
 
 
 class AnswerBroken(RelayError):
--- a/libs/wire/src/cherryrudder/wire/errors.py
+++ b/libs/wire/src/cherryrudder/wire/errors.py
@@ -37,7 +37,11 @@
 
 
 class ConnectFailed(WireError):
-    """Connecting failed, so that nothing was sent."""
+    """Connecting failed, so that nothing was sent.
 
-    def __init__(self, message):
+    `is_unclear` means that the failure is no evidence against the peer.
+    """
+
+    def __init__(self, message, is_unclear=False):
         super().__init__(message, may_have_run=False)
+        self.is_unclear = is_unclear
--- a/libs/wire/src/cherryrudder/wire/sockets.py
+++ b/libs/wire/src/cherryrudder/wire/sockets.py
@@ -166,10 +166,11 @@
     host, _, port = address.rpartition(":")
     loop = asyncio.get_running_loop()
     try:
-        with timeouts.fail_after(timeout_s, limit_s):
+        with timeouts.fail_after(timeout_s, limit_s) as timeout:
             _, stream = await loop.create_connection(Stream, host, int(port))
     except (OSError, TimeoutError) as error:
-        raise ConnectFailed(f"{address}: {error or 'timeout'}") from error
+        message = f"{address}: {error or 'timeout'}"
+        raise ConnectFailed(message, timeout.is_unclear) from error
     return stream
 
 
--- a/libs/wire/src/cherryrudder/wire/timeouts.py
+++ b/libs/wire/src/cherryrudder/wire/timeouts.py
@@ -33,14 +33,17 @@
     def __init__(self, scope: anyio.CancelScope, timeout_s: float):
         self.paused_s = 0.0
         self.is_expired = False
-        # A single pause outlasted the timeout, so that its expiry says little about
-        # the peer.
+        # It has expired after a stop of this process or at a caller's deadline, which
+        # says nothing about the peer.
+        self.is_unclear = False
+        # A single pause outlasted the timeout.
         self.was_stopped = False
         self._scope = scope
         self._timeout_s = timeout_s
         self._left_s = timeout_s
         self._tick_s = max(min(TICK_S, timeout_s / MIN_TICKS), timeout_s / MAX_TICKS)
         self._ticks = 0
+        self._is_over = False
         self._handle: asyncio.TimerHandle | None = None
         self._last_s = asyncio.get_running_loop().time()
         self._end_s = self._last_s + MAX_STRETCH * timeout_s
@@ -55,6 +58,11 @@
             self._handle.cancel()
             self._record(asyncio.get_running_loop().time())
 
+    def record_expiry(self) -> None:
+        """Record that the body was cancelled."""
+        self.is_expired = True
+        self.is_unclear = self.was_stopped or not self._is_over
+
     def _schedule(self, wait_s):
         self._handle = asyncio.get_running_loop().call_at(
             self._last_s + wait_s, self._count
@@ -79,6 +87,7 @@
         is_late = paused_s > TICK_S
         is_over = self._left_s <= 0 and not is_late
         if is_over or (now_s >= self._end_s and self._ticks >= MIN_TICKS):
+            self._is_over = True
             self._scope.cancel()
         elif self._left_s <= 0:
             self._schedule(TICK_S)
@@ -101,7 +110,8 @@
             yield timeout
         finally:
             timeout.stop()
-    timeout.is_expired = scope.cancelled_caught
+    if scope.cancelled_caught:
+        timeout.record_expiry()
 
 
 @contextlib.contextmanager
