Ask an engine again after a stop of this process, within a bound

What callers saw, once waits end by the clock as well: an engine that answers a report after 0.06 s of 0.1 s counts as silent for an entry or a control VM that was stopped for 0.8 s while it asked, as only what has arrived is read after a stop. And the other way round, on the code before too: an entry asks an engine again without end if the lateness of each call's failure wasn't counted as its pause, so that a silent stream is never looked after.

Cause: a call that failed said how long the process was paused, but not that its failure is unclear; and asking again had a bound for control VMs only, none by the clock for either.

Why it works: a failure is unclear after a stop that outlasts the timeout if the process then ran punctually. Where all iterations stay late, there were enough of them for an exchange, and the silence counts. An unclear call is made again at most twice, within 1.0 s of the first; a silence that is left after that counts, as before, with a witness.

--- a/libs/node/src/cherryrudder/node/enginecalls.py
+++ b/libs/node/src/cherryrudder/node/enginecalls.py
@@ -66,7 +66,7 @@
     except (RelayError, TimeoutError) as error:
         stage = "connect" if connection is None else "answer"
         message = f"{address}: {call[1]}: {stage}: {str(error) or 'timeout'}"
-        raise EngineCallFailed(message, timeout.paused_s) from error
+        raise EngineCallFailed(message, timeout.paused_s, timeout.is_unclear) from error
 
 
 async def _exchange(address, call, connection, kept):
--- a/libs/node/src/cherryrudder/node/stalls.py
+++ b/libs/node/src/cherryrudder/node/stalls.py
@@ -54,6 +54,10 @@
 # A timeout that is noticed this late means that this process stalled; the engine's
 # answer may have yet to be read.
 PROCESS_STALL_S = 0.03
+# A call that failed in a pause of this process is made again, at most this often and
+# within this time.
+MAX_STALL_RETRIES = 3
+MAX_STALL_S = 1.0
 
 log = logger.bind(part="stalls")
 
@@ -203,18 +207,19 @@
 
     async def _report(self, address, timeout_s, failed_tries):
         """Return an engine's report, or None; ask again if this process stalled."""
-        while True:
+        began_s = now_s()
+        for _ in range(MAX_STALL_RETRIES):
             asked_s = now_s()
             try:
                 return await enginecalls.get_report(address, timeout_s, self.state.pool)
             except EngineCallFailed as error:
                 log.info("No report: {}.", error)
                 took_s = now_s() - asked_s
-                paused_s = error.paused_s
-                failed = FailedTry(timeout_s, took_s, paused_s, str(error))
+                failed = FailedTry(timeout_s, took_s, error.paused_s, str(error))
                 failed_tries.append(failed)
-            if took_s - paused_s < timeout_s + PROCESS_STALL_S:
-                return None
+                if not may_ask_again(error, timeout_s, took_s, now_s() - began_s):
+                    return None
+        return None
 
     def drop_unknown(self, known: set[str]) -> None:
         """Drop the reports of addresses that are no longer known."""
@@ -251,6 +256,17 @@
         )
 
 
+def may_ask_again(
+    error: EngineCallFailed, timeout_s: float, took_s: float, asking_s: float
+) -> bool:
+    """Return whether a call failed in a pause of this process, and may be repeated.
+
+    `asking_s` is the time since the first of the calls.
+    """
+    is_stalled = took_s - error.paused_s >= timeout_s + PROCESS_STALL_S
+    return (error.is_unclear or is_stalled) and asking_s < MAX_STALL_S
+
+
 def is_of_incarnation(report: Report, announcement: Announcement) -> bool:
     """Return whether a report and an announcement are of the same incarnation.
 
--- a/libs/wire/src/cherryrudder/wire/timeouts.py
+++ b/libs/wire/src/cherryrudder/wire/timeouts.py
@@ -33,8 +33,8 @@
     def __init__(self, scope: anyio.CancelScope, timeout_s: float):
         self.paused_s = 0.0
         self.is_expired = False
-        # It has expired after a stop of this process or at a caller's deadline, which
-        # says nothing about the peer.
+        # It has expired after a single stop of this process or at a caller's deadline,
+        # which says nothing about the peer.
         self.is_unclear = False
         # A single pause outlasted the timeout.
         self.was_stopped = False
@@ -43,7 +43,7 @@
         self._left_s = timeout_s
         self._tick_s = max(min(TICK_S, timeout_s / MIN_TICKS), timeout_s / MAX_TICKS)
         self._ticks = 0
-        self._is_over = False
+        self._is_certain = False
         self._handle: asyncio.TimerHandle | None = None
         self._last_s = asyncio.get_running_loop().time()
         self._end_s = self._last_s + MAX_STRETCH * timeout_s
@@ -61,7 +61,7 @@
     def record_expiry(self) -> None:
         """Record that the body was cancelled."""
         self.is_expired = True
-        self.is_unclear = self.was_stopped or not self._is_over
+        self.is_unclear = not self._is_certain
 
     def _schedule(self, wait_s):
         self._handle = asyncio.get_running_loop().call_at(
@@ -87,7 +87,8 @@
         is_late = paused_s > TICK_S
         is_over = self._left_s <= 0 and not is_late
         if is_over or (now_s >= self._end_s and self._ticks >= MIN_TICKS):
-            self._is_over = True
+            # Where all iterations are late, there were enough for an exchange.
+            self._is_certain = is_late or not self.was_stopped
             self._scope.cancel()
         elif self._left_s <= 0:
             self._schedule(TICK_S)
