End the time for a request's head though it comes in pieces

What callers saw: a client that sends a piece of its head every 0.05 s held a connection for as long as it went on, 3.3 s in the test where 0.3 s are configured.

Cause: the time limit began anew with each piece that was read.

Why it works: the limit counts from the first piece, by the clock. A piece that arrived during a pause of the process is still read first, as the event loop handles sockets before timers. The limit of a body is one of idling, as its name says, and is as before.

--- a/libs/relay/src/cherryrudder/relay/server.py
+++ b/libs/relay/src/cherryrudder/relay/server.py
@@ -214,7 +214,7 @@
 
     async def _read_head(self):
         limits = self._limits
-        timeout_s = limits.idle_timeout_s
+        timeout_s, end_s = limits.idle_timeout_s, None
         while True:
             event = self._next_event()
             if isinstance(event, h11.Request):
@@ -226,7 +226,9 @@
                 return None
             has_begun = bool(self._http.trailing_data[0])
             if has_begun:
-                timeout_s = limits.header_timeout_s
+                now = self._now_s()
+                end_s = now + limits.header_timeout_s if end_s is None else end_s
+                timeout_s = max(0.0, end_s - now)
             with anyio.move_on_after(timeout_s) as scope:
                 if not await self._receive():
                     return None
