--- a/libs/wire/test/builders.py
+++ b/libs/wire/test/builders.py
@@ -1,78 +1,56 @@
-"""Builders of servers on loopback, and of raw requests to them."""
+"""Event loops that run late, and peers that never answer."""
 
-import asyncio
 import contextlib
 import socket
+import time
 
 import anyio
 
-from cherryrudder.wire import asgi, server
+# Connections that fill a listener's backlog, and those that the kernel adds to it.
+FILLING_CONNECTIONS = 4
 
-WAIT_S = 10.0
-KEY = "the key"
 
-
-def free_address():
-    """Return an address on loopback that nothing listens at."""
-    with socket.create_server(("127.0.0.1", 0)) as listener:
-        return f"127.0.0.1:{listener.getsockname()[1]}"
-
-
-async def echo(request):
-    """Answer with the length of the body."""
-    return asgi.json_reply({"bytes": len(await request.body())})
+def block_event_loop(wait_s):
+    """Block the event loop, as a process that waits for CPU time."""
+    time.sleep(wait_s)
 
 
 @contextlib.asynccontextmanager
-async def serving(**options):
-    """Serve `/echo` until the block ends, and yield the address."""
-    app = asgi.make_app({("POST", "/echo"): echo}, KEY, **options)
-    address, stopping = free_address(), anyio.Event()
-    async with anyio.create_task_group() as group:
-        group.start_soon(server.serve, app, address, stopping)
-        await server.wait_listening(address, WAIT_S)
-        yield address
-        stopping.set()
-
-
-class RawClient:
-    """A client that decides when each part of its request is sent."""
-
-    def __init__(self, reader, writer):
-        self._reader = reader
-        self._writer = writer
+async def late_turns(late_s):
+    """Make each iteration of the event loop late; yield a function.
 
-    def send(self, data):
-        """Send some bytes of a request."""
-        self._writer.write(data)
+    It returns how much later the machine itself has made them.
+    """
+    extra_s = 0.0
 
-    async def answer(self):
-        """Return the status, headers and body of the next answer."""
-        with anyio.fail_after(WAIT_S):
-            head = (await self._reader.readuntil(b"\r\n\r\n")).decode()
-            status, *lines = head.strip().split("\r\n")
-            headers = dict(line.lower().split(": ", 1) for line in lines)
-            body = await self._reader.readexactly(int(headers["content-length"]))
-        return int(status.split()[1]), headers, body
+    async def block():
+        nonlocal extra_s
+        while True:
+            turn_s = time.monotonic()
+            block_event_loop(late_s)
+            await anyio.sleep(0)
+            extra_s += time.monotonic() - turn_s - late_s
 
-    async def has_ended(self):
-        """Return whether the server closes the connection without a further byte."""
-        with anyio.fail_after(WAIT_S):
-            return await self._reader.read(1) == b""
-
-
-@contextlib.asynccontextmanager
-async def raw_client(address):
-    """Connect to an address for the length of a block."""
-    host, _, port = address.rpartition(":")
-    reader, writer = await asyncio.open_connection(host, int(port))
-    try:
-        yield RawClient(reader, writer)
-    finally:
-        writer.close()
-
-
-def a_head(size="content-length: 2", key=KEY, path="/echo"):
-    """Return the head of a request, whose body is described by a header."""
-    lines = [f"POST {path} HTTP/1.1", "host: h", f"authorization: Bearer {key}", size]
-    return "\r\n".join([*lines, "", ""]).encode()
+    async with anyio.create_task_group() as group:
+        group.start_soon(block)
+        yield lambda: extra_s
+        group.cancel_scope.cancel()
+
+
+@contextlib.contextmanager
+def full_listener():
+    """Listen with a full backlog, so that connecting hangs; yield the address."""
+    with contextlib.ExitStack() as opened:
+        server = opened.enter_context(socket.create_server(("127.0.0.1", 0), backlog=0))
+        for _ in range(FILLING_CONNECTIONS):
+            filling = opened.enter_context(socket.socket())
+            filling.setblocking(False)
+            filling.connect_ex(server.getsockname())
+        yield f"127.0.0.1:{server.getsockname()[1]}"
+
+
+@contextlib.contextmanager
+def listener():
+    """Listen without accepting, where connecting succeeds; yield the address."""
+    with socket.create_server(("127.0.0.1", 0)) as server:
+        yield f"127.0.0.1:{server.getsockname()[1]}"
--- a/libs/wire/test/test_asgi.py
+++ b/libs/wire/test/test_asgi.py
@@ -3,7 +3,7 @@
 import unittest
 
 import anyio
-from builders import a_head, raw_client, serving
+from rawclient import a_head, raw_client, serving
 
 BODY = b"{}"
 
