Eject a hanging engine only in favour of one that may do better

What callers saw: nine streams ended with 502 in a fleet in which nothing had failed. The engines' process had waited 1.2 s for a core just after the streams were sent.

Cause: an engine that had started nothing for 1.6 objectives was ejected, whatever the others did. Both first engines were silent, both were ejected, and the attempts at both were aborted. No first engine was left, so the streams waited for a chain until they were given up. Their answers would have come 0.4 s after the abort.

Evidence: test_hangingengines stops the process of all engines for 1.2 s while nine streams are pending at the first engines. The log line of an ejection now says whether there was a witness, and which engines had pending requests.

Now an overdue engine is ejected if another first engine of its service, which isn't overdue itself, has started a request meanwhile. That one counts after as long as its own request was pending: after a common stall some engine is the first, and the others follow within that time. Without any start, an engine is also left for one that has no requests, one at a time; if it starts them, it is the witness against the others. The last engine is never ejected, so that a wait that may still be answered isn't cut short. A real hang of all ends with 504 at the time limit.

A stream leaves only if it can begin elsewhere now: another chain has room, the route allows it, there is time, and its first engine doesn't hang as well. If all first engines where a stream may begin are ejected, the ejections don't count.

The single engine that hangs is left after 1.6 objectives as before, if others are idle or start requests.

--- a/libs/layers/src/cherryrudder/layers/chains.py
+++ b/libs/layers/src/cherryrudder/layers/chains.py
@@ -55,6 +55,8 @@
     slowness: float = 1.0
     # Running requests whose chain begins at this engine.
     firsts: float = 0.0
+    # Believed to start no requests. It still runs its part of chains.
+    is_hanging: bool = False
     # Tokens of prompts that were sent through it and have had no event yet.
     unread: float = 0.0
     # Random factor of its cost. It keeps many entries with the same data from all
--- a/libs/node/src/cherryrudder/node/entrystate.py
+++ b/libs/node/src/cherryrudder/node/entrystate.py
@@ -204,6 +204,16 @@
     ]
 
 
+def first_engines(state: EntryState, service: str, now_s: float) -> list[Announcement]:
+    """Return the engines where chains can begin, without the suspect ones."""
+    return [
+        one
+        for one in serving_endpoints(state, service, now_s)
+        if one.holding.first == 0 < one.holding.end
+        and not is_suspect(state, one.engine_id, now_s)
+    ]
+
+
 def candidates(
     state: EntryState, service: str, now_s: float, vm_zone: str = ""
 ) -> list[Candidate]:
@@ -250,9 +260,7 @@
     address = announcement.address
     own = _own(state, address)
     others = peerload.estimate(state.peer_load, address, own, state.peers)
-    is_barred = hangs.is_ejected(
-        state.hangs, announcement.engine_id, now
-    ) or not backpressure.may_send(state, announcement.engine_id, now)
+    is_barred = not backpressure.may_send(state, announcement.engine_id, now)
     is_full = now < state.full_until_s.get(address, 0.0) or backoffs.is_active(
         state.backoffs, announcement.engine_id, now
     )
@@ -267,6 +275,7 @@
         tokens=math.inf if is_full else own.tokens + others.tokens,
         # A barred engine begins no requests but still runs its part of chains.
         firsts=math.inf if is_barred else own.firsts + others.firsts,
+        is_hanging=hangs.is_ejected(state.hangs, announcement.engine_id, now),
         # Other entries don't report unread tokens: assume as many for each of them.
         unread=state.unread.get(address, 0) * (1.0 + state.peers),
         jitter=1.0 + JITTER * state.rng.random(),
--- a/libs/node/src/cherryrudder/node/stream.py
+++ b/libs/node/src/cherryrudder/node/stream.py
@@ -60,6 +60,8 @@
         self.pauses = AnswerTimes()
         # When it is moved away from engines that leave; 0 while none does.
         self.move_at_s = 0.0
+        # When another chain may be searched for next while the first engine hangs.
+        self.next_leave_check_s = float("-inf")
         # When this entry last reported the chain as slow.
         self.last_slowness_report_s = float("-inf")
         self.silence_limit_s = INITIAL_SILENCE_S
--- a/libs/node/src/cherryrudder/node/streamchains.py
+++ b/libs/node/src/cherryrudder/node/streamchains.py
@@ -101,11 +101,8 @@
     only_at = allowed_first_engines(stream)
     return [
         one
-        for one in entrystate.serving_endpoints(state, stream.job.service.name, now)
-        if one.holding.first == 0 < one.holding.end
-        and one.address not in avoided
-        and (not only_at or one.engine_id in only_at)
-        and not entrystate.is_suspect(state, one.engine_id, now)
+        for one in entrystate.first_engines(state, stream.job.service.name, now)
+        if one.address not in avoided and (not only_at or one.engine_id in only_at)
     ]
 
 
@@ -216,9 +213,13 @@
     avoided = stream.excluded(now) | lost
     left = [e for e in candidates if e.address not in avoided]
     firsts = allowed_first_engines(stream, is_running)
-    if not firsts:
-        return left
-    return [e if e.engine_id in firsts else e._replace(firsts=math.inf) for e in left]
+    barred = {e.engine_id for e in left if firsts and e.engine_id not in firsts}
+    hanging = {e.engine_id for e in left if e.is_hanging}
+    if any(e.first == 0 and e.engine_id not in barred | hanging for e in left):
+        barred |= hanging
+    # If all of them hang, they are used all the same: the belief may be wrong, and an
+    # engine may start the request yet.
+    return [e._replace(firsts=math.inf) if e.engine_id in barred else e for e in left]
 
 
 def _take_chain(stream):
--- a/libs/node/src/cherryrudder/node/supervision.py
+++ b/libs/node/src/cherryrudder/node/supervision.py
@@ -7,6 +7,7 @@
 the new part has read the request.
 """
 
+import functools
 from typing import TYPE_CHECKING
 
 import anyio
@@ -17,7 +18,7 @@
 from cherryrudder.routing import answertimes, endpoints, hangs
 from cherryrudder.routing.answertimes import Bounds
 
-from . import crashes, entrystate, reroute, stalls
+from . import crashes, entrystate, reroute, stalls, streamchains
 from .chainscheduler import ChainSchedulers
 from .entrystate import EntryState
 from .stalls import StallDetector
@@ -49,6 +50,11 @@
 MOVE_AFTER_S = 1.0
 MOVE_SPREAD_S = 0.7
 MOVE_AGAIN_S = 0.3
+# Time that a stream needs to begin elsewhere: a prompt is read within 0.1 s.
+MIN_LEAVE_S = 0.3
+# Interval between two searches for another chain while the first engine hangs. Room
+# becomes free as other streams end, every 30 to 90 ms in a busy data centre.
+LEAVE_CHECK_INTERVAL_S = 0.08
 # Interval between two slowness reports about one stream. The control VM asks the
 # engines at once, and ignores those that it has just found healthy.
 SLOWNESS_REPORT_INTERVAL_S = 1.0
@@ -81,7 +87,7 @@
                 for stream in tuple(self.streams):
                     if is_late:
                         record_progress(stream, now)
-                    elif _is_hung(stream, hung):
+                    elif _is_hung(stream, hung) and _can_leave(stream, now):
                         stream.exclude(
                             stream.chain[0].address, now + FIRST_ENGINE_EXCLUSION_S
                         )
@@ -107,11 +113,30 @@
     def _find_hung(self, now):
         """Return the engines that hang, and log the newly found ones."""
         state = self.state
-        for engine_id in hangs.find_hanging(state.hangs, now):
+        alternatives = functools.partial(self._find_alternatives, now, {})
+        for engine_id in hangs.find_hanging(state.hangs, now, alternatives):
             state.metrics.beliefs.labels("engine-hung").inc()
-            state.sink.write("streams", "engine-hung", True, engine_id=engine_id)
+            state.sink.write(
+                "streams",
+                "engine-hung",
+                True,
+                engine_id=engine_id,
+                is_witnessed=state.hangs.ejections[engine_id].trial_until_s <= now,
+                silent=sorted(state.hangs.waiting),
+            )
         return {e for e in state.hangs.waiting if hangs.is_ejected(state.hangs, e, now)}
 
+    def _find_alternatives(self, now, found, engine_id):
+        """Return the first engines of an engine's service; `found` keeps them."""
+        entry = self.state.endpoints.table.entries.get(engine_id)
+        if entry is None:
+            return set()
+        service = entry.announcement.service
+        if service not in found:
+            firsts = entrystate.first_engines(self.state, service, now)
+            found[service] = {one.engine_id for one in firsts}
+        return found[service] - {engine_id}
+
     def _is_due(self, stream, now):
         if stream.is_under_review or stream.connection is None:
             return False
@@ -260,6 +285,19 @@
     return is_at_hung and stream.job.is_idempotent
 
 
+def _can_leave(stream, now):
+    """Return whether a stream can begin elsewhere now, where no engine hangs."""
+    if now < stream.next_leave_check_s or stream.job.left_s() < MIN_LEAVE_S:
+        return False
+    stream.next_leave_check_s = now + LEAVE_CHECK_INTERVAL_S
+    if not streamchains.has_other_chain(stream, {stream.chain[0].address}):
+        return False
+    # All streams of an engine leave it at once. Each searches again once the load of
+    # those before it is counted, as otherwise all would take the same chain.
+    kept, stream.kept_chain = stream.kept_chain, None
+    return not hangs.is_ejected(stream.job.state.hangs, kept.chain[0].engine_id, now)
+
+
 def _must_stop(stream, now):
     """Return whether a stream that no engine has begun yet is blocked for crashes."""
     is_waiting = stream.connection is not None and not stream.has_head
--- a/libs/routing/src/cherryrudder/routing/hangs.py
+++ b/libs/routing/src/cherryrudder/routing/hangs.py
@@ -5,8 +5,15 @@
 stream to such an engine waits until its client disconnects. A busy engine still starts
 one request after the other, so an engine counts as hanging only if it has started
 nothing since the overdue request was sent.
+
+When a host, a link or a whole data centre stalls, all engines behind it are silent at
+once and start their requests later. Sending these elsewhere then loses them. So an
+engine is ejected only in favour of another one: a witness, which has started a request
+meanwhile, or else an engine that has no requests and may be tried.
 """
 
+from collections import deque
+from collections.abc import Callable, Collection
 from typing import NamedTuple
 
 # Time to start a request, as a multiple of the route's objective. A usual request
@@ -18,6 +25,8 @@
 # for some seconds.
 FIRST_EJECTION_S = 2.0
 MAX_EJECTION_S = 8.0
+# How long starts are kept; requests are rarely pending for as long.
+START_MEMORY_S = 10.0
 
 
 class PendingRequest(NamedTuple):
@@ -27,14 +36,35 @@
     timeout_s: float
 
 
+class Start(NamedTuple):
+    """The start of a request at an engine, and how long the request was pending."""
+
+    engine_id: str
+    started_s: float
+    pending_s: float
+
+
+class Ejection(NamedTuple):
+    """An ejection, and until when it keeps others without a witness from being made."""
+
+    until_s: float
+    length_s: float
+    trial_until_s: float
+
+
 class Hangs:
-    """Pending requests, last starts and ejections by the engine's incarnation."""
+    """Pending requests, starts and ejections by the engine's incarnation."""
 
     def __init__(self):
         self.waiting: dict[str, dict[str, PendingRequest]] = {}
         self.last_started_s: dict[str, float] = {}
-        # End of the last ejection, and its length in seconds.
-        self.ejections: dict[str, tuple[float, float]] = {}
+        self.starts: deque[Start] = deque()
+        self.ejections: dict[str, Ejection] = {}
+
+
+def _one_untried(engine_id):
+    """Return a stand-in for the other engines where they aren't known."""
+    return ("",)
 
 
 def record_sent(
@@ -47,6 +77,11 @@
 
 def record_start(hangs: Hangs, engine_id: str, request_id: str, now_s: float) -> None:
     """Record that an engine has started or refused a request, so it doesn't hang."""
+    request = hangs.waiting.get(engine_id, {}).get(request_id)
+    if request is not None:
+        hangs.starts.append(Start(engine_id, now_s, now_s - request.sent_s))
+    while hangs.starts and now_s - hangs.starts[0].started_s > START_MEMORY_S:
+        hangs.starts.popleft()
     record_end(hangs, engine_id, request_id)
     hangs.last_started_s[engine_id] = now_s
     hangs.ejections.pop(engine_id, None)
@@ -60,32 +95,87 @@
         hangs.waiting.pop(engine_id, None)
 
 
-def find_hanging(hangs: Hangs, now_s: float) -> list[str]:
-    """Eject engines that hang; return those that were not ejected before."""
+def find_hanging(
+    hangs: Hangs,
+    now_s: float,
+    alternatives: Callable[[str], Collection[str]] = _one_untried,
+) -> list[str]:
+    """Eject engines that hang; return those that were not ejected before.
+
+    `alternatives` returns the other engines where an engine's requests could begin.
+    """
+    overdue = {
+        engine_id: request
+        for engine_id, waiting in hangs.waiting.items()
+        if not is_ejected(hangs, engine_id, now_s)
+        and (request := _oldest_overdue(hangs, engine_id, waiting, now_s)) is not None
+    }
     found = []
-    for engine_id, waiting in hangs.waiting.items():
-        if is_ejected(hangs, engine_id, now_s):
+    for engine_id, request in overdue.items():
+        others = set(alternatives(engine_id))
+        usable = {
+            other
+            for other in others
+            if other not in overdue and not is_ejected(hangs, other, now_s)
+        }
+        starts = [
+            start
+            for start in hangs.starts
+            if start.engine_id in usable and start.started_s > request.sent_s
+        ]
+        is_witnessed = any(_is_witness(one, request, now_s) for one in starts)
+        if is_witnessed:
+            trial_until_s = now_s
+        elif not starts and _may_try(hangs, others, usable, now_s):
+            trial_until_s = now_s + request.timeout_s
+        else:
             continue
-        if _is_hanging(hangs, engine_id, waiting, now_s):
-            _, last_s = hangs.ejections.get(engine_id, (0.0, FIRST_EJECTION_S / 2))
-            ejection_s = min(MAX_EJECTION_S, 2 * last_s)
-            hangs.ejections[engine_id] = (now_s + ejection_s, ejection_s)
-            found.append(engine_id)
+        known = hangs.ejections.get(engine_id)
+        last_s = known.length_s if known else FIRST_EJECTION_S / 2
+        length_s = min(MAX_EJECTION_S, 2 * last_s)
+        hangs.ejections[engine_id] = Ejection(now_s + length_s, length_s, trial_until_s)
+        found.append(engine_id)
     return found
 
 
-def _is_hanging(hangs, engine_id, waiting, now_s):
+def _oldest_overdue(hangs, engine_id, waiting, now_s):
     last_started_s = hangs.last_started_s.get(engine_id, float("-inf"))
-    return any(
-        now_s - one.sent_s > one.timeout_s and last_started_s < one.sent_s
-        for one in waiting.values()
+    return min(
+        (
+            one
+            for one in waiting.values()
+            if now_s - one.sent_s > one.timeout_s and last_started_s < one.sent_s
+        ),
+        default=None,
+    )
+
+
+def _is_witness(start, request, now_s):
+    """Return whether another engine's start shows that an overdue request is stuck.
+
+    After a common stall some engine is the first to start a request. The others get as
+    much time after that as its request was pending.
+    """
+    return now_s - start.started_s >= min(start.pending_s, request.timeout_s)
+
+
+def _may_try(hangs, others, usable, now_s):
+    """Return whether an engine may be ejected in favour of one without requests.
+
+    If that one turns out to be silent as well, there is no reason to try the next at
+    once. Otherwise it is the witness against all engines that hang.
+    """
+    is_trying = any(
+        now_s < hangs.ejections[other].trial_until_s
+        for other in others & hangs.ejections.keys()
     )
+    return not is_trying and any(other not in hangs.waiting for other in usable)
 
 
 def is_ejected(hangs: Hangs, engine_id: str, now_s: float) -> bool:
     """Return whether an engine gets no requests for now."""
-    until_s, _ = hangs.ejections.get(engine_id, (0.0, 0.0))
-    return now_s < until_s
+    ejection = hangs.ejections.get(engine_id)
+    return ejection is not None and now_s < ejection.until_s
 
 
 def prune(hangs: Hangs, known: set[str]) -> None:
