Keep a stream at a hanging engine while no retry is left

What callers saw: a stream whose first engine seemed to hang was aborted, also when the entry had spent its share of the retry budget. It then waited 0.7 s for a new share and ended with 502, although the engine might have started it.

Cause: the budget was read after the attempt had been given up.

Now the stream leaves only once the entry has a retry for it, beside those of the streams that leave in the same review. The new test in node/test_hungstreams fails without the check.

--- a/libs/node/src/cherryrudder/node/supervision.py
+++ b/libs/node/src/cherryrudder/node/supervision.py
@@ -7,6 +7,7 @@
 the new part has read the request.
 """
 
+import collections
 import functools
 from typing import TYPE_CHECKING
 
@@ -14,6 +15,7 @@
 from loguru import logger
 
 from cherryrudder.layers import pace
+from cherryrudder.policy import sharedbudget
 from cherryrudder.replica.clock import now_s
 from cherryrudder.routing import answertimes, endpoints, hangs
 from cherryrudder.routing.answertimes import Bounds
@@ -84,10 +86,12 @@
                 is_late = now - last_s > REVIEW_INTERVAL_S + LATE_REVIEW_S
                 last_s = now
                 hung = set() if is_late else self._find_hung(now)
+                leaving = collections.Counter()
                 for stream in tuple(self.streams):
                     if is_late:
                         record_progress(stream, now)
-                    elif _is_hung(stream, hung) and _can_leave(stream, now):
+                    elif _is_hung(stream, hung) and _can_leave(stream, leaving, now):
+                        leaving[stream.job.service.name] += 1
                         stream.exclude(
                             stream.chain[0].address, now + FIRST_ENGINE_EXCLUSION_S
                         )
@@ -285,17 +289,25 @@
     return is_at_hung and stream.job.is_idempotent
 
 
-def _can_leave(stream, now):
-    """Return whether a stream can begin elsewhere now, where no engine hangs."""
-    if now < stream.next_leave_check_s or stream.job.left_s() < MIN_LEAVE_S:
+def _can_leave(stream, leaving, now):
+    """Return whether a stream can begin elsewhere now, where no engine hangs.
+
+    `leaving` counts the streams that leave in the same review, by service.
+    """
+    job = stream.job
+    if now < stream.next_leave_check_s or job.left_s() < MIN_LEAVE_S:
         return False
     stream.next_leave_check_s = now + LEAVE_CHECK_INTERVAL_S
+    budget, service = job.state.retry_budget, job.service.name
+    count = leaving[service] + 1
+    if not sharedbudget.has_retries(budget, service, count, stream.has_begun):
+        return False
     if not streamchains.has_other_chain(stream, {stream.chain[0].address}):
         return False
     # All streams of an engine leave it at once. Each searches again once the load of
     # those before it is counted, as otherwise all would take the same chain.
     kept, stream.kept_chain = stream.kept_chain, None
-    return not hangs.is_ejected(stream.job.state.hangs, kept.chain[0].engine_id, now)
+    return not hangs.is_ejected(job.state.hangs, kept.chain[0].engine_id, now)
 
 
 def _must_stop(stream, now):
--- a/libs/node/test/test_hungstreams.py
+++ b/libs/node/test/test_hungstreams.py
@@ -1,5 +1,6 @@
 """Streams whose first engine seems to hang."""
 
+import collections
 import unittest
 from types import SimpleNamespace
 
@@ -8,6 +9,8 @@
 from cherryrudder.layers.chains import Part
 from cherryrudder.node import streamchains, supervision, tablesync
 from cherryrudder.node.supervision import StreamSupervisor
+from cherryrudder.policy import sharedbudget
+from cherryrudder.policy.retries import Attempt, Verdict
 from cherryrudder.replica.clock import now_s
 from cherryrudder.routing import hangs, suspicion
 
@@ -40,6 +43,7 @@
             "job": job,
             "chain": (Part(f"{first}:80", first, 0, 16),),
             "tokens": 900,
+            "has_begun": False,
             "has_head": False,
             "ran_engine_ids": [],
             "kept_chain": None,
@@ -55,11 +59,19 @@
             hangs.find_hanging(self.state.hangs, now_s())
             self.assertTrue(hangs.is_ejected(self.state.hangs, engine_id, now_s()))
 
-    def must_leave(self, stream):
+    def must_leave(self, stream, leaving=0):
+        counts = collections.Counter(llm=leaving)
         now = now_s()
         hung = self.supervisor._find_hung(now)
         is_hung = supervision._is_hung(stream, hung)
-        return is_hung and supervision._can_leave(stream, now)
+        return is_hung and supervision._can_leave(stream, counts, now)
+
+    def retry(self):
+        """Spend a retry of the entry."""
+        attempt = Attempt(0, True, False, 0.1, now_s() + 9.0)
+        budget = self.state.retry_budget
+        verdict = sharedbudget.may_retry(budget, "llm", attempt, now_s(), False)
+        self.assertEqual(verdict, Verdict.RETRY)
 
     def first_engines(self, stream):
         """Return the engines where the stream may begin."""
@@ -96,6 +108,19 @@
         stream.job.left_s = lambda: 0.1
         self.assertFalse(self.must_leave(stream))
 
+    def test_it_stays_while_the_entry_has_no_retries_left(self):
+        """Guards against giving up an answer that may still come."""
+        self.eject("first")
+        budget = self.state.retry_budget
+        count = 0
+        while sharedbudget.has_retries(budget, "llm", count + 1, False):
+            count += 1
+        self.assertTrue(self.must_leave(self.a_stream(), leaving=count - 1))
+        self.assertFalse(self.must_leave(self.a_stream(), leaving=count))
+        for _ in range(count):
+            self.retry()
+        self.assertFalse(self.must_leave(self.a_stream()))
+
     def test_one_that_may_run_once_stays(self):
         self.eject("first")
         stream = self.a_stream()
--- a/libs/policy/src/cherryrudder/policy/sharedbudget.py
+++ b/libs/policy/src/cherryrudder/policy/sharedbudget.py
@@ -111,6 +111,17 @@
     return verdict
 
 
+def has_retries(
+    shared: SharedBudget, service: str, count: int, has_begun: bool | None = None
+) -> bool:
+    """Return whether this entry may send that many retries now, without counting them.
+
+    `has_begun` is as for `may_retry`.
+    """
+    known = _service(shared, service)
+    return known.budget.saved + _credit(known, has_begun) >= count
+
+
 def _credit(known, has_begun):
     if has_begun is None:
         return 0.0
