Hold a request back for a second before it is refused as crashing engines

What callers saw: while five requests ended engine after engine among twelve, other callers' requests that had run beside them got a final 400, from blocks that were lifted a moment later.

Cause: a block acts on what one entry knows at that moment. The neighbour has three ends there, the culprit's record of the same ends arrives up to 0.7 s later (or counts for more after the next end) and explains them better. The 400 can't be taken back by then.

Why it works: a new block stops sends at once, as before; the refusal waits until the block has stood for a second at this process, the time within which the staggered runs of other suspects are over. A request whose block is lifted goes on. The simulated entries ask the same function.

--- a/libs/node/src/cherryrudder/node/crashes.py
+++ b/libs/node/src/cherryrudder/node/crashes.py
@@ -25,6 +25,7 @@
 # one. Control VMs reach it within some milliseconds; when two ask, it takes 0.4 s.
 VERDICT_WAIT_S = 0.5
 VERDICT_POLL_S = 0.02
+BLOCK_POLL_S = 0.02
 
 
 def is_blocked(job: "Job", now_s: float) -> bool:
@@ -40,6 +41,20 @@
     return not serving or any(one.version in block.versions for one in serving)
 
 
+async def confirm_block(job: "Job") -> bool:
+    """Hold a blocked request until its block is confirmed; return if it is blocked.
+
+    The refusal is final for its client, while a new block may still be lifted.
+    """
+    book = job.state.crashes.book
+    while is_blocked(job, now_s()):
+        delay_s = blame.refusal_delay_s(book, job.fingerprint, now_s())
+        if min(delay_s, job.left_s()) <= 0.0:
+            return True
+        await anyio.sleep(BLOCK_POLL_S)
+    return False
+
+
 def log_refused(job: "Job", now_s: float) -> None:
     """Log that a request is refused because it is blocked."""
     state = job.state
--- a/libs/node/src/cherryrudder/node/plainrelay.py
+++ b/libs/node/src/cherryrudder/node/plainrelay.py
@@ -72,7 +72,7 @@
         ):
             break
         await crashes.delay_suspect(job)
-        if crashes.is_blocked(job, now_s()):
+        if await crashes.confirm_block(job):
             await job.refuse_permanently()
             return
     await job.fail(failed)
--- a/libs/node/src/cherryrudder/node/request_handler.py
+++ b/libs/node/src/cherryrudder/node/request_handler.py
@@ -117,7 +117,7 @@
             body_bytes=len(exchange.request.body),
         )
         try:
-            if crashes.is_blocked(job, now_s()):
+            if await crashes.confirm_block(job):
                 await job.refuse_permanently()
                 return
             if service.model is not None and service.model.layers:
--- a/libs/node/src/cherryrudder/node/streamrelay.py
+++ b/libs/node/src/cherryrudder/node/streamrelay.py
@@ -57,20 +57,22 @@
     has_run = False
     while True:
         await crashes.delay_suspect(job)
+        if await crashes.confirm_block(job):
+            await _refuse_permanently(stream)
+            return
         chain = await streamchains.wait_for_chain(stream)
         if chain is None:
             failed = failed._replace(reason=stream.refusal or failed.reason)
             break
         if crashes.is_blocked(job, now_s()):
             streamchains.release(stream)
-            await _refuse_permanently(stream)
-            return
+            continue
         result = await _attempt(stream)
         if result is None:
             return
         if result.is_broken:
             await crashes.wait_for_engine_verdict(job, chain[0].engine_id)
-        if crashes.is_blocked(job, now_s()):
+        if await crashes.confirm_block(job):
             await _refuse_permanently(stream)
             return
         if not result.is_not_run:
--- a/libs/node/test/test_crashes.py
+++ b/libs/node/test/test_crashes.py
@@ -31,6 +31,7 @@
 from cherryrudder.node.uplink import Uplink
 from cherryrudder.relay.errors import AnswerBroken
 from cherryrudder.replica.clock import now_s
+from cherryrudder.routing import blame
 from cherryrudder.routing.crashbook import FINISHED, Crash, RequestRecord
 
 FIRST, SECOND, OTHER = "boot-1", "boot-2", "boot-3"
@@ -255,6 +256,46 @@
         self.assertFalse(self.is_blocked())
 
 
+class ConfirmationTest(EntryCase):
+    """Guards against final refusals by blocks that are lifted a moment later."""
+
+    def confirm(self, left_s=10.0, progress_s=None):
+        """Return whether a newly blocked request is refused, and after which time."""
+        self.state.crashes.record({"bad": a_record(*ENGINES)}, now_s())
+        job = a_job(self.state)
+        job.left_s = lambda: left_s
+
+        async def confirm():
+            began_s = now_s()
+            async with anyio.create_task_group() as group:
+                if progress_s is not None:
+                    group.start_soon(lift)
+                refused = await crashes.confirm_block(job)
+            return refused, now_s() - began_s
+
+        async def lift():
+            await anyio.sleep(progress_s)
+            passed = {"bad": a_record(passed=FINISHED)}
+            self.state.crashes.record(passed, now_s())
+
+        return anyio.run(confirm)
+
+    def test_a_new_block_refuses_after_its_confirmation(self):
+        refused, took_s = self.confirm()
+        self.assertTrue(refused)
+        self.assertGreaterEqual(took_s, blame.CONFIRMATION_S)
+
+    def test_a_request_goes_on_when_its_block_is_lifted(self):
+        refused, took_s = self.confirm(progress_s=0.1)
+        self.assertFalse(refused)
+        self.assertLess(took_s, blame.CONFIRMATION_S)
+
+    def test_a_request_at_its_time_limit_is_refused_at_once(self):
+        refused, took_s = self.confirm(left_s=0.0)
+        self.assertTrue(refused)
+        self.assertLess(took_s, blame.CONFIRMATION_S)
+
+
 class FaultyMessageTest(EntryCase):
     """Guards against a faulty message that crashes every process that receives it."""
 
--- a/libs/routing/src/cherryrudder/routing/blame.py
+++ b/libs/routing/src/cherryrudder/routing/blame.py
@@ -35,6 +35,9 @@
 # and send its first events.
 STAGGER_STEPS = 4
 STAGGER_STEP_S = 0.25
+# Delay of the first final refusal: until then, the records of other entries and the
+# staggered runs of other suspects may show that another request caused the crashes.
+CONFIRMATION_S = STAGGER_STEPS * STAGGER_STEP_S
 
 
 def update_blocks(book: CrashBook, now_s: float) -> tuple[set[str], set[str]]:
@@ -53,9 +56,18 @@
     book.suspects = {
         one for one in weights if sum(weights[one].values()) >= SUSPECT_CRASHES
     }
+    book.blocked_since_s = {
+        one: book.blocked_since_s.get(one, now_s) for one in book.blocks
+    }
     return set(book.blocks) - before, before - set(book.blocks)
 
 
+def refusal_delay_s(book: CrashBook, fingerprint: str, now_s: float) -> float:
+    """Return how long to hold a request until its block is confirmed, 0 if it is."""
+    since_s = book.blocked_since_s.get(fingerprint, float("-inf"))
+    return max(0.0, since_s + CONFIRMATION_S - now_s)
+
+
 def send_delay_s(book: CrashBook, fingerprint: str) -> float:
     """Return how long to hold a request back before it is sent, 0 unless a suspect.
 
--- a/libs/routing/src/cherryrudder/routing/crashbook.py
+++ b/libs/routing/src/cherryrudder/routing/crashbook.py
@@ -65,6 +65,8 @@
         self.changed: dict[str, int] = {}
         # Computed from the records; see `blame`.
         self.blocks: dict[str, Block] = {}
+        # When this process first found each of them.
+        self.blocked_since_s: dict[str, float] = {}
         self.suspects: set[str] = set()
 
 
@@ -124,4 +126,5 @@
     del book.records[fingerprint]
     del book.changed[fingerprint]
     book.blocks.pop(fingerprint, None)
+    book.blocked_since_s.pop(fingerprint, None)
     book.suspects.discard(fingerprint)
--- a/libs/routing/test/crashsim.py
+++ b/libs/routing/test/crashsim.py
@@ -12,6 +12,8 @@
 # Delay until a client retries a failed attempt, at any entry.
 CLIENT_RETRY_S = 0.3
 ENGINE_RESTART_S = 4.0
+# Interval at which a held request's block is checked.
+BLOCK_POLL_S = 0.02
 PROMPT_S = (0.05, 0.3)
 CRASH_AFTER_S = (0.04, 0.1)
 # Delay until an entry, and all entries, have a record of a crash.
@@ -83,6 +85,10 @@
         """Return no delay."""
         return 0.0
 
+    def refusal_delay_s(self, entry, fingerprint, now_s):
+        """Return no delay."""
+        return 0.0
+
     def reached(self, entry, request):
         """Ignore how far a request has got."""
 
@@ -126,6 +132,10 @@
         """Return how long a request waits before it is sent."""
         return blame.send_delay_s(self.books[entry], fingerprint)
 
+    def refusal_delay_s(self, entry, fingerprint, now_s):
+        """Return how long a blocked request is held before it is refused."""
+        return blame.refusal_delay_s(self.books[entry], fingerprint, now_s)
+
     def reached(self, entry, request):
         """Send to all others how far a suspect has got."""
         book = self.books[entry]
@@ -206,7 +216,7 @@
 
     def _send(self, request, now_s):
         if self.book.is_blocked(request.entry, request.fingerprint):
-            self._refuse(request, now_s)
+            self._hold_or_refuse(request, now_s)
             return
         up = [engine for engine, up_s in self.up_s.items() if up_s <= now_s]
         if not up:
@@ -219,6 +229,13 @@
             after_s = self.rng.uniform(*CRASH_AFTER_S)
             request.crashes_s = request.next_event_s + after_s
 
+    def _hold_or_refuse(self, request, now_s):
+        delay_s = self.book.refusal_delay_s(request.entry, request.fingerprint, now_s)
+        if delay_s > 0.0:
+            request.next_s = now_s + BLOCK_POLL_S
+        else:
+            self._refuse(request, now_s)
+
     def _refuse(self, request, now_s):
         if request.is_culprit:
             # Its client keeps retrying.
