Never empty a folder that isn't a data folder

What operators would see: a control VM whose settings name another folder by mistake removes everything in it at its start, subfolders included, and creates its disk there.

Cause: a folder without an identity was taken for the creation of a disk that had been interrupted, and emptied whatever it held.

Why it works: only the names that a disk writes are removed, and a folder with any other file is refused as unavailable, which keeps it and is tried again. The lost+found of a mount point is left alone.

--- a/libs/node/src/cherryrudder/node/voterdisk.py
+++ b/libs/node/src/cherryrudder/node/voterdisk.py
@@ -1,14 +1,15 @@
 """Create, open or replace the disk of a control VM's voter, without an operator."""
 
 import os
-import shutil
 
 from cherryrudder.quorum.errors import DiskError, DiskUnavailable
 from cherryrudder.quorum.events import Persist, SaveSnapshot, Voter
 from cherryrudder.quorum.files import (
     IDENTITY,
+    LOST_AND_FOUND,
     Disk,
     init_disk,
+    is_disk_file,
     join_disk,
     new_disk_id,
     open_disk,
@@ -83,23 +84,22 @@
 
 
 def _clear(folder):
-    """Empty a folder whose disk is incomplete."""
+    """Empty a folder whose disk is incomplete; refuse one with other files."""
     try:
-        names = os.listdir(folder)
+        names = set(os.listdir(folder)) - {LOST_AND_FOUND}
+        foreign = sorted(name for name in names if not is_disk_file(name))
+        if foreign:
+            raise DiskUnavailable(
+                f"{folder}: not a data folder, it holds {foreign[0]}; remove that or "
+                "name another folder"
+            )
+        for name in names:
+            os.unlink(f"{folder}/{name}")
     except FileNotFoundError:
         # Its creation makes it durable.
         return
     except OSError as error:
         raise DiskUnavailable(f"{folder}: {error}") from error
-    try:
-        for name in names:
-            path = f"{folder}/{name}"
-            if os.path.isdir(path):
-                shutil.rmtree(path)
-            else:
-                os.unlink(path)
-    except OSError as error:
-        raise DiskUnavailable(f"{folder}: {error}") from error
 
 
 def _raise_error(result):
--- a/libs/quorum/src/cherryrudder/quorum/files.py
+++ b/libs/quorum/src/cherryrudder/quorum/files.py
@@ -30,6 +30,8 @@
 IDENTITY = "identity"
 SNAPSHOT = "snapshot"
 LOCK = "lock"
+# A file system's own folder, where the data folder is a mount point.
+LOST_AND_FOUND = "lost+found"
 
 
 class Disk:
@@ -219,10 +221,21 @@
     return log.holds(index) and log.term_at(index) == snapshot.term
 
 
+def is_disk_file(name: str) -> bool:
+    """Return whether a data folder has a file of this name, complete or not."""
+    return name.removesuffix(TEMPORARY_SUFFIX) in (
+        IDENTITY,
+        SNAPSHOT,
+        LOCK,
+        logfile.LOG,
+        logfile.SYNCED,
+    )
+
+
 def _create(folder, identity, fs):
     try:
         fs.make_folder(folder)
-        if fs.list_folder(folder):
+        if set(fs.list_folder(folder)) - {LOST_AND_FOUND}:
             return Error(DiskError(f"{folder}: not empty; a disk is created only once"))
         logfile.create(fs, folder, 1, 0, "", Log()).close()
         # Last, so that a folder whose creation was interrupted is never opened.
