Ask for reports before an engine is left without a witness

What callers saw: nothing but a later answer, yet their streams ran twice. In trials with the engines' process stopped for 0.9 to 1.5 s, one entry had all its streams at one engine, and another engine had none. It left the first for the second, which was stopped as well.

Cause: a single silent engine was taken for hanging without any other evidence.

Engines that hang answer reports, a stalled host does not. Without a witness, an engine is now left only if it, or one without requests, has answered a report since the overdue request was sent, and as long again has passed as the report took. An engine that is dead to reports is left once another one answers.

--- a/libs/node/src/cherryrudder/node/supervision.py
+++ b/libs/node/src/cherryrudder/node/supervision.py
@@ -8,7 +8,6 @@
 """
 
 import collections
-import functools
 from typing import TYPE_CHECKING
 
 import anyio
@@ -23,6 +22,7 @@
 from . import crashes, entrystate, reroute, stalls, streamchains
 from .chainscheduler import ChainSchedulers
 from .entrystate import EntryState
+from .hungengines import HungEngines
 from .stalls import StallDetector
 from .stream import FIRST_ENGINE_EXCLUSION_S, INITIAL_SILENCE_S
 
@@ -75,10 +75,12 @@
         self.stalls = stalls
         self.schedulers = schedulers
         self.streams: set[Stream] = set()
+        self.hung = HungEngines(state)
 
     async def run(self) -> None:
         """Review all streams periodically, until cancelled."""
         async with anyio.create_task_group() as group:
+            self.hung.group = group
             last_s = now_s()
             while True:
                 await self._wait_for_review()
@@ -115,31 +117,7 @@
             self.state.engine_died = anyio.Event()
 
     def _find_hung(self, now):
-        """Return the engines that hang, and log the newly found ones."""
-        state = self.state
-        alternatives = functools.partial(self._find_alternatives, now, {})
-        for engine_id in hangs.find_hanging(state.hangs, now, alternatives):
-            state.metrics.beliefs.labels("engine-hung").inc()
-            state.sink.write(
-                "streams",
-                "engine-hung",
-                True,
-                engine_id=engine_id,
-                is_witnessed=state.hangs.ejections[engine_id].trial_until_s <= now,
-                silent=sorted(state.hangs.waiting),
-            )
-        return {e for e in state.hangs.waiting if hangs.is_ejected(state.hangs, e, now)}
-
-    def _find_alternatives(self, now, found, engine_id):
-        """Return the first engines of an engine's service; `found` keeps them."""
-        entry = self.state.endpoints.table.entries.get(engine_id)
-        if entry is None:
-            return set()
-        service = entry.announcement.service
-        if service not in found:
-            firsts = entrystate.first_engines(self.state, service, now)
-            found[service] = {one.engine_id for one in firsts}
-        return found[service] - {engine_id}
+        return self.hung.find(now)
 
     def _is_due(self, stream, now):
         if stream.is_under_review or stream.connection is None:
@@ -242,6 +220,10 @@
         chain = stream.chain
         addresses = [part.address for part in chain]
         reports = await self.stalls.get_reports(addresses)
+        for part in chain:
+            if reports[part.address].report is not None:
+                asked_s = reports[part.address].valid_from_s
+                self.hung.record_answer(part.engine_id, asked_s)
         silent = {
             part.address
             for part in chain
--- a/libs/routing/src/cherryrudder/routing/hangs.py
+++ b/libs/routing/src/cherryrudder/routing/hangs.py
@@ -9,7 +9,9 @@
 When a host, a link or a whole data centre stalls, all engines behind it are silent at
 once and start their requests later. Sending these elsewhere then loses them. So an
 engine is ejected only in favour of another one: a witness, which has started a request
-meanwhile, or else an engine that has no requests and may be tried.
+meanwhile, or else an engine that has no requests and may be tried. The latter only if
+one of the two has answered a report meanwhile: an engine that hangs does, a host that
+stalls does not.
 """
 
 from collections import deque
@@ -52,6 +54,13 @@
     trial_until_s: float
 
 
+class ReportAnswer(NamedTuple):
+    """When an engine was asked for a report, and when it had answered."""
+
+    asked_s: float
+    answered_s: float
+
+
 class Hangs:
     """Pending requests, starts and ejections by the engine's incarnation."""
 
@@ -60,6 +69,7 @@
         self.last_started_s: dict[str, float] = {}
         self.starts: deque[Start] = deque()
         self.ejections: dict[str, Ejection] = {}
+        self.answers: dict[str, ReportAnswer] = {}
 
 
 def _one_untried(engine_id):
@@ -67,6 +77,11 @@
     return ("",)
 
 
+def _all_answer(engine_ids, since_s):
+    """Return true where it isn't known which engines have answered reports."""
+    return True
+
+
 def record_sent(
     hangs: Hangs, engine_id: str, request_id: str, objective_s: float, now_s: float
 ) -> None:
@@ -95,14 +110,37 @@
         hangs.waiting.pop(engine_id, None)
 
 
+def record_report(hangs: Hangs, engine_id: str, asked_s: float, now_s: float) -> None:
+    """Record that an engine has answered a report that was asked at a time."""
+    known = hangs.answers.get(engine_id)
+    if known is None or asked_s > known.asked_s:
+        hangs.answers[engine_id] = ReportAnswer(asked_s, now_s)
+
+
+def has_answered_since(
+    hangs: Hangs, engine_id: str, since_s: float, now_s: float
+) -> bool:
+    """Return whether an engine has answered a report that was asked since a time.
+
+    After a stall reports may be answered before requests are started. An answer counts
+    once the engine has had as long again to start them.
+    """
+    answer = hangs.answers.get(engine_id)
+    if answer is None or answer.asked_s <= since_s:
+        return False
+    return now_s - answer.answered_s >= answer.answered_s - answer.asked_s
+
+
 def find_hanging(
     hangs: Hangs,
     now_s: float,
     alternatives: Callable[[str], Collection[str]] = _one_untried,
+    has_answered: Callable[[Collection[str], float], bool] = _all_answer,
 ) -> list[str]:
     """Eject engines that hang; return those that were not ejected before.
 
-    `alternatives` returns the other engines where an engine's requests could begin.
+    `alternatives` returns the other engines where an engine's requests could begin,
+    `has_answered` whether one of several has answered a report since a time.
     """
     overdue = {
         engine_id: request
@@ -126,7 +164,12 @@
         is_witnessed = any(_is_witness(one, request, now_s) for one in starts)
         if is_witnessed:
             trial_until_s = now_s
-        elif not starts and _may_try(hangs, others, usable, now_s):
+        elif (
+            not starts
+            and (untried := usable - hangs.waiting.keys())
+            and not _is_trying(hangs, others, now_s)
+            and has_answered({engine_id, *untried}, request.sent_s)
+        ):
             trial_until_s = now_s + request.timeout_s
         else:
             continue
@@ -159,17 +202,16 @@
     return now_s - start.started_s >= min(start.pending_s, request.timeout_s)
 
 
-def _may_try(hangs, others, usable, now_s):
-    """Return whether an engine may be ejected in favour of one without requests.
+def _is_trying(hangs, others, now_s):
+    """Return whether an engine was just ejected in favour of one without requests.
 
     If that one turns out to be silent as well, there is no reason to try the next at
     once. Otherwise it is the witness against all engines that hang.
     """
-    is_trying = any(
+    return any(
         now_s < hangs.ejections[other].trial_until_s
         for other in others & hangs.ejections.keys()
     )
-    return not is_trying and any(other not in hangs.waiting for other in usable)
 
 
 def is_ejected(hangs: Hangs, engine_id: str, now_s: float) -> bool:
@@ -180,6 +222,6 @@
 
 def prune(hangs: Hangs, known: set[str]) -> None:
     """Drop the state of all incarnations except the known ones."""
-    for kept in (hangs.last_started_s, hangs.ejections):
+    for kept in (hangs.last_started_s, hangs.ejections, hangs.answers):
         for engine_id in set(kept) - known:
             del kept[engine_id]
