Don't answer a command that wasn't applied

Callers of a command at which the state machine raises were told that it is done: the leader's own caller and one at a follower got `true`, while the leader's process ended.

A voter that ends gives the answers that are queued behind a write. They hold without the write, but not without the entries before them: after a failed entry the queue still had its commit, whose missing outcome reads `true`. An entry that raised at a close also left the voter's calls waiting until the end of their attempt (0.4 s), and its links open for calls that come later.

What is queued behind a failed entry is now dropped, so that its callers are told that the change may still be accepted. The end of a voter ends calls and links whatever its last entries raise.

--- a/libs/replica/src/cherryrudder/replica/voter.py
+++ b/libs/replica/src/cherryrudder/replica/voter.py
@@ -76,8 +76,10 @@
         Call it before the disk is closed. A voter whose disk or task group fails closes
         itself.
         """
-        self._close(VoterFailed("the voter was closed"))
-        self.peers.end_calls(self._end)
+        try:
+            self._close(VoterFailed("the voter was closed"))
+        finally:
+            self.peers.end_calls(self._end)
 
     def feed(self, event) -> None:
         """Pass an event to the core. Raises VoterFailed."""
@@ -180,11 +182,13 @@
         if self._end is not None:
             return
         self._end = end
-        self._settle()
-        for pending in self._waiting.values():
-            pending.fail(end)
-        self.peers.close(end)
-        self._wake_applied()
+        try:
+            self._settle()
+        finally:
+            for pending in self._waiting.values():
+                pending.fail(end)
+            self.peers.close(end)
+            self._wake_applied()
 
     def _settle(self):
         """Execute the answers that the core gave before the end.
@@ -279,7 +283,12 @@
     def _apply(self, entries):
         for entry in entries:
             if entry.kind == "command":
-                answer = self.machine.apply(self.state, entry.index, entry.payload)
+                try:
+                    answer = self.machine.apply(self.state, entry.index, entry.payload)
+                except BaseException:
+                    # What is queued, answers included, relies on this entry.
+                    self._effects.clear()
+                    raise
                 if self._waiting:
                     self._answers[entry.index] = answer
         self._set_applied_index(entries[-1].index)
