Use a data folder whose parent can't be synced

A control VM whose data folder is a mount point in an automounter's folder never opened its disk, and logged the loss every half second: the sync of the folder above answers EINVAL there, as in all file systems without such a call, and only a forbidden read was passed over. A path like `link/../data` was resolved by its text, so that the folder was made elsewhere than it was opened.

Errors that stay, whatever is tried, are now passed over if the folder is there already: this process could not make it more durable. A failing or full disk and a lack of descriptors refuse the folder as before. Links are resolved before `..`; a link to a missing folder creates that folder and syncs the one above it.

`python -m unittest test_parents` in libs/quorum/test: 10 cases fail before, 8 of them with EINVAL, ENOTSUP, ENOSYS and EROFS.

--- a/libs/quorum/src/cherryrudder/quorum/filesystem.py
+++ b/libs/quorum/src/cherryrudder/quorum/filesystem.py
@@ -1,10 +1,17 @@
 """File operations that the disk files need, as an interface that tests can fake."""
 
+import errno
 import fcntl
 import os
 from collections.abc import Callable
 from typing import NamedTuple
 
+# Errors of a folder that this process can't sync, however often it tries: one that it
+# may not read, or a file system without such a call, like that of an automounter.
+UNSYNCABLE = frozenset(
+    {errno.EACCES, errno.EPERM, errno.EINVAL, errno.EROFS, errno.ENOSYS, errno.ENOTSUP}
+)
+
 
 class FileSystem(NamedTuple):
     """File operations on descriptors and paths; each raises OSError."""
@@ -44,16 +51,18 @@
 def _make_folder(path):
     """Create a folder and its missing parents, each durable before the next one."""
     missing = []
-    present = os.path.abspath(path)
+    # Not `abspath`, which takes `..` behind a symbolic link for the link's parent.
+    present = os.path.realpath(path)
     while not os.path.isdir(present):
         missing.append(present)
         present = os.path.dirname(present)
     try:
         # An interrupted call may have created it without syncing its parent.
         _sync_folder(os.path.dirname(present))
-    except PermissionError:
-        # Created by somebody else, as this process can't list the parent.
-        pass
+    except OSError as error:
+        # A later try would fail too, and the folder is there.
+        if error.errno not in UNSYNCABLE:
+            raise
     for folder in reversed(missing):
         os.mkdir(folder)
         _sync_folder(os.path.dirname(folder))
