Don't write into a temporary name that a power loss has left

The next version was then written into the very file that it replaces, first of all by cutting it to nothing.

A temporary name that is left is now removed before it is written. The removal needn't be durable: if it is lost, the file still has its name.

`python -m unittest test_leftovers` in libs/quorum/test: 10 cases fail before.

--- a/libs/quorum/src/cherryrudder/quorum/atomic_files.py
+++ b/libs/quorum/src/cherryrudder/quorum/atomic_files.py
@@ -18,6 +18,9 @@
     """
     path = f"{folder}/{name}"
     data = b"".join(encode_record(payload) for payload in payloads)
+    if name + TEMPORARY_SUFFIX in fs.list_folder(folder):
+        # A rename that a power loss interrupted may have left both names to one file.
+        fs.remove(path + TEMPORARY_SUFFIX)
     fd = fs.open(path + TEMPORARY_SUFFIX)
     try:
         fs.truncate(fd, 0)
