Count crashes that another blocked request explains half, not at all

Cause: an end that a blocked request explained counted for nobody else. That keeps neighbours free, but culprits run beside one another too when there are few engines, so that each needed three ends of its own.

One culprit has four ends by 3.42 s. All entries know them by 4.14 s, four had blocked it and freed it again, as the block of another culprit takes one end, that of a neighbour a second; 1.5 are left of 3.5. It is sent at 6.42, 6.58, 7.21 and 7.89 s; at the entry of the last it had been blocked at 7.18 s and freed at 7.40 s by the blocks of two other culprits.

Why it works: a shared end says nothing for the innocence of a request that has two unexplained ends. For such a suspect each shared one counts half, so that two take the place of the third. A neighbour has hardly two that nobody blocked explains.

--- a/libs/routing/src/cherryrudder/routing/blame.py
+++ b/libs/routing/src/cherryrudder/routing/blame.py
@@ -8,7 +8,7 @@
 - no run of the request got further than the position at which that engine crashed: the
   same request crashes at the same position;
 - no other request explains the crash better: the request with the most crashes is
-  blocked first, and its crashes no longer count against others;
+  blocked first, and its crashes count for less against others;
 - few engines crashed at that time: many at once have another cause and count for less.
 """
 
@@ -21,6 +21,10 @@
 # Weighted crashes after which a request is a suspect: suspects that ran side by side
 # are sent at different times.
 SUSPECT_CRASHES = 2.0
+# Weight of a crash that a blocked request explains. Culprits also run beside each
+# other, so it isn't evidence of innocence, but it blocks only a request that is a
+# suspect without such crashes.
+EXPLAINED_WEIGHT = 0.5
 # Engines of the same kind differ in how many events they have sent when they crash.
 POSITION_TOLERANCE_EVENTS = 8
 # Crashes in one data centre this close together may have one cause, such as a rack
@@ -44,15 +48,19 @@
     """Recompute blocks and suspects; return the blocks that were added and removed."""
     before = set(book.blocks)
     weights = _weights_by_request(book)
+    totals = {one: sum(crashes.values()) for one, crashes in weights.items()}
+    counted = {one: set(crashes) for one, crashes in weights.items()}
     book.blocks = {}
-    while weights:
-        worst = max(weights, key=lambda one: (*_rank(book, weights, one), one))
-        if sum(weights[worst].values()) < BLOCK_CRASHES:
+    while True:
+        causes = [one for one in weights if _is_cause(weights[one], totals[one])]
+        if not causes:
             break
-        block = _block(book.records[worst], set(weights.pop(worst)))
+        worst = max(causes, key=lambda one: (*_rank(book, weights, one), one))
+        del weights[worst]
+        block = _block(book.records[worst], counted[worst])
         if now_s < block.until_s:
             book.blocks[worst] = block
-        _discount(weights, set(block.engine_ids))
+        _discount(weights, counted[worst])
     book.suspects = {
         one for one in weights if sum(weights[one].values()) >= SUSPECT_CRASHES
     }
@@ -79,6 +87,13 @@
     return int(fingerprint[:8], 16) % STAGGER_STEPS * STAGGER_STEP_S
 
 
+def _is_cause(unexplained, total_weight):
+    """Return whether a request's crashes suffice for a block."""
+    weight = sum(unexplained.values())
+    explained_weight = EXPLAINED_WEIGHT * (total_weight - weight)
+    return weight >= SUSPECT_CRASHES and weight + explained_weight >= BLOCK_CRASHES
+
+
 def _weights_by_request(book):
     """Return the weight of each crash against each request with several crashes."""
     repeated = {
--- a/libs/routing/test/test_blameorders.py
+++ b/libs/routing/test/test_blameorders.py
@@ -15,6 +15,49 @@
     Report("g2", "c", 2.9, {"neighbour": 3, "third": 3}),
     Report("g3", "c", 3.4, {"neighbour": 0, "culprit": 2}),
 )
+# Two culprits that crashed two engines each alone and two engines together.
+TOGETHER = (
+    Report("e1", "a", 2.3, {"first": 1}),
+    Report("f1", "b", 2.5, {"second": 1}),
+    Report("e2", "a", 2.7, {"first": 2}),
+    Report("f2", "b", 2.9, {"second": 3}),
+    Report("g1", "c", 3.1, {"first": 0, "second": 0}),
+    Report("g2", "c", 3.4, {"first": 2, "second": 2}),
+)
+
+
+class SharedCrashTest(unittest.TestCase):
+    """Guards against losing a culprit's evidence to another one on its engines."""
+
+    def blocked_beside_culprits(self, *engines):
+        """Return the blocks after a third request was cut on some engines."""
+        cut = [
+            one._replace(last_events=one.last_events | {"beside": 2})
+            if one.engine_id in engines
+            else one
+            for one in TOGETHER
+        ]
+        alone = [
+            Report(engine_id, "d", 4.0 + n, {"beside": 2})
+            for n, engine_id in enumerate(engines)
+            if engine_id.startswith("h")
+        ]
+        return set(a_book_of(*cut, *alone).blocks)
+
+    def test_culprits_on_the_same_engines_are_both_blocked(self):
+        self.assertEqual(set(a_book_of(*TOGETHER).blocks), {"first", "second"})
+
+    def test_a_neighbour_with_explained_crashes_only_is_not_blocked(self):
+        found = self.blocked_beside_culprits("f1", "g1", "g2")
+        self.assertEqual(found, {"first", "second"})
+
+    def test_a_neighbour_with_one_unexplained_crash_is_not_blocked(self):
+        found = self.blocked_beside_culprits("f1", "g1", "h1")
+        self.assertEqual(found, {"first", "second"})
+
+    def test_a_neighbour_with_two_unexplained_crashes_and_one_is_not_blocked(self):
+        found = self.blocked_beside_culprits("g2", "h1", "h2")
+        self.assertEqual(found, {"first", "second"})
 
 
 class ConfirmationTest(unittest.TestCase):
