--- a/libs/node/test/test_crashes.py
+++ b/libs/node/test/test_crashes.py
@@ -261,12 +261,12 @@
 
     def confirm(self, left_s=10.0, progress_s=None):
         """Return whether a newly blocked request is refused, and after which time."""
+        began_s = now_s()
         self.state.crashes.record({"bad": a_record(*ENGINES)}, now_s())
         job = a_job(self.state)
         job.left_s = lambda: left_s
 
         async def confirm():
-            began_s = now_s()
             async with anyio.create_task_group() as group:
                 if progress_s is not None:
                     group.start_soon(lift)
