Hold a step until every free of its request has ended

A stage that frees a request's KV twice and starts it again sent the step to the engine while one of the frees was still on its way, which may drop the KV that the step builds.

The mark of a free was that of the latest one: if that ended first, a slow one before it was waited for no longer. Two frees in one frame even shared the event, since each looked it up only when its task began; the first to end let the step go, and the earlier event was never set. A free now gets its own event and waits for the one before it, so that the mark goes with the last.

--- a/libs/daemon/src/cherryrudder/daemon/enginehost.py
+++ b/libs/daemon/src/cherryrudder/daemon/enginehost.py
@@ -134,8 +134,11 @@
                 case FreeKv():
                     # A later compute of the same request waits for this event.
                     # Otherwise the engine would drop KV that it has just built.
-                    self._freeing[effect.request] = anyio.Event()
-                    self.process.group.start_soon(self._free, effect.request)
+                    earlier = self._freeing.get(effect.request)
+                    done = self._freeing[effect.request] = anyio.Event()
+                    self.process.group.start_soon(
+                        self._free, effect.request, earlier, done
+                    )
 
     async def _tick(self):
         while True:
@@ -223,8 +226,9 @@
             is_done = True
         self._carry_out(handover.imported(self.core, effect.request, is_done, now_s()))
 
-    async def _free(self, request):
-        done = self._freeing[request]
+    async def _free(self, request, earlier, done):
+        if earlier is not None:
+            await earlier.wait()
         url = f"{self.back_end}/v1/free"
         value: dict[str, Any] = {"requests": [request]}
         try:
