Finish a planned stop though the disk fails to close

What callers would see: a control VM whose disk reports an error as it is closed ends its planned stop with exit code 1 and without closing its listeners, so that answers under way are cut off.

Cause: the error of `close` passed by the call that stops the process.

Evidence: found by reading, twice, in the trace and in the review of full disks.

Why it works: the error is logged, and the stop goes on.

--- a/libs/daemon/src/cherryrudder/daemon/controlrole.py
+++ b/libs/daemon/src/cherryrudder/daemon/controlrole.py
@@ -51,11 +51,19 @@
     # election timeout.
     control.voter.feed(TransferLeadership())
     await anyio.sleep(LEADER_TRANSFER_S)
-    control.voter.close()
-    control.voter.disk.close()
+    close_voter(control.voter)
     process.stop()
 
 
+def close_voter(voter: Voter) -> None:
+    """End the voter, then its disk; an error of the disk must not cut off answers."""
+    voter.close()
+    try:
+        voter.disk.close()
+    except OSError as error:
+        log.error("The disk was not closed: {}.", error)
+
+
 def dump(control: Control) -> dict:
     """Return the control VM's state for the dump."""
     state = control.voter.state
