--- a/libs/wire/src/cherryrudder/wire/timeouts.py
+++ b/libs/wire/src/cherryrudder/wire/timeouts.py
@@ -5,10 +5,10 @@
 meanwhile are read, and a peer that answered in time is taken for dead. So the pauses of
 the process don't count towards the timeout.
 
-Problem: where each iteration of the event loop is late, nearly all time is a pause, and
-the callers of the process wait many times as long as asked. So a wait ends by the clock
-at `MAX_STRETCH` times its timeout, once the event loop had the iterations that an
-exchange takes. A caller's own deadline ends it without either.
+In a process that is short of CPU time for long, each iteration of the event loop is
+late and nearly all time is a pause. So a wait also ends by the clock, at `MAX_STRETCH`
+times its timeout, once the event loop had the iterations that an exchange takes. A
+caller's own deadline ends it at once.
 """
 
 import asyncio
