--- a/libs/soak/src/cherryrudder/soak/testbed.py
+++ b/libs/soak/src/cherryrudder/soak/testbed.py
@@ -82,7 +82,9 @@
         return engine
 
     async def remove_engine(self, engine: Engine) -> None:
-        """End an engine without signing it off."""
+        """End an engine without signing it off, unless another fault has done so."""
+        if engine not in self.engines:
+            return
         self.engines.remove(engine)
         engine.is_removed = True
         engine.die()
