--- a/libs/daemon/test/test_pipelineprocesses.py
+++ b/libs/daemon/test/test_pipelineprocesses.py
@@ -316,10 +316,7 @@
         self.deployment.restart(node.name)
 
     def test_a_leaving_entry_announces_that_its_connections_close(self):
-        """Guards against a request lost on a connection that a stopping entry closes.
-
-        A caller keeps its connection, and an entry that drains answers on it.
-        """
+        """Guards against a request lost on a connection that a stop closes."""
         node = self.deployment.entries[1]
         stream = Stream(self, entry=1, max_tokens=120)
         stream.wait_parts(5)
--- a/libs/node/test/test_controlgossip.py
+++ b/libs/node/test/test_controlgossip.py
@@ -95,11 +95,7 @@
     """Guards against callers refused while a data centre's control VM is behind."""
 
     def update_times_s(self, interval_s, lag_s):
-        """Return when another data centre's entry is sent updates within 10 s.
-
-        The configuration changes at each interval; the entry's heartbeats, every half
-        second, report the version of that long ago.
-        """
+        """Return when an entry elsewhere, which lags by a time, is sent updates."""
         piped = PipedSink()
         self.addCleanup(piped.close)
         state = a_control(piped.sink, "127.0.0.1")
--- a/libs/node/test/test_hungstreams.py
+++ b/libs/node/test/test_hungstreams.py
@@ -27,6 +27,8 @@
 
 
 class HungStreamTest(unittest.TestCase):
+    """Guards against taking streams away from an engine that is their best chance."""
+
     def setUp(self):
         piped = PipedSink()
         self.addCleanup(piped.close)
--- a/libs/quorum/test/test_fullopening.py
+++ b/libs/quorum/test/test_fullopening.py
@@ -48,6 +48,7 @@
                 self.assertIn(opened.ok.saved, allowed[-2:])
 
     def test_what_a_full_disk_opens_with_survives_a_power_loss(self):
+        """Guards against answering for records that only the page cache holds."""
         for kept_bytes, full_at in itertools.product(KEPT_BYTES, range(1, WRITES + 1)):
             for seed in range(6):
                 with self.subTest(kept_bytes=kept_bytes, full_at=full_at, seed=seed):
@@ -66,10 +67,7 @@
     OPERATIONS = 8
 
     def test_a_power_loss_at_each_step_of_an_opening_loses_nothing(self):
-        """Guards against an opening that damages records which were accepted.
-
-        A sync before has failed and dropped what it should have written.
-        """
+        """Guards against an opening that damages records which were accepted."""
         work = test_files.FullDiskTest()
         for full_at, stop_at, seed in itertools.product(
             range(1, 45), range(1, self.OPERATIONS + 1), range(4)
--- a/libs/quorum/test/test_parents.py
+++ b/libs/quorum/test/test_parents.py
@@ -11,8 +11,7 @@
 from cherryrudder.quorum.errors import DiskUnavailable
 from cherryrudder.quorum.files import join_disk, open_disk
 
-# What an automounter's folder, a file system without such a call and a parent that may
-# not be read answer.
+# Errors of folders that can't be synced, however often it is tried.
 PERMANENT = (errno.EINVAL, errno.ENOTSUP, errno.ENOSYS, errno.EROFS, errno.EACCES)
 PASSING = (errno.EIO, errno.ENOSPC, errno.EMFILE)
 
@@ -30,6 +29,8 @@
 
 
 class ParentTest(unittest.TestCase):
+    """Guards against never opening a data folder whose parent can't be synced."""
+
     def setUp(self):
         root = tempfile.TemporaryDirectory()
         self.addCleanup(root.cleanup)
--- a/libs/replica/test/test_unconfirmed.py
+++ b/libs/replica/test/test_unconfirmed.py
@@ -25,11 +25,7 @@
 
 
 class DeposedLeaderTest(unittest.TestCase):
-    """Guards against "refused" for a change that the next leader has in its log.
-
-    The next leader refuses the change, as it has it already, or as another one, this
-    one, is under way.
-    """
+    """Guards against "refused" for a change that the next leader has in its log."""
 
     def run_deposed(self, call):
         """Depose a leader that has sent a change; return what its caller is told."""
--- a/libs/routing/test/test_blameorders.py
+++ b/libs/routing/test/test_blameorders.py
@@ -6,8 +6,7 @@
 
 from cherryrudder.routing import blame
 
-# The neighbour ran beside each of three culprits shortly after it had been sent. The
-# last crash had several requests on it that had crashed engines before.
+# A neighbour that ran beside each of three culprits.
 NEIGHBOURS = (
     Report("e1", "a", 2.3, {"culprit": 1}),
     Report("f1", "b", 2.5, {"culprit": 1}),
