Review case: a config with a version above 2^64 ends the control processes

Code path: platform/configuration.py takes any integer, wire/frames.py can't encode it, and wire/links.py lets the OverflowError end the process.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,7 +1,9 @@
-"""Clients send long bodies, within the limits, while most channels go to one node."""
+"""The operator's versions are times of day in microseconds."""
 
 import asyncio
+import json
 import os
+import random
 import sys
 import tempfile
 from pathlib import Path
@@ -10,157 +12,136 @@
 
 import standins
 
-DEADLINE_MS = 8000
-SMALL_CALLERS = 20
-LONG_CALLERS = 64
-# Without the disruption as many long bodies come, but a few at a time.
-CALM_AT_ONCE = 4
-# Below the config's max_body_bytes, 4,194,304.
-BODY_BYTES = 4_000_000
-PIECE_BYTES = 65_536
-# All long bodies together take less than the machine's link, 1,000 Mbit/s.
-LINK_BYTES_PER_S = 100e6
-MEMORY_MB = 300
-LOOK_S = 0.02
+DEADLINE_MS = 1000
+CALLERS = 6
+# The operator's versions: 4 December 2026, 05:30:00.000000, as one number.
+FIRST_VERSION = 20261204
+CALM_VERSION = 20261205
+NEXT_VERSION = 20261204053000000000
+BEFORE_S, RECOVERY_S, AFTER_S = 5.0, 12.0, 8.0
+# The final fault: all processes are killed, and back after this long.
+DOWN_S = 0.7
+# A process that ends by itself starts again after this long.
 RESTART_S = 1.0
-BEFORE_S, AFTER_S = 3.0, 6.0
-MAX_LOST = 3
+READ_PATH = "/cherryrudder/Config.Read"
 
 
-class Client:
-    """A client that keeps its channel, and opens a new one when that is closed."""
+class Process:
+    """A process of the router; the platform starts it again when it ends."""
 
-    def __init__(self, deployment, address):
+    def __init__(self, deployment, number, role):
         self.deployment = deployment
-        self.address = address
-        self.reader = self.writer = None
-        self.uses = 0
-
-    async def send(self, method, path, body=b"", bytes_per_s=0.0):
-        """Send one request; return its id, status, and whether the channel was kept."""
-        record = self.deployment.record
+        self.number = number
+        self.role = role
+        # How often it has ended by itself.
+        self.ends = 0
+        self.running = self._start(True)
+
+    def _start(self, is_first):
+        ip = self.deployment.machines[self.number]
+        return self.deployment.start_process(self.number, ip, self.role, is_first)
+
+    def kill(self):
+        """Kill the process, as in the final fault."""
+        self.running.kill()
+        self.running.wait()
+        self.running = None
+
+    def start_again(self):
+        """Start the process after the final fault."""
+        self.running = self._start(False)
+
+    async def watch(self, over):
+        """Start the process again after each time that it ends by itself."""
+        while not over.is_set():
+            if self.running is not None and self.running.poll() is not None:
+                self.ends += 1
+                self.deployment.record.write(
+                    "ended-by-itself",
+                    machine=self.deployment.machines[self.number],
+                    role=self.role,
+                    code=self.running.poll(),
+                )
+                self.running = None
+                await asyncio.sleep(RESTART_S)
+                self.running = self._start(False)
+            await asyncio.sleep(0.02)
+
+
+async def send_requests(deployment, over, sent):
+    """Send requests, one after the other, until an event."""
+    record = deployment.record
+    while not over.is_set():
         request_id = standins.new_id()
-        is_kept = self.uses > 0
-        status = "none"
+        address = f"{random.choice(deployment.machines)}:{standins.FRONT}"
+        headers = standins.client_headers(request_id, DEADLINE_MS)
+        record.write("sent", id=request_id, to=address)
+        sent_s = record.now_s()
         try:
-            async with asyncio.timeout(DEADLINE_MS / 1000):
-                if self.writer is None:
-                    host, _, port = self.address.rpartition(":")
-                    opened = await asyncio.open_connection(host, int(port))
-                    self.reader, self.writer = opened
-                headers = {"Host": standins.HOST}
-                headers |= standins.client_headers(request_id, DEADLINE_MS)
-                first = f"{method} {path} HTTP/1.1"
-                data = standins.format_message(first, headers, body)
-                record.write("sent", id=request_id, bytes=len(data), kept=is_kept)
-                for at in range(0, len(data), PIECE_BYTES):
-                    self.writer.write(data[at : at + PIECE_BYTES])
-                    await self.writer.drain()
-                    if bytes_per_s:
-                        await asyncio.sleep(PIECE_BYTES / bytes_per_s)
-                line, answered, _ = await standins.read_message(self.reader)
-                status = int(line.split()[1])
-                self.uses += 1
-                if answered.get("connection", "").lower() == "close":
-                    self.close()
-        except TimeoutError:
-            status = "late"
-            self.close()
-        except (OSError, asyncio.IncompleteReadError):
-            status = "closed"
-            self.close()
+            answer = await standins.call(address, "GET", "/mu/2f", headers)
+            status = answer[0]
+        except standins.NoAnswer as error:
+            status = f"none:{error}"
         record.write("ended", id=request_id, status=status)
-        return request_id, status, is_kept
-
-    def close(self):
-        """Close the channel."""
-        if self.writer is not None:
-            self.writer.transport.abort()
-        self.reader = self.writer = None
-        self.uses = 0
-
-
-async def send_small(client, over, results):
-    """Send queries one after the other on a kept channel."""
-    while not over.is_set():
-        results.append(await client.send("GET", "/mu/2f"))
+        sent.append((sent_s, status))
         await asyncio.sleep(0.05)
 
 
-async def send_long(client, gate, results):
-    """Send a query, and one filing with a long body on the same channel."""
-    results.append(await client.send("GET", "/mu/2f"))
-    async with gate:
-        rate = LINK_BYTES_PER_S / LONG_CALLERS
-        body = b"x" * BODY_BYTES
-        results.append(await client.send("POST", "/puxa403/2f", body, rate))
-
-
-async def limit_memory(deployment, number, over, kills):
-    """Kill an entry that uses more than `memory_mb`, as the platform does."""
-    ip, record = deployment.machines[number], deployment.record
-    process, most = deployment.entries[number], 0.0
-    while not over.is_set():
-        used_mb = memory_mb(process.pid)
-        most = max(most, used_mb)
-        if used_mb > MEMORY_MB:
-            record.write("killed", machine=ip, used_mb=round(used_mb))
-            kills.append(record.now_s())
-            process.kill()
-            process.wait()
-            await asyncio.sleep(RESTART_S)
-            process = deployment.start_process(number, ip, "entry")
-        await asyncio.sleep(LOOK_S)
-    record.write("memory", machine=ip, most_mb=round(most))
-
-
-def memory_mb(pid):
-    """Return the memory that a process has for itself, without shared files."""
-    for line in Path(f"/proc/{pid}/status").read_text().splitlines():
-        if line.startswith("RssAnon:"):
-            return int(line.split()[1]) / 1024
-    return 0.0
+async def read_back(deployment):
+    """Read the config at all machines once."""
+    for ip in deployment.machines:
+        address, version = f"{ip}:{standins.CONTROL}", None
+        try:
+            status, _, body = await standins.call(address, "GET", READ_PATH)
+            if status == 200:
+                version = json.loads(body)["version"]
+        except standins.NoAnswer:
+            status = "none"
+        deployment.record.write("read", machine=ip, status=status, version=version)
 
 
 async def play(folder, record):
-    """Run the case; return the results, what ran and when entries were killed."""
+    """Run the case; return the processes, the requests and the times of the fault."""
     deployment = standins.Deployment(folder, record)
+    sent, over = [], asyncio.Event()
     try:
-        deployment.entries = []
-        for number, ip in enumerate(deployment.machines):
-            deployment.start_process(number, ip, "control")
-            entry = deployment.start_process(number, ip, "entry")
-            deployment.entries.append(entry)
-        for host in range(3):
-            engine = standins.Engine(deployment, f"i-desk{host}", "wuno96b", host)
-            await deployment.add_engine(engine)
-        routes = [
-            standins.route("query", "/mu/", "safe", "wuno96b"),
-            standins.route(
-                "filing", "/puxa403/", "unsafe", "wuno96b", timeout_ms=DEADLINE_MS
-            ),
+        processes = [
+            Process(deployment, number, role)
+            for number in range(3)
+            for role in ("control", "entry")
         ]
-        await deployment.configure(standins.configuration(7, routes, ("wuno96b",)))
-        await deployment.wait_ready()
-        await asyncio.sleep(3.0)
-        results, kills, over = [], [], asyncio.Event()
-        address = f"{deployment.machines[0]}:{standins.FRONT}"
-        is_calm = os.environ.get("TROUBLE") == "0"
-        gate = asyncio.Semaphore(CALM_AT_ONCE if is_calm else LONG_CALLERS)
         async with asyncio.TaskGroup() as group:
-            for number in range(3):
-                group.create_task(limit_memory(deployment, number, over, kills))
-            for _ in range(SMALL_CALLERS):
-                client = Client(deployment, address)
-                group.create_task(send_small(client, over, results))
+            for process in processes:
+                group.create_task(process.watch(over))
+            for host in range(3):
+                engine = standins.Engine(deployment, f"i-desk{host}", "wuno96b", host)
+                await deployment.add_engine(engine)
+            routes = [standins.route("query", "/mu/", "safe", "wuno96b")]
+            first = standins.configuration(FIRST_VERSION, routes, ("wuno96b",))
+            await deployment.configure(first)
+            await deployment.wait_ready()
+            await asyncio.sleep(3.0)
+            for _ in range(CALLERS):
+                group.create_task(send_requests(deployment, over, sent))
             await asyncio.sleep(BEFORE_S)
-            async with asyncio.TaskGroup() as long:
-                for _ in range(LONG_CALLERS):
-                    client = Client(deployment, address)
-                    long.create_task(send_long(client, gate, results))
-            await asyncio.sleep(AFTER_S)
+            is_calm = os.environ.get("TROUBLE") == "0"
+            version = CALM_VERSION if is_calm else NEXT_VERSION
+            await deployment.configure(first | {"version": version})
+            fault_s = record.now_s()
+            record.write("final-fault")
+            for process in processes:
+                process.kill()
+            await asyncio.sleep(DOWN_S)
+            for process in processes:
+                process.start_again()
+            back_s = record.now_s()
+            record.write("back")
+            await asyncio.sleep(RECOVERY_S)
+            for _ in range(int(AFTER_S)):
+                await read_back(deployment)
+                await asyncio.sleep(1.0)
             over.set()
-        return results, {one[2] for one in deployment.runs}, kills
+        return processes, sent, fault_s, back_s
     finally:
         deployment.stop()
 
@@ -170,26 +151,25 @@
     record = standins.Record(Path(__file__).parent)
     try:
         with tempfile.TemporaryDirectory() as folder:
-            results, ran, kills = asyncio.run(play(folder, record))
+            result = asyncio.run(play(folder, record))
     except Exception as error:
         record.write("failed-to-run", error=repr(error))
         print(f"could not run: {error!r}")
         return 2
-    served = sum(status == 200 for _, status, _ in results)
-    lost = [
-        request_id
-        for request_id, status, is_kept in results
-        if status == "closed" and is_kept and request_id in ran
-    ]
-    is_broken = len(lost) > MAX_LOST
+    processes, sent, fault_s, back_s = result
+    before = [status for sent_s, status in sent if sent_s < fault_s - 1.0]
+    after = [status for sent_s, status in sent if sent_s > back_s + RECOVERY_S]
+    ends = {f"{one.role}-{one.number}": one.ends for one in processes if one.ends}
+    was_served = 4 * before.count(200) >= len(before) > 0
+    is_broken = was_served and 4 * after.count(200) < len(after)
     text = (
-        f"{len(results)} requests, {served} served; entries killed for their memory "
-        f"{len(kills)} times; {len(lost)} requests on kept channels were passed on and "
-        f"their channel was closed without an answer"
+        f"served {before.count(200)} of {len(before)} requests before the final fault, "
+        f"{after.count(200)} of {len(after)} sent later than recovery_s after the "
+        f"machines were back; processes that ended by themselves: {ends}"
     )
     record.write("verdict", broken=is_broken, text=repr(text))
-    print(text, "- LOST is broken" if is_broken else "- LOST holds")
-    if not served:
+    print(text, "- RECOVER is broken" if is_broken else "- RECOVER holds")
+    if not was_served or not after:
         return 2
     return int(is_broken)
 
--- a/review/standins.py
+++ b/review/standins.py
@@ -263,10 +263,11 @@
             for role in ("control", "entry"):
                 self.start_process(number, ip, role)
 
-    def start_process(self, number, ip, role):
+    def start_process(self, number, ip, role, is_first=True):
         """Start one process with its command in the deploy file."""
         path = self.folder / f"front-{number}-{role}.toml"
-        path.write_text(self._settings(number, ip, role), encoding="utf-8")
+        text = self._settings(number, ip, role, is_first)
+        path.write_text(text, encoding="utf-8")
         kept = {n: os.environ[n] for n in ("PATH", "HOME", "LANG") if n in os.environ}
         kept["PYTHONPATH"] = str(ROOT / "target" / "deps")
         kept["CHERRYRUDDER_NODE_FILE"] = str(path)
@@ -327,7 +328,7 @@
                         break
                 await asyncio.sleep(0.1)
 
-    def _settings(self, number, ip, role):
+    def _settings(self, number, ip, role, is_first):
         seeds = ", ".join(f'"{machine}:{CONTROL}"' for machine in self.machines)
         zones = "\n".join(f'{zone} = "r"' for zone in ZONES)
         listen = f'front = "{ip}:{FRONT}"\nready_addr = "{ip}:{READY}"'
@@ -346,7 +347,7 @@
 region = "r"
 internal_port_range = [7340, 7355]
 seeds = [{seeds}]
-first_start = true
+first_start = {str(is_first).lower()}
 fault_counted = true
 {disk}
 discovery = "registry"
