--- a/review/standins.py
+++ b/review/standins.py
@@ -114,6 +114,8 @@
         self.service = service
         self.zone = ZONES[host % 3]
         self.address = f"{deployment.net}.{100 + host}:{ENGINE}"
+        # Where it listens; a proxy may be in between.
+        self.listen_address = self.address
         self.slots = 6
         self.work_s = WORK_S
         self.state = "ready"
@@ -130,7 +132,7 @@
         self.born = max(self.born + 1, int(time.time() * 1000))
         self.sequence = self.running = 0
         self.is_up, self.is_dark = True, False
-        host, _, port = self.address.rpartition(":")
+        host, _, port = self.listen_address.rpartition(":")
         self._server = await asyncio.start_server(self._serve, host, int(port))
         self._begin(self._check_in())
 
