Log what each retry is charged to, and the inputs of each refusal

The lines of a retry gave only its verdict, so that a part handed out twice could not be told from one that an ended entry had spent. Refusals lacked host and path, so that an old table's 404 could not be told from a form of the target that isn't understood. Both are logged now, refusals that clients don't retry also beyond the lines' budget.

--- a/libs/node/src/cherryrudder/node/attempts.py
+++ b/libs/node/src/cherryrudder/node/attempts.py
@@ -137,7 +137,10 @@
     while verdict is Verdict.NO_BUDGET and now_s() < until_s:
         await anyio.sleep(BUDGET_POLL_S)
         verdict = sharedbudget.may_retry(budget, service, attempt, now_s(), has_begun)
-    job.log_event("retry", verdict=str(verdict), reason=failed.reason)
+    charge = sharedbudget.describe(budget, service, now_s())
+    job.log_event(
+        "retry", verdict=str(verdict), reason=failed.reason, service=service, **charge
+    )
     return verdict is Verdict.RETRY
 
 
--- a/libs/node/src/cherryrudder/node/job.py
+++ b/libs/node/src/cherryrudder/node/job.py
@@ -27,6 +27,9 @@
 # Added to the client's timeout, so that the client disconnects first. An answer that
 # the entry ends just before would look broken off by the router.
 LEAVE_MARGIN_S = 0.3
+# Refusals after which clients don't retry; they are always logged.
+FINAL_STATUSES = frozenset({400, 401, 404})
+MAX_LOGGED_PATH = 120
 
 
 class WholeAnswer(NamedTuple):
@@ -211,15 +214,22 @@
 ) -> None:
     """Refuse a request without an engine, and log the reason."""
     state.metrics.refusals.labels(kind, str(refused.status)).inc()
+    is_final = refused.status in FINAL_STATUSES
+    target = exchange.request.target.decode("latin-1")
     state.sink.write(
         "request",
         "refused",
+        is_final,
         request_id=facts.request_id,
         status=refused.status,
         reason=refused.reason,
         retry_after_s=refused.retry_after_s,
         version=state.version,
         confirmed_age_s=round(now_s() - state.confirmed_s, 3),
+        host=facts.host,
+        # Without the query, which may hold personal data.
+        path=target.partition("?")[0][:MAX_LOGGED_PATH],
+        has_key=bool(facts.key),
     )
     headers = messages.own_headers(facts.request_id, refused.retry_after_s)
     body = b""
--- a/libs/policy/src/cherryrudder/policy/sharedbudget.py
+++ b/libs/policy/src/cherryrudder/policy/sharedbudget.py
@@ -41,6 +41,8 @@
 # After this long without a report, four missed ones, an entry earns retries by its own
 # requests.
 REPORT_TIMEOUT_S = 2.0
+# Age written to logs for a part that was never set.
+MAX_LOGGED_AGE_S = 9999.0
 
 
 class RetryUsage(NamedTuple):
@@ -122,6 +124,20 @@
     return known.budget.saved + _credit(known, has_begun) >= count
 
 
+def describe(shared: SharedBudget, service: str, now_s: float) -> dict[str, float]:
+    """Return what a decision on a retry rests on, for log lines."""
+    known = _service(shared, service)
+    _drop_old(shared, known, now_s)
+    return {
+        "saved": round(known.budget.saved, 2),
+        "part": round(known.part, 2),
+        "part_age_s": round(min(now_s - known.updated_s, MAX_LOGGED_AGE_S), 3),
+        "own_requests": sum(bucket.requests for bucket in known.buckets),
+        "own_retries": sum(bucket.retries for bucket in known.buckets),
+        "entries": shared.entries,
+    }
+
+
 def _credit(known, has_begun):
     if has_begun is None:
         return 0.0
