Accept requests in all forms that HTTP/1.1 asks a server to accept

Callers got 400 or 404 for proper requests: after an empty line before a request or between two on a kept connection, with white space before a chunk extension, with an absolute target, a final dot in the host or an encoded letter in the prefix; and 413 or 431 by the limits of the time at which their connection was opened.

Cause: h11 is stricter than RFC 9112 (2.2, 7.1.1), the target was taken as it came (3.2.2), hosts and prefixes were compared as text (RFC 3986, 6.2), and each connection kept one parser with the limits of its start. Now relay/framing gives the parser one request at a time, without what is to be left out, and each request has a parser with the limits of its moment. Routes compare what is equivalent; engines get the path unchanged.

--- a/libs/node/src/cherryrudder/node/entry.py
+++ b/libs/node/src/cherryrudder/node/entry.py
@@ -28,6 +28,7 @@
 CLOSE_MARGIN_S = 0.4
 SWEEP_INTERVAL_S = 1.0
 OVERLOAD_LOG_INTERVAL_S = 1.0
+MAX_LOGGED_REASON = 200
 
 
 async def run(
@@ -41,7 +42,8 @@
         handler = RequestHandler(state, uplink)
         group.start_soon(handler.supervisor.run)
         server = HttpServer(handler.handle)
-        server.limits = Limits(*DEFAULT_LIMITS)
+        server.limits = partial(_limits, state)
+        server.on_refused = partial(_log_refused, state)
         server.refuses = _make_overload_check(state, server, group)
         group.start_soon(httpserver.serve, server, settings.client_address)
         group.start_soon(_answer_readiness, state, leaving)
@@ -55,12 +57,30 @@
                 partial(ratelimiter.dump, state.rates),
             ),
         )
-        group.start_soon(_sweep, state, server, handler)
+        group.start_soon(_sweep, state, handler)
         await leaving.wait()
         await _stop(handler, server, settings.bounds.grace_s)
         group.cancel_scope.cancel()
 
 
+def _limits(state):
+    """Return the limits of the configuration in force."""
+    table = state.table
+    return Limits(*(table.configuration.limits if table else DEFAULT_LIMITS))
+
+
+def _log_refused(state, error):
+    """Log a request that was refused before its head and body were read."""
+    state.sink.write(
+        "clients",
+        "refused",
+        status=error.status,
+        reason=str(error)[:MAX_LOGGED_REASON],
+        version=state.version,
+        confirmed_age_s=round(now_s() - state.confirmed_s, 3),
+    )
+
+
 def _make_overload_check(state, server, group):
     """Return the check whether to close a new connection; it watches the event loop."""
     lateness, most = overload.LoopLateness(), overload.max_connections()
@@ -105,12 +125,10 @@
     return age_s < authorization.READY_SHARE * state.settings.bounds.revoke_s
 
 
-async def _sweep(state, server, handler):
-    """Apply the configured limits and close old pooled connections, periodically."""
+async def _sweep(state, handler):
+    """Close old pooled connections, periodically."""
     while True:
         await anyio.sleep(SWEEP_INTERVAL_S)
-        if state.table is not None:
-            server.limits = Limits(*state.table.configuration.limits)
         now = now_s()
         live = endpoints.live(state.endpoints.table, now)
         known = {announcement.address for announcement in live}
--- a/libs/node/src/cherryrudder/node/httpserver.py
+++ b/libs/node/src/cherryrudder/node/httpserver.py
@@ -5,6 +5,7 @@
 import anyio
 from loguru import logger
 
+from cherryrudder.relay.errors import BadRequest
 from cherryrudder.relay.server import ClientConnection, Handler, Limits
 from cherryrudder.replica.clock import now_s
 from cherryrudder.wire import sockets
@@ -20,10 +21,13 @@
 
     def __init__(self, handler: Handler):
         self.handler = handler
-        self.limits = CALL_LIMITS
+        # Returns the limits in force.
+        self.limits: Callable[[], Limits] = lambda: CALL_LIMITS
         # If set, answers announce that the connection closes after them.
         self.is_closing = False
         self.connections: set[ClientConnection] = set()
+        # Called with each request that is refused without its handler.
+        self.on_refused: Callable[[BadRequest], None] = lambda error: None
         # Returns whether new connections are closed without being read.
         self.refuses: Callable[[], bool] = lambda: False
 
@@ -46,7 +50,11 @@
 
     async def handle(stream):
         connection = ClientConnection(
-            stream, server.limits, now_s, lambda: server.is_closing
+            stream,
+            server.limits,
+            now_s,
+            lambda: server.is_closing,
+            server.on_refused,
         )
         server.connections.add(connection)
         try:
--- a/libs/relay/src/cherryrudder/relay/server.py
+++ b/libs/relay/src/cherryrudder/relay/server.py
@@ -10,12 +10,13 @@
 
 import anyio
 import h11
-from loguru import logger
 
 from cherryrudder.wire.errors import StreamBroken, StreamEnded, WireError
 from cherryrudder.wire.sockets import Stream
 
 from .errors import BadRequest, ClientGone
+from .framing import RequestFramer
+from .targets import to_origin_form
 
 READ_BYTES = 64 * 1024
 # Bytes that a client may send while its previous request is being answered.
@@ -24,8 +25,6 @@
 # clients give up on a stream after two seconds without data.
 WRITE_TIMEOUT_S = 5.0
 
-log = logger.bind(part="clients")
-
 Headers = list[tuple[bytes, bytes]]
 
 
@@ -93,25 +92,26 @@
     def __init__(
         self,
         stream: Stream,
-        limits: Limits,
+        limits: Callable[[], Limits],
         now_s: Callable[[], float],
         is_closing: Callable[[], bool],
+        on_refused: Callable[[BadRequest], None] = lambda error: None,
     ):
+        self._on_refused = on_refused
         self._stream = stream
         self._limits = limits
         self._now_s = now_s
         self.is_closing = is_closing
         # Set while a request is being read or answered.
         self.is_busy = False
-        self._http = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=limits.max_header_bytes
-        )
+        self._framer = RequestFramer()
+        self._http = _new_parser(limits())
 
     async def run(self, handler: Handler) -> None:
         """Serve requests until either side closes the connection."""
         try:
             while await self._serve_one(handler):
-                self._http.start_next_cycle()
+                self._framer.begin_next()
         except (ClientGone, WireError):
             # The unfinished request was already logged.
             pass
@@ -190,55 +190,63 @@
                 scope.cancel()
                 return
             pipelined_bytes += len(data)
-            self._http.receive_data(data)
+            self._framer.receive(data)
 
     async def _send_error(self, error):
         """Answer an invalid request with an error status."""
         if self._http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
-        log.debug("Rejected an invalid request: {}.", error)
+        self._on_refused(error)
         headers = [(b"content-length", b"0"), (b"connection", b"close")]
         await self.write(h11.Response(status_code=error.status, headers=headers))
         await self.write(h11.EndOfMessage())
 
     async def _read_request(self):
         """Return the next request, or None when the client closes or idles too long."""
-        head = await self._read_head()
+        if not await self._wait_for_request():
+            return None
+        # Of this moment, as they may have changed since the connection was opened.
+        limits = self._limits()
+        self._http = _new_parser(limits)
+        head = await self._read_head(limits)
         if head is None:
             return None
         self.is_busy = True
         arrived_s = self._now_s()
-        body = await self._read_body(head)
+        body = await self._read_body(head, limits)
         headers = [(bytes(name), bytes(value)) for name, value in head.headers]
-        return Request(bytes(head.method), bytes(head.target), headers, body, arrived_s)
+        target, headers = to_origin_form(bytes(head.target), headers)
+        return Request(bytes(head.method), target, headers, body, arrived_s)
+
+    async def _wait_for_request(self):
+        """Wait for the first bytes of a request; return false if none come."""
+        while not self._framer.has_request():
+            with anyio.move_on_after(self._limits().idle_timeout_s) as scope:
+                if not await self._receive():
+                    return False
+            if scope.cancelled_caught:
+                return False
+        return True
 
-    async def _read_head(self):
-        limits = self._limits
-        timeout_s, end_s = limits.idle_timeout_s, None
+    async def _read_head(self, limits):
+        end_s = self._now_s() + limits.header_timeout_s
         while True:
             event = self._next_event()
             if isinstance(event, h11.Request):
                 # The parser limits the head only if it arrives in several reads.
                 if _head_bytes(event) > limits.max_header_bytes:
                     raise BadRequest(431, "the head is too long")
+                self._framer.begin_body(event.headers)
                 return event
             if event is not h11.NEED_DATA:
                 return None
-            has_begun = bool(self._http.trailing_data[0])
-            if has_begun:
-                now = self._now_s()
-                end_s = now + limits.header_timeout_s if end_s is None else end_s
-                timeout_s = max(0.0, end_s - now)
-            with anyio.move_on_after(timeout_s) as scope:
+            with anyio.move_on_after(max(0.0, end_s - self._now_s())) as scope:
                 if not await self._receive():
                     return None
             if scope.cancelled_caught:
-                if has_begun:
-                    raise BadRequest(408, "the head took too long")
-                return None
+                raise BadRequest(408, "the head took too long")
 
-    async def _read_body(self, head):
-        limits = self._limits
+    async def _read_body(self, head, limits):
         length = dict(head.headers).get(b"content-length", b"0")
         if int(length) > limits.max_body_bytes:
             raise BadRequest(413, "the body is too long")
@@ -272,14 +280,23 @@
             data = await self._stream.receive(READ_BYTES)
         except (StreamEnded, StreamBroken):
             return False
-        self._http.receive_data(data)
+        self._framer.receive(data)
         return True
 
     def _next_event(self):
-        try:
-            return self._http.next_event()
-        except h11.RemoteProtocolError as error:
-            raise BadRequest(error.error_status_hint, str(error)) from error
+        while True:
+            try:
+                event = self._http.next_event()
+            except h11.RemoteProtocolError as error:
+                raise BadRequest(error.error_status_hint, str(error)) from error
+            data = self._framer.take() if event is h11.NEED_DATA else b""
+            if not data:
+                return event
+            self._http.receive_data(data)
+
+
+def _new_parser(limits):
+    return h11.Connection(h11.SERVER, max_incomplete_event_size=limits.max_header_bytes)
 
 
 def _head_bytes(event):
--- a/libs/relay/test/builders.py
+++ b/libs/relay/test/builders.py
@@ -46,7 +46,7 @@
     clock = asyncio.get_running_loop().time
 
     async def handle(stream):
-        await ClientConnection(stream, limits, clock, is_closing).run(handler)
+        await ClientConnection(stream, lambda: limits, clock, is_closing).run(handler)
 
     async with anyio.create_task_group() as group:
         server = await sockets.listen(address, handle, group)
--- a/libs/routing/src/cherryrudder/routing/authorization.py
+++ b/libs/routing/src/cherryrudder/routing/authorization.py
@@ -59,6 +59,11 @@
 CUT_OFF = Refused(503, "cut off from the control VMs", 0.05)
 
 
+def is_certain(confirmed_age_s: float, revoke_s: float) -> bool:
+    """Return whether a configuration is new enough for refusals that are final."""
+    return confirmed_age_s < CERTAIN_SHARE * revoke_s
+
+
 def authorize(
     table: RouteTable | None,
     request: AccessRequest,
@@ -78,17 +83,20 @@
     if table is None:
         return NO_CONFIGURATION
     is_trusted = confirmed_age_s < TRUSTED_SHARE * revoke_s
-    is_certain = confirmed_age_s < CERTAIN_SHARE * revoke_s
     route = table.route(request.host, request.target)
     if route is None:
-        return Refused(404, "no route") if is_certain else UNCONFIRMED
+        if is_certain(confirmed_age_s, revoke_s):
+            return Refused(404, "no route")
+        return UNCONFIRMED
     if route.is_anonymous or not table.has_accounts:
         return Admitted(route, "", route.priority)
     if not is_trusted:
         return UNCONFIRMED
     account = table.account(request.key)
     if account is None:
-        return Refused(401, "unknown key") if is_certain else UNCONFIRMED
+        if is_certain(confirmed_age_s, revoke_s):
+            return Refused(401, "unknown key")
+        return UNCONFIRMED
     return Admitted(route, account.name, _priority(account, route))
 
 
--- a/libs/routing/src/cherryrudder/routing/routetable.py
+++ b/libs/routing/src/cherryrudder/routing/routetable.py
@@ -1,7 +1,12 @@
 """Look-up of routes, client accounts and services in one configuration."""
 
+import re
+
 from .configuration import Account, Configuration, Route, Service
 
+ENCODED = re.compile(r"%[0-9A-Fa-f]{2}")
+UNRESERVED = re.compile(r"[A-Za-z0-9._~-]")
+
 
 class RouteTable:
     """Indexes of one configuration; immutable once built."""
@@ -10,8 +15,8 @@
         self.configuration = configuration
         self._routes: dict[str, dict[str, Route]] = {}
         for route in configuration.routes:
-            by_prefix = self._routes.setdefault(route.host.lower(), {})
-            by_prefix[route.path_prefix] = route
+            by_prefix = self._routes.setdefault(_host_name(route.host), {})
+            by_prefix[_decode_unreserved(route.path_prefix)] = route
         self._accounts = {
             key: account for account in configuration.accounts for key in account.keys
         }
@@ -29,10 +34,10 @@
 
     def route(self, host: str, target: str) -> Route | None:
         """Return the route with the longest prefix of the target's path, or None."""
-        by_prefix = self._routes.get(host.partition(":")[0].lower())
+        by_prefix = self._routes.get(_host_name(host))
         if by_prefix is None:
             return None
-        path = target.partition("?")[0]
+        path = _decode_unreserved(target.partition("?")[0])
         end = path.rfind("/") + 1
         while end > 0:
             route = by_prefix.get(path[:end])
@@ -50,6 +55,24 @@
         return self._services.get(name)
 
 
+def _host_name(host):
+    """Return a host without port and final dot, in lower case."""
+    if host.startswith("["):
+        # An IPv6 address has colons of its own.
+        return host.partition("]")[0].lower() + "]"
+    return host.partition(":")[0].removesuffix(".").lower()
+
+
+def _decode_unreserved(path):
+    """Return a path with the escapes decoded that change nothing (RFC 3986, 6.2.2)."""
+    return ENCODED.sub(_decode, path) if "%" in path else path
+
+
+def _decode(found):
+    character = chr(int(found[0][1:], 16))
+    return character if UNRESERVED.fullmatch(character) else found[0].upper()
+
+
 def pick_service(route: Route, drawn: float) -> str:
     """Return the service of a split that a random number in [0, 1) selects."""
     total = sum(share.weight for share in route.split)
--- a/libs/routing/test/test_routetable.py
+++ b/libs/routing/test/test_routetable.py
@@ -32,6 +32,21 @@
         self.assertIsNone(table.route("other.example", "/a/x"))
         self.assertIsNone(table.route("desk.example", "/ax"))
 
+    def test_equivalent_hosts_and_paths_lead_to_the_same_route(self):
+        """Guards against a 404 for another spelling of a route's host or prefix."""
+        table = RouteTable(a_configuration(a_route("r", "/mu~/", host="h.example")))
+        for host in ("h.example.", "H.Example.:80"):
+            self.assertIsNotNone(table.route(host, "/mu~/x"))
+        for path in ("/%6du~/x", "/%6D%75%7e/x", "/mu%7E/%2F"):
+            self.assertIsNotNone(table.route("h.example", path))
+        for path in ("/mu~%2Fx", "/mu~%2f/x", "/%256du~/x", "/mu~%"):
+            self.assertIsNone(table.route("h.example", path))
+
+    def test_the_port_of_an_ipv6_host_is_ignored(self):
+        table = RouteTable(a_configuration(a_route("r", "/a/", host="[::1]")))
+        self.assertIsNotNone(table.route("[::1]:8227", "/a/x"))
+        self.assertIsNone(table.route("[::2]", "/a/x"))
+
     def test_the_query_is_not_part_of_the_path(self):
         table = RouteTable(a_configuration())
         self.assertIsNone(table.route("desk.example", "/?/a/"))
--- a/libs/wire/src/cherryrudder/wire/sockets.py
+++ b/libs/wire/src/cherryrudder/wire/sockets.py
@@ -92,6 +92,12 @@
         if self._transport is not None:
             self._transport.close()
 
+    def end_writing(self) -> None:
+        """Close this side after all written data has been sent, and go on reading."""
+        with contextlib.suppress(OSError, RuntimeError):
+            if self._transport is not None and not self._transport.is_closing():
+                self._transport.write_eof()
+
     def abort(self) -> None:
         """Close at once and discard unsent data."""
         if self._transport is not None:
