Refuse a request beyond limits that may be out of date with 503

Callers that sent a long body or head to an entry without a configuration, or with one that wasn't confirmed of late, got 413 or 431 by limits that were no longer, or not yet, in force; clients don't repeat these. Cause: 404 and 401 were kept back while the configuration may be old, the limits' refusals weren't.

--- a/libs/node/src/cherryrudder/node/entry.py
+++ b/libs/node/src/cherryrudder/node/entry.py
@@ -64,9 +64,13 @@
 
 
 def _limits(state):
-    """Return the limits of the configuration in force."""
-    table = state.table
-    return Limits(*(table.configuration.limits if table else DEFAULT_LIMITS))
+    """Return the limits of the configuration; others may be in force if it is old."""
+    if state.table is None:
+        return Limits(*DEFAULT_LIMITS, authorization.FIRST_CONFIGURATION_S)
+    age_s = now_s() - state.confirmed_s
+    is_certain = authorization.is_certain(age_s, state.settings.bounds.revoke_s)
+    retry_after_s = None if is_certain else authorization.RECONNECT_S
+    return Limits(*state.table.configuration.limits, retry_after_s)
 
 
 def _log_refused(state, error):
--- a/libs/relay/src/cherryrudder/relay/server.py
+++ b/libs/relay/src/cherryrudder/relay/server.py
@@ -24,6 +24,8 @@
 # A client that reads nothing for this long counts as disconnected. The platform's
 # clients give up on a stream after two seconds without data.
 WRITE_TIMEOUT_S = 5.0
+# Statuses of requests beyond the limits on sizes.
+TOO_LARGE = frozenset({413, 431})
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -35,6 +37,8 @@
     max_body_bytes: int
     header_timeout_s: float
     idle_timeout_s: float
+    # Set while others may be in force: when to repeat a request beyond these.
+    retry_after_s: float | None = None
 
 
 class Request(NamedTuple):
@@ -198,7 +202,11 @@
             return
         self._on_refused(error)
         headers = [(b"content-length", b"0"), (b"connection", b"close")]
-        await self.write(h11.Response(status_code=error.status, headers=headers))
+        status, retry_after_s = error.status, self._limits().retry_after_s
+        if status in TOO_LARGE and retry_after_s is not None:
+            status = 503
+            headers.append((b"retry-after", b"%.3f" % retry_after_s))
+        await self.write(h11.Response(status_code=status, headers=headers))
         await self.write(h11.EndOfMessage())
 
     async def _read_request(self):
--- a/libs/relay/test/test_server.py
+++ b/libs/relay/test/test_server.py
@@ -2,7 +2,7 @@
 import unittest
 
 import anyio
-from builders import connected, in_loop, serving
+from builders import LIMITS, connected, in_loop, serving
 
 GET = b"GET /a HTTP/1.1\r\nhost: h\r\n\r\n"
 
@@ -85,6 +85,21 @@
         self.assertIn(b"connection: close", answer.lower())
 
 
+class UncertainLimitsTest(unittest.TestCase):
+    """Guards against final refusals by limits that may not be those in force."""
+
+    @in_loop
+    async def test_a_request_beyond_uncertain_limits_may_come_again(self):
+        limits = LIMITS._replace(retry_after_s=1.5)
+        post = b"POST / HTTP/1.1\r\nhost: h\r\ncontent-length: 20000\r\n\r\n"
+        get = b"GET / HTTP/1.1\r\nhost: h\r\nx: " + b"y" * 8000 + b"\r\n\r\n"
+        for data in (post, get):
+            async with serving(echo, limits=limits) as address:
+                answer = await (await connected(address)).ask(data)
+            self.assertEqual(statuses(answer), [503])
+            self.assertIn(b"retry-after: 1.500", answer.lower())
+
+
 class EndTest(unittest.TestCase):
     @in_loop
     async def test_an_answer_cut_short_does_not_look_complete(self):
