Let a refusal reach a client that is still sending

Clients whose request was refused while they still sent it got a reset connection in place of the 4xx, since a socket closed with unread bytes is reset and the reset discards what the client hasn't read (RFC 9112, 9.6).

--- a/libs/relay/src/cherryrudder/relay/server.py
+++ b/libs/relay/src/cherryrudder/relay/server.py
@@ -5,6 +5,7 @@
 disconnect must cancel the work at the engine at once.
 """
 
+import contextlib
 from collections.abc import Awaitable, Callable
 from typing import NamedTuple
 
@@ -24,6 +25,9 @@
 # A client that reads nothing for this long counts as disconnected. The platform's
 # clients give up on a stream after two seconds without data.
 WRITE_TIMEOUT_S = 5.0
+# How long a refused request is read on. Closed at once, the connection is reset, and
+# the client loses the refusal while it still sends (RFC 9112, 9.6).
+LINGER_S = 2.0
 # Statuses of requests beyond the limits on sizes.
 TOO_LARGE = frozenset({413, 431})
 
@@ -160,6 +164,8 @@
             request = await self._read_request()
         except BadRequest as error:
             await self._send_error(error)
+            self.is_busy = False
+            await self._linger()
             return False
         if request is None:
             return False
@@ -209,6 +215,14 @@
         await self.write(h11.Response(status_code=status, headers=headers))
         await self.write(h11.EndOfMessage())
 
+    async def _linger(self):
+        """Read on after a refusal, until the client has closed or some time passed."""
+        self._stream.end_writing()
+        with contextlib.suppress(StreamEnded, StreamBroken):
+            with anyio.move_on_after(LINGER_S):
+                while True:
+                    await self._stream.receive(READ_BYTES)
+
     async def _read_request(self):
         """Return the next request, or None when the client closes or idles too long."""
         if not await self._wait_for_request():
