Name the logged share of the retry budget unlike the line's part

The line of a retry had two fields named part, so that writing it raised an error and the request ended without an answer.

--- a/libs/policy/src/cherryrudder/policy/sharedbudget.py
+++ b/libs/policy/src/cherryrudder/policy/sharedbudget.py
@@ -130,8 +130,8 @@
     _drop_old(shared, known, now_s)
     return {
         "saved": round(known.budget.saved, 2),
-        "part": round(known.part, 2),
-        "part_age_s": round(min(now_s - known.updated_s, MAX_LOGGED_AGE_S), 3),
+        "share": round(known.part, 2),
+        "share_age_s": round(min(now_s - known.updated_s, MAX_LOGGED_AGE_S), 3),
         "own_requests": sum(bucket.requests for bucket in known.buckets),
         "own_retries": sum(bucket.retries for bucket in known.buckets),
         "entries": shared.entries,
