Count what ended entries spent in the retry budget

Callers' engines got up to 550 retries in ten seconds where 367 were allowed, as entries or control processes restarted while engines failed.

Cause: the retry budget was divided by what the processes alive at the moment knew.

policy/retryledger now adds up what counts at each control VM: live entries' reports, and for a window what an ended one had reported and one share more, which it may have spent since. Control VMs tell each other of ended entries and since when they know of all; one that doesn't know enough gives no sums. Entries without sums keep their share and earn only what fits beside all that others may spend; a new process has nothing before its first sums. Retries that wait for an endpoint count when they are sent.

Evidence: test_retrybudget failed before with 428 and 457 of 318, and holds. The builder of node tests now gives an entry its first report, since without one there are no retries; the tests' assertions are unchanged.

--- a/libs/node/src/cherryrudder/node/attempts.py
+++ b/libs/node/src/cherryrudder/node/attempts.py
@@ -53,6 +53,11 @@
     request = job.exchange.request
     headers = job.engine_headers(sending)
     job.sent_s = now_s()
+    if job.retry_charged_s is not None:
+        sharedbudget.record_retry_sent(
+            job.state.retry_budget, job.service.name, job.retry_charged_s, job.sent_s
+        )
+        job.retry_charged_s = None
     await connection.send(request.method, request.target, headers, request.body)
 
 
@@ -141,6 +146,9 @@
     job.log_event(
         "retry", verdict=str(verdict), reason=failed.reason, service=service, **charge
     )
+    if verdict is Verdict.RETRY:
+        # It is sent once there is an endpoint for it.
+        job.retry_charged_s = now_s()
     return verdict is Verdict.RETRY
 
 
--- a/libs/node/src/cherryrudder/node/controlgossip.py
+++ b/libs/node/src/cherryrudder/node/controlgossip.py
@@ -6,13 +6,13 @@
 import anyio
 from loguru import logger
 
-from cherryrudder.policy.sharedbudget import RetryUsage
+from cherryrudder.policy import retryledger
 from cherryrudder.replica.clock import now_s
 from cherryrudder.replica.errors import ReplicaError
 from cherryrudder.wire.frames import FrameCodec
 from cherryrudder.wire.links import Links, listen_frames
 
-from . import gossip, roster, tablesync
+from . import entrysums, gossip, roster, tablesync
 from .controlstate import ControlState
 from .gossip import (
     ConfigurationUpdate,
@@ -30,7 +30,6 @@
     SlownessReport,
     SuspicionReport,
     SyncPosition,
-    Usage,
 )
 from .pacewatch import PaceWatch
 from .permitissuer import PermitIssuer
@@ -193,6 +192,9 @@
             state.sink.write(
                 "control", "entry-found", peer=heartbeat.vm, address=heartbeat.address
             )
+        retryledger.record_report(
+            state.retries, heartbeat.address, heartbeat.boot, heartbeat.spent, now
+        )
         if heartbeat.crashes is not None:
             self._forward_crashes(
                 state.crashes.merge_sync(heartbeat.address, heartbeat.crashes, now)
@@ -220,6 +222,9 @@
         self._positions[heartbeat.address] = SyncPosition(
             heartbeat.boot, heartbeat.table_version if is_complete else -1
         )
+        retryledger.merge_ended(
+            state.retries, heartbeat.ended_entries, heartbeat.known_s, now
+        )
         # Not forwarded: the others receive the same heartbeats and updates.
         tablesync.merge(state.endpoints, heartbeat.endpoints, now)
         tablesync.merge_liveness(state.endpoints, heartbeat.alive, now)
@@ -261,6 +266,7 @@
                 state.sink.write("control", "control-lost", True, address=address)
             for address in roster.sweep(state.entries, now):
                 state.sink.write("control", "entry-lost", True, address=address)
+            retryledger.sweep(state.retries, now)
             tablesync.sweep(state.endpoints, now)
             self.verifier.review(now)
             self.rates.sweep(now)
@@ -291,6 +297,8 @@
             alive=tablesync.recent_liveness(state.endpoints, now),
             crashes=state.crashes.make_sync(address, now),
             limits=self.rates.report_limits(now),
+            ended_entries=retryledger.report_ended(state.retries, now),
+            known_s=retryledger.known_s(state.retries, now),
         )
 
     async def _confirm(self):
@@ -333,7 +341,8 @@
             if is_local or heartbeat.version < self._settled_version(delay_s, now):
                 update = ConfigurationUpdate(voter.state.version, voter.state.packed)
                 self.links.send(heartbeat.address, update)
-        others = self._other_heartbeats(heartbeat, now)
+        asks = heartbeat.requests_all
+        others = entrysums.others(state.entries, heartbeat.address, now)
         answer = ControlAnswer(
             boot=state.boot,
             address=state.address,
@@ -346,8 +355,12 @@
             if heartbeat.requests_all
             else (),
             vm_zone=state.settings.vm_zone,
-            usage=None if others is None else _sum_usage(others),
-            spent=None if others is None else _sum_spent(others),
+            usage=entrysums.sum_usage(others) if asks else None,
+            spent=(
+                retryledger.sum_others(state.retries, heartbeat.address, now)
+                if asks
+                else None
+            ),
             spent_age_s=roster.mean_age_s(state.entries, heartbeat.address, now),
             entries=len(roster.live_addresses(state.entries, now)),
             crashes=(
@@ -358,34 +371,3 @@
             limits=self.rates.report_limits(now),
         )
         self.links.send(heartbeat.address, answer)
-
-    def _other_heartbeats(self, heartbeat, now):
-        """Return the heartbeats of the other entries, None if not requested."""
-        if not heartbeat.requests_all:
-            return None
-        heartbeats = roster.live_messages(self.state.entries, now)
-        return [other for other in heartbeats if other.address != heartbeat.address]
-
-
-def _sum_usage(heartbeats):
-    """Return the usage summed over entries, by engine."""
-    sums: dict[str, Usage] = {}
-    for one in (one for heartbeat in heartbeats for one in heartbeat.usage):
-        known = sums.get(one.address, Usage(one.address, 0, 0, 0))
-        sums[one.address] = Usage(
-            one.address,
-            known.running + one.running,
-            known.tokens + one.tokens,
-            known.firsts + one.firsts,
-        )
-    return tuple(sums.values())
-
-
-def _sum_spent(heartbeats):
-    """Return the requests and retries summed over entries, by service."""
-    sums: dict[str, RetryUsage] = {}
-    for one in (one for heartbeat in heartbeats for one in heartbeat.spent):
-        known = sums.get(one.service, RetryUsage(one.service, 0, 0))
-        requests, retries = known.requests + one.requests, known.retries + one.retries
-        sums[one.service] = RetryUsage(one.service, requests, retries)
-    return tuple(sums.values())
--- a/libs/node/src/cherryrudder/node/controlstate.py
+++ b/libs/node/src/cherryrudder/node/controlstate.py
@@ -7,12 +7,13 @@
 
 from cherryrudder.platform import configuration
 from cherryrudder.platform.settings import NodeSettings
+from cherryrudder.policy.retryledger import BudgetBound, RetryLedger
 from cherryrudder.quorum import core
 from cherryrudder.quorum.events import Voter as VoterName
-from cherryrudder.replica.clock import new_id
+from cherryrudder.replica.clock import new_id, now_s
 from cherryrudder.routing.configuration import Service
 
-from . import gossip
+from . import gossip, roster
 from .crashtracker import CrashTracker
 from .linesink import LineSink
 from .metrics import Metrics
@@ -41,6 +42,13 @@
         # The other control processes, and the entries.
         self.roster = Roster(self.address, self.seed_addresses)
         self.entries = Roster()
+        bounds = settings.bounds
+        self.retries = RetryLedger(
+            BudgetBound(bounds.retry_share, bounds.retry_slack, bounds.retry_window_s),
+            roster.LIVE_S,
+            now_s(),
+            is_first=settings.is_founding,
+        )
         self.endpoints = SharedTable(self.boot)
         self.crashes = CrashTracker(self.boot, sink, metrics)
         # When entries last reported an engine dead, by incarnation.
--- a/libs/node/src/cherryrudder/node/entrystate.py
+++ b/libs/node/src/cherryrudder/node/entrystate.py
@@ -92,7 +92,8 @@
             bounds.retry_share,
             bounds.retry_slack,
             bounds.retry_window_s,
-            INITIAL_ENTRIES,
+            # Nothing before the first report: the process before may have spent it.
+            entries=math.inf,
         )
         # By engine address: this entry's running requests, their tokens, and the chains
         # that begin there.
--- a/libs/node/src/cherryrudder/node/gossip.py
+++ b/libs/node/src/cherryrudder/node/gossip.py
@@ -14,6 +14,7 @@
 
 from cherryrudder.platform.settings import NodeSettings
 from cherryrudder.policy.permits import Grant
+from cherryrudder.policy.retryledger import EndedUsage
 from cherryrudder.policy.sharedbudget import RetryUsage
 from cherryrudder.routing.endpoints import Announcement
 
@@ -117,14 +118,16 @@
     acked: SyncPosition
     # `usage` and `spent` are sent only to the aggregator of each data centre.
     usage: tuple[Usage, ...]
-    # Requests and retries of this entry within the configured window.
-    spent: tuple[RetryUsage, ...]
+    # Requests and retries of this entry within the configured window; None if not sent.
+    spent: tuple[RetryUsage, ...] | None
     # Requests the sums of the other entries' usage and spending, and the liveness of
     # all endpoints; one control VM is asked for them.
     requests_all: bool
     # Sent with `requests_all`, and to every control VM until the first answer.
     crashes: CrashSync | None = None
     limits: tuple[ReportedLimit, ...] = ()
+    # Id of the entry's process.
+    boot: str = ""
 
 
 class ControlAnswer(NamedTuple):
@@ -141,7 +144,8 @@
     endpoints: tuple[EndpointState, ...]
     alive: tuple[Liveness, ...]
     vm_zone: str
-    # Sums over all other entries; None if they weren't requested.
+    # Sums over all other entries; None if they weren't requested. `spent` counts ended
+    # entries as well, and is None while some are unknown.
     usage: tuple[Usage, ...] | None
     spent: tuple[RetryUsage, ...] | None
     # Mean age of the reports in these sums.
@@ -173,6 +177,9 @@
     alive: tuple[Liveness, ...]
     crashes: CrashSync | None = None
     limits: tuple[ReportedLimit, ...] = ()
+    # Entries that ended, and for how long the sender has known of all that did.
+    ended_entries: tuple[EndedUsage, ...] = ()
+    known_s: float = 0.0
 
 
 class EndpointUpdate(NamedTuple):
--- a/libs/node/src/cherryrudder/node/job.py
+++ b/libs/node/src/cherryrudder/node/job.py
@@ -84,6 +84,8 @@
         self.attempts = 0
         # When the newest attempt went out.
         self.sent_s = 0.0
+        # When the retry was charged that is sent next; None if none is due.
+        self.retry_charged_s: float | None = None
         self.outcome = "cut"
         self.first_byte_s: float | None = None
         # When the last chunk went to the client, and the longest pause before one.
--- a/libs/node/src/cherryrudder/node/uplink.py
+++ b/libs/node/src/cherryrudder/node/uplink.py
@@ -33,6 +33,7 @@
     roster,
     tablesync,
 )
+from .aggregators import choose_aggregators
 from .entrystate import EntryState
 from .gossip import (
     ConfigurationUpdate,
@@ -212,12 +213,15 @@
             version=state.version,
             acked=self._positions.get(address, SyncPosition("", 0)),
             usage=entrystate.usage(state) if is_aggregator else (),
-            spent=sharedbudget.count_usage(state.retry_budget, now)
-            if is_aggregator
-            else (),
+            spent=(
+                sharedbudget.count_usage(state.retry_budget, now)
+                if is_aggregator
+                else None
+            ),
             requests_all=requests_all,
             crashes=state.crashes.make_sync(address, now) if requests_crashes else None,
             limits=ratelimiter.report_limits(state.rates.book, now),
+            boot=state.boot,
         )
 
     def _own_aggregator(self, aggregators):
@@ -268,6 +272,8 @@
                 choose_aggregators(roster.live_messages(state.controls, now))
             )
             entrystate.update_peer_load(state, answer.usage, data_centres, now)
+        if answer.spent is not None and answer.version >= 0:
+            # A control VM without a majority may be cut off with a part of the entries.
             sharedbudget.update_share(
                 state.retry_budget,
                 answer.spent,
@@ -382,18 +388,3 @@
                 slowness=round(update.slowness, 2),
             )
         return is_new
-
-
-def choose_aggregators(answers) -> dict[str, str]:
-    """Return, by data centre, the control VM that sums up reports for its entries.
-
-    The other entries' usage and the endpoints' liveness are the largest part of all
-    messages. If each control VM sent them to each entry, they would grow with the
-    product of both numbers and cross between data centres. A control VM that can't
-    confirm the configuration in force may be cut off, and is only the last choice.
-    """
-    confirmed = [answer for answer in answers if answer.version >= 0] or answers
-    aggregators: dict[str, str] = {}
-    for answer in sorted(confirmed, key=lambda answer: answer.address):
-        aggregators.setdefault(answer.vm_zone, answer.address)
-    return aggregators
--- a/libs/node/test/builders.py
+++ b/libs/node/test/builders.py
@@ -12,11 +12,14 @@
 from cherryrudder.node.linesink import LineSink
 from cherryrudder.node.metrics import Metrics
 from cherryrudder.platform.settings import Bounds, NodeSettings
+from cherryrudder.policy import sharedbudget
 from cherryrudder.quorum.events import Voter
+from cherryrudder.replica.clock import now_s
 from cherryrudder.routing.endpoints import Announcement
 
 # Connections that fill a listener's backlog, and those that the kernel adds to it.
 FILLING_CONNECTIONS = 4
+ENTRIES = 8
 
 
 def an_announcement(engine_id="boot-1", number=2, layers=None, **changes):
@@ -86,8 +89,11 @@
 
 
 def a_state(sink, **changes):
-    """Return the state of an entry that has just started."""
-    return EntryState(some_settings(**changes), sink, Metrics())
+    """Return the state of an entry that has just started and knows its budget."""
+    state = EntryState(some_settings(**changes), sink, Metrics())
+    # As after the first report of the control VMs; without one there are no retries.
+    sharedbudget.update_share(state.retry_budget, (), ENTRIES, now_s())
+    return state
 
 
 def a_control(sink, ip, vm_zone="a"):
