--- a/libs/node/src/cherryrudder/node/controlgossip.py
+++ b/libs/node/src/cherryrudder/node/controlgossip.py
@@ -341,8 +341,11 @@
             if is_local or heartbeat.version < self._settled_version(delay_s, now):
                 update = ConfigurationUpdate(voter.state.version, voter.state.packed)
                 self.links.send(heartbeat.address, update)
-        asks = heartbeat.requests_all
-        others = entrysums.others(state.entries, heartbeat.address, now)
+        usage = spent = None
+        if heartbeat.requests_all:
+            others = entrysums.others(state.entries, heartbeat.address, now)
+            usage = entrysums.sum_usage(others)
+            spent = retryledger.sum_others(state.retries, heartbeat.address, now)
         answer = ControlAnswer(
             boot=state.boot,
             address=state.address,
@@ -355,12 +358,8 @@
             if heartbeat.requests_all
             else (),
             vm_zone=state.settings.vm_zone,
-            usage=entrysums.sum_usage(others) if asks else None,
-            spent=(
-                retryledger.sum_others(state.retries, heartbeat.address, now)
-                if asks
-                else None
-            ),
+            usage=usage,
+            spent=spent,
             spent_age_s=roster.mean_age_s(state.entries, heartbeat.address, now),
             entries=len(roster.live_addresses(state.entries, now)),
             crashes=(
