--- a/libs/policy/test/test_retryledger.py
+++ b/libs/policy/test/test_retryledger.py
@@ -1,7 +1,9 @@
 import unittest
 
-from budgetsim import BOUND, Fleet, fails_in_turns
+from budgetsim import BOUND, LIVE_S, Fleet, fails_in_turns
 
+from cherryrudder.policy import retryledger
+from cherryrudder.policy.retryledger import RetryLedger
 from cherryrudder.policy.sharedbudget import RetryUsage
 
 LENGTH_S = 60.0
@@ -92,5 +94,75 @@
         self.assert_bound_kept(every(1.5, anything))
 
 
+class LedgerTest(unittest.TestCase):
+    def ledger(self, started_s=0.0, is_first=True):
+        return RetryLedger(BOUND, LIVE_S, started_s, is_first)
+
+    def record(self, ledger, now_s, *addresses, boot="1"):
+        for address in addresses:
+            retryledger.record_report(ledger, address, boot, USAGE, now_s)
+
+    def retries(self, ledger, address, now_s):
+        """Return the retries of the others, None if they are not known."""
+        usage = retryledger.sum_others(ledger, address, now_s)
+        return None if usage is None else sum(one.retries for one in usage)
+
+    def test_a_process_that_was_replaced_counts_for_a_window(self):
+        ledger = self.ledger()
+        self.record(ledger, 20.0, "a", "b")
+        self.retries(ledger, "b", 20.0)
+        self.record(ledger, 20.5, "a", boot="2")
+        self.assertGreater(self.retries(ledger, "b", 21.0), 80)
+        self.record(ledger, 30.2, "a", boot="2")
+        self.record(ledger, 30.2, "b")
+        # What it may have spent until its end is still in the window.
+        self.assertGreater(self.retries(ledger, "b", 30.3), 40)
+        self.assertEqual(self.retries(ledger, "b", 30.6), 40)
+
+    def test_a_silent_process_counts_until_its_last_share_has_expired(self):
+        ledger = self.ledger()
+        self.record(ledger, 20.0, "a", "b")
+        self.retries(ledger, "b", 20.0)
+        for now_s in (24.0, 29.9, 39.9):
+            self.record(ledger, now_s, "b")
+            self.assertGreater(self.retries(ledger, "b", now_s), 0)
+        self.record(ledger, 40.1, "b")
+        self.assertEqual(self.retries(ledger, "b", 40.1), 0)
+
+    def test_one_that_reports_again_counts_once(self):
+        ledger = self.ledger()
+        self.record(ledger, 20.0, "a", "b")
+        self.record(ledger, 24.0, "b")
+        self.retries(ledger, "b", 24.0)
+        self.record(ledger, 24.5, "a")
+        self.assertEqual(self.retries(ledger, "b", 24.5), 40)
+
+    def test_a_control_vm_that_has_just_started_gives_no_sums(self):
+        ledger = self.ledger(started_s=100.0, is_first=False)
+        self.record(ledger, 105.0, "a", "b")
+        self.assertIsNone(self.retries(ledger, "b", 105.0))
+        self.record(ledger, 110.1, "a", "b")
+        self.assertEqual(self.retries(ledger, "b", 110.1), 40)
+
+    def test_it_learns_of_ended_entries_from_another(self):
+        old, new = self.ledger(), self.ledger(started_s=100.0, is_first=False)
+        self.record(old, 99.0, "a", "b")
+        self.record(old, 99.5, "a", boot="2")
+        self.record(new, 101.9, "b")
+        self.record(new, 101.9, "a", boot="2")
+        ended = retryledger.report_ended(old, 102.0)
+        known_s = retryledger.known_s(old, 102.0)
+        retryledger.merge_ended(new, ended, known_s, 102.0)
+        self.assertEqual(self.retries(new, "b", 102.1), 80)
+
+    def test_no_sums_while_an_entry_has_reported_only_its_presence(self):
+        ledger = self.ledger()
+        self.record(ledger, 20.0, "a", "b")
+        retryledger.record_report(ledger, "c", "1", None, 20.0)
+        self.assertIsNone(self.retries(ledger, "b", 20.1))
+        retryledger.record_report(ledger, "c", "1", USAGE, 20.2)
+        self.assertEqual(self.retries(ledger, "b", 20.3), 80)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/libs/soak/src/cherryrudder/soak/injector.py
+++ b/libs/soak/src/cherryrudder/soak/injector.py
@@ -19,8 +19,8 @@
 MIN_MODEL_ENGINES = 4
 MIN_PLAIN_ENGINES = 1
 CRASHING_PAUSE_S = 0.2
-REJECTING_S, SERVING_S = 1.5, 0.3
-KILL_INTERVAL_S = 1.2
+REJECTING_S, SERVING_S = 1.0, 1.0
+KILL_INTERVAL_S = 2.0
 # Ranges of the rate limit of a limited engine and of the backoff of a shedding one.
 LIMITS_PER_S = (1.0, 4.0)
 BACKOFFS_S = (1.0, 3.0)
