Leave chunk lines without a carriage return to the parser

The framer had taken a bare line feed as the end of a chunk's size line and written it out as the standard asks, so that a body which another server reads otherwise was accepted. The parser refused it before. Found by reading; the test failed before with two lines.

--- a/libs/relay/src/cherryrudder/relay/framing.py
+++ b/libs/relay/src/cherryrudder/relay/framing.py
@@ -10,7 +10,7 @@
 
 # An empty line, after the line end before it.
 HEAD_END = re.compile(rb"\n\r?\n")
-CHUNK_LINE = re.compile(rb"([0-9A-Fa-f]{1,20})[ \t]*(?:;[^\r\n\x00]*)?\r?\n")
+CHUNK_LINE = re.compile(rb"([0-9A-Fa-f]{1,20})[ \t]*(?:;[^\r\n\x00]*)?\r\n")
 # Empty lines that are left out before a request; more are no mistake but a flood.
 MAX_EMPTY_LINES = 8
 # A longer line between chunks is passed on as it is.
--- a/libs/relay/test/test_framing.py
+++ b/libs/relay/test/test_framing.py
@@ -78,7 +78,8 @@
         self.assertEqual(read(raw + GET, [7] * 20), [(b"/a", b"abc"), (b"/a", b"")])
 
     def test_invalid_chunks_are_left_to_the_parser(self):
-        for line in (b"zz\r\n", b"5 6\r\n", b"-1\r\n", b"\r\n", b"3 x\r\n", b"0x3\r\n"):
+        lines = [b"zz\r\n", b"5 6\r\n", b"-1\r\n", b"\r\n", b"3 x\r\n", b"0x3\r\n"]
+        for line in (*lines, b"3\n", b"3;a\n", b"3\r"):
             with self.subTest(line=line), self.assertRaises(h11.RemoteProtocolError):
                 read(CHUNKED + line + b"abc\r\n0\r\n\r\n", [])
 
