List two simulated fleets that exceed the retry budget

A control VM that was cut off from every entry takes what it knows for complete once it is back in a majority.

--- a/libs/policy/test/test_retryledger.py
+++ b/libs/policy/test/test_retryledger.py
@@ -94,6 +94,21 @@
         self.assert_bound_kept(every(1.5, anything))
 
 
+class KnownSeedTest(unittest.TestCase):
+    """Guards against retries beyond the budget in fleets that exceeded it once."""
+
+    def excess(self, seed, strike):
+        fleet = Fleet(seed, 3, 60, BOUND)
+        fleet.run(LENGTH_S, strike, fails_in_turns)
+        return fleet.worst()
+
+    def test_a_second_cut_along_another_line(self):
+        self.assertLessEqual(self.excess(144426, every(9.0, cut_apart)), 0)
+
+    def test_faults_that_overlap(self):
+        self.assertLessEqual(self.excess(257469, every(1.5, anything)), 0)
+
+
 class LedgerTest(unittest.TestCase):
     def ledger(self, started_s=0.0, is_first=True):
         return RetryLedger(BOUND, LIVE_S, started_s, is_first)
