Write a line with the errors that end a process

A process that ended by an error left only a traceback on standard error, which names neither the machine nor the time, and isn't among the lines that those on call have.

--- a/libs/node/src/cherryrudder/node/errors.py
+++ b/libs/node/src/cherryrudder/node/errors.py
@@ -1,5 +1,9 @@
 """Errors of the entry and control processes."""
 
+import traceback
+from collections.abc import Iterator
+from pathlib import Path
+
 from cherryrudder.model.errors import CherryrudderError
 
 
@@ -22,3 +26,24 @@
         super().__init__(message)
         self.paused_s = paused_s
         self.is_unclear = is_unclear
+
+
+def innermost(error: BaseException) -> Iterator[BaseException]:
+    """Yield the errors inside nested groups, or the error itself."""
+    if isinstance(error, BaseExceptionGroup):
+        for part in error.exceptions:
+            yield from innermost(part)
+    else:
+        yield error
+
+
+def describe(error: BaseException) -> list[str]:
+    """Return a line for each innermost error, with the place that raised it."""
+    return [f"{one!r} in {_place(one)}" for one in innermost(error)]
+
+
+def _place(error):
+    frames = traceback.extract_tb(error.__traceback__)
+    if not frames:
+        return "unknown"
+    return f"{Path(frames[-1].filename).name}:{frames[-1].lineno} {frames[-1].name}"
--- a/libs/node/src/cherryrudder/node/main.py
+++ b/libs/node/src/cherryrudder/node/main.py
@@ -11,7 +11,7 @@
 
 from cherryrudder.platform.settings import SETTINGS_VARIABLE, read_settings
 
-from .errors import StartError
+from .errors import StartError, describe
 from .linesink import LineSink, take_over_logs
 from .metrics import Metrics
 
@@ -51,12 +51,18 @@
         is_founding=settings.is_founding,
         has_disk=bool(settings.data_folder),
     )
-    async with anyio.create_task_group() as group:
-        group.start_soon(_signals, leaving, sink, path)
-        group.start_soon(_flush, sink)
-        module = importlib.import_module(ROLES[role], __package__)
-        await module.run(settings, sink, metrics, leaving)
-        group.cancel_scope.cancel()
+    try:
+        async with anyio.create_task_group() as group:
+            group.start_soon(_signals, leaving, sink, path)
+            group.start_soon(_flush, sink)
+            module = importlib.import_module(ROLES[role], __package__)
+            await module.run(settings, sink, metrics, leaving)
+            group.cancel_scope.cancel()
+    except Exception as error:
+        sink.write("process", "failed", True, errors=describe(error))
+        raise
+    finally:
+        sink.flush()
     sink.write("process", "stop", True)
     sink.flush()
 
--- a/libs/node/src/cherryrudder/node/voterrunner.py
+++ b/libs/node/src/cherryrudder/node/voterrunner.py
@@ -20,6 +20,7 @@
 
 from . import gossip, voterdisk, voterplanner
 from .controlstate import ControlState
+from .errors import innermost
 
 # Between data centres a message takes 0.25 ms; a disk sync takes 1 ms, or 28 ms on a
 # slow disk. An election begins after five missed heartbeats, so that there is a leader
@@ -57,19 +58,11 @@
             await _run_voter(state, on_applied)
         except* (DiskError, ReplicaError, OSError) as group:
             # An OSError is an address in use, or a file that can't be closed.
-            for error in _innermost(group):
+            for error in innermost(group):
                 state.sink.write("voter", "lost", True, error=str(error))
         await anyio.sleep(REOPEN_DELAY_S)
 
 
-def _innermost(group):
-    for error in group.exceptions:
-        if isinstance(error, BaseExceptionGroup):
-            yield from _innermost(error)
-        else:
-            yield error
-
-
 async def _run_voter(state, on_applied):
     disk = await _open_disk(state)
     state.disk_id = disk.saved.identity.disk_id
