Let a message between processes cost at most itself

Cause: a frame is msgpack, whose integers have 64 bits. FrameCodec.encode raised OverflowError for a larger one; the task that writes a link catches errors of the transport only, and runs in the task group of the process, so that the process ended. The same holds for what is read: an error in a handler of the replicated log's links, in a malformed address, in the decoding of a leader's reply, in a committed entry that can't be applied. The processes exchange much the same messages, so all ended at once, and again after each start.

Change: the codec leaves out a message that can't be encoded or decoded, logs the first of each kind and counts all (cherryrudder_messages_left_out_total); a batch past the longest frame is split. Handlers of all links are called message by message, an unexpected error closes its link, and one in a voter ends that voter, which is opened again while entries and engines are still answered. An event that the core handled only in part still ends its voter, never less. A proposed command has to be text.

This ends the loop of the crashes. It doesn't carry the value yet: no entry gets a configuration whose version is past 64 bits.

--- a/libs/node/src/cherryrudder/node/controlgossip.py
+++ b/libs/node/src/cherryrudder/node/controlgossip.py
@@ -1,6 +1,7 @@
 """A control VM's gossip: answers to entries, heartbeats to its peers, and updates."""
 
 from collections import deque
+from functools import partial
 from typing import NamedTuple
 
 import anyio
@@ -10,7 +11,7 @@
 from cherryrudder.replica.clock import now_s
 from cherryrudder.replica.errors import ReplicaError
 from cherryrudder.wire.frames import FrameCodec
-from cherryrudder.wire.links import Links, listen_frames
+from cherryrudder.wire.links import Links, deliver, listen_frames
 
 from . import entrysums, gossip, roster, tablesync
 from .controlstate import ControlState
@@ -72,6 +73,7 @@
         self.state = state
         self.group = group
         codec = FrameCodec(gossip.KINDS)
+        codec.on_left_out = state.metrics.count_left_out
         self.links = Links(group, codec, gossip.KEY, state.address, self._on_down)
         self.verifier = Verifier(state, self.links, group)
         self.pace = PaceWatch(state, self.links, group)
@@ -155,7 +157,7 @@
         """Do nothing: heartbeats resend what was lost and detect lost peers."""
 
     def _on_frames(self, peer, messages):
-        gossip.deliver(peer, messages, self._handle)
+        deliver(peer, messages, self._handle)
 
     def _handle(self, message):
         match message:
@@ -311,8 +313,8 @@
             version = await self._confirmed_version()
             if version >= 0:
                 self.state.confirmed_s = asked_s
-            for heartbeat in waiting.values():
-                self._answer(heartbeat, version)
+            answer = partial(self._answer, version=version)
+            deliver("entries", waiting.values(), answer)
             await anyio.sleep(FIRST_CONFIRM_INTERVAL_S)
             with anyio.move_on_after(CONFIRM_INTERVAL_S - FIRST_CONFIRM_INTERVAL_S):
                 await self._urgent.wait()
--- a/libs/node/src/cherryrudder/node/gossip.py
+++ b/libs/node/src/cherryrudder/node/gossip.py
@@ -7,19 +7,14 @@
 Messages travel as positional arrays: the order of fields and of `KINDS` is fixed.
 """
 
-from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
-from loguru import logger
-
 from cherryrudder.platform.settings import NodeSettings
 from cherryrudder.policy.permits import Grant
 from cherryrudder.policy.retryledger import EndedUsage
 from cherryrudder.policy.sharedbudget import RetryUsage
 from cherryrudder.routing.endpoints import Announcement
 
-log = logger.bind(part="gossip")
-
 
 class EndpointState(NamedTuple):
     """An endpoint in the sender's table; `age_s` is the time since its last sign."""
@@ -314,20 +309,6 @@
     return Ports(first_port, first_port + 1, first_port + 2)
 
 
-def deliver(peer: str, messages: Iterable, handle: Callable) -> None:
-    """Pass messages to `handle` one by one, and skip any for which it raises.
-
-    All processes receive the same updates, so a message that crashed its reader would
-    crash every process. Heartbeats make up for what was skipped.
-    """
-    for message in messages:
-        try:
-            handle(message)
-        except Exception as error:
-            kind = type(message).__name__
-            log.opt(exception=error).error("{} from {} was left out.", kind, peer)
-
-
 def seed_addresses(settings: NodeSettings) -> tuple[str, ...]:
     """Return the frame addresses of the seeds' control processes."""
     port = ports(settings.first_port).control
--- a/libs/node/src/cherryrudder/node/metrics.py
+++ b/libs/node/src/cherryrudder/node/metrics.py
@@ -21,6 +21,7 @@
         self.crashes = self._counter("crashes", "Requests that end engines", "event")
         self.permits = self._counter("permits", "Permits for engines", "outcome")
         self.unread = self._counter("unread_connections", "Closed by an overload")
+        self.left_out = self._counter("messages_left_out", "Unreadable", "kind")
         self.first_byte_s = self._histogram("first_byte_seconds", "To the first byte")
         self.total_s = self._histogram("total_seconds", "To the end of the answer")
 
@@ -28,6 +29,10 @@
         """Return all metrics in the Prometheus text format."""
         return generate_latest(self.registry)
 
+    def count_left_out(self, kind: str) -> None:
+        """Count a message between processes that couldn't be encoded or decoded."""
+        self.left_out.labels(kind).inc()
+
     def _counter(self, name, text, *labels):
         return Counter(f"cherryrudder_{name}", text, labels, registry=self.registry)
 
--- a/libs/node/src/cherryrudder/node/uplink.py
+++ b/libs/node/src/cherryrudder/node/uplink.py
@@ -22,7 +22,7 @@
 from cherryrudder.routing.endpoints import Announcement
 from cherryrudder.routing.routetable import RouteTable
 from cherryrudder.wire.frames import FrameCodec
-from cherryrudder.wire.links import Links, listen_frames
+from cherryrudder.wire.links import Links, deliver, listen_frames
 
 from . import (
     brokenruns,
@@ -87,6 +87,7 @@
 
     def start(self) -> None:
         """Start to listen and to send heartbeats."""
+        self._codec.on_left_out = self.state.metrics.count_left_out
         self.group.start_soon(
             listen_frames,
             self.state.address,
@@ -229,7 +230,7 @@
         return own or min(aggregators.values(), default="")
 
     def _on_frames(self, peer, messages):
-        gossip.deliver(peer, messages, self._handle)
+        deliver(peer, messages, self._handle)
 
     def _handle(self, message):
         match message:
--- a/libs/node/src/cherryrudder/node/voterrunner.py
+++ b/libs/node/src/cherryrudder/node/voterrunner.py
@@ -20,7 +20,7 @@
 
 from . import gossip, voterdisk, voterplanner
 from .controlstate import ControlState
-from .errors import innermost
+from .errors import describe, innermost
 
 # Between data centres a message takes 0.25 ms; a disk sync takes 1 ms, or 28 ms on a
 # slow disk. An election begins after five missed heartbeats, so that there is a leader
@@ -60,6 +60,10 @@
             # An OSError is an address in use, or a file that can't be closed.
             for error in innermost(group):
                 state.sink.write("voter", "lost", True, error=str(error))
+        except* Exception as group:
+            # Entries and engines are still answered without a voter.
+            for error in describe(group):
+                state.sink.write("voter", "lost", True, error=error)
         await anyio.sleep(REOPEN_DELAY_S)
 
 
@@ -69,6 +73,7 @@
     try:
         async with anyio.create_task_group() as group:
             voter = Voter(_make_config(state), disk, STATE_MACHINE, group)
+            voter.peers.codec.on_left_out = state.metrics.count_left_out
             voter.start(state.stopping)
             state.voter = voter
             state.sink.write("voter", "open", True, disk_id=state.disk_id)
--- a/libs/node/test/test_voterrunner.py
+++ b/libs/node/test/test_voterrunner.py
@@ -95,6 +95,18 @@
 
         self.run_voter(act)
 
+    def test_a_voter_that_ends_by_any_error_is_opened_again(self):
+        """Guards against a process that ends as its voter can't apply an entry."""
+
+        async def act():
+            await self.wait_for('"open"')
+            self.state.voter.group.start_soon(raise_value_error)
+            await self.wait_for("unreadable entry")
+            self.lines = ""
+            await self.wait_for('"open"')
+
+        self.run_voter(act)
+
     def test_the_innermost_errors_are_logged(self):
         """Guards against a log that says "unhandled errors" instead of the cause."""
 
@@ -119,5 +131,10 @@
     return True
 
 
+async def raise_value_error():
+    """Fail as a state machine does that can't decode an entry."""
+    raise ValueError("unreadable entry")
+
+
 async def raise_disk_error():
     raise DiskError("data: no space left on device")
--- a/libs/replica/src/cherryrudder/replica/peers.py
+++ b/libs/replica/src/cherryrudder/replica/peers.py
@@ -8,13 +8,12 @@
 from typing import Any, NamedTuple
 
 import anyio
-import msgspec
 from anyio.abc import TaskGroup
 from loguru import logger
 
 from cherryrudder.model import jsoncodec
 from cherryrudder.wire.frames import FrameCodec
-from cherryrudder.wire.links import Links, listen_frames
+from cherryrudder.wire.links import Links, deliver, listen_frames
 
 from .clock import new_id, now_s
 from .config import VoterConfig
@@ -60,9 +59,9 @@
         self.address = config.address
         self._config = config
         self._group = group
-        self._codec = FrameCodec((QuorumMessage, LeaderCall, LeaderReply))
+        self.codec = FrameCodec((QuorumMessage, LeaderCall, LeaderReply))
         self.links = Links(
-            group, self._codec, config.key, config.address, self._link_down
+            group, self.codec, config.key, config.address, self._link_down
         )
         self._on_message = on_message
         self._on_call = on_call
@@ -74,7 +73,7 @@
         self._group.start_soon(
             listen_frames,
             self.address,
-            self._codec,
+            self.codec,
             self._config.key,
             self._on_frames,
             stopping,
@@ -123,25 +122,27 @@
                 pending.resolve(None)
 
     def _on_frames(self, peer, messages):
-        for message in messages:
-            match message:
-                case QuorumMessage():
-                    self._on_message(message.sender, message.message)
-                case LeaderCall():
-                    self._group.start_soon(self._answer, message)
-                case LeaderReply():
-                    pending = self._waiting.get(message.call_id)
-                    if pending is not None:
-                        pending.resolve(jsoncodec.decode(message.value))
+        deliver(peer, messages, self._handle)
+
+    def _handle(self, message):
+        match message:
+            case QuorumMessage():
+                self._on_message(message.sender, message.message)
+            case LeaderCall():
+                self._group.start_soon(self._answer, message)
+            case LeaderReply():
+                pending = self._waiting.get(message.call_id)
+                if pending is not None:
+                    pending.resolve(jsoncodec.decode(message.value))
 
     async def _answer(self, call):
         try:
             value = await self._on_call(call.kind, jsoncodec.decode(call.value))
-        except (msgspec.DecodeError, KeyError) as error:
-            log.warning("A call of kind {} was refused: {}.", call.kind, error)
-            value = None
         except ReplicaError:
             # The caller asks the next leader, or is told that the outcome is unknown.
             value = None
+        except Exception as error:
+            log.warning("A call of kind {} was refused: {!r}.", call.kind, error)
+            value = None
         text = jsoncodec.encode(value).decode()
         self.links.send(call.reply_to, LeaderReply(call.call_id, text))
--- a/libs/replica/src/cherryrudder/replica/voter.py
+++ b/libs/replica/src/cherryrudder/replica/voter.py
@@ -15,7 +15,7 @@
 
 from cherryrudder.model import jsoncodec
 from cherryrudder.quorum import core, events
-from cherryrudder.quorum.errors import DiskError, ProtocolError
+from cherryrudder.quorum.errors import DiskError
 from cherryrudder.quorum.files import Disk
 
 from .clock import new_id, now_s
@@ -87,7 +87,7 @@
             raise self._end
         try:
             self._effects.extend(core.handle(self.node, event, now_s()))
-        except ProtocolError as error:
+        except Exception as error:
             # The core has processed only part of the event. Failing the current
             # request is not enough: `_run_effects` ends the voter with this error.
             raise self._fail(error) from error
@@ -312,9 +312,9 @@
 def make_event_factory(kind: str, value):
     """Return a function that makes the core's event with an id.
 
-    Returns None for an unknown kind.
+    Returns None for an unknown kind, or a command that isn't text.
     """
-    if kind == "propose":
+    if kind == "propose" and isinstance(value, str):
         return lambda name: events.Propose(name, value)
     if kind == "read-index":
         return events.ReadIndex
--- a/libs/wire/src/cherryrudder/wire/frames.py
+++ b/libs/wire/src/cherryrudder/wire/frames.py
@@ -6,10 +6,11 @@
 """
 
 import struct
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import NamedTuple
 
 import msgspec
+from loguru import logger
 
 from .errors import FrameError
 
@@ -17,6 +18,8 @@
 # Far above any real batch; a larger length means that the bytes are not a frame.
 MAX_FRAME_BYTES = 256 * 1024 * 1024
 
+log = logger.bind(part="links")
+
 
 class Hello(NamedTuple):
     """First message on a link: the sender's key and frame address."""
@@ -26,27 +29,68 @@
 
 
 class FrameCodec:
-    """Encoder and decoder for batches of a fixed list of message types."""
+    """Encoder and decoder for batches of a fixed list of message types.
+
+    A message that can't be encoded or decoded is left out of its batch: all processes
+    exchange much the same messages, so one that ended its reader or writer would end
+    every process.
+    """
 
     def __init__(self, kinds: Sequence[type]):
         kinds = (Hello, *kinds)
+        self._kinds = kinds
         self._tags = {kind: tag for tag, kind in enumerate(kinds)}
         self._decoders = [msgspec.msgpack.Decoder(kind) for kind in kinds]
         self._batch = msgspec.msgpack.Decoder(list[tuple[int, msgspec.Raw]])
         self._encoder = msgspec.msgpack.Encoder()
+        # Called with the name of the kind of each message that is left out.
+        self.on_left_out: Callable[[str], None] = lambda kind: None
+        self._logged: set[tuple[str, type]] = set()
 
     def encode(self, messages: Sequence) -> bytes:
-        """Encode all messages as one frame."""
+        """Encode messages as one frame, or as several if one doesn't hold them."""
+        try:
+            return self._encode_frame(messages)
+        except Exception as error:
+            if len(messages) == 1:
+                self._leave_out(type(messages[0]).__name__, error)
+                return b""
+        middle = len(messages) // 2
+        return self.encode(messages[:middle]) + self.encode(messages[middle:])
+
+    def _encode_frame(self, messages):
         body = self._encoder.encode([(self._tags[type(m)], m) for m in messages])
+        if len(body) > MAX_FRAME_BYTES:
+            raise FrameError(f"frame too large: {len(body)} bytes")
         return LENGTH.pack(len(body)) + body
 
     def decode(self, body: bytes) -> list:
-        """Decode the messages of a frame's body; raises FrameError."""
+        """Decode a frame's body to its messages; raises FrameError."""
         try:
             batch = self._batch.decode(body)
-            return [self._decoders[tag].decode(raw) for tag, raw in batch]
-        except (msgspec.DecodeError, IndexError) as error:
+        except (msgspec.DecodeError, RecursionError) as error:
             raise FrameError(f"bad frame: {error}") from error
+        messages = []
+        for tag, raw in batch:
+            try:
+                messages.append(self._decode_message(tag, raw))
+            except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+                self._leave_out(self._kinds[tag].__name__, error)
+            except FrameError as error:
+                self._leave_out("unknown", error)
+        return messages
+
+    def _decode_message(self, tag, raw):
+        if not 0 <= tag < len(self._decoders):
+            raise FrameError(f"unknown tag {tag}")
+        return self._decoders[tag].decode(raw)
+
+    def _leave_out(self, kind, error):
+        self.on_left_out(kind)
+        if (kind, type(error)) not in self._logged:
+            # Heartbeats would repeat it several times per second.
+            self._logged.add((kind, type(error)))
+            log.error("A message of kind {} was left out: {!r}.", kind, error)
 
 
 class FrameBuffer:
--- a/libs/wire/src/cherryrudder/wire/links.py
+++ b/libs/wire/src/cherryrudder/wire/links.py
@@ -7,7 +7,7 @@
 """
 
 import hmac
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from typing import Any
 
 import anyio
@@ -109,6 +109,10 @@
         except* WireError:
             # `_remove` reports the failure.
             pass
+        except* Exception as group:
+            # The caller's task group is the process's own.
+            for error in group.exceptions:
+                log.error("The link to {} failed: {!r}.", address, error)
 
     async def _watch_disconnect(self, stream, scope):
         # The peer never writes on this connection: any data or error ends the link.
@@ -123,8 +127,9 @@
         while self._links.get(address) is link:
             messages += link.queued
             link.queued = []
+            data = self._codec.encode(messages)
             with anyio.move_on_after(WRITE_TIMEOUT_S) as scope:
-                await stream.send(self._codec.encode(messages))
+                await stream.send(data)
             if scope.cancelled_caught:
                 raise StreamBroken("the peer stopped reading")
             messages = []
@@ -133,6 +138,20 @@
                 await link.wake.wait()
 
 
+def deliver(peer: str, messages: Iterable, handle: Callable) -> None:
+    """Pass messages to `handle` one by one, and skip any for which it raises.
+
+    All processes receive the same updates, so a message that crashed its reader would
+    crash every process. Later messages make up for what was skipped.
+    """
+    for message in messages:
+        try:
+            handle(message)
+        except Exception as error:
+            kind = type(message).__name__
+            log.opt(exception=error).error("{} from {} was left out.", kind, peer)
+
+
 async def listen_frames(
     address: str,
     codec: FrameCodec,
@@ -150,6 +169,8 @@
         except (StreamEnded, StreamBroken):
             # The sender logs the failure.
             pass
+        except Exception as error:
+            log.opt(exception=error).error("A link was closed: {!r}.", error)
         finally:
             stream.abort()
 
