Carry versions past 64 bits between processes

Cause: the messages that name the version (an entry's heartbeat, a control VM's answer, the configuration itself) are msgpack, whose integers end at 2^64 - 1.

Change: a version that a frame's integers can't hold travels as decimal text. All others stay numbers, so that entries and control processes of the release before read the same bytes as until now; the messages have no new fields. Versions have up to 4,300 digits, which is where the parser of all processes ends.

--- a/libs/node/src/cherryrudder/node/controlgossip.py
+++ b/libs/node/src/cherryrudder/node/controlgossip.py
@@ -16,7 +16,6 @@
 from . import entrysums, gossip, roster, tablesync
 from .controlstate import ControlState
 from .gossip import (
-    ConfigurationUpdate,
     ControlAnswer,
     ControlHeartbeat,
     CrashUpdate,
@@ -109,7 +108,7 @@
             return
         now = now_s()
         self._record_applied(version, now)
-        update = ConfigurationUpdate(version, self.state.voter.state.packed)
+        update = gossip.make_update(self.state.voter.state)
         for heartbeat in roster.live_messages(self.state.entries, now):
             if (
                 heartbeat.vm_zone == self.state.settings.vm_zone
@@ -162,7 +161,7 @@
     def _handle(self, message):
         match message:
             case EntryHeartbeat():
-                self._on_entry_heartbeat(message)
+                self._on_entry_heartbeat(gossip.with_number(message))
             case ControlHeartbeat():
                 self._on_control_heartbeat(message)
             case EndpointUpdate():
@@ -341,7 +340,7 @@
                 REMOTE_SEND_DELAY_S if heartbeat.version else FIRST_REMOTE_SEND_DELAY_S
             )
             if is_local or heartbeat.version < self._settled_version(delay_s, now):
-                update = ConfigurationUpdate(voter.state.version, voter.state.packed)
+                update = gossip.make_update(voter.state)
                 self.links.send(heartbeat.address, update)
         usage = spent = None
         if heartbeat.requests_all:
@@ -352,7 +351,7 @@
             boot=state.boot,
             address=state.address,
             sent_s=heartbeat.sent_s,
-            version=version,
+            version=gossip.write_version(version),
             controls=(state.address, *roster.live_addresses(state.roster, now)),
             table_version=state.endpoints.table.version,
             endpoints=tablesync.changes_since(state.endpoints, heartbeat.acked, now),
--- a/libs/node/src/cherryrudder/node/gossip.py
+++ b/libs/node/src/cherryrudder/node/gossip.py
@@ -5,6 +5,8 @@
 the way, so any of these messages may be lost, duplicated or late.
 
 Messages travel as positional arrays: the order of fields and of `KINDS` is fixed.
+A version that a frame's integers can't hold travels as text, any other as a number, as
+processes of older releases read it.
 """
 
 from typing import NamedTuple
@@ -13,8 +15,24 @@
 from cherryrudder.policy.permits import Grant
 from cherryrudder.policy.retryledger import EndedUsage
 from cherryrudder.policy.sharedbudget import RetryUsage
+from cherryrudder.routing.configlog import ConfigState
 from cherryrudder.routing.endpoints import Announcement
 
+# The largest integer of a frame. An operator's version may be larger.
+MAX_INTEGER = 2**64 - 1
+
+
+def write_version(version: int) -> int | str:
+    """Return a configuration's version as messages carry it; see `with_number`."""
+    return version if version <= MAX_INTEGER else str(version)
+
+
+def with_number(message):
+    """Return a received message with its version as a number; raises ValueError."""
+    if isinstance(message.version, str):
+        return message._replace(version=int(message.version))
+    return message
+
 
 class EndpointState(NamedTuple):
     """An endpoint in the sender's table; `age_s` is the time since its last sign."""
@@ -109,7 +127,7 @@
     # The sender's clock, echoed in the answer so that the sender can tell its age.
     sent_s: float
     # Version of the configuration in force at the entry, 0 for none.
-    version: int
+    version: int | str
     acked: SyncPosition
     # `usage` and `spent` are sent only to the aggregator of each data centre.
     usage: tuple[Usage, ...]
@@ -133,7 +151,7 @@
     sent_s: float
     # Newest configuration version when the heartbeat arrived, confirmed by a majority
     # of the voters; -1 if no majority confirmed it in time.
-    version: int
+    version: int | str
     controls: tuple[str, ...]
     table_version: int
     endpoints: tuple[EndpointState, ...]
@@ -186,10 +204,15 @@
 class ConfigurationUpdate(NamedTuple):
     """A configuration that was committed, packed as in the replicated log."""
 
-    version: int
+    version: int | str
     packed: str
 
 
+def make_update(state: ConfigState) -> ConfigurationUpdate:
+    """Return the message with an accepted configuration."""
+    return ConfigurationUpdate(write_version(state.version), state.packed)
+
+
 class SuspicionReport(NamedTuple):
     """An entry got no answer from an engine and considers it dead."""
 
--- a/libs/node/src/cherryrudder/node/uplink.py
+++ b/libs/node/src/cherryrudder/node/uplink.py
@@ -211,7 +211,7 @@
             vm_zone=state.settings.vm_zone,
             address=state.address,
             sent_s=now,
-            version=state.version,
+            version=gossip.write_version(state.version),
             acked=self._positions.get(address, SyncPosition("", 0)),
             usage=entrystate.usage(state) if is_aggregator else (),
             spent=(
@@ -235,9 +235,9 @@
     def _handle(self, message):
         match message:
             case ControlAnswer():
-                self._on_answer(message)
+                self._on_answer(gossip.with_number(message))
             case ConfigurationUpdate():
-                self._on_configuration(message)
+                self._on_configuration(gossip.with_number(message))
             case EndpointUpdate():
                 self._merge_endpoints(message.endpoints)
             case CrashUpdate():
