Acknowledge only a configuration that every process can read

Operators saw a call end without any answer for a document with an unknown field that is nested 5,000 levels deep, or with bytes that aren't UTF-8 in an unknown field; and a value that passed the parser could fail at each later boundary, after it had been acknowledged.

Cause: the call was answered once the parser of the control process had passed. That parser recurses within what the calls around it leave of Python's 1,000 levels, and an entry has others around it; it skips the text of unknown fields unread; and neither the frame nor the log was tried before the log had accepted the command.

This check isn't applied to what the log holds already.

Evidence: test_acceptance (whole documents drawn at and past the bounds of all formats: refused, or in force at an entry and read back byte for byte) and, with real processes, test_carriedconfigurations.UnreadableTest, whose first call ends without an answer on the code before.

--- a/libs/node/src/cherryrudder/node/controlapi.py
+++ b/libs/node/src/cherryrudder/node/controlapi.py
@@ -3,16 +3,18 @@
 import msgspec
 from loguru import logger
 
-from cherryrudder.platform import calls, configuration, engines
+from cherryrudder.platform import calls, engines
 from cherryrudder.platform.calls import Call
 from cherryrudder.relay.server import Exchange
 from cherryrudder.replica.clock import now_s
 from cherryrudder.replica.errors import ReplicaError
 from cherryrudder.routing import configlog, endpoints
+from cherryrudder.wire.frames import FrameCodec
 
-from . import tablesync
+from . import acceptance, tablesync
 from .controlgossip import ControlGossip
 from .controlstate import ControlState
+from .gossip import KINDS
 
 # Callers switch to another VM after a second without an answer. This leaves time for
 # them to receive the reason.
@@ -31,6 +33,7 @@
     def __init__(self, state: ControlState, gossip: ControlGossip):
         self.state = state
         self.gossip = gossip
+        self._codec = FrameCodec(KINDS)
 
     async def handle(self, exchange: Exchange) -> None:
         """Handle one call."""
@@ -113,14 +116,13 @@
         )
 
     async def _replace(self, exchange):
-        body = exchange.request.body
-        result = configuration.read_configuration(body)
+        result = acceptance.read(exchange.request.body, self._codec)
         if result.is_error():
             self.state.sink.write("control", "config-refused", True, error=result.error)
             await _fail(exchange, 400, result.error)
             return
         version = result.ok.version
-        status, outcome = await self._accept(version, body.decode())
+        status, outcome = await self._accept(*result.ok)
         self.state.sink.write(
             "control", "config", True, version=version, outcome=outcome, status=status
         )
@@ -129,7 +131,7 @@
         else:
             await _fail(exchange, status, outcome)
 
-    async def _accept(self, version, text):
+    async def _accept(self, version, payload):
         """Return the status and the outcome for a valid configuration."""
         voter = self.state.voter
         if voter is None:
@@ -138,7 +140,6 @@
             # An applied version is committed, so no lower one can take effect any more.
             return 200, configlog.PutResult.SUPERSEDED
         try:
-            payload = configlog.encode(configlog.Put(version, configlog.pack(text)))
             outcome = await voter.propose(payload, ANSWER_TIMEOUT_S)
         except ReplicaError as error:
             return 503, f"{error}; the configuration may still be accepted"
