Bound the numbers that clients and engines send

The class of versions past 64 bits, at the boundaries of clients and engines: an event id (Last-Event-Id, or an engine's `id:` line) past 64 bits became the position at which an engine crashed, whose report no frame can hold. Before links left such messages out it ended the entry; since then the report reaches nobody. A Last-Event-Id of 5,000 digits raised ValueError, so that the request ended without an answer.

--- a/libs/node/src/cherryrudder/node/stream.py
+++ b/libs/node/src/cherryrudder/node/stream.py
@@ -110,8 +110,7 @@
         """Return the number of the last event that the client has, 0 for none."""
         if self.last_event is not None:
             return self.last_event
-        number = self.job.facts.last_event
-        return int(number) if number.isdecimal() else 0
+        return events.parse_number(self.job.facts.last_event) or 0
 
     def abort_attempt(self, why: str) -> None:
         """Abort the present attempt by closing its connection."""
--- a/libs/relay/src/cherryrudder/relay/events.py
+++ b/libs/relay/src/cherryrudder/relay/events.py
@@ -10,6 +10,9 @@
 # An event holds a few tokens in some hundred bytes; more data without a separator means
 # that the body is not an event stream.
 MAX_EVENT_BYTES = 1024 * 1024
+# Processes tell each other the numbers in frames, whose integers have 64 bits.
+MAX_NUMBER = 2**63 - 1
+MAX_NUMBER_DIGITS = len(str(MAX_NUMBER))
 
 
 class Event(NamedTuple):
@@ -36,8 +39,13 @@
 def _number(piece):
     for line in piece.split(b"\n"):
         if line.startswith(b"id:"):
-            try:
-                return int(line[3:])
-            except ValueError:
-                return None
+            return parse_number(line[3:].decode("latin-1").strip())
     return None
+
+
+def parse_number(text: str) -> int | None:
+    """Return an event's number from its id, None if the id is no such number."""
+    if not text.isdecimal() or len(text) > MAX_NUMBER_DIGITS:
+        return None
+    number = int(text)
+    return number if number <= MAX_NUMBER else None
--- a/libs/relay/test/test_events.py
+++ b/libs/relay/test/test_events.py
@@ -24,6 +24,21 @@
         self.assertEqual(found, events.split(EventSplitter(), STREAM))
         self.assertEqual(splitter.rest, b"")
 
+    def test_a_number_that_no_stream_reaches_is_none(self):
+        """Guards against an event's number that no message between processes holds."""
+        for text, number in (
+            (b"7", 7),
+            (b"%d" % (2**63 - 1), 2**63 - 1),
+            (b"%d" % 2**63, None),
+            (b"9" * 5000, None),
+            (b"-1", None),
+            (b"1_0", None),
+            (b"", None),
+        ):
+            with self.subTest(text=text[:20]):
+                (event,) = events.split(EventSplitter(), b"id: " + text + b"\n\n")
+                self.assertEqual(event.number, number)
+
     def test_an_incomplete_event_is_buffered(self):
         splitter = EventSplitter()
         found = events.split(splitter, STREAM[:20])
