Refuse a first version that stands for no configuration

Operators whose first configuration has version 0 or a negative one got 200, and no entry ever had it: it was acknowledged and is never in force.

Cause: 0 stands for "no configuration" in the log's state and in the messages, and a version has to be higher than the one in force. The call answered before it looked at whether there is one.

Change: while no configuration is in force such a version is answered with 400; the log's state machine says so, as only it knows for certain.

--- a/libs/node/src/cherryrudder/node/controlapi.py
+++ b/libs/node/src/cherryrudder/node/controlapi.py
@@ -136,13 +136,15 @@
         voter = self.state.voter
         if voter is None:
             return 503, "the log is not open"
-        if version < voter.state.version:
+        if voter.state.version and version < voter.state.version:
             # An applied version is committed, so no lower one can take effect any more.
             return 200, configlog.PutResult.SUPERSEDED
         try:
             outcome = await voter.propose(payload, ANSWER_TIMEOUT_S)
         except ReplicaError as error:
             return 503, f"{error}; the configuration may still be accepted"
+        if outcome == configlog.PutResult.TOO_LOW:
+            return 400, "the first version has to be above 0"
         # The operators' rule: a version that isn't higher is acknowledged and changes
         # nothing, even if its content differs from that of the same version in force.
         return 200, outcome
--- a/libs/node/src/cherryrudder/node/gossip.py
+++ b/libs/node/src/cherryrudder/node/gossip.py
@@ -18,13 +18,13 @@
 from cherryrudder.routing.configlog import ConfigState
 from cherryrudder.routing.endpoints import Announcement
 
-# The largest integer of a frame. An operator's version may be larger.
-MAX_INTEGER = 2**64 - 1
+# The integers of a frame. An operator's version may be any other.
+MIN_INTEGER, MAX_INTEGER = -(2**63), 2**64 - 1
 
 
 def write_version(version: int) -> int | str:
     """Return a configuration's version as messages carry it; see `with_number`."""
-    return version if version <= MAX_INTEGER else str(version)
+    return version if MIN_INTEGER <= version <= MAX_INTEGER else str(version)
 
 
 def with_number(message):
--- a/libs/node/test/test_versions.py
+++ b/libs/node/test/test_versions.py
@@ -88,9 +88,14 @@
 
     def test_a_version_that_a_frame_holds_is_sent_as_a_number(self):
         """Guards against messages that processes of the release before can't read."""
-        for version in (-1, 0, 1, 2**64 - 1):
+        for version in (-(2**63), -1, 0, 1, 2**64 - 1):
             self.assertEqual(gossip.write_version(version), version)
 
+    def test_any_version_is_carried(self):
+        for version in (*VERSIONS, 0, -1, -(2**63), -(2**63) - 1, -(10**300)):
+            update = gossip.ConfigurationUpdate(gossip.write_version(version), "")
+            self.assertEqual(gossip.with_number(carry(update)).version, version)
+
     def test_a_version_that_is_no_number_changes_nothing(self):
         for malformed in ("", "x", "1" * 5000, "1.5"):
             update = gossip.ConfigurationUpdate(malformed, "")
--- a/libs/routing/src/cherryrudder/routing/configlog.py
+++ b/libs/routing/src/cherryrudder/routing/configlog.py
@@ -25,6 +25,8 @@
     SUPERSEDED = "superseded"
     # This version is in force with other content, which stays.
     CONFLICT = "conflict"
+    # No configuration is in force, which versions above 0 alone can change.
+    TOO_LOW = "too-low"
 
 
 class Put(NamedTuple):
@@ -74,6 +76,8 @@
         state.version = put.version
         state.packed = put.packed
         return PutResult.IN_FORCE
+    if not state.version:
+        return PutResult.TOO_LOW
     if put.version < state.version:
         return PutResult.SUPERSEDED
     # Another release of the compressor may pack the same text differently.
--- a/libs/routing/test/test_configlog.py
+++ b/libs/routing/test/test_configlog.py
@@ -34,6 +34,14 @@
         _, answers = play([a_put(3, "c"), a_put(3, "c")])
         self.assertEqual(answers, [PutResult.IN_FORCE, PutResult.IN_FORCE])
 
+    def test_a_first_version_that_stands_for_none_is_not_taken(self):
+        """Guards against a configuration that is acknowledged and never in force."""
+        state, answers = play([a_put(0, "c"), a_put(-1, "c"), a_put(-(2**64), "c")])
+        self.assertEqual(answers, [PutResult.TOO_LOW] * 3)
+        self.assertEqual((state.version, state.text), (0, ""))
+        _, answers = play([a_put(1, "c"), a_put(0, "b"), a_put(-1, "b")])
+        self.assertEqual(answers[1:], [PutResult.SUPERSEDED] * 2)
+
     def test_other_content_under_the_same_version_changes_nothing(self):
         """Guards against two different configurations in force under one version.
 
