Refuse account names that no header can carry

Callers of a client account whose name ends with a space, or holds a line end, got no answer to any request: the name was accepted, and each request to an engine carries it in a header, which the HTTP library refuses to write (9 of 9 requests closed unanswered, with real processes and the name "t ").

The name passes the parser and fails at a later boundary, the engine's request.

Change: a new configuration with such a name gets 400 and its reason. What is in force already isn't checked for it, so that an entry never loses a configuration that it has.

Evidence: test_acceptance.AccountNameTest, and the drawn documents, whose accounts' names are now written into a request.

--- a/libs/node/src/cherryrudder/node/acceptance.py
+++ b/libs/node/src/cherryrudder/node/acceptance.py
@@ -13,6 +13,7 @@
 from cherryrudder.platform import configuration
 from cherryrudder.routing import configlog
 from cherryrudder.routing.configlog import ConfigState, Put
+from cherryrudder.routing.configuration import find_new_fault
 from cherryrudder.routing.routetable import RouteTable
 from cherryrudder.wire.frames import LENGTH, FrameCodec
 
@@ -43,6 +44,9 @@
     result = configuration.read_configuration(body)
     if result.is_error():
         return result
+    fault = find_new_fault(result.ok)
+    if fault:
+        return Error(fault)
     version = result.ok.version
     payload = configlog.encode(Put(version, configlog.pack(text)))
     try:
--- a/libs/node/test/test_acceptance.py
+++ b/libs/node/test/test_acceptance.py
@@ -3,12 +3,14 @@
 import json
 import unittest
 
+import h11
 from builders import PipedSink, a_state
 from hypothesis import given, settings, strategies as st
 
 from cherryrudder.node import acceptance, gossip
 from cherryrudder.node.acceptance import MAX_NESTING
 from cherryrudder.node.uplink import Uplink
+from cherryrudder.platform.messages import ForwardHeaders, engine_headers
 from cherryrudder.routing import configlog
 from cherryrudder.wire.frames import LENGTH, FrameCodec
 
@@ -86,6 +88,10 @@
             entry, text = self.get_in_force(result.ok)
             self.assertEqual(entry.version, json.loads(body)["version"])
             self.assertEqual(text.encode(), body)
+            for account in entry.table.configuration.accounts:
+                added = ForwardHeaders("e", 1.0, account.name)
+                headers = engine_headers([(b"host", b"h")], added, 0)
+                h11.Request(method=b"GET", target=b"/", headers=headers)
         return result.is_ok()
 
 
@@ -108,7 +114,7 @@
         ),
         service=st.fixed_dictionaries({}, optional={"max_connections": NUMBERS}),
         account=st.fixed_dictionaries(
-            {}, optional={"api_keys": st.lists(TEXTS, max_size=2)}
+            {}, optional={"api_keys": st.lists(TEXTS, max_size=2), "name": TEXTS}
         ),
         unknown=ANYTHING,
     )
@@ -128,6 +134,22 @@
         self.assertFalse(self.check(body))
 
 
+class AccountNameTest(AcceptanceCase):
+    """Guards against an account whose every request ends without an answer."""
+
+    def test_names_that_no_header_carries_are_refused(self):
+        for name in ("a\nb", "a\r\nb: c", "\0", " a", "a ", "\ta", "a\x0b"):
+            with self.subTest(name=name):
+                body = encode(a_document(account={"name": name}))
+                self.assertFalse(self.check(body))
+
+    def test_other_names_are_accepted(self):
+        for name in ("", "a b", "a\tb", "Büro", "東", "a,b:c"):
+            with self.subTest(name=name):
+                body = encode(a_document(account={"name": name}))
+                self.assertTrue(self.check(body))
+
+
 class UnreadableTest(AcceptanceCase):
     """Guards against a document that ends its call without an answer."""
 
--- a/libs/routing/src/cherryrudder/routing/configuration.py
+++ b/libs/routing/src/cherryrudder/routing/configuration.py
@@ -75,6 +75,8 @@
     idle_timeout_s: float
 
 
+# Characters that end a header's value, or that servers refuse in one.
+CONTROLS = frozenset("\0\n\v\f\r")
 DEFAULT_LIMITS = ClientLimits(16_384, 4_194_304, 3.0, 15.0)
 
 
@@ -97,6 +99,22 @@
     return Ok(configuration)
 
 
+def find_new_fault(configuration: Configuration) -> str:
+    """Return the fault for which a new configuration is refused, or an empty string.
+
+    Unlike `validate` it isn't applied to what is in force: that has to be served.
+    """
+    for account in configuration.accounts:
+        if not _fits_header(account.name):
+            return f"account {account.name!r}: no header can carry its name"
+    return ""
+
+
+def _fits_header(text):
+    """Return whether a header's value can hold a text unchanged (RFC 9110, 5.5)."""
+    return text == text.strip(" \t") and not CONTROLS.intersection(text)
+
+
 def _route_fault(configuration):
     names = {service.name for service in configuration.services}
     places = set()
