Let a line that can't be encoded cost only its fields

A field of a line that JSON can't hold (half of a surrogate pair in an error's text, a number past 4,300 digits) raised in the caller: in a handler it ended the call without an answer, in a task it ended the process.

Change: such a line is written with its part and event, and the error in place of its fields.

Evidence: test_linesink (UnicodeEncodeError, TypeError and ValueError before).

--- a/libs/node/src/cherryrudder/node/linesink.py
+++ b/libs/node/src/cherryrudder/node/linesink.py
@@ -41,7 +41,12 @@
             return
         line = {"time": round(wall_s, 3), **self._head, "part": part, "event": event}
         # The common fields win over fields of the same name.
-        self._put(encode(line | fields | line) + b"\n")
+        try:
+            text = encode(line | fields | line)
+        except Exception as error:
+            # A line must not cost more than itself, whatever its fields hold.
+            text = encode(line | {"unwritable": repr(error)})
+        self._put(text + b"\n")
 
     def flush(self) -> None:
         """Write as much as possible without blocking."""
--- a/libs/node/test/test_linesink.py
+++ b/libs/node/test/test_linesink.py
@@ -18,6 +18,15 @@
         self.assertEqual((line["vm"], line["part"]), ("vm-1", "request"))
         self.assertEqual((line["event"], line["request_id"]), ("sent", "q"))
 
+    def test_a_field_that_json_cannot_hold_costs_the_line_alone(self):
+        """Guards against a line that ends the process which writes it."""
+        for value in ("\ud800", object(), 10**5000):
+            with self.subTest(kind=type(value).__name__):
+                self.pipe.sink.write("control", "config-refused", True, error=value)
+                line = json.loads(self.pipe.text())
+                self.assertEqual(line["event"], "config-refused")
+                self.assertIn("Error", line["unwritable"])
+
     def test_kept_lines_are_written_past_the_budget(self):
         """A request fails during a flood of refusals.
 
