Let the soak's operator number past 64 bits

The soak's operator counted up from 7, so that no run asked what happens past the integers of any format. From the second change of a run on it now numbers past 2^64, from the fourth past 10^300; the timeouts that tell versions apart stay within a second of five. The checks are as they were.

--- a/libs/soak/src/cherryrudder/soak/operator.py
+++ b/libs/soak/src/cherryrudder/soak/operator.py
@@ -17,6 +17,11 @@
 # After so many tries a change counts as unacknowledged.
 MAX_TRIES = 60
 READ_INTERVAL_S = 0.5
+# Lowest versions from some changes on: versions that are dates and times grow as long,
+# and cross what the integers of formats hold.
+LOWEST_VERSIONS = {2: 2**64 - 1, 4: 10**300}
+# Timeouts differ between versions, as other content does.
+TIMEOUT_MS, TIMEOUT_RANGE_MS = 5000, 1000
 FIRST_KEYS = ("k1", "k2", "k3")
 
 
@@ -27,6 +32,7 @@
         self.testbed = testbed
         self.rng = rng
         self.version = 7
+        self.changes = 0
         self.keys = FIRST_KEYS
         # Callers continue to use a revoked key, to check that it stops working.
         self.used_keys = list(FIRST_KEYS)
@@ -37,7 +43,9 @@
 
     async def change(self, keys: tuple[str, ...] | None = None) -> None:
         """Send a new version until it is acknowledged."""
-        self.version += self.rng.randrange(1, 4)
+        self.changes += 1
+        lowest = LOWEST_VERSIONS.get(self.changes, 0)
+        self.version = max(lowest, self.version + self.rng.randrange(1, 4))
         await self._send(self.version, keys or self.keys)
 
     async def race(self) -> None:
@@ -81,7 +89,8 @@
         return reading
 
     async def _send(self, version, keys):
-        document = requests.configuration(version, keys, 5000 + version)
+        timeout_ms = TIMEOUT_MS + version % TIMEOUT_RANGE_MS
+        document = requests.configuration(version, keys, timeout_ms)
         self.documents[version] = document
         for _ in range(MAX_TRIES):
             answer = await self._call_any("POST", requests.REPLACE_PATH, document)
