--- a/libs/node/test/test_positions.py
+++ b/libs/node/test/test_positions.py
@@ -9,10 +9,7 @@
 
 
 class PositionTest(unittest.TestCase):
-    """Guards against a client's event id that keeps a crash from the other processes.
-
-    The position is part of the report about an engine that ended under the stream.
-    """
+    """Guards against a client's event id that no report of a crash can hold."""
 
     def position(self, last_event):
         job = SimpleNamespace(facts=SimpleNamespace(last_event=last_event))
