Log which run outlived the crashes that count against a request

The lines named each end of an engine and each block, and nothing said why crashes stopped to count, so that progress could not be told from ends that went uncounted. The new line has the run's position and those of the crashes.

--- a/libs/node/src/cherryrudder/node/crashes.py
+++ b/libs/node/src/cherryrudder/node/crashes.py
@@ -171,9 +171,24 @@
     if event <= crashbook.furthest_event(known) + blame.POSITION_TOLERANCE_EVENTS:
         return None
     record = RequestRecord(known.account, known.service, passed=event)
+    _log_outlived(job, job.fingerprint, known, event)
     return tracker.record({job.fingerprint: record}, now_s)
 
 
+def _log_outlived(job, fingerprint, known, event):
+    """Log that a run got further than those that crashes cut."""
+    job.state.sink.write(
+        "crashes",
+        "crashes-outlived",
+        fingerprint=fingerprint,
+        prompt_part=known.part,
+        request_id=job.facts.request_id,
+        event_number=event,
+        passed=known.passed,
+        crash_positions=[crash.last_event for crash in known.crashes],
+    )
+
+
 def record_pass(
     job: "Job", engine_id: str, begun_s: float, now_s: float
 ) -> CrashUpdate | None:
@@ -198,6 +213,7 @@
             continue
         if any(crash.version == passed.version for crash in known.crashes):
             seen = RequestRecord(known.account, known.service, part=known.part)
+            _log_outlived(job, fingerprint, known, FINISHED)
             records[fingerprint] = seen._replace(passed=FINISHED, passed_s=begun_s)
     return state.crashes.record(records, now_s) if records else None
 
--- a/libs/node/test/test_crashes.py
+++ b/libs/node/test/test_crashes.py
@@ -297,6 +297,18 @@
         self.assertLess(took_s, blame.CONFIRMATION_S)
 
 
+class OutlivedLogTest(EntryCase):
+    """Guards against lines that don't say why crashes no longer count."""
+
+    def test_the_log_names_the_run_that_got_further(self):
+        self.state.crashes.record({"bad": a_record(FIRST, SECOND)}, now_s())
+        crashes.record_progress(a_job(self.state), 40, now_s())
+        text = self.piped.text()
+        self.assertIn('"event":"crashes-outlived"', text)
+        self.assertIn('"event_number":40', text)
+        self.assertIn('"crash_positions":[2,2]', text)
+
+
 class FaultyMessageTest(EntryCase):
     """Guards against a faulty message that crashes every process that receives it."""
 
