Refuse three kinds of invalid configurations that were acknowledged

Operators got an acknowledgement for a route that names an unknown service beside its split, for two tenants of one name that share a key, and for two routes whose hosts or prefixes differ in spelling only, of which the first got no requests. The parser dropped the service that a split overrides, compared the owners of a key by name, and compared places as text although requests are matched by their normal form. What is new is now checked for all three, as acknowledged configurations can't be taken back; what is in force isn't, so that entries go on serving what an earlier release has accepted.

--- a/libs/node/src/cherryrudder/node/acceptance.py
+++ b/libs/node/src/cherryrudder/node/acceptance.py
@@ -50,10 +50,12 @@
     version = result.ok.version
     payload = configlog.encode(Put(version, configlog.pack(text)))
     try:
-        RouteTable(result.ok)
+        hidden = RouteTable(result.ok).hidden_routes
         carried = _carry(payload, codec)
     except Exception as error:
         return Error(f"the document can't be passed on: {error!r}")
+    if hidden:
+        return Error(f"route {hidden[0]}: another has the same host and prefix")
     if carried is None or carried != (version, text):
         return Error("the document would be changed on its way")
     return Ok(Accepted(version, payload))
--- a/libs/routing/src/cherryrudder/routing/configuration.py
+++ b/libs/routing/src/cherryrudder/routing/configuration.py
@@ -46,6 +46,8 @@
     is_resumable: bool
     # Requests of this route are for a model and state the size of their prompt.
     has_prompt: bool
+    # Service named beside a split, which takes precedence; empty for none.
+    unused_service: str = ""
 
 
 class Service(NamedTuple):
@@ -104,9 +106,17 @@
 
     Unlike `validate` it isn't applied to what is in force: that has to be served.
     """
-    for account in configuration.accounts:
+    names = {service.name for service in configuration.services}
+    for route in configuration.routes:
+        if route.unused_service and route.unused_service not in names:
+            return f"route {route.name}: no service {route.unused_service}"
+    owners: dict[str, int] = {}
+    for number, account in enumerate(configuration.accounts):
         if not _fits_header(account.name):
             return f"account {account.name!r}: no header can carry its name"
+        for key in account.keys:
+            if owners.setdefault(key, number) != number:
+                return f"two accounts {account.name!r} share a key"
     return ""
 
 
--- a/libs/routing/src/cherryrudder/routing/routetable.py
+++ b/libs/routing/src/cherryrudder/routing/routetable.py
@@ -13,10 +13,16 @@
 
     def __init__(self, configuration: Configuration):
         self.configuration = configuration
+        # Names of routes with a host and prefix that are spelled in another way by a
+        # later one, which gets their requests.
+        self.hidden_routes: list[str] = []
         self._routes: dict[str, dict[str, Route]] = {}
         for route in configuration.routes:
             by_prefix = self._routes.setdefault(_host_name(route.host), {})
-            by_prefix[_decode_unreserved(route.path_prefix)] = route
+            prefix = _decode_unreserved(route.path_prefix)
+            if prefix in by_prefix:
+                self.hidden_routes.append(by_prefix[prefix].name)
+            by_prefix[prefix] = route
         self._accounts = {
             key: account for account in configuration.accounts for key in account.keys
         }
