Confirm an entry's configuration by answers to its own heartbeats alone

An answer holds the time at which its heartbeat was sent, by the entry's monotonic clock, and confirms the configuration as of then. One to the process before, which may arrive late at the same address, was taken as well.

--- a/libs/node/src/cherryrudder/node/uplink.py
+++ b/libs/node/src/cherryrudder/node/uplink.py
@@ -287,9 +287,11 @@
         ratelimiter.record_limits(state, answer.limits, now)
         # A newer version than this entry's confirms nothing until it arrives.
         if 0 < answer.version <= state.version:
-            self._confirm(answer.sent_s, now)
-            if answer.vm_zone == state.settings.vm_zone:
-                self._local_confirmed_s = now
+            # Another process's time, such as that before a reboot, may lie ahead.
+            if state.started_s <= answer.sent_s <= now:
+                self._confirm(answer.sent_s, now)
+                if answer.vm_zone == state.settings.vm_zone:
+                    self._local_confirmed_s = now
 
     def _confirm(self, sent_s, now):
         state = self.state
--- a/libs/node/test/test_uplink.py
+++ b/libs/node/test/test_uplink.py
@@ -14,6 +14,8 @@
     Uplink,
     choose_aggregators,
 )
+from cherryrudder.routing.configuration import DEFAULT_LIMITS, Configuration
+from cherryrudder.routing.routetable import RouteTable
 
 
 class AnswerStub(NamedTuple):
@@ -80,32 +82,42 @@
         self.assertTrue(self.due(near_age_s=LOCAL_FRESH_S + 0.1, far_age_s=HEARTBEAT_S))
 
 
-class RestartedEntryTest(unittest.TestCase):
+def an_answer(sent_s, **changes):
+    """Return a control VM's answer to a heartbeat."""
+    answer = ControlAnswer(
+        boot="control",
+        address="c:1",
+        sent_s=sent_s,
+        version=-1,
+        controls=(),
+        table_version=7,
+        endpoints=(),
+        alive=(),
+        vm_zone="a",
+        usage=None,
+        spent=None,
+        spent_age_s=0.0,
+        entries=1,
+    )
+    return answer._replace(**changes)
+
+
+class UplinkCase(unittest.TestCase):
+    def setUp(self):
+        piped = PipedSink()
+        self.addCleanup(piped.close)
+        self.state = a_state(piped.sink)
+        self.uplink = Uplink(self.state, None)
+
+
+class RestartedEntryTest(UplinkCase):
     """Guards against a restarted entry that misses all unchanged endpoints."""
 
     def acked_after(self, sent_age_s):
         """Return what an entry acknowledges after an answer to a heartbeat."""
-        piped = PipedSink()
-        self.addCleanup(piped.close)
-        state = a_state(piped.sink)
-        uplink = Uplink(state, None)
-        answer = ControlAnswer(
-            boot="control",
-            address="c:1",
-            sent_s=state.started_s - sent_age_s,
-            version=-1,
-            controls=(),
-            table_version=7,
-            endpoints=(),
-            alive=(),
-            vm_zone="a",
-            usage=None,
-            spent=None,
-            spent_age_s=0.0,
-            entries=1,
-        )
-        uplink._handle(answer)
-        return uplink._make_heartbeat("c:1", {}, state.started_s).acked
+        state = self.state
+        self.uplink._handle(an_answer(state.started_s - sent_age_s))
+        return self.uplink._make_heartbeat("c:1", {}, state.started_s).acked
 
     def test_an_answer_to_the_process_before_is_not_acknowledged(self):
         self.assertEqual(self.acked_after(sent_age_s=0.5), SyncPosition("", 0))
@@ -114,5 +126,30 @@
         self.assertEqual(self.acked_after(sent_age_s=0.0), SyncPosition("control", 7))
 
 
+class ConfirmationTest(UplinkCase):
+    """Guards against an answer to the process before that confirms what this one has.
+
+    After a reboot its time lies ahead, and would confirm all that is asked until then.
+    """
+
+    def setUp(self):
+        super().setUp()
+        self.state.table = RouteTable(Configuration(7, (), (), (), DEFAULT_LIMITS))
+
+    def confirmed_s(self, sent_s):
+        version = self.state.version
+        self.uplink._handle(an_answer(sent_s, version=version))
+        return self.state.confirmed_s
+
+    def test_an_answer_to_the_process_before_confirms_nothing(self):
+        for age_s in (0.5, 86_400.0, -86_400.0):
+            confirmed_s = self.confirmed_s(self.state.started_s - age_s)
+            self.assertEqual(confirmed_s, float("-inf"))
+
+    def test_an_answer_to_this_process_confirms(self):
+        sent_s = self.state.started_s
+        self.assertEqual(self.confirmed_s(sent_s), sent_s)
+
+
 if __name__ == "__main__":
     unittest.main()
