Pass an applied configuration on although no majority confirms it

An entry with an older configuration got nothing from a control VM that had applied a newer one while no majority answered, as during an election: what to send was decided by the confirmed version, -1 then. Where the entry's own control VM is stalled, an acknowledged change waited for the next leader and one more heartbeat. What is applied is in force for good, so it is sent without a confirmation; only an entry that has none yet waits for one, as this VM's may be long out of date. The usual delay for other data centres stays.

--- a/libs/node/src/cherryrudder/node/controlgossip.py
+++ b/libs/node/src/cherryrudder/node/controlgossip.py
@@ -330,18 +330,27 @@
         # Not that of `state.voter`, which may be another one by now that is behind.
         return voter.state.version
 
+    def _send_newer(self, heartbeat, newest, now):
+        """Send an entry the configuration if the one it has is older than a version."""
+        if heartbeat.version >= newest:
+            return
+        is_local = heartbeat.vm_zone == self.state.settings.vm_zone
+        delay_s = (
+            REMOTE_SEND_DELAY_S if heartbeat.version else FIRST_REMOTE_SEND_DELAY_S
+        )
+        if is_local or heartbeat.version < self._settled_version(delay_s, now):
+            update = gossip.make_update(self.state.voter.state)
+            self.links.send(heartbeat.address, update)
+
     def _answer(self, heartbeat, version):
         state, now = self.state, now_s()
         # The voter may have lost its disk since the confirmation.
         voter = state.voter
-        if voter is not None and heartbeat.version < version:
-            is_local = heartbeat.vm_zone == state.settings.vm_zone
-            delay_s = (
-                REMOTE_SEND_DELAY_S if heartbeat.version else FIRST_REMOTE_SEND_DELAY_S
-            )
-            if is_local or heartbeat.version < self._settled_version(delay_s, now):
-                update = gossip.make_update(voter.state)
-                self.links.send(heartbeat.address, update)
+        if voter is not None:
+            # What is applied is in force, confirmed or not: without a majority it may
+            # be newer than all that the entry's own control VM has.
+            newest = max(version, voter.state.version if heartbeat.version else -1)
+            self._send_newer(heartbeat, newest, now)
         usage = spent = None
         if heartbeat.requests_all:
             others = entrysums.others(state.entries, heartbeat.address, now)
--- a/libs/node/test/test_controlgossip.py
+++ b/libs/node/test/test_controlgossip.py
@@ -139,6 +139,37 @@
                 self.assertEqual(self.update_times_s(interval_s, 0.35), [])
 
 
+class UnconfirmedChangeTest(unittest.TestCase):
+    """Guards against a change that is held back while no majority answers."""
+
+    def sent_versions(self, version, vm_zone="a", age_s=1.0):
+        """Return the versions that an entry is sent without a confirmation."""
+        piped = PipedSink()
+        self.addCleanup(piped.close)
+        state = a_control(piped.sink, "127.0.0.1")
+        state.voter = SimpleNamespace(state=SimpleNamespace(version=5, packed=""))
+        gossip, sent = ControlGossip(state, None), []
+        gossip.links.send = lambda _, message: sent.append(message)
+        with mock.patch.object(controlgossip, "now_s", lambda: 100.0 - age_s):
+            gossip.on_applied()
+        with mock.patch.object(controlgossip, "now_s", lambda: 100.0):
+            heartbeat = a_heartbeat(0, version)._replace(vm_zone=vm_zone)
+            gossip._answer(heartbeat, -1)
+        return [one.version for one in sent if isinstance(one, ConfigurationUpdate)]
+
+    def test_an_entry_with_an_older_one_gets_it(self):
+        self.assertEqual(self.sent_versions(4), [5])
+        self.assertEqual(self.sent_versions(4, vm_zone="b"), [5])
+
+    def test_an_entry_elsewhere_gets_it_from_its_own_control_vm_first(self):
+        self.assertEqual(self.sent_versions(4, vm_zone="b", age_s=0.1), [])
+
+    def test_an_entry_that_has_it_or_has_just_started_does_not(self):
+        """Unconfirmed, it may be long out of date."""
+        self.assertEqual(self.sent_versions(5), [])
+        self.assertEqual(self.sent_versions(0), [])
+
+
 class RestartedReaderTest(unittest.TestCase):
     """Guards against a restarted control VM that misses all unchanged endpoints."""
 
