Serve nobody by a configuration known to be out of date

An entry that heard of a newer version in force and didn't get it, or couldn't read it, went on with the older one: 4 s long for requests with a key, which is twice what a change may take, and without end for anonymous routes. It knew better from each control VM's answer. Once a newer version has been known for 1.2 s, requests wait for it as for the first configuration and are then refused as not run. The age counts from the oldest version that the entry lacks, so that it rises only while nothing arrives, however fast changes come.

The stub of test_request_handler has the two fields that the decision reads.

--- a/libs/node/src/cherryrudder/node/entrystate.py
+++ b/libs/node/src/cherryrudder/node/entrystate.py
@@ -2,6 +2,7 @@
 
 import math
 import random
+from collections import deque
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -60,6 +61,13 @@
     reported_s: float
 
 
+class NewerVersion(NamedTuple):
+    """A version in force that an entry lacks, and since when the entry knows of it."""
+
+    version: int
+    heard_s: float
+
+
 class EntryState:
     """The settings, tables and counts of one entry process."""
 
@@ -86,6 +94,8 @@
         self.table: RouteTable | None = None
         # When the request was sent whose answer last confirmed the configuration.
         self.confirmed_s = float("-inf")
+        # Newer versions that are in force, and when this entry first heard of each.
+        self.newer_versions: deque[NewerVersion] = deque()
         self.pool = Pool()
         bounds = settings.bounds
         self.retry_budget = SharedBudget(
@@ -127,6 +137,21 @@
         return self.table.version if self.table else 0
 
 
+def record_version(state: EntryState, version: int, now_s: float) -> None:
+    """Record a version that a majority of the control VMs has confirmed."""
+    newer = state.newer_versions
+    if version > max(state.version, newer[-1].version if newer else 0):
+        newer.append(NewerVersion(version, now_s))
+
+
+def superseded_age_s(state: EntryState, now_s: float) -> float:
+    """Return for how long this entry has known of a newer version, 0 if of none."""
+    newer = state.newer_versions
+    while newer and newer[0].version <= state.version:
+        newer.popleft()
+    return now_s - newer[0].heard_s if newer else 0.0
+
+
 def add_load(state: EntryState, chain: Chain, tokens: int) -> None:
     """Add a request's load to every engine of its chain."""
     for part in chain:
--- a/libs/node/src/cherryrudder/node/request_handler.py
+++ b/libs/node/src/cherryrudder/node/request_handler.py
@@ -16,7 +16,7 @@
 )
 from cherryrudder.routing.routetable import pick_service
 
-from . import crashes, plainrelay, roster, streamrelay
+from . import crashes, entrystate, plainrelay, roster, streamrelay
 from .chainscheduler import ChainSchedulers
 from .entrystate import EntryState
 from .job import Job, refuse
@@ -96,6 +96,7 @@
             now - state.confirmed_s,
             state.settings.bounds.revoke_s,
             is_cut_off=was_confirmed and not roster.live_addresses(state.controls, now),
+            superseded_age_s=entrystate.superseded_age_s(state, now),
         )
 
     async def _serve(self, exchange, facts, admitted: Admitted):
--- a/libs/node/src/cherryrudder/node/uplink.py
+++ b/libs/node/src/cherryrudder/node/uplink.py
@@ -285,6 +285,7 @@
         if answer.crashes is not None:
             state.crashes.merge_sync(answer.address, answer.crashes, now)
         ratelimiter.record_limits(state, answer.limits, now)
+        entrystate.record_version(state, answer.version, now)
         # A newer version than this entry's confirms nothing until it arrives.
         if 0 < answer.version <= state.version:
             # Another process's time, such as that before a reboot, may lie ahead.
--- a/libs/node/test/test_request_handler.py
+++ b/libs/node/test/test_request_handler.py
@@ -1,4 +1,5 @@
 import unittest
+from collections import deque
 from types import SimpleNamespace
 
 import anyio
@@ -18,6 +19,8 @@
 
     def __init__(self):
         self.table = None
+        self.version = 0
+        self.newer_versions = deque()
         self.confirmed_s = float("-inf")
         self.controls = Roster()
         self.settings = SimpleNamespace(bounds=SimpleNamespace(revoke_s=5.0))
--- a/libs/node/test/test_uplink.py
+++ b/libs/node/test/test_uplink.py
@@ -4,7 +4,7 @@
 
 from builders import PipedSink, a_state
 
-from cherryrudder.node import roster
+from cherryrudder.node import entrystate, roster
 from cherryrudder.node.gossip import ControlAnswer, SyncPosition
 from cherryrudder.node.ratelimiter import RateLimiter
 from cherryrudder.node.roster import Roster
@@ -14,6 +14,7 @@
     Uplink,
     choose_aggregators,
 )
+from cherryrudder.replica.clock import now_s
 from cherryrudder.routing.configuration import DEFAULT_LIMITS, Configuration
 from cherryrudder.routing.routetable import RouteTable
 
@@ -151,5 +152,37 @@
         self.assertEqual(self.confirmed_s(sent_s), sent_s)
 
 
+class NewerVersionTest(UplinkCase):
+    """Guards against an entry that goes on with a version known to be out of date."""
+
+    def hear(self, version, at_s):
+        entrystate.record_version(self.state, version, at_s)
+
+    def apply(self, version):
+        configuration = Configuration(version, (), (), (), DEFAULT_LIMITS)
+        self.state.table = RouteTable(configuration)
+
+    def age_s(self, now_s):
+        return entrystate.superseded_age_s(self.state, now_s)
+
+    def test_an_answer_tells_of_a_newer_version(self):
+        self.apply(7)
+        self.uplink._handle(an_answer(self.state.started_s, version=7))
+        self.assertEqual(self.age_s(now_s() + 5.0), 0.0)
+        self.uplink._handle(an_answer(self.state.started_s, version=9))
+        self.assertGreaterEqual(self.age_s(now_s() + 5.0), 5.0)
+
+    def test_the_age_is_that_of_the_oldest_version_it_lacks(self):
+        """Guards against refusals where changes come faster than they arrive."""
+        self.apply(7)
+        for version, at_s in ((8, 1.0), (8, 1.2), (9, 2.0), (11, 3.0)):
+            self.hear(version, at_s)
+        self.assertEqual(self.age_s(4.0), 3.0)
+        self.apply(9)
+        self.assertEqual(self.age_s(4.0), 1.0)
+        self.apply(11)
+        self.assertEqual(self.age_s(4.0), 0.0)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/libs/routing/src/cherryrudder/routing/authorization.py
+++ b/libs/routing/src/cherryrudder/routing/authorization.py
@@ -20,6 +20,9 @@
 # a second and needs two failures, so new clients go elsewhere before any is refused
 # here. A new leader is elected within 1.2 s, well inside 0.5 of the users' 5 s.
 READY_SHARE = 0.5
+# How long an entry that knows of a newer configuration goes on with the one it has. The
+# newer one usually comes at once, and from another data centre within a second.
+MAX_SUPERSEDED_S = 1.2
 # When everything starts at once, the control VMs have elected a leader and an entry
 # has its configuration about two seconds after its start. Most clients retry only
 # once: after a shorter delay they would be refused again.
@@ -70,11 +73,15 @@
     confirmed_age_s: float,
     revoke_s: float,
     is_cut_off: bool = False,
+    superseded_age_s: float = 0.0,
 ) -> Admitted | Refused:
     """Return the request's route and account, or the refusal to answer with.
 
-    `is_cut_off` is true if nothing came from any control VM for some seconds.
+    `is_cut_off` is true if nothing came from any control VM for some seconds, and
+    `superseded_age_s` says for how long a newer configuration is known to be in force.
     """
+    if table is not None and superseded_age_s > MAX_SUPERSEDED_S:
+        return UNCONFIRMED
     decision = _authorize(table, request, confirmed_age_s, revoke_s)
     return CUT_OFF if decision is UNCONFIRMED and is_cut_off else decision
 
--- a/libs/routing/test/test_authorization.py
+++ b/libs/routing/test/test_authorization.py
@@ -37,6 +37,34 @@
         self.assertEqual(authorize_request(key="", is_anonymous=True).account, "")
 
 
+class SupersededTest(unittest.TestCase):
+    """Guards against an entry that serves by a version it knows to be out of date."""
+
+    def statuses(self, superseded_age_s):
+        table = RouteTable(a_configuration(a_route(is_anonymous=True)))
+        return [
+            getattr(
+                authorization.authorize(
+                    table,
+                    AccessRequest("desk.example", target, "key-1"),
+                    0.0,
+                    REVOKE_S,
+                    superseded_age_s=superseded_age_s,
+                ),
+                "status",
+                200,
+            )
+            for target in ("/a/x", "/b/x")
+        ]
+
+    def test_all_requests_are_refused_as_not_run(self):
+        age_s = authorization.MAX_SUPERSEDED_S + 0.1
+        self.assertEqual(self.statuses(age_s), [503, 503])
+
+    def test_a_newer_version_may_be_under_way(self):
+        self.assertEqual(self.statuses(0.1), [200, 404])
+
+
 class CutOffTest(unittest.TestCase):
     """Guards against decisions by an old configuration on an entry that is cut off.
 
