Let no progress but a whole run clear a request of the crashes under it

Callers' streams were cut again and again by one request, or one part of prompts, that ended engine after engine: at ever different places of the answer, or late in it, and no entry blocked it.

Cause: what one run reached was taken for proof. A run that got more than eight events further than a crash cleared it altogether, so that a late crash cleared the early ones; the end of an answer cleared all of them although another run had sent its first part, and a remainder of some events is shorter than the way to where the engine ends; 16 events of any run, its own crash included, cleared a part for two seconds. None of this follows from what such a request does, which is to end each engine that begins it.

Now a run clears crashes before and shortly after it only if it went from the start of the answer to the end. One that merely got further leaves 0.7 of a crash, so that four suffice whatever the places. A crash under a part past the start of the answer counts half, as streams cut there have mostly been beside another culprit. Times are those at which runs ended, not began: a long answer was seconds out of date as it became evidence.

--- a/libs/node/src/cherryrudder/node/crashes.py
+++ b/libs/node/src/cherryrudder/node/crashes.py
@@ -163,18 +163,29 @@
 
 
 def record_progress(job: "Job", event: int, now_s: float) -> CrashUpdate | None:
-    """Record a run's progress on a live engine; return the update, None if none."""
+    """Record a run's progress on a live engine; return the update, None if none.
+
+    `event` is FINISHED only for a run from the start of the answer to its end: what
+    crashes engines there may lie before the place from which a run resumes.
+    """
     tracker = job.state.crashes
     known = tracker.book.records.get(job.fingerprint)
-    if known is None or not tracker.is_watched(job.fingerprint):
+    if known is None or not _is_news(tracker, job.fingerprint, known, event, now_s):
         return None
-    if event <= crashbook.furthest_event(known) + blame.POSITION_TOLERANCE_EVENTS:
-        return None
-    record = RequestRecord(known.account, known.service, passed=event)
+    record = RequestRecord(known.account, known.service, passed=event, passed_s=now_s)
     _log_outlived(job, job.fingerprint, known, event)
     return tracker.record({job.fingerprint: record}, now_s)
 
 
+def _is_news(tracker, fingerprint, known, event, now):
+    if not tracker.is_watched(fingerprint):
+        return False
+    if event == FINISHED:
+        return crashbook.is_newer_pass(known, now)
+    furthest = crashbook.furthest_event(known)
+    return event > furthest + blame.POSITION_TOLERANCE_EVENTS
+
+
 def _log_outlived(job, fingerprint, known, event):
     """Log that a run got further than those that crashes cut."""
     job.state.sink.write(
@@ -190,18 +201,19 @@
 
 
 def record_pass(
-    job: "Job", engine_id: str, begun_s: float, now_s: float
+    job: "Job", engine_id: str, passed_s: float, now_s: float, events: int = FINISHED
 ) -> CrashUpdate | None:
     """Record that a run got past the start of its answer; return the update, if any.
 
     This is evidence for all parts of its prompt. Others only need it for those parts
-    that are under suspicion.
+    that are under suspicion. `events` is how many the run has sent, or FINISHED if from
+    the start of the answer to its end.
     """
     state = job.state
     entry = state.endpoints.table.entries.get(engine_id)
     if not job.parts or entry is None:
         return None
-    passed = Pass(entry.announcement.version, begun_s)
+    passed = Pass(entry.announcement.version, passed_s, events)
     partpasses.record_pass(state.passes, job.parts, passed)
     if not has_watched_part(job):
         return None
@@ -213,11 +225,19 @@
             continue
         if any(crash.version == passed.version for crash in known.crashes):
             seen = RequestRecord(known.account, known.service, part=known.part)
-            _log_outlived(job, fingerprint, known, FINISHED)
-            records[fingerprint] = seen._replace(passed=FINISHED, passed_s=begun_s)
+            records[fingerprint] = partpasses.with_pass(seen, passed)
+    changed = [one for one in records if _changes(state.crashes.book, one, records)]
+    for fingerprint in changed:
+        known = state.crashes.book.records[fingerprint]
+        _log_outlived(job, fingerprint, known, events)
     return state.crashes.record(records, now_s) if records else None
 
 
+def _changes(book, fingerprint, records):
+    known = book.records[fingerprint]
+    return crashbook.merge_records(known, records[fingerprint]) != known
+
+
 def has_watched_part(job: "Job") -> bool:
     """Return whether a part of a request's prompt is a suspect or blocked."""
     book = job.state.crashes.book
@@ -231,13 +251,13 @@
     """Wait until it is known whether an engine has ended under a request.
 
     It only waits if engines have ended under the request before, or under one of its
-    parts that no run has got through. Without the wait, each further attempt could
-    crash one more engine.
+    parts that no whole run has got through. Without the wait, each further attempt
+    could crash one more engine.
     """
     state, until_s = job.state, now_s() + VERDICT_WAIT_S
     records = state.crashes.book.records
     crashed = (records[one] for one in _fingerprints(job) if one in records)
-    if all(record.part and record.passed >= 0 for record in crashed):
+    if all(record.part and record.passed == FINISHED for record in crashed):
         return
     while now_s() < until_s and engine_id in state.broken.runs:
         await anyio.sleep(VERDICT_POLL_S)
--- a/libs/node/src/cherryrudder/node/plainrelay.py
+++ b/libs/node/src/cherryrudder/node/plainrelay.py
@@ -54,10 +54,9 @@
         result = await _attempt(job, endpoint)
         if isinstance(result, WholeAnswer):
             brokenruns.record_answer(job.state.broken, endpoint.engine_id, now_s())
-            publish_crashes(crashes.record_progress(job, FINISHED, now_s()))
-            publish_crashes(
-                crashes.record_pass(job, endpoint.engine_id, job.sent_s, now_s())
-            )
+            now = now_s()
+            publish_crashes(crashes.record_progress(job, FINISHED, now))
+            publish_crashes(crashes.record_pass(job, endpoint.engine_id, now, now))
             await job.pass_on(result)
             return
         if result.is_broken:
--- a/libs/node/src/cherryrudder/node/stream.py
+++ b/libs/node/src/cherryrudder/node/stream.py
@@ -81,6 +81,8 @@
         self.head_s: float | None = None
         # Events of the present attempt, also those that the client had already.
         self.run_events = 0
+        # The present attempt began at the start of the answer.
+        self.is_whole_run = True
         self.has_passed_start = False
         # Until when this request avoids an engine, by address.
         self._excluded_until_s: dict[str, float] = {}
--- a/libs/node/src/cherryrudder/node/streamrelay.py
+++ b/libs/node/src/cherryrudder/node/streamrelay.py
@@ -10,9 +10,9 @@
 from cherryrudder.relay import events, pool
 from cherryrudder.relay.errors import AnswerBroken, AnswerLate, ConnectFailed
 from cherryrudder.replica.clock import now_s
-from cherryrudder.routing import hangs, partpasses
+from cherryrudder.routing import hangs
 from cherryrudder.routing.authorization import Refused
-from cherryrudder.routing.crashbook import FINISHED
+from cherryrudder.routing.crashbook import FINISHED, MIN_PASSED_EVENTS
 
 from . import attempts, brokenruns, crashes, entrystate, streamchains, supervision
 from .job import FailedAttempt, Job, WholeAnswer
@@ -236,6 +236,7 @@
     stream.has_head = False
     stream.head_s = None
     stream.run_events = 0
+    stream.is_whole_run = stream.position() == 0
     stream.has_passed_start = False
     supervision.record_progress(stream, now_s())
     stream.supervisor.streams.add(stream)
@@ -328,22 +329,26 @@
     if stream.splitter.rest:
         raise AnswerBroken("the stream ended inside an event")
     await attempts.check_unframed_end(job, connection)
-    if connection.has_length:
+    if connection.has_length and stream.is_whole_run:
         # Otherwise an engine that crashed between two events would look finished.
         _record_reached(stream, FINISHED)
-        _record_start_passed(stream, is_finished=True)
+        _record_pass(stream, FINISHED)
     await job.exchange.end()
 
 
-def _record_start_passed(stream, is_finished=False):
+def _record_start_passed(stream):
     """Record the run as evidence for its prompt's parts, once it has got so far."""
-    job = stream.job
-    if not is_finished and stream.run_events < partpasses.MIN_PASSED_EVENTS:
+    if stream.run_events < MIN_PASSED_EVENTS:
         return
-    if stream.has_passed_start and not crashes.has_watched_part(job):
+    if stream.has_passed_start and not crashes.has_watched_part(stream.job):
         return
     stream.has_passed_start = True
-    update = crashes.record_pass(job, stream.chain[0].engine_id, stream.head_s, now_s())
+    _record_pass(stream, stream.run_events)
+
+
+def _record_pass(stream, run_events):
+    engine_id, now = stream.chain[0].engine_id, now_s()
+    update = crashes.record_pass(stream.job, engine_id, now, now, run_events)
     stream.stalls.uplink.publish_crashes(update)
 
 
--- a/libs/routing/src/cherryrudder/routing/blame.py
+++ b/libs/routing/src/cherryrudder/routing/blame.py
@@ -3,13 +3,15 @@
 Load pattern: one request crashes each engine that starts it, and is retried at any
 entry. Every crash also cuts some dozens of other requests, which are retried elsewhere
 and may run beside the same request again. Blocking every request that was running
-would block these, too. So a crash counts against a request only if
+would block these, too. So a crash counts
 
-- no run of the request got further than the position at which that engine crashed: the
-  same request crashes at the same position;
-- no other request explains the crash better: the request with the most crashes is
-  blocked first, and its crashes count for less against others;
-- few engines crashed at that time: many at once have another cause and count for less.
+- nothing if a run of the request came from the start of its answer to the end, then or
+  later: each engine that runs a culprit crashes;
+- less if a run only got further than the position at which that engine crashed: a
+  culprit may crash engines anywhere in its answer;
+- less if another request explains it better: the request with the most crashes is
+  blocked first;
+- less if many engines crashed at that time, which has another cause.
 
 Unlike requests may crash engines by a part that their prompts share. So each part is
 blamed by the same rules as a whole request, by itself and together with the client
@@ -20,7 +22,14 @@
 import bisect
 from collections.abc import Set
 
-from .crashbook import Block, CrashBook, RequestRecord, furthest_event
+from .crashbook import (
+    FINISHED,
+    MIN_PASSED_EVENTS,
+    Block,
+    CrashBook,
+    RequestRecord,
+    furthest_event,
+)
 
 # Weighted crashes after which a request is blocked.
 BLOCK_CRASHES = 3.0
@@ -33,13 +42,19 @@
 EXPLAINED_WEIGHT = 0.5
 # Engines of the same kind differ in how many events they have sent when they crash.
 POSITION_TOLERANCE_EVENTS = 8
+# Weight of a crash at an earlier position than another run has reached. Four crashes
+# of a culprit suffice, whatever their positions.
+PASSED_POSITION_WEIGHT = 0.7
+# Weight of a crash under a part whose run was past the start of its answer. Streams are
+# cut there when other parts or requests crash their engine.
+LATE_CRASH_WEIGHT = 0.5
 # Crashes in one data centre this close together may have one cause, such as a rack
 # failure.
 SIMULTANEOUS_S = 0.1
 MIN_SIMULTANEOUS = 3
 SIMULTANEOUS_WEIGHT = 0.5
-# A run with a part that began at most this long before a crash, or later, refutes that
-# crash. An older one only halves it: the engines may have changed since.
+# A whole run that ended at most this long before a crash, or later, refutes that crash.
+# An older one only halves it: the engines may have changed since.
 RECENT_PASS_S = 2.0
 OLD_PASS_WEIGHT = 0.5
 # Duration of a block after the last crash; it doubles with each further crash.
@@ -162,10 +177,13 @@
 
 def _unrefuted(record, crash):
     """Return the weight that progress of other runs leaves to a crash."""
-    if crash.last_event + POSITION_TOLERANCE_EVENTS >= furthest_event(record):
-        return 1
-    is_recent = record.passed_s + RECENT_PASS_S >= crash.at_s
-    return 0 if is_recent else OLD_PASS_WEIGHT
+    if record.passed == FINISHED:
+        is_recent = record.passed_s + RECENT_PASS_S >= crash.at_s
+        return 0 if is_recent else OLD_PASS_WEIGHT
+    if record.part and crash.last_event >= MIN_PASSED_EVENTS:
+        return LATE_CRASH_WEIGHT
+    is_passed = crash.last_event + POSITION_TOLERANCE_EVENTS < furthest_event(record)
+    return PASSED_POSITION_WEIGHT if is_passed else 1
 
 
 def _weight(simultaneous, own):
--- a/libs/routing/src/cherryrudder/routing/crashbook.py
+++ b/libs/routing/src/cherryrudder/routing/crashbook.py
@@ -17,8 +17,10 @@
 MIN_REPEATED_CRASHES = 3
 MAX_RECORDS = 1000
 MAX_CRASHES = 16
-# Event number that stands for a completed answer.
+# Event number that stands for an answer that one run sent from its start to its end.
 FINISHED = 2**31 - 1
+# Events after which a run with a part is past the start of its answer.
+MIN_PASSED_EVENTS = 16
 # Times of the same run differ between processes by the delay of their messages.
 PASS_TOLERANCE_S = 1.0
 # Times of the same lift differ between processes by the delay of their messages.
@@ -45,15 +47,14 @@
     account: str
     service: str
     crashes: tuple[Crash, ...] = ()
-    # Furthest event of a run whose engine survived, -1 for none. For a part: FINISHED
-    # once a run with it has got past the start of its answer.
+    # Furthest event of a run whose engine survived, -1 for none. For a part: the most
+    # events that one run with it has sent, once that is past the start.
     passed: int = -1
     # When an operator last lifted the block.
     lifted_s: float = float("-inf")
     # ID of the part, empty for a whole request.
     part: str = ""
-    # When the newest run that passed had begun. Progress of a whole request refutes all
-    # its crashes, whenever they were.
+    # When the newest whole run ended, if `passed` is FINISHED.
     passed_s: float = math.inf
     # What else all requests with this part had that crashes cut off, as fingerprints;
     # None if unknown, and for a whole request.
@@ -125,14 +126,17 @@
 
 
 def _merge_passed_s(known, received):
-    """Return the newer time, if it differs by more than messages are delayed."""
-    if received.passed < 0:
-        return known.passed_s
-    if known.passed < 0 or received.passed_s > known.passed_s + PASS_TOLERANCE_S:
+    if received.passed == FINISHED and is_newer_pass(known, received.passed_s):
         return received.passed_s
     return known.passed_s
 
 
+def is_newer_pass(known: RequestRecord, passed_s: float) -> bool:
+    """Return whether a whole run is newer by more than messages are delayed."""
+    is_first = known.passed != FINISHED
+    return is_first or passed_s > known.passed_s + PASS_TOLERANCE_S
+
+
 def _merge_companions(known, received):
     if known is None or received is None:
         return received if known is None else known
--- a/libs/routing/src/cherryrudder/routing/partpasses.py
+++ b/libs/routing/src/cherryrudder/routing/partpasses.py
@@ -9,12 +9,15 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
-from .crashbook import FINISHED, Crash, RequestRecord, merge_records
+from .crashbook import (
+    FINISHED,
+    MIN_PASSED_EVENTS,
+    Crash,
+    RequestRecord,
+    merge_records,
+)
 from .fingerprint import Part
 
-# Events that a run has to send as evidence that its parts are harmless. An engine that
-# crashes as it begins an answer may still send some.
-MIN_PASSED_EVENTS = 16
 # Parts that are still in use are the last to be dropped.
 MAX_PASSES = 8192
 # Bounds the size of a record.
@@ -37,18 +40,20 @@
 
 
 class Pass(NamedTuple):
-    """A run that got past the start of its answer."""
+    """A run that got past the start of its answer on an engine that survived."""
 
     # Version of the engine's software.
     version: str
-    begun_s: float
+    at_s: float
+    # How many it sent; FINISHED if from the start of the answer to its end.
+    events: int = FINISHED
 
 
 class PartPasses:
-    """The newest such run by a part's fingerprint, the oldest first."""
+    """The best such run by a part's fingerprint, those in use last."""
 
     def __init__(self):
-        self.newest: OrderedDict[str, Pass] = OrderedDict()
+        self.best: OrderedDict[str, Pass] = OrderedDict()
 
 
 def fingerprints(parts: Iterable[Part]) -> list[str]:
@@ -61,10 +66,13 @@
 def record_pass(passes: PartPasses, parts: Iterable[Part], passed: Pass) -> None:
     """Record that a run with these parts got past the start of its answer."""
     for fingerprint in fingerprints(parts):
-        passes.newest[fingerprint] = passed
-        passes.newest.move_to_end(fingerprint)
-    while len(passes.newest) > MAX_PASSES:
-        passes.newest.popitem(last=False)
+        known = passes.best.get(fingerprint)
+        is_better = known is None or known.version != passed.version
+        if is_better or passed.events >= known.events:
+            passes.best[fingerprint] = passed
+        passes.best.move_to_end(fingerprint)
+    while len(passes.best) > MAX_PASSES:
+        passes.best.popitem(last=False)
 
 
 def record_crash(
@@ -85,7 +93,7 @@
             _add(records, part.fingerprint, _shared_record(part, run, crash))
             _add(records, part.account_fingerprint, _account_record(part, run, crash))
     for fingerprint, record in records.items():
-        known = passes.newest.get(fingerprint)
+        known = passes.best.get(fingerprint)
         if known is not None and known.version == version:
             records[fingerprint] = with_pass(record, known)
     return records
@@ -93,7 +101,7 @@
 
 def with_pass(record: RequestRecord, passed: Pass) -> RequestRecord:
     """Return a part's record with one more run that got past the start."""
-    seen = record._replace(crashes=(), passed=FINISHED, passed_s=passed.begun_s)
+    seen = record._replace(crashes=(), passed=passed.events, passed_s=passed.at_s)
     return merge_records(record, seen)
 
 
@@ -115,7 +123,8 @@
     record = record._replace(companions=frozenset(companions[:MAX_COMPANIONS]))
     if run.run_events < MIN_PASSED_EVENTS:
         return record
-    return with_pass(record, Pass(record.crashes[0].version, run.begun_s))
+    passed = Pass(record.crashes[0].version, run.broke_s, run.run_events)
+    return with_pass(record, passed)
 
 
 def _add(records, fingerprint, record):
--- a/libs/routing/test/crashsim.py
+++ b/libs/routing/test/crashsim.py
@@ -4,7 +4,7 @@
 from typing import NamedTuple
 
 from cherryrudder.routing import blame, crashbook
-from cherryrudder.routing.crashbook import Crash, CrashBook, RequestRecord
+from cherryrudder.routing.crashbook import FINISHED, Crash, CrashBook, RequestRecord
 
 TICK_S = 0.01
 EVENT_S = 0.025
@@ -26,8 +26,9 @@
 class Plan(NamedTuple):
     """The load and the faults of a run."""
 
-    # Requests that crash each engine that starts them.
+    # Requests that crash each engine that starts them, this long after its first event.
     culprits: int = 0
+    crash_after_s: tuple[float, float] = CRASH_AFTER_S
     # Times at which a whole rack fails.
     racks_s: tuple[float, ...] = ()
     length_s: float = 25.0
@@ -57,6 +58,8 @@
         self.entry = 0
         self.engine = None
         self.event = 0
+        # Event from which the present run resumes.
+        self.run_event = 0
         self.next_event_s = 0.0
         self.crashes_s = float("inf")
         self.next_s = now_s
@@ -141,11 +144,13 @@
         book = self.books[entry]
         is_watched = request.fingerprint in book.suspects | set(book.blocks)
         known = book.records.get(request.fingerprint)
-        further = (
-            crashbook.furthest_event(known) + blame.POSITION_TOLERANCE_EVENTS
-            if known
-            else 0
-        )
+        if known is None:
+            return
+        if request.event >= EVENTS and not request.run_event:
+            record = RequestRecord("a", "llm", passed=FINISHED, passed_s=self._now_s)
+            self._send(entry, request.fingerprint, record, self._now_s)
+            return
+        further = crashbook.furthest_event(known) + blame.POSITION_TOLERANCE_EVENTS
         if is_watched and request.event > further:
             record = RequestRecord("a", "llm", passed=request.event)
             self._send(entry, request.fingerprint, record, self._now_s)
@@ -212,7 +217,15 @@
             request.event += 1
             self.book.reached(request.entry, request)
             if request.event >= EVENTS:
-                self.requests.remove(request)
+                self._finish(request, now_s)
+
+    def _finish(self, request, now_s):
+        if not request.is_culprit:
+            self.requests.remove(request)
+            return
+        request.engine = None
+        request.crashes_s = float("inf")
+        self._ask_elsewhere(request, now_s)
 
     def _send(self, request, now_s):
         if self.book.is_blocked(request.entry, request.fingerprint):
@@ -223,10 +236,11 @@
             request.next_s = now_s + CLIENT_RETRY_S
             return
         request.engine = self.rng.choice(up)
+        request.run_event = request.event
         request.next_event_s = now_s + self.rng.uniform(*PROMPT_S)
         request.sends_s.append(now_s)
         if request.is_culprit:
-            after_s = self.rng.uniform(*CRASH_AFTER_S)
+            after_s = self.rng.uniform(*self.plan.crash_after_s)
             request.crashes_s = request.next_event_s + after_s
 
     def _hold_or_refuse(self, request, now_s):
--- a/libs/routing/test/partsim.py
+++ b/libs/routing/test/partsim.py
@@ -5,6 +5,7 @@
 
 from crashsim import (
     CLIENT_RETRY_S,
+    CRASH_AFTER_S,
     EVENTS,
     KNOWN_AFTER_S,
     TICK_S,
@@ -14,7 +15,8 @@
     Simulation,
 )
 
-from cherryrudder.routing import blame, partpasses
+from cherryrudder.routing import blame, crashbook, partpasses
+from cherryrudder.routing.crashbook import FINISHED, MIN_PASSED_EVENTS
 from cherryrudder.routing.fingerprint import part_fingerprints
 from cherryrudder.routing.partpasses import CutRun, PartPasses, Pass
 
@@ -38,6 +40,7 @@
     racks_s: tuple[float, ...] = ()
     # Rate of sound requests with one of three parts that are seldom used.
     rare_per_s: float = 0.0
+    crash_after_s: tuple[float, float] = CRASH_AFTER_S
     length_s: float = 20.0
     entries: int = 7
     engines: int = 36
@@ -68,7 +71,6 @@
         self.first_s = now_s
         self.attempts = 0
         self.begun_s = None
-        self.run_event = 0
         self.has_begun_at_once = False
         self.features = part_fingerprints(account, "llm", parts)
         self.fingerprints = frozenset(
@@ -86,6 +88,7 @@
             racks=plan.racks,
             racks_s=plan.racks_s,
             requests_per_s=0.0,
+            crash_after_s=plan.crash_after_s,
         )
         super().__init__(base, f"parts-{seed}")
         self.parts_plan = plan
@@ -145,7 +148,6 @@
         if request.engine is None:
             return
         request.begun_s = request.next_event_s
-        request.run_event = request.event
         if request.is_culprit:
             part = next(one for one in request.parts if one.startswith("deadly"))
             self.arrivals.setdefault(part, []).append(now_s)
@@ -226,16 +228,17 @@
         """Record how far a request has got, and send it to all others if needed."""
         self.reached(entry, request)
         run_events = request.event - request.run_event
-        is_finished = request.event >= EVENTS
-        if run_events < partpasses.MIN_PASSED_EVENTS and not is_finished:
+        if request.event >= EVENTS and not request.run_event:
+            run_events = FINISHED
+        if run_events < MIN_PASSED_EVENTS:
             return
-        passed = Pass("v1", request.begun_s)
+        passed = Pass("v1", now_s, run_events)
         partpasses.record_pass(self.passes[entry], request.features, passed)
         book = self.books[entry]
         for fingerprint in partpasses.fingerprints(request.features):
             known = book.records.get(fingerprint)
             if known is None or fingerprint not in book.suspects | set(book.blocks):
                 continue
-            if request.begun_s > known.passed_s + 1.0 or known.passed < 0:
-                record = partpasses.with_pass(known._replace(crashes=()), passed)
+            record = partpasses.with_pass(known._replace(crashes=()), passed)
+            if crashbook.merge_records(known, record) != known:
                 self._send(entry, fingerprint, record, now_s)
--- a/libs/routing/test/test_blame.py
+++ b/libs/routing/test/test_blame.py
@@ -7,6 +7,8 @@
 
 SEEDS = range(12)
 RACKS_S = (3.0, 4.0, 5.0, 8.0, 9.0, 12.0, 13.0)
+# From the first event to the end of an answer.
+ANYWHERE_S = (0.0, 1.9)
 CASCADE_S = tuple(3.0 + 0.35 * n for n in range(9))
 # Sends allowed after all entries should block a request, and the engines needed for
 # five culprits.
@@ -69,6 +71,12 @@
         plan = Plan(culprits=5, engines=MANY_ENGINES)
         self.assertLessEqual(self.late_sends(plan), MAX_LATE_SENDS)
 
+    def test_culprits_that_crash_engines_anywhere_are_known_soon_after(self):
+        for culprits in (1, 2):
+            plan = Plan(culprits=culprits, crash_after_s=ANYWHERE_S)
+            self.assertLessEqual(self.late_sends(plan), MAX_LATE_SENDS)
+            self.assertEqual(self.innocents(plan), 0)
+
     def test_five_among_few_engines_are_known_after_three_ends(self):
         self.assertLessEqual(self.late_sends(Plan(culprits=5)), MAX_LATE_SENDS)
 
@@ -92,6 +100,21 @@
         book = a_book(good=[("e1", 2, 1.0), ("e2", 30, 2.0), ("e3", 61, 3.0)])
         self.assertEqual(blocked(book), set())
 
+    def test_four_crashes_at_any_positions_block(self):
+        """Guards against a culprit whose late crash clears the early ones."""
+        for positions in ((0, 10, 20, 30), (18, 0, 17, 1), (61, 30, 2, 40)):
+            crashes = [(f"e{n}", event, 1.0 + n) for n, event in enumerate(positions)]
+            self.assertEqual(blocked(a_book(bad=crashes)), {"bad"})
+
+    def test_a_whole_run_clears_earlier_crashes_and_halves_later_ones(self):
+        early = [(f"e{n}", 9 * n, 1.0 + n) for n in range(5)]
+        late = [(f"f{n}", 2, 10.0 + n) for n in range(6)]
+        whole = RequestRecord("acme", "llm", passed=FINISHED, passed_s=5.0)
+        for crashes, expected in ((early, set()), (late[:5], set()), (late, {"bad"})):
+            book = a_book(bad=crashes)
+            crashbook.merge(book, "bad", whole)
+            self.assertEqual(blocked(book), expected)
+
     def test_a_completed_request_is_not_blocked(self):
         book = a_book(bad=[("e1", 2, 1.0), ("e2", 3, 2.0), ("e3", 2, 3.0)])
         crashbook.merge(book, "bad", RequestRecord("acme", "llm", passed=FINISHED))
