Count whole runs of a request before it is a suspect

A sound request that clients repeat all the time was refused with 400 for ten minutes when two culprits ended five engines that also ran it, though its runs came to their ends in between: these were only recorded of suspects, and gone when it became one. The end of a whole run is now recorded whenever any engine has ended under the request; it is sent once a second at most, and only while the record lasts.

--- a/libs/node/src/cherryrudder/node/crashes.py
+++ b/libs/node/src/cherryrudder/node/crashes.py
@@ -178,12 +178,12 @@
 
 
 def _is_news(tracker, fingerprint, known, event, now):
-    if not tracker.is_watched(fingerprint):
-        return False
     if event == FINISHED:
+        # It counts for later crashes, too, so it matters before there are suspects.
         return crashbook.is_newer_pass(known, now)
     furthest = crashbook.furthest_event(known)
-    return event > furthest + blame.POSITION_TOLERANCE_EVENTS
+    is_further = event > furthest + blame.POSITION_TOLERANCE_EVENTS
+    return is_further and tracker.is_watched(fingerprint)
 
 
 def _log_outlived(job, fingerprint, known, event):
