--- a/libs/soak/src/cherryrudder/soak/testbed.py
+++ b/libs/soak/src/cherryrudder/soak/testbed.py
@@ -23,6 +23,8 @@
 EVENTS = 20
 # Little enough for some seconds of failing engines to use it up.
 RETRY_BOUND = RetryBound(ratio=0.2, slack=30.0, window_s=10.0)
+# Share of the runs in which engines crash anywhere in an answer, not at its start.
+DRAWN_PLACES_SHARE = 0.5
 # Last part of the first loopback address of the entries' proxies; engines use lower
 # ones.
 FIRST_PROXY_HOST = 230
@@ -41,6 +43,9 @@
         }
         self.deployment = Deployment(folder, requests.LAYERS, bounds=bounds)
         self.deployment.group = group
+        places = random.Random(f"places-{seed}")
+        if places.random() < DRAWN_PLACES_SHARE:
+            self.deployment.fleet.draw_place = lambda: places.randrange(EVENTS)
         self.engines: list[Engine] = []
         self.engine_proxies: dict[str, Proxy] = {}
         self.caller_proxies: dict[str, Proxy] = {}
