Let entries try a blocked request on a new version in turn

Once no engine of the version that crashed was left, every entry let a blocked request through at the same moment: as many engines ended as there are entries, before the first crash was known, where three late sends are allowed.

The older test that engines of another version may run it has one entry now, so that there is no turn to wait.

--- a/libs/node/src/cherryrudder/node/crashes.py
+++ b/libs/node/src/cherryrudder/node/crashes.py
@@ -25,6 +25,9 @@
 # one. Control VMs reach it within some milliseconds; when two ask, it takes 0.4 s.
 VERDICT_WAIT_S = 0.5
 VERDICT_POLL_S = 0.02
+# Mean time between the first tries of a blocked request by several entries: some times
+# as long as it takes until all of them know whether the first one crashed its engine.
+PROBE_INTERVAL_S = 2.0
 BLOCK_POLL_S = 0.02
 
 
@@ -36,7 +39,8 @@
 def _find_block(job, now_s):
     """Return the blocked fingerprint of a request or of one of its parts, or None.
 
-    It isn't refused while all engines run other versions than those that crashed.
+    It isn't refused, after a while, while all engines run other versions than those
+    that crashed.
     """
     state = job.state
     book = state.crashes.book
@@ -47,8 +51,15 @@
         return None
     versions = book.blocks[fingerprint].versions
     serving = entrystate.serving_endpoints(state, job.service.name, now_s)
-    is_served = not serving or any(one.version in versions for one in serving)
-    return fingerprint if is_served else None
+    probes_s = state.crashes.probes_s
+    if not serving or any(one.version in versions for one in serving):
+        probes_s.pop(fingerprint, None)
+        return fingerprint
+    if fingerprint not in probes_s:
+        # Entries try the new version in turn, as the first try tells all of them.
+        turn_s = state.rng.random() * (state.entries - 1) * PROBE_INTERVAL_S
+        probes_s[fingerprint] = now_s + turn_s
+    return fingerprint if now_s < probes_s[fingerprint] else None
 
 
 def _fingerprints(job):
--- a/libs/node/src/cherryrudder/node/crashtracker.py
+++ b/libs/node/src/cherryrudder/node/crashtracker.py
@@ -18,6 +18,8 @@
     def __init__(self, boot: str, sink: LineSink, metrics: Metrics):
         self.book = CrashBook(boot)
         self.positions = PeerPositions()
+        # From when a blocked request may try engines of a new version.
+        self.probes_s: dict[str, float] = {}
         self._sink = sink
         self._metrics = metrics
 
@@ -107,6 +109,8 @@
         if self.book.records:
             crashbook.prune(self.book, now_s)
             self._refresh(now_s)
+        for fingerprint in set(self.probes_s) - set(self.book.blocks):
+            del self.probes_s[fingerprint]
         crashsync.prune(self.positions, present)
 
     def _refresh_if_relevant(self, changed, now_s):
--- a/libs/node/test/test_crashes.py
+++ b/libs/node/test/test_crashes.py
@@ -1,5 +1,6 @@
 """Tests of how entries and control VMs detect requests that crash engines."""
 
+import random
 import unittest
 from types import SimpleNamespace
 from unittest import mock
@@ -24,6 +25,7 @@
     DeathConfirmation,
     DeathNotice,
     EndpointState,
+    Liveness,
     Refutation,
 )
 from cherryrudder.node.metrics import Metrics
@@ -231,6 +233,7 @@
 
     def test_engines_of_another_version_may_run_it(self):
         """Guards against a block that outlives the fault in the engines."""
+        self.state.entries = 1
         self.block()
         for engine_id in ENGINES:
             announcement = an_announcement(engine_id, 4, (0, 8), version="v2")
@@ -257,6 +260,45 @@
         self.assertFalse(self.is_blocked())
 
 
+class NewVersionTest(unittest.TestCase):
+    """Guards against a blocked request that all entries try on new engines at once."""
+
+    SPREAD_S = 0.5
+    MAX_TRIES = 3
+
+    def tries(self, seed, entries=8):
+        """Return how many entries send the request until all know of its next crash."""
+        piped = PipedSink()
+        self.addCleanup(piped.close)
+        states = [a_state(piped.sink) for _ in range(entries)]
+        began_s = now_s()
+        for number, state in enumerate(states):
+            state.entries = entries
+            state.rng = random.Random(f"{seed}-{number}")
+            state.crashes.record({"bad": a_record(*ENGINES)}, began_s)
+            announcement = an_announcement("boot-9", 4, (0, 8), version="v2")
+            tablesync.record_heartbeat(state.endpoints, announcement, began_s)
+        known_s = began_s + 60.0
+        tried = set()
+        for tick in range(600):
+            at_s = began_s + tick / 20
+            if at_s > known_s:
+                break
+            for number, state in enumerate(states):
+                # Keeps the engine present.
+                sign = Liveness("boot-9", 0.0)
+                tablesync.merge_liveness(state.endpoints, (sign,), at_s)
+                if number not in tried and not crashes.is_blocked(a_job(state), at_s):
+                    tried.add(number)
+                    known_s = min(known_s, at_s + self.SPREAD_S)
+        return len(tried)
+
+    def test_few_entries_try_it_before_all_know_whether_it_crashed(self):
+        tries = [self.tries(seed) for seed in range(20)]
+        self.assertLessEqual(max(tries), self.MAX_TRIES)
+        self.assertGreaterEqual(min(tries), 1)
+
+
 class ConfirmationTest(EntryCase):
     """Guards against final refusals by blocks that are lifted a moment later."""
 
