Report a run's progress on parts only where it is news

Since progress counts by how far a run got, each further event of the furthest run with a suspect part changed the record and was sent to the control VMs. Now it has to be eight events further, as for whole requests, or a whole run that is a second newer. Not seen in a run; found reading the change. test_crashes, test_partblocks, test_innocents and test_resumedruns pass.

--- a/libs/node/src/cherryrudder/node/crashes.py
+++ b/libs/node/src/cherryrudder/node/crashes.py
@@ -181,20 +181,21 @@
     """
     tracker = job.state.crashes
     known = tracker.book.records.get(job.fingerprint)
-    if known is None or not _is_news(tracker, job.fingerprint, known, event, now_s):
+    if known is None or not _is_further(known, event, now_s):
+        return None
+    # A whole run counts for later crashes as well, before there are enough to suspect.
+    if event != FINISHED and not tracker.is_watched(job.fingerprint):
         return None
     record = RequestRecord(known.account, known.service, passed=event, passed_s=now_s)
     _log_outlived(job, job.fingerprint, known, event)
     return tracker.record({job.fingerprint: record}, now_s)
 
 
-def _is_news(tracker, fingerprint, known, event, now):
+def _is_further(known, event, at_s):
+    """Return whether a run is evidence beside what a record holds."""
     if event == FINISHED:
-        # It counts for later crashes, too, so it matters before there are suspects.
-        return crashbook.is_newer_pass(known, now)
-    furthest = crashbook.furthest_event(known)
-    is_further = event > furthest + blame.POSITION_TOLERANCE_EVENTS
-    return is_further and tracker.is_watched(fingerprint)
+        return crashbook.is_newer_pass(known, at_s)
+    return event > crashbook.furthest_event(known) + blame.POSITION_TOLERANCE_EVENTS
 
 
 def _log_outlived(job, fingerprint, known, event):
@@ -232,23 +233,15 @@
     # A part that isn't watched may explain the same crashes, and would be blocked next.
     for fingerprint in partpasses.fingerprints(job.parts):
         known = state.crashes.book.records.get(fingerprint)
-        if known is None:
+        if known is None or not _is_further(known, events, passed_s):
             continue
         if any(crash.version == passed.version for crash in known.crashes):
             seen = RequestRecord(known.account, known.service, part=known.part)
             records[fingerprint] = partpasses.with_pass(seen, passed)
-    changed = [one for one in records if _changes(state.crashes.book, one, records)]
-    for fingerprint in changed:
-        known = state.crashes.book.records[fingerprint]
-        _log_outlived(job, fingerprint, known, events)
+            _log_outlived(job, fingerprint, known, events)
     return state.crashes.record(records, now_s) if records else None
 
 
-def _changes(book, fingerprint, records):
-    known = book.records[fingerprint]
-    return crashbook.merge_records(known, records[fingerprint]) != known
-
-
 def has_watched_part(job: "Job") -> bool:
     """Return whether a part of a request's prompt is a suspect or blocked."""
     book = job.state.crashes.book
