Remember the whole runs of requests before the first crash

Entries now remember the newest whole run of the last 8,192 requests, as they do of parts, and add it to what they report of a crash: one at most two seconds older than the crash clears it, another halves it.

--- a/libs/node/src/cherryrudder/node/crashes.py
+++ b/libs/node/src/cherryrudder/node/crashes.py
@@ -217,15 +217,17 @@
 ) -> CrashUpdate | None:
     """Record that a run got past the start of its answer; return the update, if any.
 
-    This is evidence for all parts of its prompt. Others only need it for those parts
-    that are under suspicion. `events` is how many the run has sent, or FINISHED if from
-    the start of the answer to its end.
+    This is evidence for all parts of its prompt, and for the request if the run was
+    whole. Others only need it for those parts that are under suspicion. `events` is how
+    many the run has sent, or FINISHED if from the start of the answer to its end.
     """
     state = job.state
     entry = state.endpoints.table.entries.get(engine_id)
-    if not job.parts or entry is None:
+    if entry is None:
         return None
     passed = Pass(entry.announcement.version, passed_s, events)
+    if events == FINISHED:
+        partpasses.record_whole_run(state.passes, job.fingerprint, passed)
     partpasses.record_pass(state.passes, job.parts, passed)
     if not has_watched_part(job):
         return None
--- a/libs/routing/src/cherryrudder/routing/partpasses.py
+++ b/libs/routing/src/cherryrudder/routing/partpasses.py
@@ -1,8 +1,8 @@
-"""Evidence against parts of prompts, and for them, from the runs of one entry.
+"""Evidence against requests and parts of prompts, and for them, from one entry's runs.
 
-Requests with a harmless part also run on the engines that another part crashes. Each
-entry therefore remembers which parts its runs have got through, also while no engine
-crashes, and adds that to its records of a crash.
+Harmless requests, and those with a harmless part, also run on the engines that others
+crash. Each entry therefore remembers which of them its runs have got through, also
+while no engine crashes, and adds that to its records of a crash.
 """
 
 from collections import OrderedDict
@@ -54,6 +54,9 @@
 
     def __init__(self):
         self.best: OrderedDict[str, Pass] = OrderedDict()
+        # The newest whole run by a request's fingerprint. Apart, as most requests come
+        # once and would push the parts out.
+        self.requests: OrderedDict[str, Pass] = OrderedDict()
 
 
 def fingerprints(parts: Iterable[Part]) -> list[str]:
@@ -75,6 +78,14 @@
         passes.best.popitem(last=False)
 
 
+def record_whole_run(passes: PartPasses, fingerprint: str, passed: Pass) -> None:
+    """Record that a run of a request went from the start of its answer to the end."""
+    passes.requests[fingerprint] = passed
+    passes.requests.move_to_end(fingerprint)
+    while len(passes.requests) > MAX_PASSES:
+        passes.requests.popitem(last=False)
+
+
 def record_crash(
     passes: PartPasses,
     engine_id: str,
@@ -93,14 +104,14 @@
             _add(records, part.fingerprint, _shared_record(part, run, crash))
             _add(records, part.account_fingerprint, _account_record(part, run, crash))
     for fingerprint, record in records.items():
-        known = passes.best.get(fingerprint)
+        known = passes.best.get(fingerprint) or passes.requests.get(fingerprint)
         if known is not None and known.version == version:
             records[fingerprint] = with_pass(record, known)
     return records
 
 
 def with_pass(record: RequestRecord, passed: Pass) -> RequestRecord:
-    """Return a part's record with one more run that got past the start."""
+    """Return a record with one more run that got past the start."""
     seen = record._replace(crashes=(), passed=passed.events, passed_s=passed.at_s)
     return merge_records(record, seen)
 
