Move the builders and new tests of crashes out of test_crashes

Its builders are in crashcase, the tests of tries on new versions and of the line crashes-outlived in test_crashtries; nothing else changed but for the one line that names what a test of test_uplink guards against.

--- a/libs/node/test/test_crashes.py
+++ b/libs/node/test/test_crashes.py
@@ -1,12 +1,12 @@
 """Tests of how entries and control VMs detect requests that crash engines."""
 
-import random
 import unittest
 from types import SimpleNamespace
 from unittest import mock
 
 import anyio
-from builders import PipedSink, a_control, a_state, an_announcement
+from builders import PipedSink, a_control, an_announcement
+from crashcase import ENGINES, FIRST, OTHER, SECOND, EntryCase, a_job, a_record
 
 from cherryrudder.layers.chains import Part
 from cherryrudder.node import (
@@ -25,56 +25,14 @@
     DeathConfirmation,
     DeathNotice,
     EndpointState,
-    Liveness,
     Refutation,
 )
 from cherryrudder.node.metrics import Metrics
 from cherryrudder.node.stream import Stream
-from cherryrudder.node.uplink import Uplink
 from cherryrudder.relay.errors import AnswerBroken
 from cherryrudder.replica.clock import now_s
 from cherryrudder.routing import blame
-from cherryrudder.routing.crashbook import FINISHED, Crash, RequestRecord
-
-FIRST, SECOND, OTHER = "boot-1", "boot-2", "boot-3"
-ENGINES = (FIRST, SECOND, OTHER)
-
-
-def a_job(state, fingerprint="bad"):
-    """Return a request at an entry."""
-    return SimpleNamespace(
-        state=state,
-        fingerprint=fingerprint,
-        facts=SimpleNamespace(request_id="r1"),
-        admitted=SimpleNamespace(account="acme"),
-        service=SimpleNamespace(name="llm"),
-        parts=(),
-    )
-
-
-def a_record(*engine_ids, at_s=None, **changes):
-    """Return the record of a request under which engines ended."""
-    at_s = now_s() if at_s is None else at_s
-    ended = tuple(Crash(engine_id, "a", "v1", 2, at_s) for engine_id in engine_ids)
-    return RequestRecord("acme", "llm", ended)._replace(**changes)
-
-
-class EntryCase(unittest.TestCase):
-    def setUp(self):
-        self.piped = PipedSink()
-        self.addCleanup(self.piped.close)
-        self.state = a_state(self.piped.sink)
-        self.uplink = Uplink(self.state, None)
-        for engine_id in ENGINES:
-            announcement = an_announcement(engine_id, layers=(0, 8))
-            tablesync.record_heartbeat(
-                self.state.endpoints, announcement, now_s() - 0.1
-            )
-
-    def known(self, fingerprint="bad"):
-        """Return the engines recorded as ended under a request."""
-        record = self.state.crashes.book.records.get(fingerprint, RequestRecord("", ""))
-        return {crash.engine_id for crash in record.crashes}
+from cherryrudder.routing.crashbook import FINISHED
 
 
 class BrokenRunTest(EntryCase):
@@ -260,45 +218,6 @@
         self.assertFalse(self.is_blocked())
 
 
-class NewVersionTest(unittest.TestCase):
-    """Guards against a blocked request that all entries try on new engines at once."""
-
-    SPREAD_S = 0.5
-    MAX_TRIES = 3
-
-    def tries(self, seed, entries=8):
-        """Return how many entries send the request until all know of its next crash."""
-        piped = PipedSink()
-        self.addCleanup(piped.close)
-        states = [a_state(piped.sink) for _ in range(entries)]
-        began_s = now_s()
-        for number, state in enumerate(states):
-            state.entries = entries
-            state.rng = random.Random(f"{seed}-{number}")
-            state.crashes.record({"bad": a_record(*ENGINES)}, began_s)
-            announcement = an_announcement("boot-9", 4, (0, 8), version="v2")
-            tablesync.record_heartbeat(state.endpoints, announcement, began_s)
-        known_s = began_s + 60.0
-        tried = set()
-        for tick in range(600):
-            at_s = began_s + tick / 20
-            if at_s > known_s:
-                break
-            for number, state in enumerate(states):
-                # Keeps the engine present.
-                sign = Liveness("boot-9", 0.0)
-                tablesync.merge_liveness(state.endpoints, (sign,), at_s)
-                if number not in tried and not crashes.is_blocked(a_job(state), at_s):
-                    tried.add(number)
-                    known_s = min(known_s, at_s + self.SPREAD_S)
-        return len(tried)
-
-    def test_few_entries_try_it_before_all_know_whether_it_crashed(self):
-        tries = [self.tries(seed) for seed in range(20)]
-        self.assertLessEqual(max(tries), self.MAX_TRIES)
-        self.assertGreaterEqual(min(tries), 1)
-
-
 class ConfirmationTest(EntryCase):
     """Guards against final refusals by blocks that are lifted a moment later."""
 
@@ -339,18 +258,6 @@
         self.assertLess(took_s, blame.CONFIRMATION_S)
 
 
-class OutlivedLogTest(EntryCase):
-    """Guards against lines that don't say why crashes no longer count."""
-
-    def test_the_log_names_the_run_that_got_further(self):
-        self.state.crashes.record({"bad": a_record(FIRST, SECOND)}, now_s())
-        crashes.record_progress(a_job(self.state), 40, now_s())
-        text = self.piped.text()
-        self.assertIn('"event":"crashes-outlived"', text)
-        self.assertIn('"event_number":40', text)
-        self.assertIn('"crash_positions":[2,2]', text)
-
-
 class FaultyMessageTest(EntryCase):
     """Guards against a faulty message that crashes every process that receives it."""
 
--- a/libs/node/test/test_innocents.py
+++ b/libs/node/test/test_innocents.py
@@ -3,7 +3,7 @@
 import unittest
 
 from builders import PipedSink, a_state, an_announcement
-from test_crashes import a_job, a_record
+from crashcase import a_job, a_record
 
 from cherryrudder.node import crashes, tablesync
 from cherryrudder.node.gossip import DeathNotice
--- a/libs/node/test/test_resumedruns.py
+++ b/libs/node/test/test_resumedruns.py
@@ -6,7 +6,7 @@
 
 import anyio
 from builders import PipedSink, a_state, an_announcement
-from test_crashes import ENGINES, a_job, a_record
+from crashcase import ENGINES, a_job, a_record
 
 from cherryrudder.layers.chains import Part
 from cherryrudder.node import streamrelay, tablesync
--- a/libs/node/test/test_uplink.py
+++ b/libs/node/test/test_uplink.py
@@ -128,10 +128,7 @@
 
 
 class ConfirmationTest(UplinkCase):
-    """Guards against an answer to the process before that confirms what this one has.
-
-    After a reboot its time lies ahead, and would confirm all that is asked until then.
-    """
+    """Guards against confirming what an entry has by an answer to another process."""
 
     def setUp(self):
         super().setUp()
