Hold requests that shared crashes don't tell apart, and try them one by one

What callers saw: of several requests that end their engines, one was refused and the others were sent on, and each further crash blocked another one and released the one before, sound ones among them, which got 400 for good.

Cause: requests that run side by side are cut by the same crashes. The one with most crashes was blocked and the crashes counted no more against the others; with the next crash another one had most. A verdict on one of several was taken from evidence that holds for all of them.

Each of them is held now: it runs on trial, where no other suspect does, and in turns of the entries. A whole run releases it, and two crashes of its own convict it. Until then its callers get 503, since nobody knows yet; 400 needs crashes that no other suspect had.

The simulated fleets play trials as well; their checks and bounds are as they were. Job builders got a field.

--- a/libs/node/src/cherryrudder/node/crashes.py
+++ b/libs/node/src/cherryrudder/node/crashes.py
@@ -120,6 +120,7 @@
         run_events=run_events,
         begun_s=begun_s,
         broke_s=now_s,
+        is_trial=job.is_trial,
     )
     brokenruns.add(job.state.broken, engine_id, run)
     return _record_crashes(job.state, engine_id, now_s)
@@ -170,6 +171,7 @@
         last_event=run.last_event,
         run_events=run.run_events,
         broke_s=run.broke_s,
+        is_trial=run.is_trial,
     )
 
 
@@ -270,7 +272,12 @@
 
 
 async def delay_suspect(job: "Job") -> None:
-    """Delay a suspect request, so that suspects don't run at the same time."""
+    """Delay a suspect request, so that suspects don't run at the same time.
+
+    One that is held isn't delayed: it runs apart from the others in any case.
+    """
+    if blame.is_held(job.state.crashes.book, job.fingerprint, now_s()):
+        return
     delay_s = blame.send_delay_s(job.state.crashes.book, job.fingerprint)
     if delay_s:
         await anyio.sleep(min(delay_s, max(0.0, job.left_s())))
--- a/libs/node/src/cherryrudder/node/crashsync.py
+++ b/libs/node/src/cherryrudder/node/crashsync.py
@@ -8,9 +8,15 @@
 import math
 
 from cherryrudder.routing import crashbook
-from cherryrudder.routing.crashbook import Crash, CrashBook, RequestRecord
+from cherryrudder.routing.crashbook import Crash, CrashBook, RequestRecord, Trial
 
-from .gossip import CrashSync, ReportedCrash, ReportedRecord, SyncPosition
+from .gossip import (
+    CrashSync,
+    ReportedCrash,
+    ReportedRecord,
+    ReportedTrial,
+    SyncPosition,
+)
 
 NO_POSITION = SyncPosition("", 0)
 
@@ -91,8 +97,10 @@
 
 def _write(fingerprint, record, now_s):
     crashes = (
-        ReportedCrash(*crash[:-1], age_s=now_s - crash.at_s) for crash in record.crashes
+        ReportedCrash(*crash[:4], now_s - crash.at_s, crash.is_trial)
+        for crash in record.crashes
     )
+    trial = record.trial
     is_lifted = record.lifted_s > float("-inf")
     return ReportedRecord(
         fingerprint,
@@ -104,13 +112,16 @@
         record.part,
         None if record.passed_s == math.inf else now_s - record.passed_s,
         None if record.companions is None else tuple(sorted(record.companions)),
+        trial and ReportedTrial(trial.engine_id, now_s - trial.begun_s, trial.number),
     )
 
 
 def _read(reported, now_s):
     crashes = (
-        Crash(*crash[:-1], at_s=now_s - crash.age_s) for crash in reported.crashes
+        Crash(*crash[:4], now_s - crash.age_s, crash.is_trial)
+        for crash in reported.crashes
     )
+    trial = reported.trial
     age_s = reported.lifted_age_s
     lifted_s = float("-inf") if age_s is None else now_s - age_s
     passed_age_s, companions = reported.passed_age_s, reported.companions
@@ -123,4 +134,5 @@
         reported.part,
         math.inf if passed_age_s is None else now_s - passed_age_s,
         None if companions is None else frozenset(companions),
+        trial and Trial(trial.engine_id, now_s - trial.age_s, trial.number),
     )
--- a/libs/node/src/cherryrudder/node/crashtracker.py
+++ b/libs/node/src/cherryrudder/node/crashtracker.py
@@ -59,7 +59,11 @@
 
     def is_watched(self, fingerprint: str) -> bool:
         """Return whether a request is suspect or blocked, so its progress matters."""
-        return fingerprint in self.book.suspects or fingerprint in self.book.blocks
+        book = self.book
+        return any(
+            fingerprint in watched
+            for watched in (book.suspects, book.blocks, book.held_until_s)
+        )
 
     def lift(self, name: str, now_s: float) -> CrashUpdate:
         """Lift blocks by a fingerprint or a part's ID; return the update for others.
@@ -67,13 +71,16 @@
         What explains the same crashes is lifted too, or it would be blocked instead.
         """
         records, blocks = self.book.records, self.book.blocks
-        found = [one for one in blocks if name and name in (one, records[one].part)]
+        watched = blocks | self.book.held_until_s
+        found = [one for one in watched if name and name in (one, records[one].part)]
         parts = {
             (records[one].service, records[one].part)
             for one in found
             if records[one].part
         }
-        lifted = {one for block in found for one in (block, *blocks[block].companions)}
+        lifted = set(found)
+        for one in found:
+            lifted |= blocks[one].companions if one in blocks else set()
         lifted |= {
             one
             for one, record in records.items()
@@ -100,9 +107,19 @@
                 "left_s": round(block.until_s - now_s, 1),
             }
             for fingerprint, block in self.book.blocks.items()
+            if block.is_final
+        ]
+        held = [
+            {"fingerprint": one, "left_s": round(until_s - now_s, 1)}
+            for one, until_s in self.book.held_until_s.items()
         ]
         suspects = sorted(self.book.suspects)
-        return {"blocks": blocks, "suspects": suspects, "records": len(records)}
+        return {
+            "blocks": blocks,
+            "held": held,
+            "suspects": suspects,
+            "records": len(records),
+        }
 
     def sweep(self, present: set[str], now_s: float) -> None:
         """Drop old records, expired blocks and the positions of absent processes."""
@@ -123,11 +140,31 @@
 
     def _refresh(self, now_s):
         old_blocks = dict(self.book.blocks)
+        old_held = dict(self.book.held_until_s)
         begun, ended = blame.update_blocks(self.book, now_s)
         for fingerprint in begun:
             self._log("blocked", fingerprint, self.book.blocks[fingerprint], now_s)
         for fingerprint in ended:
             self._log("unblocked", fingerprint, old_blocks[fingerprint], now_s)
+        for fingerprint in self.book.held_until_s.keys() - old_held.keys():
+            self._log_held("held", fingerprint)
+        for fingerprint in old_held.keys() - self.book.held_until_s.keys():
+            self._log_held("released", fingerprint)
+
+    def _log_held(self, event, fingerprint):
+        record = self.book.records.get(fingerprint, RequestRecord("", ""))
+        self._metrics.crashes.labels(event).inc()
+        self._sink.write(
+            "crashes",
+            event,
+            True,
+            fingerprint=fingerprint,
+            account=record.account,
+            service=record.service,
+            engine_ids=[crash.engine_id for crash in record.crashes],
+            shared=blame.count_shared(self.book, fingerprint),
+            passed=record.passed,
+        )
 
     def _log(self, event, fingerprint, block, now_s):
         record = self.book.records.get(fingerprint, RequestRecord("", ""))
--- a/libs/node/src/cherryrudder/node/gossip.py
+++ b/libs/node/src/cherryrudder/node/gossip.py
@@ -75,6 +75,15 @@
     version: str
     last_event: int
     age_s: float
+    is_trial: bool = False
+
+
+class ReportedTrial(NamedTuple):
+    """The newest trial of a request that engines ended under."""
+
+    engine_id: str
+    age_s: float
+    number: int
 
 
 class ReportedRecord(NamedTuple):
@@ -94,6 +103,7 @@
     passed_age_s: float | None = None
     # What else all requests that crashed with this part had; None if unknown.
     companions: tuple[str, ...] | None = None
+    trial: ReportedTrial | None = None
 
 
 class CrashSync(NamedTuple):
--- a/libs/node/src/cherryrudder/node/plainrelay.py
+++ b/libs/node/src/cherryrudder/node/plainrelay.py
@@ -15,7 +15,14 @@
 from cherryrudder.routing.crashbook import FINISHED
 from cherryrudder.routing.picking import EndpointLoad
 
-from . import attempts, backpressure, brokenruns, crashes, ratelimiter
+from . import (
+    attempts,
+    backpressure,
+    brokenruns,
+    crashes,
+    heldrequests,
+    ratelimiter,
+)
 from .entrystate import ReportedLoad, is_suspect, serving_endpoints
 from .gossip import CrashUpdate
 from .job import ANSWER_MARGIN_S, FailedAttempt, Job, WholeAnswer
@@ -46,11 +53,21 @@
     failed = NO_ENDPOINT
     has_run = False
     while True:
-        endpoint = await _choose(job, excluded)
+        if not await heldrequests.wait_for_turn(job):
+            failed = heldrequests.refusal(job, has_run, now_s())
+            break
+        if await crashes.confirm_block(job):
+            await job.refuse_permanently()
+            return
+        busy = heldrequests.busy_engines(job, now_s())
+        endpoint = await _choose(job, excluded | busy)
         if isinstance(endpoint, FailedAttempt):
             if failed is NO_ENDPOINT:
                 failed = endpoint
             break
+        if crashes.is_blocked(job, now_s()) or not heldrequests.may_send(job, now_s()):
+            continue
+        publish_crashes(heldrequests.begin(job, endpoint.engine_id, now_s()))
         result = await _attempt(job, endpoint)
         if isinstance(result, WholeAnswer):
             brokenruns.record_answer(job.state.broken, endpoint.engine_id, now_s())
@@ -74,9 +91,6 @@
         ):
             break
         await crashes.delay_suspect(job)
-        if await crashes.confirm_block(job):
-            await job.refuse_permanently()
-            return
     await job.fail(failed)
 
 
--- a/libs/node/src/cherryrudder/node/streamchains.py
+++ b/libs/node/src/cherryrudder/node/streamchains.py
@@ -9,7 +9,7 @@
 from cherryrudder.replica.clock import now_s
 from cherryrudder.routing import backoffs
 
-from . import backpressure, entrystate, ratelimiter
+from . import backpressure, entrystate, heldrequests, ratelimiter
 from .stream import KeptChain
 
 if TYPE_CHECKING:
@@ -215,6 +215,7 @@
     firsts = allowed_first_engines(stream, is_running)
     barred = {e.engine_id for e in left if firsts and e.engine_id not in firsts}
     hanging = {e.engine_id for e in left if e.is_hanging}
+    barred |= heldrequests.busy_engines(job, now)
     if any(e.first == 0 and e.engine_id not in barred | hanging for e in left):
         barred |= hanging
     # If all of them hang, they are used all the same: the belief may be wrong, and an
--- a/libs/node/src/cherryrudder/node/streamrelay.py
+++ b/libs/node/src/cherryrudder/node/streamrelay.py
@@ -14,7 +14,15 @@
 from cherryrudder.routing.authorization import Refused
 from cherryrudder.routing.crashbook import FINISHED, MIN_PASSED_EVENTS
 
-from . import attempts, brokenruns, crashes, entrystate, streamchains, supervision
+from . import (
+    attempts,
+    brokenruns,
+    crashes,
+    entrystate,
+    heldrequests,
+    streamchains,
+    supervision,
+)
 from .job import FailedAttempt, Job, WholeAnswer
 from .stream import FIRST_ENGINE_EXCLUSION_S, Stream
 from .streamchains import BACKING_OFF, LIMITED, NO_CHAIN, NO_ROOM
@@ -57,6 +65,9 @@
     has_run = False
     while True:
         await crashes.delay_suspect(job)
+        if not await heldrequests.wait_for_turn(job, stream.has_begun):
+            failed = heldrequests.refusal(job, has_run, now_s())
+            break
         if await crashes.confirm_block(job):
             await _refuse_permanently(stream)
             return
@@ -64,9 +75,11 @@
         if chain is None:
             failed = failed._replace(reason=stream.refusal or failed.reason)
             break
-        if crashes.is_blocked(job, now_s()):
+        if crashes.is_blocked(job, now_s()) or not heldrequests.may_send(job, now_s()):
             streamchains.release(stream)
             continue
+        if (trial := heldrequests.begin(job, chain[0].engine_id, now_s())) is not None:
+            supervisor.stalls.uplink.publish_crashes(trial)
         result = await _attempt(stream)
         if result is None:
             return
--- a/libs/node/test/test_partblocks.py
+++ b/libs/node/test/test_partblocks.py
@@ -46,6 +46,7 @@
             admitted=SimpleNamespace(account=account),
             service=SimpleNamespace(name="llm"),
             parts=part_fingerprints(account, "llm", part_ids),
+            is_trial=False,
         )
 
     def crash(self, job, events=0):
--- a/libs/routing/src/cherryrudder/routing/blame.py
+++ b/libs/routing/src/cherryrudder/routing/blame.py
@@ -13,6 +13,11 @@
   blocked first;
 - less if many engines crashed at that time, which has another cause.
 
+Requests that are cut side by side have the same crashes, and these don't tell which of
+them is the cause. A request with enough crashes is therefore held: it only runs on
+trial, apart from the others (see `trials`), until its crashes are its own or a run of
+it came through. Only then is a refusal final.
+
 Unlike requests may crash engines by a part that their prompts share. So each part is
 blamed by the same rules as a whole request, by itself and together with the client
 account. A part is refuted by runs of any request that has it. Parts that only come
@@ -20,6 +25,8 @@
 """
 
 import bisect
+import collections
+import itertools
 from collections.abc import Set
 
 from .crashbook import (
@@ -71,29 +78,65 @@
 
 def update_blocks(book: CrashBook, now_s: float) -> tuple[set[str], set[str]]:
     """Recompute blocks and suspects; return the blocks that were added and removed."""
-    before = set(book.blocks)
+    before = final_blocks(book)
     weights = _weights_by_request(book)
     totals = {one: sum(crashes.values()) for one, crashes in weights.items()}
     counted = {one: set(crashes) for one, crashes in weights.items()}
+    own = _own_crashes(book, counted, totals)
     book.blocks = {}
     while True:
-        causes = [one for one in weights if _is_cause(weights[one], totals[one])]
+        causes = [
+            one
+            for one in weights
+            if _is_cause(weights[one], totals[one]) or _is_convicted(book, own, one)
+        ]
         if not causes:
             break
         worst = max(causes, key=lambda one: (*_rank(book, weights, one), one))
         del weights[worst]
         block = _block(book.records[worst], counted[worst])
-        block = block._replace(companions=_equals(book.records[worst], worst, counted))
+        block = block._replace(
+            companions=_equals(book.records[worst], worst, counted),
+            is_final=worst not in own or len(own[worst]) >= SUSPECT_CRASHES,
+        )
         if now_s < block.until_s:
             book.blocks[worst] = block
         _discount(weights, counted[worst])
     book.suspects = {
         one for one in weights if sum(weights[one].values()) >= SUSPECT_CRASHES
     }
-    book.blocked_since_s = {
-        one: book.blocked_since_s.get(one, now_s) for one in book.blocks
+    after = final_blocks(book)
+    book.blocked_since_s = {one: book.blocked_since_s.get(one, now_s) for one in after}
+    book.held_until_s = {
+        one: _block(book.records[one], counted[one]).until_s
+        for one in own
+        if totals[one] >= BLOCK_CRASHES and one not in after
+    }
+    return after - before, before - after
+
+
+def final_blocks(book: CrashBook) -> set[str]:
+    """Return the fingerprints whose refusal is final."""
+    return {one for one, block in book.blocks.items() if block.is_final}
+
+
+def is_held(book: CrashBook, fingerprint: str, now_s: float) -> bool:
+    """Return whether a request may only run on trial."""
+    return now_s < book.held_until_s.get(fingerprint, float("-inf"))
+
+
+def count_shared(book: CrashBook, fingerprint: str) -> int:
+    """Return how many of a request's crashes another whole request had as well."""
+    record = book.records.get(fingerprint)
+    if record is None:
+        return 0
+    others = {
+        crash.engine_id
+        for one, other in book.records.items()
+        if one != fingerprint and not other.part and len(other.crashes) > 1
+        for crash in other.crashes
     }
-    return set(book.blocks) - before, before - set(book.blocks)
+    return sum(crash.engine_id in others for crash in record.crashes)
 
 
 def find_block(book: CrashBook, fingerprints: Set[str], now_s: float) -> str | None:
@@ -102,7 +145,9 @@
         return None
     for fingerprint in fingerprints:
         block = book.blocks.get(fingerprint)
-        if block and now_s < block.until_s and block.companions <= fingerprints:
+        if block is None or not block.is_final or now_s >= block.until_s:
+            continue
+        if block.companions <= fingerprints:
             return fingerprint
     return None
 
@@ -131,6 +176,31 @@
     return weight >= SUSPECT_CRASHES and weight + explained_weight >= BLOCK_CRASHES
 
 
+def _is_convicted(book, own, fingerprint):
+    """Return whether enough engines ended while a request was on trial there."""
+    on_trial = {
+        crash.engine_id
+        for crash in book.records[fingerprint].crashes
+        if crash.is_trial and crash.engine_id in own.get(fingerprint, ())
+    }
+    return len(on_trial) >= SUSPECT_CRASHES
+
+
+def _own_crashes(book, counted, totals):
+    """Return each whole request's crashes that no other suspect had as well."""
+    whole = {one: ids for one, ids in counted.items() if not book.records[one].part}
+    suspects = [ids for one, ids in whole.items() if totals[one] >= SUSPECT_CRASHES]
+    times = collections.Counter(itertools.chain.from_iterable(suspects))
+    return {
+        one: {
+            engine_id
+            for engine_id in ids
+            if times[engine_id] <= (totals[one] >= SUSPECT_CRASHES)
+        }
+        for one, ids in whole.items()
+    }
+
+
 def _weights_by_request(book):
     """Return the weight of each crash against each request with several crashes."""
     repeated = {
--- a/libs/routing/src/cherryrudder/routing/crashbook.py
+++ b/libs/routing/src/cherryrudder/routing/crashbook.py
@@ -38,6 +38,17 @@
     # events that any run with it had sent.
     last_event: int
     at_s: float
+    # The request was on trial there; see `Trial`.
+    is_trial: bool = False
+
+
+class Trial(NamedTuple):
+    """A run of a suspect that was sent where no other suspect was on trial."""
+
+    engine_id: str
+    begun_s: float
+    # How many there were since the last whole run.
+    number: int
 
 
 class RequestRecord(NamedTuple):
@@ -59,6 +70,8 @@
     # What else all requests with this part had that crashes cut off, as fingerprints;
     # None if unknown, and for a whole request.
     companions: frozenset[str] | None = None
+    # The newest trial of a whole request.
+    trial: Trial | None = None
 
 
 class Block(NamedTuple):
@@ -70,6 +83,8 @@
     # Only requests that have all of these as well are refused: so far they explain the
     # crashes equally well.
     companions: frozenset[str] = frozenset()
+    # No other suspect may have caused the crashes, so that a refusal is final.
+    is_final: bool = True
 
 
 class CrashBook:
@@ -85,6 +100,8 @@
         self.blocks: dict[str, Block] = {}
         # When this process first found each of them.
         self.blocked_since_s: dict[str, float] = {}
+        # Requests that only run on trial, and until when; computed, too.
+        self.held_until_s: dict[str, float] = {}
         self.suspects: set[str] = set()
 
 
@@ -109,6 +126,7 @@
         passed_s=_merge_passed_s(known, received),
         lifted_s=received.lifted_s if is_lifted else known.lifted_s,
         companions=_merge_companions(known.companions, received.companions),
+        trial=_merge_trial(known.trial, received.trial),
     )
 
 
@@ -117,8 +135,10 @@
     by_engine = {crash.engine_id: crash for crash in known}
     for crash in received:
         same = by_engine.get(crash.engine_id, crash)
-        last_event = min(same.last_event, crash.last_event)
-        by_engine[crash.engine_id] = same._replace(last_event=last_event)
+        by_engine[crash.engine_id] = same._replace(
+            last_event=min(same.last_event, crash.last_event),
+            is_trial=same.is_trial or crash.is_trial,
+        )
     crashes = list(by_engine.values())
     if len(crashes) > MAX_CRASHES:
         crashes = sorted(crashes, key=lambda crash: crash.at_s)[-MAX_CRASHES:]
@@ -143,6 +163,15 @@
     return known & received
 
 
+def _merge_trial(known, received):
+    """Return the newer trial; times of the same one differ by delays of messages."""
+    if known is None or received is None:
+        return received if known is None else known
+    if received.begun_s > known.begun_s + PASS_TOLERANCE_S:
+        return received
+    return known._replace(number=max(known.number, received.number))
+
+
 def furthest_event(record: RequestRecord) -> int:
     """Return the furthest event that any run of a request has reached."""
     if record.part:
@@ -159,7 +188,7 @@
             if len(record.crashes) >= MIN_REPEATED_CRASHES
             else RETENTION_S
         )
-        if now_s - _last_crash_s(record) > retention_s:
+        if now_s - last_crash_s(record) > retention_s:
             _drop(book, fingerprint)
     surplus = len(book.records) - MAX_RECORDS
     if surplus > 0:
@@ -167,15 +196,16 @@
             book.records,
             key=lambda one: (
                 one in book.blocks,
-                one in book.suspects,
-                _last_crash_s(book.records[one]),
+                one in book.suspects or one in book.held_until_s,
+                last_crash_s(book.records[one]),
             ),
         )
         for fingerprint in order[:surplus]:
             _drop(book, fingerprint)
 
 
-def _last_crash_s(record):
+def last_crash_s(record):
+    """Return the time of the newest crash, or of the lift if there is none."""
     return max((crash.at_s for crash in record.crashes), default=record.lifted_s)
 
 
@@ -184,4 +214,5 @@
     del book.changed[fingerprint]
     book.blocks.pop(fingerprint, None)
     book.blocked_since_s.pop(fingerprint, None)
+    book.held_until_s.pop(fingerprint, None)
     book.suspects.discard(fingerprint)
--- a/libs/routing/src/cherryrudder/routing/partpasses.py
+++ b/libs/routing/src/cherryrudder/routing/partpasses.py
@@ -37,6 +37,7 @@
     run_events: int
     begun_s: float
     broke_s: float
+    is_trial: bool = False
 
 
 class Pass(NamedTuple):
@@ -96,10 +97,12 @@
     """Return the records of the requests and parts that ran as an engine crashed."""
     records: dict[str, RequestRecord] = {}
     for run in runs:
-        crash = Crash(engine_id, vm_zone, version, run.last_event, run.broke_s)
+        crash = Crash(
+            engine_id, vm_zone, version, run.last_event, run.broke_s, run.is_trial
+        )
         whole = RequestRecord(run.account, run.service, (crash,))
         _add(records, run.fingerprint, whole)
-        crash = crash._replace(last_event=run.run_events)
+        crash = crash._replace(last_event=run.run_events, is_trial=False)
         for part in run.parts:
             _add(records, part.fingerprint, _shared_record(part, run, crash))
             _add(records, part.account_fingerprint, _account_record(part, run, crash))
--- a/libs/routing/test/crashsim.py
+++ b/libs/routing/test/crashsim.py
@@ -3,7 +3,7 @@
 import random
 from typing import NamedTuple
 
-from cherryrudder.routing import blame, crashbook
+from cherryrudder.routing import blame, crashbook, trials
 from cherryrudder.routing.crashbook import FINISHED, Crash, CrashBook, RequestRecord
 
 TICK_S = 0.01
@@ -63,6 +63,7 @@
         self.next_event_s = 0.0
         self.crashes_s = float("inf")
         self.next_s = now_s
+        self.is_trial = False
         self.sends_s = []
         self.crash_times_s = []
 
@@ -95,6 +96,18 @@
     def reached(self, entry, request):
         """Ignore how far a request has got."""
 
+    def may_begin(self, entry, fingerprint, now_s):
+        """Return that a request may be sent at any time."""
+        return True
+
+    def begin(self, entry, request, engine, now_s):
+        """Return that no run is a trial."""
+        return False
+
+    def busy_engines(self, entry, fingerprint, now_s):
+        """Return no engines."""
+        return set()
+
 
 class ReplicatedBooks:
     """A crash book per entry, and the messages in flight between them."""
@@ -106,7 +119,8 @@
 
     def crashed(self, entry, request, engine, now_s):
         """Record a crash at its entry and send it to all others."""
-        crash = Crash(engine, engine.partition("/")[0], "v1", request.event, now_s)
+        zone = engine.partition("/")[0]
+        crash = Crash(engine, zone, "v1", request.event, now_s, request.is_trial)
         self._send(
             entry, request.fingerprint, RequestRecord("a", "llm", (crash,)), now_s
         )
@@ -129,7 +143,31 @@
 
     def is_blocked(self, entry, fingerprint):
         """Return whether a request is refused."""
-        return fingerprint in self.books[entry].blocks
+        return fingerprint in blame.final_blocks(self.books[entry])
+
+    def may_begin(self, entry, fingerprint, now_s):
+        """Return whether an entry may send a request, on trial if it is held."""
+        book = self.books[entry]
+        if not blame.is_held(book, fingerprint, now_s):
+            return True
+        known = book.records[fingerprint]
+        entries = len(self.books)
+        return trials.wait_s(known, fingerprint, book.boot, entries, now_s) <= 0.0
+
+    def begin(self, entry, request, engine, now_s):
+        """Return whether a run is a trial, and send to all others that it begins."""
+        book = self.books[entry]
+        if not blame.is_held(book, request.fingerprint, now_s):
+            return False
+        trial = trials.next_trial(book.records[request.fingerprint], engine, now_s)
+        record = RequestRecord("a", "llm", trial=trial)
+        crashbook.merge(book, request.fingerprint, record)
+        self._send(entry, request.fingerprint, record, now_s)
+        return True
+
+    def busy_engines(self, entry, fingerprint, now_s):
+        """Return the engines that a suspect avoids."""
+        return trials.busy_engines(self.books[entry], fingerprint, now_s)
 
     def delay_s(self, entry, fingerprint):
         """Return how long a request waits before it is sent."""
@@ -142,7 +180,8 @@
     def reached(self, entry, request):
         """Send to all others how far a suspect has got."""
         book = self.books[entry]
-        is_watched = request.fingerprint in book.suspects | set(book.blocks)
+        watched = book.suspects | set(book.blocks) | set(book.held_until_s)
+        is_watched = request.fingerprint in watched
         known = book.records.get(request.fingerprint)
         if known is None:
             return
@@ -231,11 +270,22 @@
         if self.book.is_blocked(request.entry, request.fingerprint):
             self._hold_or_refuse(request, now_s)
             return
-        up = [engine for engine, up_s in self.up_s.items() if up_s <= now_s]
+        if not self.book.may_begin(request.entry, request.fingerprint, now_s):
+            # Refused for now, it comes back to any entry.
+            self._ask_elsewhere(request, now_s)
+            return
+        busy = self.book.busy_engines(request.entry, request.fingerprint, now_s)
+        up = [
+            engine
+            for engine, up_s in self.up_s.items()
+            if up_s <= now_s and self._boot(engine) not in busy
+        ]
         if not up:
             request.next_s = now_s + CLIENT_RETRY_S
             return
         request.engine = self.rng.choice(up)
+        boot = self._boot(request.engine)
+        request.is_trial = self.book.begin(request.entry, request, boot, now_s)
         request.run_event = request.event
         request.next_event_s = now_s + self.rng.uniform(*PROMPT_S)
         request.sends_s.append(now_s)
@@ -267,13 +317,16 @@
         """Crash an engine and cut its runs; return their number."""
         self.ended += 1
         self.up_s[engine] = now_s + ENGINE_RESTART_S
-        boot = f"{engine % self.plan.racks}/{engine}-{self.incarnations[engine]}"
+        boot = self._boot(engine)
         self.incarnations[engine] += 1
         cut = [one for one in self.requests if one.engine == engine]
         for request in cut:
             self._cut(request, boot, now_s)
         return len(cut)
 
+    def _boot(self, engine):
+        return f"{engine % self.plan.racks}/{engine}-{self.incarnations[engine]}"
+
     def _cut(self, request, boot, now_s):
         if now_s >= request.next_event_s:
             self.book.crashed(request.entry, request, boot, now_s)
