Count a run without a length as whole once its engine has been heard of later

Cause: such a run never counted as whole, since a crash between two events looks like its end; so nothing could clear a sound request.

A run that seemed whole is kept until its engine has been heard of half a second after its end, which an engine that crashed there never is, and then counts from when it ended.

The two readers of a whole body became one.

--- a/libs/node/src/cherryrudder/node/attempts.py
+++ b/libs/node/src/cherryrudder/node/attempts.py
@@ -61,6 +61,14 @@
     await connection.send(request.method, request.target, headers, request.body)
 
 
+async def read_body(connection: EngineConnection) -> bytes:
+    """Return the rest of an answer's body; raises AnswerBroken."""
+    pieces = []
+    while (data := await connection.read()) is not None:
+        pieces.append(data)
+    return b"".join(pieces)
+
+
 async def check_unframed_end(job: Job, connection: EngineConnection) -> None:
     """Raise AnswerBroken if the engine has died that ended an answer by closing.
 
--- a/libs/node/src/cherryrudder/node/crashes.py
+++ b/libs/node/src/cherryrudder/node/crashes.py
@@ -175,20 +175,26 @@
     )
 
 
-def record_progress(job: "Job", event: int, now_s: float) -> CrashUpdate | None:
+def record_progress(
+    job: "Job", event: int, now_s: float, reached_s: float | None = None
+) -> CrashUpdate | None:
     """Record a run's progress on a live engine; return the update, None if none.
 
-    `event` is FINISHED only for a run from the start of the answer to its end: what
-    crashes engines there may lie before the place from which a run resumes.
+    It was reached at `reached_s`, now if that isn't given. `event` is FINISHED only for
+    a run from the start of the answer to its end: what crashes engines there may lie
+    before the place from which a run resumes.
     """
     tracker = job.state.crashes
     known = tracker.book.records.get(job.fingerprint)
-    if known is None or not _is_further(known, event, now_s):
+    reached_s = now_s if reached_s is None else reached_s
+    if known is None or not _is_further(known, event, reached_s):
         return None
     # A whole run counts for later crashes as well, before there are enough to suspect.
     if event != FINISHED and not tracker.is_watched(job.fingerprint):
         return None
-    record = RequestRecord(known.account, known.service, passed=event, passed_s=now_s)
+    record = RequestRecord(
+        known.account, known.service, passed=event, passed_s=reached_s
+    )
     _log_outlived(job, job.fingerprint, known, event)
     return tracker.record({job.fingerprint: record}, now_s)
 
--- a/libs/node/src/cherryrudder/node/entrystate.py
+++ b/libs/node/src/cherryrudder/node/entrystate.py
@@ -4,7 +4,7 @@
 import random
 from collections import deque
 from collections.abc import Callable
-from typing import NamedTuple
+from typing import TYPE_CHECKING, NamedTuple
 
 import anyio
 
@@ -35,6 +35,9 @@
 from .roster import Roster
 from .tablesync import SharedTable
 
+if TYPE_CHECKING:
+    from .unframedruns import UnframedRun
+
 # How long an engine counts as full after it refused a stream for lack of memory. The
 # other entries' load there is known half a second late. Meanwhile all streams would go
 # to the same full engine, and each refusal costs a retry.
@@ -90,6 +93,8 @@
         self.publish_endpoints: Callable[[list[str]], None] = lambda engine_ids: None
         self.crashes = CrashTracker(self.boot, sink, metrics)
         self.broken = BrokenRuns()
+        # Runs without a length that seemed whole; see `unframedruns`.
+        self.unframed_runs: list[UnframedRun] = []
         self.passes = PartPasses()
         self.table: RouteTable | None = None
         # When the request was sent whose answer last confirmed the configuration.
--- a/libs/node/src/cherryrudder/node/plainrelay.py
+++ b/libs/node/src/cherryrudder/node/plainrelay.py
@@ -203,7 +203,7 @@
     head, facts = await attempts.read_matching_head(
         job, connection, endpoint.engine_id, attempt_timeout_s(job, now_s())
     )
-    body = await _read_body(connection)
+    body = await attempts.read_body(connection)
     if facts.load is not None:
         running, waiting, _ = facts.load
         job.state.reported_loads[endpoint.engine_id] = ReportedLoad(
@@ -232,13 +232,6 @@
     return TIMEOUT_SHARE * min(left_s, in_time_s if in_time_s > 0 else left_s)
 
 
-async def _read_body(connection):
-    pieces = []
-    while (data := await connection.read()) is not None:
-        pieces.append(data)
-    return b"".join(pieces)
-
-
 def _record_health(job, endpoint, result):
     """Record the attempt's result in the endpoint's health."""
     suspicions, engine_id, now = job.state.suspicions, endpoint.engine_id, now_s()
--- a/libs/node/src/cherryrudder/node/streamrelay.py
+++ b/libs/node/src/cherryrudder/node/streamrelay.py
@@ -22,6 +22,7 @@
     heldrequests,
     streamchains,
     supervision,
+    unframedruns,
 )
 from .job import FailedAttempt, Job, WholeAnswer
 from .stream import FIRST_ENGINE_EXCLUSION_S, Stream
@@ -269,12 +270,12 @@
     )
     _record_head(stream)
     if facts.is_not_run:
-        await _read_rest(connection)
+        await attempts.read_body(connection)
         _exclude_refusing(stream, head.status, facts)
         _log_refusal(stream, head, facts)
         return FailedAttempt(f"status {head.status} from the engine", is_not_run=True)
     if head.status != 200:
-        body = await _read_rest(connection)
+        body = await attempts.read_body(connection)
         await attempts.check_unframed_end(job, connection)
         return await _pass_failure(stream, WholeAnswer(head.status, head.headers, body))
     if not stream.has_begun:
@@ -342,10 +343,12 @@
     if stream.splitter.rest:
         raise AnswerBroken("the stream ended inside an event")
     await attempts.check_unframed_end(job, connection)
-    if connection.has_length and stream.is_whole_run:
-        # Otherwise an engine that crashed between two events would look finished.
+    if stream.is_whole_run and connection.has_length:
         _record_reached(stream, FINISHED)
         _record_pass(stream, FINISHED)
+    elif stream.is_whole_run:
+        # An engine that crashed between two events would look finished.
+        unframedruns.add(job, stream.chain[0].engine_id, now_s())
     await job.exchange.end()
 
 
@@ -388,10 +391,3 @@
         fault_address=facts.fault_address,
         chain=engines.write_chain(stream.chain),
     )
-
-
-async def _read_rest(connection):
-    pieces = []
-    while (data := await connection.read()) is not None:
-        pieces.append(data)
-    return b"".join(pieces)
--- a/libs/node/src/cherryrudder/node/uplink.py
+++ b/libs/node/src/cherryrudder/node/uplink.py
@@ -32,6 +32,7 @@
     ratelimiter,
     roster,
     tablesync,
+    unframedruns,
 )
 from .aggregators import choose_aggregators
 from .entrystate import EntryState
@@ -186,6 +187,8 @@
             for engine_id in set(state.leaving_since_s) - known:
                 del state.leaving_since_s[engine_id]
             brokenruns.sweep(state.broken, now)
+            for update in unframedruns.record_confirmed(state, now):
+                self.publish_crashes(update)
             state.crashes.sweep(set(roster.heartbeat_targets(state.controls, now)), now)
             await anyio.sleep(HEARTBEAT_S if state.table else FIRST_HEARTBEAT_S)
 
