Let the soak draw several culprits at once, and connections that go silent for good

A quarter of the runs each. Culprits shared no engine with another one before, so that the fault of one block for several suspects could not show; and no connection to an engine went silent without coming back. Silent links excuse entries as reset ones do.

--- a/libs/soak/src/cherryrudder/soak/faults.py
+++ b/libs/soak/src/cherryrudder/soak/faults.py
@@ -29,6 +29,8 @@
     ENGINE_LEAVES = "engine-leaves"
     ENGINE_LINK = "engine-link"
     ENGINE_RESET = "engine-reset"
+    # All open connections to the engines go silent for good.
+    ENGINES_SEVERED = "engines-severed"
     CALLER_LINK = "caller-link"
     CALLER_RESET = "caller-reset"
     CHANGE = "change"
@@ -37,6 +39,8 @@
     REVOKE = "revoke"
     # A client repeats a request that crashes each engine that starts it.
     CRASHING_REQUEST = "crashing-request"
+    # Several such requests at once, which crash the same engines.
+    CRASHING_REQUESTS = "crashing-requests"
     # Requests that are all different share a part that crashes engines.
     CRASHING_PART = "crashing-part"
     # An engine announces a rate limit, asks to back off, or announces that it leaves.
@@ -77,7 +81,9 @@
         *CHANGE_KINDS,
         *BACKPRESSURE_KINDS,
         FaultKind.CRASHING_REQUEST,
+        FaultKind.CRASHING_REQUESTS,
         FaultKind.CRASHING_PART,
+        FaultKind.ENGINES_SEVERED,
         FaultKind.ENGINES_REJECT,
         FaultKind.KILL_EACH_ENTRY,
     )
@@ -89,6 +95,8 @@
 # Long enough for three engines to crash, for that to spread, and some seconds more.
 CRASHING_S = (8.0, 12.0)
 CRASHING_SHARE = 0.5
+SEVERAL_CRASHING_SHARE = 0.25
+SEVERED_SHARE = 0.25
 # Long enough for a limit to reach all entries, and for a backoff to be renewed.
 BACKPRESSURE_S = (5.0, 9.0)
 MAX_BACKPRESSURE_FAULTS = 2
@@ -117,6 +125,16 @@
     for kind in (FaultKind.CRASHING_REQUEST, FaultKind.CRASHING_PART):
         name = "crashing" if kind is FaultKind.CRASHING_REQUEST else kind
         faults += _crashing_faults(random.Random(f"{name}-{seed}"), kind, length_s)
+    faults += _crashing_faults(
+        random.Random(f"several-{seed}"),
+        FaultKind.CRASHING_REQUESTS,
+        length_s,
+        SEVERAL_CRASHING_SHARE,
+    )
+    severed = random.Random(f"severed-{seed}")
+    if severed.random() < SEVERED_SHARE:
+        at_s = severed.uniform(0, length_s)
+        faults.append(_fault(severed, FaultKind.ENGINES_SEVERED, at_s))
     faults += _backpressure_faults(random.Random(f"backpressure-{seed}"), length_s)
     faults += _rejecting_faults(random.Random(f"rejecting-{seed}"), length_s)
     return sorted(faults)
@@ -142,8 +160,8 @@
     return faults
 
 
-def _crashing_faults(rng, kind, length_s):
-    if rng.random() >= CRASHING_SHARE:
+def _crashing_faults(rng, kind, length_s, share=CRASHING_SHARE):
+    if rng.random() >= share:
         return []
     fault = _fault(rng, kind, rng.uniform(0, length_s / 2))
     return [fault._replace(duration_s=rng.uniform(*CRASHING_S))]
--- a/libs/soak/src/cherryrudder/soak/guarantees.py
+++ b/libs/soak/src/cherryrudder/soak/guarantees.py
@@ -354,7 +354,7 @@
 
 def _is_link_disturbed(history, begins_s, ends_s):
     return any(
-        one.kind in ("engine-link", "engine-reset")
+        one.kind in ("engine-link", "engine-reset", "engines-severed")
         and one.begins_s < ends_s
         and begins_s < one.ends_s + CONTACT_S
         for one in history.disturbances
--- a/libs/soak/src/cherryrudder/soak/injector.py
+++ b/libs/soak/src/cherryrudder/soak/injector.py
@@ -19,6 +19,8 @@
 MIN_MODEL_ENGINES = 4
 MIN_PLAIN_ENGINES = 1
 CRASHING_PAUSE_S = 0.2
+# Requests that crash engines at the same time.
+MIN_CULPRITS, MAX_CULPRITS = 2, 5
 REJECTING_S, SERVING_S = 1.0, 1.0
 KILL_INTERVAL_S = 2.0
 QUERIES_PER_ENTRY = 4
@@ -143,11 +145,25 @@
 
     async def _crashing_request(self, fault):
         """Send a request that crashes engines to all entries, again and again."""
-        body = f"ends engines {fault.pick}".encode()
+        return await self._send_crashing_request(fault, f"ends engines {fault.pick}")
+
+    async def _crashing_requests(self, fault):
+        """Send several requests that crash engines to all entries, at the same time."""
+        count = MIN_CULPRITS + int(fault.pick * 1000) % (
+            MAX_CULPRITS - MIN_CULPRITS + 1
+        )
+        async with anyio.create_task_group() as group:
+            for number in range(count):
+                name = f"ends engines {fault.pick} {number}"
+                group.start_soon(self._send_crashing_request, fault, name)
+        return f"{count} requests"
+
+    async def _send_crashing_request(self, fault, name):
+        body = name.encode()
         answers = self.testbed.crashing[body] = []
         self.testbed.deployment.fleet.crashing.add(body)
         await self._send_crashing(fault, answers, lambda: (body, ()))
-        return body.decode()
+        return name
 
     async def _crashing_part(self, fault):
         """Send unlike requests with a part that crashes engines to all entries."""
@@ -282,6 +298,12 @@
         proxy.set_mode(Mode.PASS)
         return f"{proxy.listen_address} {fault.mode}"
 
+    async def _sever_engines(self, fault):
+        """Let all open connections to engines be silent for good."""
+        for proxy in self.testbed.engine_proxies.values():
+            proxy.sever()
+        await anyio.sleep(fault.duration_s)
+
     async def _reset(self, proxies, fault):
         proxy = self._pick(list(proxies.values()), fault)
         await proxy.reset()
@@ -316,12 +338,14 @@
     FaultKind.ENGINE_LEAVES: FaultInjector._engine_leaves,
     FaultKind.ENGINE_LINK: lambda s, f: s._link(s.testbed.engine_proxies, f),
     FaultKind.ENGINE_RESET: lambda s, f: s._reset(s.testbed.engine_proxies, f),
+    FaultKind.ENGINES_SEVERED: FaultInjector._sever_engines,
     FaultKind.CALLER_LINK: lambda s, f: s._link(s.testbed.caller_proxies, f),
     FaultKind.CALLER_RESET: lambda s, f: s._reset(s.testbed.caller_proxies, f),
     FaultKind.CHANGE: lambda s, f: _call_operator(s.operator.change),
     FaultKind.RACE: lambda s, f: _call_operator(s.operator.race),
     FaultKind.BAD_CHANGE: lambda s, f: _call_operator(s.operator.send_invalid),
     FaultKind.CRASHING_REQUEST: FaultInjector._crashing_request,
+    FaultKind.CRASHING_REQUESTS: FaultInjector._crashing_requests,
     FaultKind.CRASHING_PART: FaultInjector._crashing_part,
     FaultKind.ENGINE_LIMITS: FaultInjector._engine_limits,
     FaultKind.ENGINE_SHEDS: FaultInjector._engine_sheds,
--- a/libs/soak/src/cherryrudder/soak/proxy.py
+++ b/libs/soak/src/cherryrudder/soak/proxy.py
@@ -39,6 +39,8 @@
         self.delay_s = delay_s
         self.mode = Mode.PASS
         self._changed = anyio.Event()
+        # How often the open connections were severed.
+        self._severed = 0
         self._streams: set[SocketStream] = set()
 
     async def serve(self, group: TaskGroup) -> None:
@@ -55,6 +57,10 @@
         self._changed.set()
         self._changed = anyio.Event()
 
+    def sever(self) -> None:
+        """Let all open connections be silent for good; new ones are not affected."""
+        self._severed += 1
+
     async def reset(self) -> None:
         """Reset all connections; new ones are still accepted."""
         streams = tuple(self._streams)
@@ -67,7 +73,8 @@
             await anyio.aclose_forcefully(stream)
 
     async def _handle(self, caller):
-        await self._apply_mode("requests")
+        opened = self._severed
+        await self._apply_mode("requests", opened)
         host, _, port = self.target.rpartition(":")
         try:
             target = await anyio.connect_tcp(host, int(port))
@@ -77,26 +84,31 @@
         self._streams |= {caller, target}
         try:
             async with anyio.create_task_group() as group:
-                group.start_soon(self._pump, caller, target, "requests", group)
-                group.start_soon(self._pump, target, caller, "answers", group)
+                ends = ((caller, target, "requests"), (target, caller, "answers"))
+                for source, sink, direction in ends:
+                    group.start_soon(self._pump, source, sink, direction, opened, group)
         finally:
             self._streams -= {caller, target}
             with anyio.move_on_after(1, shield=True):
                 await anyio.aclose_forcefully(caller)
                 await anyio.aclose_forcefully(target)
 
-    async def _pump(self, source, sink, direction, group):
+    async def _pump(self, source, sink, direction, opened, group):
         try:
             while True:
                 data = await source.receive(READ_BYTES)
-                await self._apply_mode(direction)
+                await self._apply_mode(direction, opened)
                 await sink.send(data)
         except anyio.EndOfStream:
+            if opened < self._severed:
+                await anyio.sleep_forever()
             await _half_close(sink)
         except (anyio.BrokenResourceError, anyio.ClosedResourceError):
             group.cancel_scope.cancel()
 
-    async def _apply_mode(self, direction):
+    async def _apply_mode(self, direction, opened):
+        if opened < self._severed:
+            await anyio.sleep_forever()
         if self.mode is Mode.DELAY:
             await anyio.sleep(self.delay_s)
         while direction in HELD_DIRECTIONS.get(self.mode, ()):
