List held requests for operators, and bound the entries' round of turns

A held request was in the process's own list only as JSON. With hundreds of entries a round of turns would take minutes, for a client that asks only one of them; at most 16 turns make a round now. A held stream's choice of engines counts as restricted, so that streams behind it don't wait for it.

--- a/libs/cli/src/cherryrudder/cli/block_commands.py
+++ b/libs/cli/src/cherryrudder/cli/block_commands.py
@@ -7,7 +7,7 @@
 
 
 def show(address: str):
-    """List what one process refuses, and the engines that it crashed.
+    """List what one process refuses or holds, and the engines that it crashed.
 
     :param address: metrics address of an entry or control VM, IP:PORT
     """
@@ -15,6 +15,7 @@
     def run(connect):
         value = operator.get(connect(address, needs_key=False), "/blocks")
         rows = [_row(block) for block in value["blocks"]]
+        rows += [_row(held | {"engine_ids": ["on trial"]}) for held in value.get("held", ())]
         return Output(table(HEADERS, rows), value)
 
     return run
--- a/libs/cli/test/test_blocks.py
+++ b/libs/cli/test/test_blocks.py
@@ -11,6 +11,7 @@
     "versions": ["v1"],
     "left_s": 590.0,
 }
+HELD = {"fingerprint": "f3", "account": "acme", "service": "llm", "left_s": 80.0}
 
 
 class FakeProcess:
@@ -23,7 +24,8 @@
         """Return the response to a request."""
         path = request.url.path
         if path == "/blocks":
-            return httpx.Response(200, json={"blocks": self.blocks})
+            listed = {"blocks": self.blocks, "held": [HELD]}
+            return httpx.Response(200, json=listed)
         if request.method == "POST" and path == "/blocks/lift/f1" and self.blocks:
             self.blocks = []
             return httpx.Response(200, json={})
@@ -46,6 +48,11 @@
         self.run_tool("block", "lift", "127.0.0.1:9465", "f1")
         self.assertNotIn("f1", self.run_tool("block", "list", "127.0.0.1:9465"))
 
+    def test_a_held_request_is_listed_without_engines(self):
+        """Guards against a held request that operators don't find."""
+        printed = self.run_tool("block", "list", "127.0.0.1:9465")
+        self.assertRegex(printed, r"f3.*on trial")
+
     def test_lifting_an_unknown_block_is_bad_input(self):
         printed = self.run_tool("block", "lift", "127.0.0.1:9465", "f2", expect=2)
         self.assertIn("no such block", printed)
--- a/libs/node/src/cherryrudder/node/crashtracker.py
+++ b/libs/node/src/cherryrudder/node/crashtracker.py
@@ -110,7 +110,12 @@
             if block.is_final
         ]
         held = [
-            {"fingerprint": one, "left_s": round(until_s - now_s, 1)}
+            {
+                "fingerprint": one,
+                "account": records[one].account,
+                "service": records[one].service,
+                "left_s": round(until_s - now_s, 1),
+            }
             for one, until_s in self.book.held_until_s.items()
         ]
         suspects = sorted(self.book.suspects)
--- a/libs/node/src/cherryrudder/node/streamchains.py
+++ b/libs/node/src/cherryrudder/node/streamchains.py
@@ -50,7 +50,9 @@
             _queue_entry(stream),
             lambda: _take_chain(stream),
             is_restricted=bool(
-                stream.excluded(began_s) or allowed_first_engines(stream)
+                stream.excluded(began_s)
+                or allowed_first_engines(stream)
+                or heldrequests.busy_engines(job, began_s)
             ),
         )
     except BaseException:
--- a/libs/routing/src/cherryrudder/routing/trials.py
+++ b/libs/routing/src/cherryrudder/routing/trials.py
@@ -16,6 +16,8 @@
 SETTLE_S = 0.5
 # Mean time between the turns of two entries: some times as long as a message takes.
 TURN_S = 0.5
+# Turns in a round: more entries than that rarely have the same request at once.
+MAX_TURNS = 16
 # How long an entry's turn is.
 OPEN_S = 0.5
 # Time in which the result of a trial is known: most answers are over by then.
@@ -36,7 +38,7 @@
     left_s = opens_s(record) - now_s
     if left_s > 0.0 or entries <= 1:
         return max(0.0, left_s)
-    round_s = entries * TURN_S
+    round_s = min(entries, MAX_TURNS) * TURN_S
     number, since_s = divmod(-left_s, round_s)
     text = f"{boot} {fingerprint} {opens_s(record):.0f}"
     turn_s = _draw(f"{text} {number}") * round_s
