--- a/libs/cli/src/cherryrudder/cli/block_commands.py
+++ b/libs/cli/src/cherryrudder/cli/block_commands.py
@@ -15,7 +15,9 @@
     def run(connect):
         value = operator.get(connect(address, needs_key=False), "/blocks")
         rows = [_row(block) for block in value["blocks"]]
-        rows += [_row(held | {"engine_ids": ["on trial"]}) for held in value.get("held", ())]
+        rows += [
+            _row(held | {"engine_ids": ["on trial"]}) for held in value.get("held", ())
+        ]
         return Output(table(HEADERS, rows), value)
 
     return run
--- a/libs/node/test/test_streamchains.py
+++ b/libs/node/test/test_streamchains.py
@@ -12,6 +12,7 @@
 from cherryrudder.replica.clock import now_s
 from cherryrudder.routing import suspicion
 from cherryrudder.routing.backoffs import BackoffBook
+from cherryrudder.routing.crashbook import CrashBook
 
 CHAIN = (Part("e1:1", "boot-1", 0, 8), Part("e2:1", "boot-2", 8, 16))
 
@@ -19,7 +20,12 @@
 def a_small_state():
     """Return the parts of an entry's state that count a chain's load."""
     return SimpleNamespace(
-        running={}, tokens={}, firsts={}, rates=RateLimiter(), backoffs=BackoffBook()
+        running={},
+        crashes=SimpleNamespace(book=CrashBook("boot-1")),
+        tokens={},
+        firsts={},
+        rates=RateLimiter(),
+        backoffs=BackoffBook(),
     )
 
 
