--- a/libs/soak/src/cherryrudder/soak/injector.py
+++ b/libs/soak/src/cherryrudder/soak/injector.py
@@ -21,6 +21,8 @@
 CRASHING_PAUSE_S = 0.2
 # Requests that crash engines at the same time.
 MIN_CULPRITS, MAX_CULPRITS = 2, 5
+# Sound requests that clients repeat beside them.
+SOUND_REQUESTS = 4
 REJECTING_S, SERVING_S = 1.0, 1.0
 KILL_INTERVAL_S = 2.0
 QUERIES_PER_ENTRY = 4
@@ -145,25 +147,49 @@
 
     async def _crashing_request(self, fault):
         """Send a request that crashes engines to all entries, again and again."""
-        return await self._send_crashing_request(fault, f"ends engines {fault.pick}")
+        body = f"ends engines {fault.pick}".encode()
+        answers = self.testbed.crashing[body] = []
+        self.testbed.deployment.fleet.crashing.add(body)
+        await self._send_crashing(fault, answers, lambda: (body, ()))
+        return body.decode()
 
     async def _crashing_requests(self, fault):
         """Send several requests that crash engines to all entries, at the same time."""
         count = MIN_CULPRITS + int(fault.pick * 1000) % (
             MAX_CULPRITS - MIN_CULPRITS + 1
         )
+        until_s = time.monotonic() + fault.duration_s
         async with anyio.create_task_group() as group:
             for number in range(count):
-                name = f"ends engines {fault.pick} {number}"
-                group.start_soon(self._send_crashing_request, fault, name)
+                body = f"ends engines {fault.pick} {number}".encode()
+                self.testbed.crashing[body] = []
+                self.testbed.deployment.fleet.crashing.add(body)
+                for caller in self.testbed.new_callers():
+                    group.start_soon(self._repeat_crashing, caller, body, until_s)
+            for number in range(SOUND_REQUESTS):
+                body = b"sound %d" % number
+                for caller in self.testbed.new_callers():
+                    group.start_soon(self._repeat_sound, caller, body, until_s)
         return f"{count} requests"
 
-    async def _send_crashing_request(self, fault, name):
-        body = name.encode()
-        answers = self.testbed.crashing[body] = []
-        self.testbed.deployment.fleet.crashing.add(body)
-        await self._send_crashing(fault, answers, lambda: (body, ()))
-        return name
+    async def _repeat_crashing(self, caller, body, until_s):
+        while time.monotonic() < until_s:
+            answer = await caller.ask("stream", self.operator.keys[-1], body)
+            if answer is not None:
+                self.testbed.crashing[body].append(answer)
+            await anyio.sleep(CRASHING_PAUSE_S)
+        self._close(caller)
+
+    async def _repeat_sound(self, caller, body, until_s):
+        """Repeat a sound request, which is cut with those that crash engines."""
+        while time.monotonic() < until_s:
+            await caller.ask("stream", self.operator.keys[-1], body)
+            await anyio.sleep(CRASHING_PAUSE_S)
+        self._close(caller)
+
+    def _close(self, caller):
+        caller.close()
+        self.testbed.extra_answers += caller.answers
 
     async def _crashing_part(self, fault):
         """Send unlike requests with a part that crashes engines to all entries."""
@@ -189,8 +215,7 @@
                 answers.append(answer)
             await anyio.sleep(CRASHING_PAUSE_S)
         for caller in callers:
-            caller.close()
-            self.testbed.extra_answers += caller.answers
+            self._close(caller)
 
     async def _engine_limits(self, fault):
         """Announce a rate limit from an engine for some time."""
@@ -236,8 +261,7 @@
                     engine.is_rejecting = False
                 await anyio.sleep(SERVING_S)
         for caller in callers:
-            caller.close()
-            self.testbed.extra_answers += caller.answers
+            self._close(caller)
 
     async def _send_queries(self, caller, until_s):
         while time.monotonic() < until_s:
