--- a/libs/routing/test/test_trials.py
+++ b/libs/routing/test/test_trials.py
@@ -60,6 +60,14 @@
         add_crash(book, "three", "e4", 4.0)
         self.assertEqual(held(book), {"one", "two", "three"})
 
+    def test_a_neighbour_of_two_culprits_is_not_refused_for_good(self):
+        book = a_book("sound")
+        for fingerprint, engine_ids in (("one", ("e1", "e2")), ("two", ("e3",))):
+            for engine_id in engine_ids:
+                add_crash(book, fingerprint, engine_id, 3.0)
+        self.assertEqual(blame.final_blocks(book), set())
+        self.assertEqual(held(book), {"sound"})
+
     def test_two_crashes_on_trial_convict(self):
         book = a_book("one", "two", "three")
         add_crash(book, "two", "e4", 4.0, is_trial=True)
