Refuse a culprit for good although a neighbour was cut twice beside it

Cause: any suspect that had a crash as well counted as another explanation of it, also one that is a suspect by this very crash.

Another request explains a crash only if it is a suspect without it. Three crashes that came at once are then proof, as a run that is cut is anywhere in its answer; otherwise one crash on trial beside three such crashes is. Plain requests, which have no events, state no position any more.

--- a/libs/node/src/cherryrudder/node/plainrelay.py
+++ b/libs/node/src/cherryrudder/node/plainrelay.py
@@ -11,7 +11,7 @@
 from cherryrudder.relay import pool
 from cherryrudder.relay.errors import AnswerBroken, AnswerLate, ConnectFailed
 from cherryrudder.replica.clock import now_s
-from cherryrudder.routing import backoffs, picking, suspicion
+from cherryrudder.routing import backoffs, crashbook, picking, suspicion
 from cherryrudder.routing.crashbook import FINISHED
 from cherryrudder.routing.picking import EndpointLoad
 
@@ -78,7 +78,9 @@
             return
         if result.is_broken:
             publish_crashes(
-                crashes.record_broken_run(job, endpoint.engine_id, 0, now_s())
+                crashes.record_broken_run(
+                    job, endpoint.engine_id, crashbook.NO_POSITION, now_s()
+                )
             )
             await crashes.wait_for_engine_verdict(job, endpoint.engine_id)
         has_run = has_run or not result.is_not_run
--- a/libs/routing/src/cherryrudder/routing/blame.py
+++ b/libs/routing/src/cherryrudder/routing/blame.py
@@ -28,6 +28,7 @@
 import collections
 import itertools
 from collections.abc import Set
+from typing import NamedTuple
 
 from .crashbook import (
     FINISHED,
@@ -64,6 +65,9 @@
 # An older one only halves it: the engines may have changed since.
 RECENT_PASS_S = 2.0
 OLD_PASS_WEIGHT = 0.5
+# Crashes so early in each run are proof: a run that another request's crash cuts is
+# anywhere in its answer.
+EARLY_EVENTS = 2
 # Duration of a block after the last crash; it doubles with each further crash.
 BLOCK_S = 600.0
 MAX_BLOCK_S = 3600.0
@@ -76,6 +80,15 @@
 CONFIRMATION_S = STAGGER_STEPS * STAGGER_STEP_S
 
 
+class OwnCrashes(NamedTuple):
+    """The engines of a request's crashes that other suspects don't explain."""
+
+    # No other suspect was cut there.
+    alone: set[str]
+    # No other request was cut there that is a suspect without that crash.
+    beside_one_crash: set[str]
+
+
 def update_blocks(book: CrashBook, now_s: float) -> tuple[set[str], set[str]]:
     """Recompute blocks and suspects; return the blocks that were added and removed."""
     before = final_blocks(book)
@@ -83,12 +96,13 @@
     totals = {one: sum(crashes.values()) for one, crashes in weights.items()}
     counted = {one: set(crashes) for one, crashes in weights.items()}
     own = _own_crashes(book, counted, totals)
+    convicted = {one for one in own if _is_convicted(book.records[one], own[one])}
     book.blocks = {}
     while True:
         causes = [
             one
             for one in weights
-            if _is_cause(weights[one], totals[one]) or _is_convicted(book, own, one)
+            if one in convicted or _is_cause(weights[one], totals[one])
         ]
         if not causes:
             break
@@ -97,7 +111,7 @@
         block = _block(book.records[worst], counted[worst])
         block = block._replace(
             companions=_equals(book.records[worst], worst, counted),
-            is_final=worst not in own or len(own[worst]) >= SUSPECT_CRASHES,
+            is_final=worst not in own or _is_final(book.records[worst], own[worst]),
         )
         if now_s < block.until_s:
             book.blocks[worst] = block
@@ -176,28 +190,40 @@
     return weight >= SUSPECT_CRASHES and weight + explained_weight >= BLOCK_CRASHES
 
 
-def _is_convicted(book, own, fingerprint):
-    """Return whether enough engines ended while a request was on trial there."""
-    on_trial = {
+def _is_convicted(record, own):
+    """Return whether engines that ended with a request on trial prove it the cause."""
+    on_trial = [
         crash.engine_id
-        for crash in book.records[fingerprint].crashes
-        if crash.is_trial and crash.engine_id in own.get(fingerprint, ())
-    }
-    return len(on_trial) >= SUSPECT_CRASHES
+        for crash in record.crashes
+        if crash.is_trial and crash.engine_id in own.beside_one_crash
+    ]
+    needed = 1 if len(own.beside_one_crash) > BLOCK_CRASHES else SUSPECT_CRASHES
+    return len(on_trial) >= needed
+
+
+def _is_final(record, own):
+    """Return whether a request's crashes can't be put down to others that had them."""
+    if len(own.alone) >= SUSPECT_CRASHES or _is_convicted(record, own):
+        return True
+    early = [crash for crash in record.crashes if 0 <= crash.last_event <= EARLY_EVENTS]
+    return min(len(early), len(own.beside_one_crash)) >= BLOCK_CRASHES
 
 
 def _own_crashes(book, counted, totals):
-    """Return each whole request's crashes that no other suspect had as well."""
+    """Return what no other suspect had of each whole request's crashes."""
     whole = {one: ids for one, ids in counted.items() if not book.records[one].part}
-    suspects = [ids for one, ids in whole.items() if totals[one] >= SUSPECT_CRASHES]
-    times = collections.Counter(itertools.chain.from_iterable(suspects))
+    alone = _unshared(whole, totals, SUSPECT_CRASHES)
+    beside_one_crash = _unshared(whole, totals, SUSPECT_CRASHES + 1)
+    return {one: OwnCrashes(alone[one], beside_one_crash[one]) for one in whole}
+
+
+def _unshared(crashes, totals, least):
+    """Return each request's crashes that no other with at least that weight had."""
+    heavy = {one for one in crashes if totals[one] >= least}
+    times = collections.Counter(itertools.chain(*(crashes[one] for one in heavy)))
     return {
-        one: {
-            engine_id
-            for engine_id in ids
-            if times[engine_id] <= (totals[one] >= SUSPECT_CRASHES)
-        }
-        for one, ids in whole.items()
+        one: {engine_id for engine_id in ids if times[engine_id] <= (one in heavy)}
+        for one, ids in crashes.items()
     }
 
 
--- a/libs/routing/src/cherryrudder/routing/crashbook.py
+++ b/libs/routing/src/cherryrudder/routing/crashbook.py
@@ -19,6 +19,8 @@
 MAX_CRASHES = 16
 # Event number that stands for an answer that one run sent from its start to its end.
 FINISHED = 2**31 - 1
+# Event number of a crash under a request whose answer has no events.
+NO_POSITION = -1
 # Events after which a run with a part is past the start of its answer.
 MIN_PASSED_EVENTS = 16
 # Times of the same run differ between processes by the delay of their messages.
--- a/libs/routing/test/test_trials.py
+++ b/libs/routing/test/test_trials.py
@@ -20,19 +20,19 @@
 MAX_BEGUN = 2
 
 
-def add_crash(book, fingerprint, engine_id, at_s, is_trial=False):
-    """Record a crash of an engine under a request."""
-    crash = Crash(engine_id, "a", "v1", 2, at_s, is_trial)
+def add_crash(book, fingerprint, engine_id, at_s, is_trial=False, event=2):
+    """Record a crash of an engine under a request that had sent some events."""
+    crash = Crash(engine_id, "a", "v1", event, at_s, is_trial)
     crashbook.merge(book, fingerprint, RequestRecord("acme", "llm", (crash,)))
     blame.update_blocks(book, at_s)
 
 
-def a_book(*fingerprints, engine_ids=TOGETHER):
+def a_book(*fingerprints, events=(2, 2, 2)):
     """Return a book in which some requests were cut by the same crashes."""
     book = CrashBook("boot-1")
-    for number, engine_id in enumerate(engine_ids):
+    for number, (engine_id, event) in enumerate(zip(TOGETHER, events, strict=True)):
         for fingerprint in fingerprints:
-            add_crash(book, fingerprint, engine_id, 1.0 + number)
+            add_crash(book, fingerprint, engine_id, 1.0 + number, event=event)
     return book
 
 
@@ -60,13 +60,28 @@
         add_crash(book, "three", "e4", 4.0)
         self.assertEqual(held(book), {"one", "two", "three"})
 
-    def test_a_neighbour_of_two_culprits_is_not_refused_for_good(self):
-        book = a_book("sound")
+    def a_book_with_neighbours(self, events):
+        """Return a book in which one request has the crashes of two others."""
+        book = a_book("most", events=events)
         for fingerprint, engine_ids in (("one", ("e1", "e2")), ("two", ("e3",))):
             for engine_id in engine_ids:
                 add_crash(book, fingerprint, engine_id, 3.0)
+        return book
+
+    def test_a_neighbour_of_two_culprits_is_not_refused_for_good(self):
+        book = self.a_book_with_neighbours((6, 9, 12))
         self.assertEqual(blame.final_blocks(book), set())
-        self.assertEqual(held(book), {"sound"})
+        self.assertEqual(held(book), {"most"})
+
+    def test_a_culprit_whose_neighbour_was_cut_twice_is_refused_for_good(self):
+        """Guards against trials of a culprit that ends each engine at once."""
+        book = self.a_book_with_neighbours((0, 0, 1))
+        self.assertEqual(blame.final_blocks(book), {"most"})
+
+    def test_one_crash_on_trial_convicts_beside_a_lesser_suspect(self):
+        book = self.a_book_with_neighbours((6, 9, 12))
+        add_crash(book, "most", "e4", 5.0, is_trial=True)
+        self.assertEqual(blame.final_blocks(book), {"most"})
 
     def test_two_crashes_on_trial_convict(self):
         book = a_book("one", "two", "three")
