Take early crashes for proof only if all are early, and keep an engine's own answer

Three early crashes of many were proof, also for a sound request that is cut again and again; the new case of test_trials was refused for good before. A request that was held after an engine had failed it got 502 in place of that engine's answer (by reading).

--- a/libs/node/src/cherryrudder/node/plainrelay.py
+++ b/libs/node/src/cherryrudder/node/plainrelay.py
@@ -54,7 +54,8 @@
     has_run = False
     while True:
         if not await heldrequests.wait_for_turn(job):
-            failed = heldrequests.refusal(job, has_run, now_s())
+            held = heldrequests.refusal(job, has_run, now_s())
+            failed = held._replace(answer=failed.answer)
             break
         if await crashes.confirm_block(job):
             await job.refuse_permanently()
--- a/libs/node/src/cherryrudder/node/streamrelay.py
+++ b/libs/node/src/cherryrudder/node/streamrelay.py
@@ -67,7 +67,8 @@
     while True:
         await crashes.delay_suspect(job)
         if not await heldrequests.wait_for_turn(job, stream.has_begun):
-            failed = heldrequests.refusal(job, has_run, now_s())
+            held = heldrequests.refusal(job, has_run, now_s())
+            failed = held._replace(answer=failed.answer)
             break
         if await crashes.confirm_block(job):
             await _refuse_permanently(stream)
--- a/libs/routing/src/cherryrudder/routing/blame.py
+++ b/libs/routing/src/cherryrudder/routing/blame.py
@@ -205,8 +205,13 @@
     """Return whether a request's crashes can't be put down to others that had them."""
     if len(own.alone) >= SUSPECT_CRASHES or _is_convicted(record, own):
         return True
-    early = [crash for crash in record.crashes if 0 <= crash.last_event <= EARLY_EVENTS]
-    return min(len(early), len(own.beside_one_crash)) >= BLOCK_CRASHES
+    events = [
+        crash.last_event
+        for crash in record.crashes
+        if crash.engine_id in own.beside_one_crash
+    ]
+    is_early = all(0 <= event <= EARLY_EVENTS for event in events)
+    return is_early and len(events) >= BLOCK_CRASHES
 
 
 def _own_crashes(book, counted, totals):
--- a/libs/routing/test/test_trials.py
+++ b/libs/routing/test/test_trials.py
@@ -78,6 +78,12 @@
         book = self.a_book_with_neighbours((0, 0, 1))
         self.assertEqual(blame.final_blocks(book), {"most"})
 
+    def test_a_neighbour_that_was_cut_early_three_times_of_four_is_held(self):
+        book = self.a_book_with_neighbours((0, 0, 1))
+        for fingerprint in ("most", "two"):
+            add_crash(book, fingerprint, "e4", 5.0, event=7)
+        self.assertEqual(blame.final_blocks(book), set())
+
     def test_one_crash_on_trial_convicts_beside_a_lesser_suspect(self):
         book = self.a_book_with_neighbours((6, 9, 12))
         add_crash(book, "most", "e4", 5.0, is_trial=True)
