--- a/libs/routing/test/test_trials.py
+++ b/libs/routing/test/test_trials.py
@@ -63,9 +63,9 @@
     def a_book_with_neighbours(self, events):
         """Return a book in which one request has the crashes of two others."""
         book = a_book("most", events=events)
-        for fingerprint, engine_ids in (("one", ("e1", "e2")), ("two", ("e3",))):
-            for engine_id in engine_ids:
-                add_crash(book, fingerprint, engine_id, 3.0)
+        others = zip(("one", "one", "two"), TOGETHER, strict=True)
+        for number, (fingerprint, engine_id) in enumerate(others):
+            add_crash(book, fingerprint, engine_id, 1.0 + number)
         return book
 
     def test_a_neighbour_of_two_culprits_is_not_refused_for_good(self):
