Let a part of prompts explain the crashes of requests without it

What callers could see: a sound request that clients repeat is refused for good as a part of other prompts ends the engines that run it. It has the part's crashes, and with one more of another cause the most of all, so that it was blamed first.

Cause: of the class of the moving block: evidence that holds for several decided on one, as only whole requests counted as other explanations.

A record of a whole request now names its parts, and any other part that is a suspect explains a crash as another request does.

--- a/libs/node/src/cherryrudder/node/gossip.py
+++ b/libs/node/src/cherryrudder/node/gossip.py
@@ -101,7 +101,8 @@
     part: str = ""
     # Time since the newest run that passed began; None for a whole request.
     passed_age_s: float | None = None
-    # What else all requests that crashed with this part had; None if unknown.
+    # What else all requests that crashed with this part had, or a whole request's
+    # parts; None if unknown.
     companions: tuple[str, ...] | None = None
     trial: ReportedTrial | None = None
 
--- a/libs/routing/src/cherryrudder/routing/blame.py
+++ b/libs/routing/src/cherryrudder/routing/blame.py
@@ -83,9 +83,9 @@
 class OwnCrashes(NamedTuple):
     """The engines of a request's crashes that other suspects don't explain."""
 
-    # No other suspect was cut there.
+    # No other suspect was cut there, request or part.
     alone: set[str]
-    # No other request was cut there that is a suspect without that crash.
+    # None was cut there that is a suspect without that crash.
     beside_one_crash: set[str]
 
 
@@ -216,20 +216,30 @@
 
 def _own_crashes(book, counted, totals):
     """Return what no other suspect had of each whole request's crashes."""
-    whole = {one: ids for one, ids in counted.items() if not book.records[one].part}
-    alone = _unshared(whole, totals, SUSPECT_CRASHES)
-    beside_one_crash = _unshared(whole, totals, SUSPECT_CRASHES + 1)
-    return {one: OwnCrashes(alone[one], beside_one_crash[one]) for one in whole}
-
-
-def _unshared(crashes, totals, least):
-    """Return each request's crashes that no other with at least that weight had."""
-    heavy = {one for one in crashes if totals[one] >= least}
-    times = collections.Counter(itertools.chain(*(crashes[one] for one in heavy)))
-    return {
-        one: {engine_id for engine_id in ids if times[engine_id] <= (one in heavy)}
-        for one, ids in crashes.items()
-    }
+    alone = _unshared(book, counted, totals, SUSPECT_CRASHES)
+    beside_one_crash = _unshared(book, counted, totals, SUSPECT_CRASHES + 1)
+    return {one: OwnCrashes(alone[one], beside_one_crash[one]) for one in alone}
+
+
+def _unshared(book, counted, totals, least):
+    """Return the crashes that nothing else of at least that weight had.
+
+    A request's own parts explain its crashes no other way than the request itself.
+    """
+    heavy = {one for one in counted if totals[one] >= least}
+    times = collections.Counter(itertools.chain(*(counted[one] for one in heavy)))
+    found = {}
+    for one, ids in counted.items():
+        record = book.records[one]
+        if record.part:
+            continue
+        own = heavy & {one, *(record.companions or ())}
+        found[one] = {
+            engine_id
+            for engine_id in ids
+            if times[engine_id] <= sum(engine_id in counted[part] for part in own)
+        }
+    return found
 
 
 def _weights_by_request(book):
--- a/libs/routing/src/cherryrudder/routing/crashbook.py
+++ b/libs/routing/src/cherryrudder/routing/crashbook.py
@@ -70,7 +70,7 @@
     # When the newest whole run ended, if `passed` is FINISHED.
     passed_s: float = math.inf
     # What else all requests with this part had that crashes cut off, as fingerprints;
-    # None if unknown, and for a whole request.
+    # for a whole request, its parts. None if unknown.
     companions: frozenset[str] | None = None
     # The newest trial of a whole request.
     trial: Trial | None = None
--- a/libs/routing/src/cherryrudder/routing/partpasses.py
+++ b/libs/routing/src/cherryrudder/routing/partpasses.py
@@ -100,7 +100,8 @@
         crash = Crash(
             engine_id, vm_zone, version, run.last_event, run.broke_s, run.is_trial
         )
-        whole = RequestRecord(run.account, run.service, (crash,))
+        parts = frozenset(fingerprints(run.parts)[:MAX_COMPANIONS])
+        whole = RequestRecord(run.account, run.service, (crash,), companions=parts)
         _add(records, run.fingerprint, whole)
         crash = crash._replace(last_event=run.run_events, is_trial=False)
         for part in run.parts:
--- a/libs/routing/test/test_trials.py
+++ b/libs/routing/test/test_trials.py
@@ -73,6 +73,25 @@
         self.assertEqual(blame.final_blocks(book), set())
         self.assertEqual(held(book), {"most"})
 
+    def a_book_with_part(self, companions):
+        """Return a book in which a part had three crashes of a request with four."""
+        book = a_book("part", "whole", events=(6, 9, 12))
+        add_crash(book, "whole", "e4", 4.0, event=9)
+        records = book.records
+        records["part"] = records["part"]._replace(part="p")
+        records["whole"] = records["whole"]._replace(companions=companions)
+        blame.update_blocks(book, 5.0)
+        return book
+
+    def test_a_neighbour_of_a_part_that_crashes_is_not_refused_for_good(self):
+        book = self.a_book_with_part(frozenset())
+        self.assertNotIn("whole", blame.final_blocks(book))
+        self.assertEqual(held(book), {"whole"})
+
+    def test_a_culprits_own_part_excuses_it_of_nothing(self):
+        book = self.a_book_with_part(frozenset({"part"}))
+        self.assertIn("whole", blame.final_blocks(book))
+
     def test_a_culprit_whose_neighbour_was_cut_twice_is_refused_for_good(self):
         """Guards against trials of a culprit that ends each engine at once."""
         book = self.a_book_with_neighbours((0, 0, 1))
