--- a/libs/routing/src/cherryrudder/routing/blame.py
+++ b/libs/routing/src/cherryrudder/routing/blame.py
@@ -85,7 +85,7 @@
 
     # No other suspect was cut there, request or part.
     alone: set[str]
-    # None was cut there that is a suspect without that crash.
+    # No other request or part was cut there that is a suspect by its other crashes.
     beside_one_crash: set[str]
 
 
