Log requests that are refused before they are read with their ID

A refusal by the parser or a limit on sizes was written without the request's ID, and only below 200 lines a second, so that it can't be told from a lost line.

--- a/libs/node/src/cherryrudder/node/entry.py
+++ b/libs/node/src/cherryrudder/node/entry.py
@@ -4,7 +4,7 @@
 
 import anyio
 
-from cherryrudder.platform import calls
+from cherryrudder.platform import calls, messages
 from cherryrudder.platform.settings import NodeSettings
 from cherryrudder.relay import pool
 from cherryrudder.relay.server import Exchange, Limits
@@ -73,11 +73,15 @@
     return Limits(*state.table.configuration.limits, retry_after_s)
 
 
-def _log_refused(state, error):
-    """Log a request that was refused before its head and body were read."""
+def _log_refused(state, error, headers):
+    """Log a request that was refused before it was read; its head may be unknown."""
+    facts = messages.read_request(headers)
     state.sink.write(
         "clients",
         "refused",
+        True,
+        request_id=facts.request_id,
+        host=facts.host,
         status=error.status,
         reason=str(error)[:MAX_LOGGED_REASON],
         version=state.version,
--- a/libs/node/src/cherryrudder/node/httpserver.py
+++ b/libs/node/src/cherryrudder/node/httpserver.py
@@ -5,8 +5,7 @@
 import anyio
 from loguru import logger
 
-from cherryrudder.relay.errors import BadRequest
-from cherryrudder.relay.server import ClientConnection, Handler, Limits
+from cherryrudder.relay.server import ClientConnection, Handler, Limits, OnRefused
 from cherryrudder.replica.clock import now_s
 from cherryrudder.wire import sockets
 
@@ -27,7 +26,7 @@
         self.is_closing = False
         self.connections: set[ClientConnection] = set()
         # Called with each request that is refused without its handler.
-        self.on_refused: Callable[[BadRequest], None] = lambda error: None
+        self.on_refused: OnRefused = lambda error, headers: None
         # Returns whether new connections are closed without being read.
         self.refuses: Callable[[], bool] = lambda: False
 
--- a/libs/relay/src/cherryrudder/relay/server.py
+++ b/libs/relay/src/cherryrudder/relay/server.py
@@ -92,6 +92,8 @@
 
 
 Handler = Callable[[Exchange], Awaitable[None]]
+# Called with the headers of a request that is refused without its handler.
+OnRefused = Callable[[BadRequest, Headers], None]
 
 
 class ClientConnection:
@@ -103,9 +105,11 @@
         limits: Callable[[], Limits],
         now_s: Callable[[], float],
         is_closing: Callable[[], bool],
-        on_refused: Callable[[BadRequest], None] = lambda error: None,
+        on_refused: OnRefused = lambda error, headers: None,
     ):
         self._on_refused = on_refused
+        # Headers of the request that is being read, empty until they are parsed.
+        self._headers: Headers = []
         self._stream = stream
         self._limits = limits
         self._now_s = now_s
@@ -206,7 +210,7 @@
         """Answer an invalid request with an error status."""
         if self._http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
-        self._on_refused(error)
+        self._on_refused(error, self._headers)
         headers = [(b"content-length", b"0"), (b"connection", b"close")]
         status, retry_after_s = error.status, self._limits().retry_after_s
         if status in TOO_LARGE and retry_after_s is not None:
@@ -230,14 +234,14 @@
         # Of this moment, as they may have changed since the connection was opened.
         limits = self._limits()
         self._http = _new_parser(limits)
+        self._headers = []
         head = await self._read_head(limits)
         if head is None:
             return None
         self.is_busy = True
         arrived_s = self._now_s()
         body = await self._read_body(head, limits)
-        headers = [(bytes(name), bytes(value)) for name, value in head.headers]
-        target, headers = to_origin_form(bytes(head.target), headers)
+        target, headers = to_origin_form(bytes(head.target), self._headers)
         return Request(bytes(head.method), target, headers, body, arrived_s)
 
     async def _wait_for_request(self):
@@ -255,6 +259,7 @@
         while True:
             event = self._next_event()
             if isinstance(event, h11.Request):
+                self._headers = [(bytes(name), bytes(v)) for name, v in event.headers]
                 # The parser limits the head only if it arrives in several reads.
                 if _head_bytes(event) > limits.max_header_bytes:
                     raise BadRequest(431, "the head is too long")
