Bound the rest of an answer, and a request's way out, by the time left

Cause: an attempt's time limit was applied where the attempt waits for the head, and nowhere else. The rest of the body, the body of an answer to another request, and an engine that stops reading were waited for without end; nothing outside an attempt ends a plain request.

Change: each wait of an attempt has the request's time left. A plain endpoint may be silent for the attempt's time limit, before the head and after, so that an idempotent request still goes to another one; an answer that flows is not cut before the request's own limit.

The unit tests of the client call what is new.

--- a/libs/node/src/cherryrudder/node/attempts.py
+++ b/libs/node/src/cherryrudder/node/attempts.py
@@ -1,5 +1,7 @@
 """One attempt of a request at one engine, over one connection, and its retry."""
 
+import math
+
 import anyio
 
 from cherryrudder.platform import messages
@@ -49,7 +51,7 @@
 
 
 async def send(job: Job, connection: EngineConnection, sending: ForwardHeaders) -> None:
-    """Send the request; raises AnswerBroken."""
+    """Send the request, within the time left; raises AnswerBroken, AnswerLate."""
     request = job.exchange.request
     headers = job.engine_headers(sending)
     job.sent_s = now_s()
@@ -58,15 +60,25 @@
             job.state.retry_budget, job.service.name, job.retry_charged_s, job.sent_s
         )
         job.retry_charged_s = None
-    await connection.send(request.method, request.target, headers, request.body)
+    await connection.send(
+        request.method, request.target, headers, request.body, job.left_s()
+    )
+
 
+async def read_body(
+    connection: EngineConnection, end_s: float, silence_s: float = math.inf
+) -> bytes:
+    """Return the rest of an answer's body.
 
-async def read_body(connection: EngineConnection) -> bytes:
-    """Return the rest of an answer's body; raises AnswerBroken."""
+    Raises AnswerBroken, or AnswerLate if the answer isn't complete at `end_s`, or if
+    nothing of it has come for `silence_s`.
+    """
     pieces = []
-    while (data := await connection.read()) is not None:
+    while True:
+        data = await connection.read_in_time(min(silence_s, end_s - now_s()))
+        if data is None:
+            return b"".join(pieces)
         pieces.append(data)
-    return b"".join(pieces)
 
 
 async def check_unframed_end(job: Job, connection: EngineConnection) -> None:
@@ -114,8 +126,7 @@
                 backpressure.record_answer(job, engine_id, head.status, facts, now_s())
             return head, facts
         job.log_event("foreign-answer", address=connection.address)
-        while await connection.read() is not None:
-            pass
+        await read_body(connection, end_s)
         connection.skip_answer()
 
 
--- a/libs/node/src/cherryrudder/node/plainrelay.py
+++ b/libs/node/src/cherryrudder/node/plainrelay.py
@@ -203,10 +203,13 @@
 
 
 async def _read(job, connection, endpoint):
+    timeout_s = attempt_timeout_s(job, now_s())
     head, facts = await attempts.read_matching_head(
-        job, connection, endpoint.engine_id, attempt_timeout_s(job, now_s())
+        job, connection, endpoint.engine_id, timeout_s
     )
-    body = await attempts.read_body(connection)
+    # An endpoint may send the head before its work is done.
+    end_s = now_s() + job.left_s()
+    body = await attempts.read_body(connection, end_s, timeout_s)
     if facts.load is not None:
         running, waiting, _ = facts.load
         job.state.reported_loads[endpoint.engine_id] = ReportedLoad(
@@ -224,7 +227,7 @@
 
 
 def attempt_timeout_s(job: Job, now: float) -> float:
-    """Return how long the present endpoint may take until its answer begins.
+    """Return how long the present endpoint may send nothing of its answer.
 
     A request without a further attempt waits until its time limit.
     """
--- a/libs/node/src/cherryrudder/node/streamrelay.py
+++ b/libs/node/src/cherryrudder/node/streamrelay.py
@@ -271,12 +271,12 @@
     )
     _record_head(stream)
     if facts.is_not_run:
-        await attempts.read_body(connection)
+        await attempts.read_body(connection, now_s() + job.left_s())
         _exclude_refusing(stream, head.status, facts)
         _log_refusal(stream, head, facts)
         return FailedAttempt(f"status {head.status} from the engine", is_not_run=True)
     if head.status != 200:
-        body = await attempts.read_body(connection)
+        body = await attempts.read_body(connection, now_s() + job.left_s())
         await attempts.check_unframed_end(job, connection)
         return await _pass_failure(stream, WholeAnswer(head.status, head.headers, body))
     if not stream.has_begun:
--- a/libs/relay/src/cherryrudder/relay/client.py
+++ b/libs/relay/src/cherryrudder/relay/client.py
@@ -5,6 +5,7 @@
 was reset.
 """
 
+import contextlib
 import math
 from typing import NamedTuple
 
@@ -49,12 +50,18 @@
         self.has_length = True
 
     async def send(
-        self, method: bytes, target: bytes, headers: Headers, body: bytes
+        self,
+        method: bytes,
+        target: bytes,
+        headers: Headers,
+        body: bytes,
+        timeout_s: float = math.inf,
     ) -> None:
         """Send a request; raises AnswerBroken if the engine closed the connection.
 
         An engine may answer before it has read the whole body. That answer can still be
-        read, but the connection is not reused.
+        read, but the connection is not reused. Raises AnswerLate if the engine hasn't
+        taken the request in `timeout_s`.
         """
         self._sent = [h11.Request(method=method, target=target, headers=headers)]
         if body:
@@ -62,24 +69,26 @@
         self._sent.append(h11.EndOfMessage())
         data = b"".join(self._http.send(event) for event in self._sent)
         try:
-            await self._stream.send(data)
+            self._stream.write(data)
+            if self._stream.is_write_paused:
+                with _limited(timeout_s, "the engine did not take the request in time"):
+                    await self._stream.drain()
         except StreamBroken as error:
             raise AnswerBroken("the engine closed the connection") from error
 
     async def read_head(self, timeout_s: float) -> Head:
         """Return the answer's status and headers; raises AnswerLate, AnswerBroken."""
-        try:
-            # By the clock, as for the caller: a pause of this process counts as well.
-            with anyio.fail_after(max(0.0, timeout_s)):
-                while True:
-                    event = await self._next_event()
-                    if isinstance(event, h11.Response):
-                        return self._record_head(event)
-        except TimeoutError as error:
-            raise AnswerLate("the engine did not answer in time") from error
+        with _limited(timeout_s, "the engine did not answer in time"):
+            while True:
+                event = await self._next_event()
+                if isinstance(event, h11.Response):
+                    return self._record_head(event)
 
     async def read(self) -> bytes | None:
-        """Return the next part of the body, None at its end; raises AnswerBroken."""
+        """Return the next part of the body, None at its end; raises AnswerBroken.
+
+        It waits without a limit; see `read_in_time`.
+        """
         event = await self._next_event()
         if isinstance(event, h11.Data):
             return bytes(event.data)
@@ -87,6 +96,14 @@
             return None
         raise AnswerBroken("the answer ended before it was complete")
 
+    async def read_in_time(self, timeout_s: float) -> bytes | None:
+        """Return the next part of the body, None at its end.
+
+        Raises AnswerBroken, or AnswerLate if nothing has come in `timeout_s`.
+        """
+        with _limited(timeout_s, "the engine did not finish its answer in time"):
+            return await self.read()
+
     def skip_answer(self) -> None:
         """Reset the parser to read another answer after one to a different request.
 
@@ -164,6 +181,19 @@
     return EngineConnection(address, stream, now_s)
 
 
+@contextlib.contextmanager
+def _limited(timeout_s, reason):
+    """Raise AnswerLate after some seconds.
+
+    By the clock, as for the caller: a pause of this process counts as well.
+    """
+    try:
+        with anyio.fail_after(max(0.0, timeout_s)):
+            yield
+    except TimeoutError as error:
+        raise AnswerLate(reason) from error
+
+
 def _new_http():
     return h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
 
--- a/libs/relay/test/test_client.py
+++ b/libs/relay/test/test_client.py
@@ -1,4 +1,5 @@
 import asyncio
+import socket
 import time
 import unittest
 
@@ -12,6 +13,8 @@
 
 OK = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"
 CHUNKED = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
+# More than the buffers of loopback take.
+LONG = b"x" * 30_000_000
 HEADERS = [(b"host", b"h")]
 
 
@@ -47,6 +50,30 @@
         unframed = an_end(b"HTTP/1.1 200 OK\r\n\r\nok")
         self.assertEqual(await self.ask(unframed), (200, b"ok"))
 
+    @in_loop
+    async def test_a_body_that_stops_is_late(self):
+        """Guards against waiting without end for the rest of an answer."""
+        started = b"HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nok"
+        async with scripted_engine(started) as (address, _):
+            connection = await open_connection(address, 1.0, 0.0)
+            await connection.send(b"GET", b"/", HEADERS, b"")
+            await connection.read_head(2.0)
+            self.assertEqual(await connection.read_in_time(2.0), b"ok")
+            with self.assertRaises(AnswerLate):
+                await connection.read_in_time(0.1)
+            connection.close()
+
+    @in_loop
+    async def test_a_request_that_is_not_taken_is_late(self):
+        """Guards against waiting without end for an engine that stops reading."""
+        with socket.create_server(("127.0.0.1", 0)) as silent:
+            address = f"127.0.0.1:{silent.getsockname()[1]}"
+            connection = await open_connection(address, 1.0, 0.0)
+            headers = [*HEADERS, (b"content-length", b"%d" % len(LONG))]
+            with self.assertRaises(AnswerLate):
+                await connection.send(b"POST", b"/", headers, LONG, 0.1)
+            connection.close()
+
     @in_loop
     async def test_truncated_answers_are_never_complete(self):
         """Guard against taking the end of a connection for the end of the answer.
--- a/libs/wire/src/cherryrudder/wire/sockets.py
+++ b/libs/wire/src/cherryrudder/wire/sockets.py
@@ -74,6 +74,10 @@
     async def send(self, data: bytes) -> None:
         """Write bytes and wait while the send buffer is full; raises StreamBroken."""
         self.write(data)
+        await self.drain()
+
+    async def drain(self) -> None:
+        """Wait while the send buffer is full; raises StreamBroken."""
         while self.is_write_paused and not self._is_lost:
             self._write_waiter = asyncio.get_running_loop().create_future()
             try:
