Ask an engine for its incarnation where an answer ends with its connection

Cause: whether the engine had died with its answer was asked by connecting to its address. The next incarnation accepts connections, too.

Change: an engine that holds layers is asked for its report, which has the time of its start; a plain endpoint gives no reports and is still connected to. In both cases the end is a break if a later incarnation is known.

--- a/libs/node/src/cherryrudder/node/attempts.py
+++ b/libs/node/src/cherryrudder/node/attempts.py
@@ -13,7 +13,8 @@
 from cherryrudder.relay.errors import AnswerBroken, ConnectFailed
 from cherryrudder.replica.clock import now_s
 
-from . import backpressure
+from . import backpressure, enginecalls
+from .errors import EngineCallFailed
 from .job import FailedAttempt, Job, WholeAnswer
 
 # A connection in the same region is open within some milliseconds. A lost packet is
@@ -81,19 +82,41 @@
         pieces.append(data)
 
 
-async def check_unframed_end(job: Job, connection: EngineConnection) -> None:
+async def check_unframed_end(
+    job: Job, connection: EngineConnection, engine_id: str
+) -> None:
     """Raise AnswerBroken if the engine has died that ended an answer by closing.
 
-    Without a length or chunks, a crash between two pieces looks like the end.
+    Without a length or chunks, a crash between two pieces looks like the end. Another
+    incarnation may be at the address by now, as this process may have been stopped
+    meanwhile.
     """
     if connection.has_length:
         return
+    model = job.service.model
     try:
-        probe = await pool.acquire_new(
-            job.state.pool, connection.address, CONNECT_TIMEOUT_S, now_s(), job.left_s()
-        )
-    except ConnectFailed as error:
+        if model is not None and model.layers:
+            limit_s = min(enginecalls.CALL_TIMEOUT_S, job.left_s())
+            report = await enginecalls.get_report(connection.address, limit_s)
+            started_ms = report.started_ms
+        else:
+            await _probe(job, connection.address)
+            started_ms = 0
+    except (ConnectFailed, EngineCallFailed) as error:
         raise AnswerBroken("the engine ended with its answer") from error
+    entry = job.state.endpoints.table.entries.get(engine_id)
+    if entry is None:
+        return
+    starts_ms = {started_ms, entry.announcement.started_ms} - {0}
+    if entry.is_gone or len(starts_ms) > 1:
+        raise AnswerBroken("another incarnation is at the engine's address")
+
+
+async def _probe(job, address):
+    """Connect to a plain endpoint, which gives no reports; raises ConnectFailed."""
+    probe = await pool.acquire_new(
+        job.state.pool, address, CONNECT_TIMEOUT_S, now_s(), job.left_s()
+    )
     probe.close()
 
 
--- a/libs/node/src/cherryrudder/node/plainrelay.py
+++ b/libs/node/src/cherryrudder/node/plainrelay.py
@@ -221,7 +221,7 @@
             is_not_run=True,
             is_backoff=backpressure.asks_for_backoff(head.status, facts),
         )
-    await attempts.check_unframed_end(job, connection)
+    await attempts.check_unframed_end(job, connection, endpoint.engine_id)
     whole = WholeAnswer(head.status, head.headers, body)
     return attempts.failure_of(whole, job.is_idempotent) or whole
 
--- a/libs/node/src/cherryrudder/node/streamrelay.py
+++ b/libs/node/src/cherryrudder/node/streamrelay.py
@@ -277,7 +277,7 @@
         return FailedAttempt(f"status {head.status} from the engine", is_not_run=True)
     if head.status != 200:
         body = await attempts.read_body(connection, now_s() + job.left_s())
-        await attempts.check_unframed_end(job, connection)
+        await attempts.check_unframed_end(job, connection, stream.chain[0].engine_id)
         return await _pass_failure(stream, WholeAnswer(head.status, head.headers, body))
     if not stream.has_begun:
         await _begin(stream, head)
@@ -343,7 +343,7 @@
         await job.exchange.send(b"".join(event.data for event in fresh))
     if stream.splitter.rest:
         raise AnswerBroken("the stream ended inside an event")
-    await attempts.check_unframed_end(job, connection)
+    await attempts.check_unframed_end(job, connection, stream.chain[0].engine_id)
     if stream.is_whole_run and connection.has_length:
         _record_reached(stream, FINISHED)
         _record_pass(stream, FINISHED)
