--- a/libs/relay/test/test_client.py
+++ b/libs/relay/test/test_client.py
@@ -63,7 +63,7 @@
     @in_loop
     async def test_a_head_cut_at_any_byte_is_never_an_answer(self):
         """Guards against an empty 200 for an engine that stops inside its head."""
-        plain = b"HTTP/1.1 200 OK\r\nresponse-seal: s\r\n"
+        plain = b"HTTP/1.1 200 OK\r\nserver: s\r\n"
         interim = b"HTTP/1.1 103 Early Hints\r\nlink: a\r\n\r\n"
         ends = (
             b"content-length: 2\r\n\r\n",
@@ -76,7 +76,7 @@
     @in_loop
     async def test_a_head_cut_by_a_reset_is_never_an_answer(self):
         """Guards against an empty 200 for an engine that crashes inside its head."""
-        head = b"HTTP/1.1 200 OK\r\nresponse-seal: s\r\n\r\n"
+        head = b"HTTP/1.1 200 OK\r\nserver: s\r\n\r\n"
         await self.check_broken(a_reset, [head])
 
     @in_loop
