Hold requests with a suspect part, and try them, as whole requests

Callers: sound streams were refused with 400, for ten minutes and more, for a part that they share with nothing but chance.

Cause: a verdict that stops the only evidence against it. Three counted crashes of a part refused every request that has it, for good; a part is cleared by whole runs alone, and none could begin any more. Whole requests have been held and tried since, parts were not. With 60 first parts, most of them rare, and some culprits, many parts are under three ends of engines by chance, and the block moved from one to the next with each crash (seven parts in 30 s).

Change: one rule for both. A part with enough crashes is held: requests with it run on trial, one at a time in the fleet, until a whole run releases it, or two ends on trial, or three ends at the start of an answer, block it. Nobody is told 400 for a part: such a request has ended no engine itself, and gets 503 and a time to come back (502 after a run). What crashes may be put down to is watched, also what another explains, so that whole runs of it are heard of. Turns widen with each trial.

--- a/libs/node/src/cherryrudder/node/crashes.py
+++ b/libs/node/src/cherryrudder/node/crashes.py
@@ -46,7 +46,7 @@
     book = state.crashes.book
     if not book.blocks:
         return None
-    fingerprint = blame.find_block(book, _fingerprints(job), now_s)
+    fingerprint = blame.find_block(book, fingerprints(job), now_s)
     if fingerprint is None:
         return None
     versions = book.blocks[fingerprint].versions
@@ -62,18 +62,30 @@
     return fingerprint if now_s < probes_s[fingerprint] else None
 
 
-def _fingerprints(job):
+def fingerprints(job: "Job") -> frozenset[str]:
     """Return the fingerprints of a request and of the parts of its prompt."""
     return frozenset((job.fingerprint, *partpasses.fingerprints(job.parts)))
 
 
+def find_blocked_part(job: "Job", now_s: float) -> str | None:
+    """Return the blocked part of a request that isn't blocked itself, or None."""
+    fingerprint = _find_block(job, now_s)
+    if fingerprint is None or fingerprint == job.fingerprint:
+        return None
+    block = job.state.crashes.book.blocks[fingerprint]
+    return None if job.fingerprint in block.companions else fingerprint
+
+
 async def confirm_block(job: "Job") -> bool:
     """Hold a blocked request until its block is confirmed; return if it is blocked.
 
-    The refusal is final for its client, while a new block may still be lifted.
+    The refusal is final for its client, while a new block may still be lifted. A
+    request that only has a blocked part isn't refused for good.
     """
     book = job.state.crashes.book
     while (fingerprint := _find_block(job, now_s())) is not None:
+        if find_blocked_part(job, now_s()) is not None:
+            return False
         delay_s = blame.refusal_delay_s(book, fingerprint, now_s())
         if min(delay_s, job.left_s()) <= 0.0:
             return True
@@ -120,7 +132,7 @@
         run_events=run_events,
         begun_s=begun_s,
         broke_s=now_s,
-        is_trial=job.is_trial,
+        on_trial=job.on_trial,
     )
     brokenruns.add(job.state.broken, engine_id, run)
     return _record_crashes(job.state, engine_id, now_s)
@@ -171,7 +183,7 @@
         last_event=run.last_event,
         run_events=run.run_events,
         broke_s=run.broke_s,
-        is_trial=run.is_trial,
+        on_trial=sorted(run.on_trial),
     )
 
 
@@ -253,12 +265,9 @@
 
 
 def has_watched_part(job: "Job") -> bool:
-    """Return whether a part of a request's prompt is a suspect or blocked."""
-    book = job.state.crashes.book
-    if not book.suspects and not book.blocks:
-        return False
-    fingerprints = partpasses.fingerprints(job.parts)
-    return any(job.state.crashes.is_watched(one) for one in fingerprints)
+    """Return whether crashes may be put down to a part of a request's prompt."""
+    watched = job.state.crashes.book.watched
+    return not watched.isdisjoint(partpasses.fingerprints(job.parts))
 
 
 async def wait_for_engine_verdict(job: "Job", engine_id: str) -> None:
@@ -270,7 +279,7 @@
     """
     state, until_s = job.state, now_s() + VERDICT_WAIT_S
     records = state.crashes.book.records
-    crashed = (records[one] for one in _fingerprints(job) if one in records)
+    crashed = (records[one] for one in fingerprints(job) if one in records)
     if all(record.part and record.passed == FINISHED for record in crashed):
         return
     while now_s() < until_s and engine_id in state.broken.runs:
--- a/libs/node/src/cherryrudder/node/crashtracker.py
+++ b/libs/node/src/cherryrudder/node/crashtracker.py
@@ -58,12 +58,8 @@
         return bool(self.positions.followed)
 
     def is_watched(self, fingerprint: str) -> bool:
-        """Return whether a request is suspect or blocked, so its progress matters."""
-        book = self.book
-        return any(
-            fingerprint in watched
-            for watched in (book.suspects, book.blocks, book.held_until_s)
-        )
+        """Return whether crashes may be put down to a request or part."""
+        return fingerprint in self.book.watched
 
     def lift(self, name: str, now_s: float) -> CrashUpdate:
         """Lift blocks by a fingerprint or a part's ID; return the update for others.
@@ -112,6 +108,7 @@
         held = [
             {
                 "fingerprint": one,
+                "part": records[one].part,
                 "account": records[one].account,
                 "service": records[one].service,
                 "left_s": round(until_s - now_s, 1),
@@ -164,6 +161,7 @@
             event,
             True,
             fingerprint=fingerprint,
+            prompt_part=record.part,
             account=record.account,
             service=record.service,
             engine_ids=[crash.engine_id for crash in record.crashes],
--- a/libs/node/src/cherryrudder/node/heldrequests.py
+++ b/libs/node/src/cherryrudder/node/heldrequests.py
@@ -1,7 +1,8 @@
-"""An entry's part in trials of requests that engines have ended under.
+"""An entry's part in trials of requests, and parts, that engines have ended under.
 
 A held request is refused in a way that its client may repeat: whether this one or
-another one ends the engines isn't known yet.
+another one ends the engines isn't known yet. So is one that has a blocked part, as it
+has ended no engine itself.
 """
 
 import anyio
@@ -10,6 +11,7 @@
 from cherryrudder.routing import blame, trials
 from cherryrudder.routing.crashbook import RequestRecord
 
+from . import crashes
 from .gossip import CrashUpdate
 from .job import FailedAttempt, Job
 
@@ -33,11 +35,10 @@
     until_s = min(job.end_s, now_s() + PATIENCE_S)
     if has_begun:
         until_s = job.client_leaves_s()
-    while (record := _held_record(job, now_s())) is not None:
-        if _wait_s(job, record, now_s()) <= 0.0:
-            return True
-        is_hopeless = not trials.is_running(record) and trials.opens_s(record) > until_s
-        if is_hopeless or now_s() >= until_s:
+    while not may_send(job, now_s()):
+        if _opens_s(job, now_s()) > until_s and not _is_on_trial(job, now_s()):
+            return False
+        if now_s() >= until_s:
             return False
         await anyio.sleep(POLL_S)
     return True
@@ -45,27 +46,35 @@
 
 def may_send(job: Job, now_s: float) -> bool:
     """Return whether a request isn't held, or may be sent on trial now."""
-    record = _held_record(job, now_s)
-    return record is None or _wait_s(job, record, now_s) <= 0.0
+    if crashes.find_blocked_part(job, now_s) is not None:
+        return False
+    boot, entries = job.state.crashes.book.boot, job.state.entries
+    held = _held_records(job, now_s)
+    return trials.wait_for_all_s(held, boot, entries, now_s) <= 0.0
 
 
 def begin(job: Job, engine_id: str, now_s: float) -> CrashUpdate | None:
     """Record that a request is sent, on trial if held; return the update for others."""
-    record = _held_record(job, now_s)
-    job.is_trial = record is not None
-    if record is None:
+    held = _held_records(job, now_s)
+    job.on_trial = frozenset(held)
+    if not held:
         return None
-    trial = trials.next_trial(record, engine_id, now_s)
-    job.log_event(
-        "trial",
-        True,
-        fingerprint=job.fingerprint,
-        engine_id=engine_id,
-        number=trial.number,
-        crashed=[crash.engine_id for crash in record.crashes],
-    )
-    update = RequestRecord(record.account, record.service, trial=trial)
-    return job.state.crashes.record({job.fingerprint: update}, now_s)
+    updates = {}
+    for fingerprint, record in held.items():
+        trial = trials.next_trial(record, engine_id, now_s)
+        job.log_event(
+            "trial",
+            True,
+            fingerprint=fingerprint,
+            prompt_part=record.part,
+            engine_id=engine_id,
+            number=trial.number,
+            crashed=[crash.engine_id for crash in record.crashes],
+        )
+        updates[fingerprint] = RequestRecord(
+            record.account, record.service, part=record.part, trial=trial
+        )
+    return job.state.crashes.record(updates, now_s)
 
 
 def busy_engines(job: Job, now_s: float) -> set[str]:
@@ -73,27 +82,39 @@
     book = job.state.crashes.book
     if not book.held_until_s:
         return set()
-    return trials.busy_engines(book, job.fingerprint, now_s)
+    own = {job.fingerprint, *_held_records(job, now_s)}
+    return set().union(*(trials.busy_engines(book, one, now_s) for one in own))
 
 
 def refusal(job: Job, has_run: bool, now_s: float) -> FailedAttempt:
     """Return why a held request isn't sent, and when it may be tried next."""
-    record, wait_s = _held_record(job, now_s), 0.0
-    if record is not None:
-        is_running = trials.is_running(record)
-        wait_s = PATIENCE_S if is_running else trials.opens_s(record) - now_s
+    wait_s = _opens_s(job, now_s) - now_s
+    if _is_on_trial(job, now_s):
+        wait_s = PATIENCE_S
     retry_after_s = min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, wait_s))
     return HELD._replace(is_not_run=not has_run, retry_after_s=retry_after_s)
 
 
-def _held_record(job, now_s):
-    """Return a request's record if it is held, otherwise None."""
+def _opens_s(job, now_s):
+    """Return from when a request may be tried, as far as is known."""
     book = job.state.crashes.book
-    if not book.held_until_s or not blame.is_held(book, job.fingerprint, now_s):
-        return None
-    return book.records[job.fingerprint]
+    part = crashes.find_blocked_part(job, now_s)
+    until_s = [] if part is None else [book.blocks[part].until_s]
+    held = _held_records(job, now_s).values()
+    return max([*until_s, *(trials.opens_s(one) for one in held)], default=now_s)
 
 
-def _wait_s(job, record, now_s):
-    boot, entries = job.state.crashes.book.boot, job.state.entries
-    return trials.wait_s(record, job.fingerprint, boot, entries, now_s)
+def _is_on_trial(job, now_s):
+    """Return whether a result may come at any time that lets a request go on."""
+    if crashes.find_blocked_part(job, now_s) is not None:
+        return False
+    return any(trials.is_running(one) for one in _held_records(job, now_s).values())
+
+
+def _held_records(job, now_s):
+    """Return the records of a request and its parts that are held, by fingerprint."""
+    book = job.state.crashes.book
+    if not book.held_until_s:
+        return {}
+    held = blame.find_held(book, crashes.fingerprints(job), now_s)
+    return {one: book.records[one] for one in held}
--- a/libs/node/src/cherryrudder/node/job.py
+++ b/libs/node/src/cherryrudder/node/job.py
@@ -82,8 +82,8 @@
         self.fingerprint = _fingerprint(exchange.request, facts.host, admitted.account)
         self.parts = part_fingerprints(admitted.account, service.name, facts.part_ids)
         self.attempts = 0
-        # The newest attempt is a trial; see `heldrequests`.
-        self.is_trial = False
+        # For what the newest attempt is a trial, as fingerprints; see `heldrequests`.
+        self.on_trial: frozenset[str] = frozenset()
         # When the newest attempt went out.
         self.sent_s = 0.0
         # When the retry was charged that is sent next; None if none is due.
--- a/libs/node/test/crashcase.py
+++ b/libs/node/test/crashcase.py
@@ -23,7 +23,7 @@
         admitted=SimpleNamespace(account="acme"),
         service=SimpleNamespace(name="llm"),
         parts=(),
-        is_trial=False,
+        on_trial=frozenset(),
     )
 
 
--- a/libs/node/test/test_heldrequests.py
+++ b/libs/node/test/test_heldrequests.py
@@ -55,7 +55,7 @@
     def test_a_second_send_waits_for_the_first_ones_result(self):
         job = self.a_job()
         update = heldrequests.begin(job, FIRST, now_s())
-        self.assertTrue(job.is_trial)
+        self.assertEqual(job.on_trial, {"bad"})
         self.assertEqual(update.records[0].trial.engine_id, FIRST)
         self.assertFalse(heldrequests.may_send(self.a_job(), now_s()))
         may_send, took_s = self.wait()
@@ -98,7 +98,7 @@
     def test_a_request_that_is_not_held_is_no_trial(self):
         job = self.a_job("good")
         self.assertIsNone(heldrequests.begin(job, SECOND, now_s()))
-        self.assertFalse(job.is_trial)
+        self.assertEqual(job.on_trial, frozenset())
 
     def test_an_operator_can_release_it(self):
         self.state.crashes.lift("bad", now_s())
--- a/libs/node/test/test_partblocks.py
+++ b/libs/node/test/test_partblocks.py
@@ -46,7 +46,7 @@
             admitted=SimpleNamespace(account=account),
             service=SimpleNamespace(name="llm"),
             parts=part_fingerprints(account, "llm", part_ids),
-            is_trial=False,
+            on_trial=frozenset(),
         )
 
     def crash(self, job, events=0):
--- a/libs/routing/src/cherryrudder/routing/blame.py
+++ b/libs/routing/src/cherryrudder/routing/blame.py
@@ -16,12 +16,13 @@
 Requests that are cut side by side have the same crashes, and these don't tell which of
 them is the cause. A request with enough crashes is therefore held: it only runs on
 trial, apart from the others (see `trials`), until its crashes are its own or a run of
-it came through. Only then is a refusal final.
+it came through. Only then is it blocked.
 
 Unlike requests may crash engines by a part that their prompts share. So each part is
 blamed by the same rules as a whole request, by itself and together with the client
-account. A part is refuted by runs of any request that has it. Parts that only come
-together, and have the same crashes, are blocked where they come together.
+account, and is held in the same way. A part is refuted by runs of any request that has
+it. Parts that only come together, and have the same crashes, are held or blocked where
+they come together.
 """
 
 import bisect
@@ -108,10 +109,12 @@
             break
         worst = max(causes, key=lambda one: (*_rank(book, weights, one), one))
         del weights[worst]
-        block = _block(book.records[worst], counted[worst])
-        block = block._replace(
-            companions=_equals(book.records[worst], worst, counted),
-            is_final=worst not in own or _is_final(book.records[worst], own[worst]),
+        equals = _equals(book.records[worst], worst, counted)
+        block = _block(book.records[worst], counted[worst])._replace(
+            companions=equals,
+            is_final=any(
+                _is_final(book.records[one], own[one]) for one in (worst, *equals)
+            ),
         )
         if now_s < block.until_s:
             book.blocks[worst] = block
@@ -119,12 +122,17 @@
     book.suspects = {
         one for one in weights if sum(weights[one].values()) >= SUSPECT_CRASHES
     }
+    book.watched = {one for one, total in totals.items() if total >= SUSPECT_CRASHES}
     after = final_blocks(book)
     book.blocked_since_s = {one: book.blocked_since_s.get(one, now_s) for one in after}
+    held = {
+        one
+        for one, total in totals.items()
+        if one in book.blocks or total >= BLOCK_CRASHES and not book.records[one].part
+    }
+    blocked = after.union(*(book.blocks[one].companions for one in after))
     book.held_until_s = {
-        one: _block(book.records[one], counted[one]).until_s
-        for one in own
-        if totals[one] >= BLOCK_CRASHES and one not in after
+        one: _block(book.records[one], counted[one]).until_s for one in held - blocked
     }
     return after - before, before - after
 
@@ -135,10 +143,21 @@
 
 
 def is_held(book: CrashBook, fingerprint: str, now_s: float) -> bool:
-    """Return whether a request may only run on trial."""
+    """Return whether a request, or those with a part, may only run on trial."""
     return now_s < book.held_until_s.get(fingerprint, float("-inf"))
 
 
+def find_held(book: CrashBook, fingerprints: Set[str], now_s: float) -> set[str]:
+    """Return those of a request's fingerprints for which it only runs on trial."""
+    found = set()
+    for one in fingerprints:
+        block = book.blocks.get(one)
+        companions = block.companions if block else frozenset()
+        if is_held(book, one, now_s) and companions <= fingerprints:
+            found |= {one, *companions}
+    return found
+
+
 def count_shared(book: CrashBook, fingerprint: str) -> int:
     """Return how many of a request's crashes another whole request had as well."""
     record = book.records.get(fingerprint)
@@ -191,19 +210,24 @@
 
 
 def _is_convicted(record, own):
-    """Return whether engines that ended with a request on trial prove it the cause."""
+    """Return whether engines that ended with it on trial prove it the cause."""
     on_trial = [
         crash.engine_id
         for crash in record.crashes
         if crash.is_trial and crash.engine_id in own.beside_one_crash
     ]
-    needed = 1 if len(own.beside_one_crash) > BLOCK_CRASHES else SUSPECT_CRASHES
+    is_clear = not record.part and len(own.beside_one_crash) > BLOCK_CRASHES
+    needed = 1 if is_clear else SUSPECT_CRASHES
     return len(on_trial) >= needed
 
 
 def _is_final(record, own):
-    """Return whether a request's crashes can't be put down to others that had them."""
-    if len(own.alone) >= SUSPECT_CRASHES or _is_convicted(record, own):
+    """Return whether crashes can't be put down to others that had them.
+
+    A part runs on many engines at once, so that some of its crashes are chance.
+    """
+    is_alone = not record.part and len(own.alone) >= SUSPECT_CRASHES
+    if is_alone or _is_convicted(record, own):
         return True
     events = [
         crash.last_event
@@ -215,7 +239,7 @@
 
 
 def _own_crashes(book, counted, totals):
-    """Return what no other suspect had of each whole request's crashes."""
+    """Return what no other suspect had of each request's or part's crashes."""
     alone = _unshared(book, counted, totals, SUSPECT_CRASHES)
     beside_one_crash = _unshared(book, counted, totals, SUSPECT_CRASHES + 1)
     return {one: OwnCrashes(alone[one], beside_one_crash[one]) for one in alone}
@@ -224,24 +248,33 @@
 def _unshared(book, counted, totals, least):
     """Return the crashes that nothing else of at least that weight had.
 
-    A request's own parts explain its crashes no other way than the request itself.
+    What comes with a request in all its crashes explains them no other way. A part is
+    only excused by whole requests, since others with it crash engines as well.
     """
     heavy = {one for one in counted if totals[one] >= least}
-    times = collections.Counter(itertools.chain(*(counted[one] for one in heavy)))
+    requests = {one for one in heavy if not book.records[one].part}
+    times, request_times = (
+        _count_engines(counted, heavy),
+        _count_engines(counted, requests),
+    )
     found = {}
     for one, ids in counted.items():
         record = book.records[one]
-        if record.part:
-            continue
-        own = heavy & {one, *(record.companions or ())}
+        others, seen = (requests, request_times) if record.part else (heavy, times)
+        own = others & {one, *(record.companions or ())}
         found[one] = {
             engine_id
             for engine_id in ids
-            if times[engine_id] <= sum(engine_id in counted[part] for part in own)
+            if seen[engine_id] <= sum(engine_id in counted[same] for same in own)
         }
     return found
 
 
+def _count_engines(counted, fingerprints):
+    """Return how many of some requests and parts each engine ended under."""
+    return collections.Counter(itertools.chain(*(counted[one] for one in fingerprints)))
+
+
 def _weights_by_request(book):
     """Return the weight of each crash against each request with several crashes."""
     repeated = {
--- a/libs/routing/src/cherryrudder/routing/crashbook.py
+++ b/libs/routing/src/cherryrudder/routing/crashbook.py
@@ -40,12 +40,12 @@
     # events that any run with it had sent.
     last_event: int
     at_s: float
-    # The request was on trial there; see `Trial`.
+    # The request or part was on trial there; see `Trial`.
     is_trial: bool = False
 
 
 class Trial(NamedTuple):
-    """A run of a suspect that was sent where no other suspect was on trial."""
+    """A run of what is held, sent where nothing else was on trial."""
 
     engine_id: str
     begun_s: float
@@ -72,7 +72,7 @@
     # What else all requests with this part had that crashes cut off, as fingerprints;
     # for a whole request, its parts. None if unknown.
     companions: frozenset[str] | None = None
-    # The newest trial of a whole request.
+    # The newest trial of the request, or of one with the part.
     trial: Trial | None = None
 
 
@@ -102,9 +102,12 @@
         self.blocks: dict[str, Block] = {}
         # When this process first found each of them.
         self.blocked_since_s: dict[str, float] = {}
-        # Requests that only run on trial, and until when; computed, too.
+        # Requests and parts that only run on trial, and until when; computed, too.
         self.held_until_s: dict[str, float] = {}
         self.suspects: set[str] = set()
+        # Those with as many crashes as suspects, whatever explains them: they may
+        # explain the crashes of others until a run of them comes through.
+        self.watched: set[str] = set()
 
 
 def merge(book: CrashBook, fingerprint: str, received: RequestRecord) -> bool:
@@ -218,3 +221,4 @@
     book.blocked_since_s.pop(fingerprint, None)
     book.held_until_s.pop(fingerprint, None)
     book.suspects.discard(fingerprint)
+    book.watched.discard(fingerprint)
--- a/libs/routing/src/cherryrudder/routing/partpasses.py
+++ b/libs/routing/src/cherryrudder/routing/partpasses.py
@@ -37,7 +37,8 @@
     run_events: int
     begun_s: float
     broke_s: float
-    is_trial: bool = False
+    # The request or parts for which it was on trial, as fingerprints.
+    on_trial: frozenset[str] = frozenset()
 
 
 class Pass(NamedTuple):
@@ -97,16 +98,17 @@
     """Return the records of the requests and parts that ran as an engine crashed."""
     records: dict[str, RequestRecord] = {}
     for run in runs:
-        crash = Crash(
-            engine_id, vm_zone, version, run.last_event, run.broke_s, run.is_trial
-        )
+        crash = Crash(engine_id, vm_zone, version, run.last_event, run.broke_s)
         parts = frozenset(fingerprints(run.parts)[:MAX_COMPANIONS])
         whole = RequestRecord(run.account, run.service, (crash,), companions=parts)
-        _add(records, run.fingerprint, whole)
-        crash = crash._replace(last_event=run.run_events, is_trial=False)
+        found = {run.fingerprint: whole}
+        crash = crash._replace(last_event=run.run_events)
         for part in run.parts:
-            _add(records, part.fingerprint, _shared_record(part, run, crash))
-            _add(records, part.account_fingerprint, _account_record(part, run, crash))
+            found[part.fingerprint] = _shared_record(part, run, crash)
+            found[part.account_fingerprint] = _account_record(part, run, crash)
+        for fingerprint, record in found.items():
+            own = record.crashes[0]._replace(is_trial=fingerprint in run.on_trial)
+            _add(records, fingerprint, record._replace(crashes=(own,)))
     for fingerprint, record in records.items():
         known = passes.best.get(fingerprint) or passes.requests.get(fingerprint)
         if known is not None and known.version == version:
--- a/libs/routing/src/cherryrudder/routing/trials.py
+++ b/libs/routing/src/cherryrudder/routing/trials.py
@@ -1,4 +1,4 @@
-"""Trials: when a held request runs, apart from other suspects.
+"""Trials: when a held request, or one with a held part, runs apart from other suspects.
 
 Entries send by themselves, so they take turns: in each round after the newest crash or
 trial each draws a time of its own, and the first one that has the request begins. The
@@ -8,16 +8,20 @@
 """
 
 import hashlib
+from collections.abc import Mapping
 
 from .crashbook import FINISHED, CrashBook, RequestRecord, Trial, last_crash_s
 
 # Time after a crash until all processes have its record, and most runs that began
 # before have ended.
 SETTLE_S = 0.5
-# Mean time between the turns of two entries: some times as long as a message takes.
+# Mean time between the turns of two entries before a first trial: some times as long as
+# a message takes. It doubles with each trial, as more entries have the request by then.
 TURN_S = 0.5
+TURN_FACTOR = 2.0
 # Turns in a round: more entries than that rarely have the same request at once.
 MAX_TURNS = 16
+MAX_DOUBLED_TURNS = 4
 # How long an entry's turn is.
 OPEN_S = 0.5
 # Time in which the result of a trial is known: most answers are over by then.
@@ -38,7 +42,8 @@
     left_s = opens_s(record) - now_s
     if left_s > 0.0 or entries <= 1:
         return max(0.0, left_s)
-    round_s = min(entries, MAX_TURNS) * TURN_S
+    turn_s = TURN_S * TURN_FACTOR ** min(_number(record), MAX_DOUBLED_TURNS)
+    round_s = min(entries, MAX_TURNS) * turn_s
     number, since_s = divmod(-left_s, round_s)
     text = f"{boot} {fingerprint} {opens_s(record):.0f}"
     turn_s = _draw(f"{text} {number}") * round_s
@@ -49,6 +54,19 @@
     return round_s - since_s + _draw(f"{text} {number + 1}") * round_s
 
 
+def wait_for_all_s(
+    held: Mapping[str, RequestRecord], boot: str, entries: float, now_s: float
+) -> float:
+    """Return how long an entry waits until a trial of several records may begin.
+
+    There is one draw for all of them, as turns of several rarely come together.
+    """
+    if not held:
+        return 0.0
+    last = max(held, key=lambda one: (opens_s(held[one]), one))
+    return wait_s(held[last], last, boot, entries, now_s)
+
+
 def opens_s(record: RequestRecord) -> float:
     """Return from when entries take turns at the next trial."""
     factor = BACKOFF_FACTOR ** _number(record)
--- a/libs/routing/test/crashsim.py
+++ b/libs/routing/test/crashsim.py
@@ -180,8 +180,7 @@
     def reached(self, entry, request):
         """Send to all others how far a suspect has got."""
         book = self.books[entry]
-        watched = book.suspects | set(book.blocks) | set(book.held_until_s)
-        is_watched = request.fingerprint in watched
+        is_watched = request.fingerprint in book.watched
         known = book.records.get(request.fingerprint)
         if known is None:
             return
--- a/libs/routing/test/partsim.py
+++ b/libs/routing/test/partsim.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple
 
 from crashsim import (
+    BLOCK_POLL_S,
     CLIENT_RETRY_S,
     CRASH_AFTER_S,
     EVENTS,
@@ -15,12 +16,14 @@
     Simulation,
 )
 
-from cherryrudder.routing import blame, crashbook, partpasses
+from cherryrudder.routing import blame, crashbook, partpasses, trials
 from cherryrudder.routing.crashbook import FINISHED, MIN_PASSED_EVENTS
 from cherryrudder.routing.fingerprint import part_fingerprints
 from cherryrudder.routing.partpasses import CutRun, PartPasses, Pass
 
 COUNTED_CRASHES = 5
+# How long a held request waits for its turn at an entry.
+PATIENCE_S = 1.0
 # Attempts of a client, each at any entry.
 CLIENT_ATTEMPTS = 3
 COMMON_PARTS = ("common-0", "common-1")
@@ -71,6 +74,9 @@
         self.first_s = now_s
         self.attempts = 0
         self.begun_s = None
+        self.on_trial = frozenset()
+        # Until when it waits for its turn while a part of it is held.
+        self.waits_until_s = None
         self.has_begun_at_once = False
         self.features = part_fingerprints(account, "llm", parts)
         self.fingerprints = frozenset(
@@ -144,6 +150,10 @@
                 self.blocked.add(request.fingerprint)
             self.requests.remove(request)
             return
+        if self.book.wait_s(request.entry, request, now_s) > 0.0:
+            self._wait_for_turn(request, now_s)
+            return
+        request.waits_until_s = None
         super()._send(request, now_s)
         if request.engine is None:
             return
@@ -152,6 +162,14 @@
             part = next(one for one in request.parts if one.startswith("deadly"))
             self.arrivals.setdefault(part, []).append(now_s)
 
+    def _wait_for_turn(self, request, now_s):
+        if request.waits_until_s is None:
+            request.waits_until_s = now_s + PATIENCE_S
+        request.next_s = now_s + BLOCK_POLL_S
+        if now_s >= request.waits_until_s:
+            request.waits_until_s = None
+            self._ask_elsewhere(request, now_s)
+
     def _step(self, request, now_s):
         event = request.event
         super()._step(request, now_s)
@@ -213,6 +231,7 @@
             run_events=request.event - request.run_event,
             begun_s=request.begun_s,
             broke_s=now_s,
+            on_trial=request.on_trial,
         )
         zone = engine.partition("/")[0]
         passes = self.passes[entry]
@@ -224,6 +243,31 @@
         """Return what a request is refused for, or None."""
         return blame.find_block(self.books[entry], request.fingerprints, self._now_s)
 
+    def wait_s(self, entry, request, now_s):
+        """Return how long a request waits for its turn at an entry."""
+        book, held = self.books[entry], self._held(entry, request, now_s)
+        return trials.wait_for_all_s(held, book.boot, len(self.books), now_s)
+
+    def may_begin(self, entry, fingerprint, now_s):
+        """Return that a request may be sent, as it has waited for its turn."""
+        return True
+
+    def begin(self, entry, request, engine, now_s):
+        """Return whether a run is a trial, and send to all others that it begins."""
+        held = self._held(entry, request, now_s)
+        for fingerprint, known in held.items():
+            trial = trials.next_trial(known, engine, now_s)
+            record = known._replace(crashes=(), trial=trial)
+            crashbook.merge(self.books[entry], fingerprint, record)
+            self._send(entry, fingerprint, record, now_s)
+        request.on_trial = frozenset(held)
+        return request.fingerprint in held
+
+    def _held(self, entry, request, now_s):
+        book = self.books[entry]
+        held = blame.find_held(book, request.fingerprints, now_s)
+        return {one: book.records[one] for one in held}
+
     def passed(self, entry, request, now_s):
         """Record how far a request has got, and send it to all others if needed."""
         self.reached(entry, request)
@@ -237,7 +281,7 @@
         book = self.books[entry]
         for fingerprint in partpasses.fingerprints(request.features):
             known = book.records.get(fingerprint)
-            if known is None or fingerprint not in book.suspects | set(book.blocks):
+            if known is None or fingerprint not in book.watched:
                 continue
             record = partpasses.with_pass(known._replace(crashes=()), passed)
             if crashbook.merge_records(known, record) != known:
