Let only what is held excuse an end on trial, and end a trial that showed nothing

Callers: culprits were sent four times later than 3 s after their third end, and requests with a popular part waited eight seconds for a trial.

Cause: an end on trial counted only if no part with three ends was there, and popular parts nearly always have three: a trial runs apart from what is held, not from these, so that culprits were hardly ever convicted beside unlike prompts (no final refusal in 30 s). And a trial that its engine refused, or that was the rest of an answer, which clears nothing, kept others waiting for 5 s.

Change: parts excuse an end on trial only as held causes. Trials end when their run does, whatever it showed. The rest of an answer doesn't take a part's turn. The stand-in of test_streamrelay has one more field.

--- a/libs/node/src/cherryrudder/node/crashsync.py
+++ b/libs/node/src/cherryrudder/node/crashsync.py
@@ -112,7 +112,7 @@
         record.part,
         None if record.passed_s == math.inf else now_s - record.passed_s,
         None if record.companions is None else tuple(sorted(record.companions)),
-        trial and ReportedTrial(trial.engine_id, now_s - trial.begun_s, trial.number),
+        trial and ReportedTrial(trial[0], now_s - trial.begun_s, *trial[2:]),
     )
 
 
@@ -134,5 +134,5 @@
         reported.part,
         math.inf if passed_age_s is None else now_s - passed_age_s,
         None if companions is None else frozenset(companions),
-        trial and Trial(trial.engine_id, now_s - trial.age_s, trial.number),
+        trial and Trial(trial[0], now_s - trial.age_s, *trial[2:]),
     )
--- a/libs/node/src/cherryrudder/node/gossip.py
+++ b/libs/node/src/cherryrudder/node/gossip.py
@@ -79,11 +79,12 @@
 
 
 class ReportedTrial(NamedTuple):
-    """The newest trial of a request that engines ended under."""
+    """The newest trial of a request or part that engines ended under."""
 
     engine_id: str
     age_s: float
     number: int
+    is_over: bool = False
 
 
 class ReportedRecord(NamedTuple):
--- a/libs/node/src/cherryrudder/node/heldrequests.py
+++ b/libs/node/src/cherryrudder/node/heldrequests.py
@@ -26,7 +26,9 @@
 MIN_RETRY_AFTER_S, MAX_RETRY_AFTER_S = 0.5, 5.0
 
 
-async def wait_for_turn(job: Job, has_begun: bool = False) -> bool:
+async def wait_for_turn(
+    job: Job, has_begun: bool = False, is_resumed: bool = False
+) -> bool:
     """Wait until a request may be sent, on trial if it is held; return if it may.
 
     It gives up at once if no trial begins in time. An answer that has begun waits until
@@ -35,7 +37,7 @@
     until_s = min(job.end_s, now_s() + PATIENCE_S)
     if has_begun:
         until_s = job.client_leaves_s()
-    while not may_send(job, now_s()):
+    while not may_send(job, now_s(), is_resumed):
         if _opens_s(job, now_s()) > until_s and not _is_on_trial(job, now_s()):
             return False
         if now_s() >= until_s:
@@ -44,12 +46,18 @@
     return True
 
 
-def may_send(job: Job, now_s: float) -> bool:
-    """Return whether a request isn't held, or may be sent on trial now."""
+def may_send(job: Job, now_s: float, is_resumed: bool = False) -> bool:
+    """Return whether a request isn't held, or may be sent on trial now.
+
+    The rest of an answer can't clear a part, so it doesn't take the turn of a request
+    that can.
+    """
     if crashes.find_blocked_part(job, now_s) is not None:
         return False
     boot, entries = job.state.crashes.book.boot, job.state.entries
     held = _held_records(job, now_s)
+    if is_resumed and held.keys() - {job.fingerprint}:
+        return False
     return trials.wait_for_all_s(held, boot, entries, now_s) <= 0.0
 
 
@@ -77,6 +85,17 @@
     return job.state.crashes.record(updates, now_s)
 
 
+def end(job: Job, now_s: float) -> CrashUpdate | None:
+    """Record that a trial is over, whose engine lives; return the update for others."""
+    book, updates = job.state.crashes.book, {}
+    for fingerprint in job.on_trial & book.records.keys():
+        record = book.records[fingerprint]
+        if trials.is_running(record):
+            over = record.trial._replace(is_over=True)
+            updates[fingerprint] = record._replace(crashes=(), trial=over)
+    return job.state.crashes.record(updates, now_s) if updates else None
+
+
 def busy_engines(job: Job, now_s: float) -> set[str]:
     """Return the engines that a suspect avoids, as others are on trial there."""
     book = job.state.crashes.book
--- a/libs/node/src/cherryrudder/node/plainrelay.py
+++ b/libs/node/src/cherryrudder/node/plainrelay.py
@@ -69,7 +69,12 @@
         if crashes.is_blocked(job, now_s()) or not heldrequests.may_send(job, now_s()):
             continue
         publish_crashes(heldrequests.begin(job, endpoint.engine_id, now_s()))
-        result = await _attempt(job, endpoint)
+        result = None
+        try:
+            result = await _attempt(job, endpoint)
+        finally:
+            if not (isinstance(result, FailedAttempt) and result.is_broken):
+                publish_crashes(heldrequests.end(job, now_s()))
         if isinstance(result, WholeAnswer):
             brokenruns.record_answer(job.state.broken, endpoint.engine_id, now_s())
             now = now_s()
--- a/libs/node/src/cherryrudder/node/streamrelay.py
+++ b/libs/node/src/cherryrudder/node/streamrelay.py
@@ -66,7 +66,8 @@
     has_run = False
     while True:
         await crashes.delay_suspect(job)
-        if not await heldrequests.wait_for_turn(job, stream.has_begun):
+        is_resumed = stream.position() > 0
+        if not await heldrequests.wait_for_turn(job, stream.has_begun, is_resumed):
             held = heldrequests.refusal(job, has_run, now_s())
             failed = held._replace(answer=failed.answer)
             break
@@ -77,7 +78,8 @@
         if chain is None:
             failed = failed._replace(reason=stream.refusal or failed.reason)
             break
-        if crashes.is_blocked(job, now_s()) or not heldrequests.may_send(job, now_s()):
+        may_send = heldrequests.may_send(job, now_s(), is_resumed)
+        if crashes.is_blocked(job, now_s()) or not may_send:
             streamchains.release(stream)
             continue
         if (trial := heldrequests.begin(job, chain[0].engine_id, now_s())) is not None:
@@ -139,10 +141,16 @@
 
 async def _attempt(stream: Stream) -> FailedAttempt | None:
     """Run the stream over its chain; return None once its answer has ended."""
+    is_broken = False
     try:
-        return await _exchange(stream)
+        result = await _exchange(stream)
+        is_broken = result is not None and result.is_broken
+        return result
     finally:
         streamchains.release(stream)
+        if not is_broken:
+            over = heldrequests.end(stream.job, now_s())
+            stream.stalls.uplink.publish_crashes(over)
 
 
 async def _exchange(stream):
--- a/libs/node/test/test_streamrelay.py
+++ b/libs/node/test/test_streamrelay.py
@@ -80,7 +80,9 @@
             state=state,
             service=SimpleNamespace(name="llm", model=None),
             route=SimpleNamespace(max_attempts=2),
-            facts=SimpleNamespace(prompt_tokens=800, guessed_answer_tokens=100),
+            facts=SimpleNamespace(
+                prompt_tokens=800, guessed_answer_tokens=100, last_event=""
+            ),
             attempts=0,
             is_idempotent=True,
             fingerprint="a request",
--- a/libs/routing/src/cherryrudder/routing/blame.py
+++ b/libs/routing/src/cherryrudder/routing/blame.py
@@ -86,7 +86,7 @@
 
     # No other suspect was cut there, request or part.
     alone: set[str]
-    # No other request or part was cut there that is a suspect by its other crashes.
+    # Nothing else was cut there that is held, and so a suspect by its other crashes.
     beside_one_crash: set[str]
 
 
@@ -96,31 +96,25 @@
     weights = _weights_by_request(book)
     totals = {one: sum(crashes.values()) for one, crashes in weights.items()}
     counted = {one: set(crashes) for one, crashes in weights.items()}
-    own = _own_crashes(book, counted, totals)
+    causes, _ = _find_causes(book, weights, totals, set())
+    own = _own_crashes(book, counted, totals, causes)
     convicted = {one for one in own if _is_convicted(book.records[one], own[one])}
+    causes, unexplained = _find_causes(book, weights, totals, convicted)
     book.blocks = {}
-    while True:
-        causes = [
-            one
-            for one in weights
-            if one in convicted or _is_cause(weights[one], totals[one])
-        ]
-        if not causes:
-            break
-        worst = max(causes, key=lambda one: (*_rank(book, weights, one), one))
-        del weights[worst]
-        equals = _equals(book.records[worst], worst, counted)
-        block = _block(book.records[worst], counted[worst])._replace(
+    for cause in causes:
+        equals = _equals(book.records[cause], cause, counted)
+        block = _block(book.records[cause], counted[cause])._replace(
             companions=equals,
             is_final=any(
-                _is_final(book.records[one], own[one]) for one in (worst, *equals)
+                _is_final(book.records[one], own[one]) for one in (cause, *equals)
             ),
         )
         if now_s < block.until_s:
-            book.blocks[worst] = block
-        _discount(weights, counted[worst])
+            book.blocks[cause] = block
     book.suspects = {
-        one for one in weights if sum(weights[one].values()) >= SUSPECT_CRASHES
+        one
+        for one, crashes in unexplained.items()
+        if sum(crashes.values()) >= SUSPECT_CRASHES
     }
     book.watched = {one for one, total in totals.items() if total >= SUSPECT_CRASHES}
     after = final_blocks(book)
@@ -202,6 +196,24 @@
     return int(fingerprint[:8], 16) % STAGGER_STEPS * STAGGER_STEP_S
 
 
+def _find_causes(book, weights, totals, convicted):
+    """Return the causes, the most likely first, and what they leave unexplained.
+
+    The latter are the weights of the other requests' and parts' crashes.
+    """
+    left, causes = dict(weights), []
+    while True:
+        likely = [
+            one for one in left if one in convicted or _is_cause(left[one], totals[one])
+        ]
+        if not likely:
+            return causes, left
+        worst = max(likely, key=lambda one: (*_rank(book, left, one), one))
+        causes.append(worst)
+        del left[worst]
+        _discount(left, weights[worst])
+
+
 def _is_cause(unexplained, total_weight):
     """Return whether a request's crashes suffice for a block."""
     weight = sum(unexplained.values())
@@ -238,29 +250,32 @@
     return is_early and len(events) >= BLOCK_CRASHES
 
 
-def _own_crashes(book, counted, totals):
-    """Return what no other suspect had of each request's or part's crashes."""
-    alone = _unshared(book, counted, totals, SUSPECT_CRASHES)
-    beside_one_crash = _unshared(book, counted, totals, SUSPECT_CRASHES + 1)
+def _own_crashes(book, counted, totals, causes):
+    """Return what no other suspect had of each request's or part's crashes.
+
+    A trial runs apart from what is held, so that only this excuses its crash.
+    """
+    suspects = {one for one in counted if totals[one] >= SUSPECT_CRASHES}
+    held = {one for one in suspects if totals[one] >= SUSPECT_CRASHES + 1}
+    held = {one for one in held if one in causes or not book.records[one].part}
+    alone = _unshared(book, counted, suspects)
+    beside_one_crash = _unshared(book, counted, held)
     return {one: OwnCrashes(alone[one], beside_one_crash[one]) for one in alone}
 
 
-def _unshared(book, counted, totals, least):
-    """Return the crashes that nothing else of at least that weight had.
+def _unshared(book, counted, suspects):
+    """Return the crashes that no other suspect had.
 
     What comes with a request in all its crashes explains them no other way. A part is
     only excused by whole requests, since others with it crash engines as well.
     """
-    heavy = {one for one in counted if totals[one] >= least}
-    requests = {one for one in heavy if not book.records[one].part}
-    times, request_times = (
-        _count_engines(counted, heavy),
-        _count_engines(counted, requests),
-    )
+    requests = {one for one in suspects if not book.records[one].part}
+    times = _count_engines(counted, suspects)
+    request_times = _count_engines(counted, requests)
     found = {}
     for one, ids in counted.items():
         record = book.records[one]
-        others, seen = (requests, request_times) if record.part else (heavy, times)
+        others, seen = (requests, request_times) if record.part else (suspects, times)
         own = others & {one, *(record.companions or ())}
         found[one] = {
             engine_id
--- a/libs/routing/src/cherryrudder/routing/crashbook.py
+++ b/libs/routing/src/cherryrudder/routing/crashbook.py
@@ -51,6 +51,8 @@
     begun_s: float
     # How many there were since the last whole run.
     number: int
+    # It showed nothing: its engine refused it, or its client has left.
+    is_over: bool = False
 
 
 class RequestRecord(NamedTuple):
@@ -174,7 +176,10 @@
         return received if known is None else known
     if received.begun_s > known.begun_s + PASS_TOLERANCE_S:
         return received
-    return known._replace(number=max(known.number, received.number))
+    return known._replace(
+        number=max(known.number, received.number),
+        is_over=known.is_over or received.is_over,
+    )
 
 
 def furthest_event(record: RequestRecord) -> int:
--- a/libs/routing/src/cherryrudder/routing/trials.py
+++ b/libs/routing/src/cherryrudder/routing/trials.py
@@ -79,7 +79,7 @@
 def is_running(record: RequestRecord) -> bool:
     """Return whether nothing has been seen of a request since its newest trial."""
     trial = record.trial
-    if trial is None or trial.begun_s < last_crash_s(record):
+    if trial is None or trial.is_over or trial.begun_s < last_crash_s(record):
         return False
     return record.passed != FINISHED or record.passed_s < trial.begun_s
 
