--- a/libs/routing/src/cherryrudder/routing/blame.py
+++ b/libs/routing/src/cherryrudder/routing/blame.py
@@ -33,7 +33,6 @@
 
 from .crashbook import (
     FINISHED,
-    MIN_PASSED_EVENTS,
     Block,
     CrashBook,
     RequestRecord,
@@ -54,9 +53,6 @@
 # Weight of a crash at an earlier position than another run has reached. Four crashes
 # of a culprit suffice, whatever their positions.
 PASSED_POSITION_WEIGHT = 0.7
-# Weight of a crash under a part whose run was past the start of its answer. Streams are
-# cut there when other parts or requests crash their engine.
-LATE_CRASH_WEIGHT = 0.5
 # Crashes in one data centre this close together may have one cause, such as a rack
 # failure.
 SIMULTANEOUS_S = 0.1
@@ -339,8 +335,6 @@
     if record.passed == FINISHED:
         is_recent = record.passed_s + RECENT_PASS_S >= crash.at_s
         return 0 if is_recent else OLD_PASS_WEIGHT
-    if record.part and crash.last_event >= MIN_PASSED_EVENTS:
-        return LATE_CRASH_WEIGHT
     is_passed = crash.last_event + POSITION_TOLERANCE_EVENTS < furthest_event(record)
     return PASSED_POSITION_WEIGHT if is_passed else 1
 
