Release a request on trial by a whole run only

Callers: a request that ends engines was sent 9 and 12 times later than 3 s after its third end (3 allowed), by all entries within some milliseconds.

Cause: progress takes 0.3 from ends at earlier positions. As a trial of a culprit got past them, three ends weighed 2.1, the request was released in the middle of its trial, and each entry that had held it sent it at once. The class is that of crashes-anywhere-in-an-answer: what a run reached is taken for proof.

Change: after a trial has begun progress counts no more; its end decides.

The new case of test_trials fails without the change.

--- a/libs/routing/src/cherryrudder/routing/blame.py
+++ b/libs/routing/src/cherryrudder/routing/blame.py
@@ -335,7 +335,11 @@
     if record.passed == FINISHED:
         is_recent = record.passed_s + RECENT_PASS_S >= crash.at_s
         return 0 if is_recent else OLD_PASS_WEIGHT
-    is_passed = crash.last_event + POSITION_TOLERANCE_EVENTS < furthest_event(record)
+    # A trial decides by its end: released midway, the request would go out everywhere.
+    is_passed = (
+        record.trial is None
+        and crash.last_event + POSITION_TOLERANCE_EVENTS < furthest_event(record)
+    )
     return PASSED_POSITION_WEIGHT if is_passed else 1
 
 
--- a/libs/routing/test/test_trials.py
+++ b/libs/routing/test/test_trials.py
@@ -123,6 +123,16 @@
             add_crash(book, "one", engine_id, 4.0 + number)
         self.assertEqual(blame.final_blocks(book), set())
 
+    def test_a_trial_that_is_under_way_releases_nothing(self):
+        """Guards against sends by all entries as a trial of a culprit gets further."""
+        book = a_book("one", "two")
+        trial = RequestRecord("acme", "llm", trial=Trial("e9", 4.0, 1))
+        crashbook.merge(book, "one", trial)
+        further = RequestRecord("acme", "llm", passed=18, passed_s=4.5)
+        crashbook.merge(book, "one", further)
+        blame.update_blocks(book, 4.5)
+        self.assertIn("one", held(book))
+
     def test_a_whole_run_releases(self):
         book = a_book("one", "two")
         whole = RequestRecord("acme", "llm", passed=FINISHED, passed_s=5.0)
