--- a/libs/node/test/test_partblocks.py
+++ b/libs/node/test/test_partblocks.py
@@ -3,9 +3,10 @@
 import unittest
 from types import SimpleNamespace
 
+import anyio
 from builders import PipedSink, a_state, an_announcement
 
-from cherryrudder.node import crashes, crashsync, tablesync
+from cherryrudder.node import crashes, crashsync, heldrequests, tablesync
 from cherryrudder.node.crashsync import PeerPositions
 from cherryrudder.node.gossip import DeathNotice
 from cherryrudder.node.uplink import Uplink
@@ -152,6 +153,60 @@
         self.assertTrue(self.is_blocked(SHARED))
 
 
+class AnswerTest(PartCase):
+    """Guards against telling a client that its request is wrong, for a part of it."""
+
+    def setUp(self):
+        super().setUp()
+        self.state.entries = 1
+
+    def a_client_job(self, *part_ids):
+        job = self.a_job(*part_ids)
+        job.end_s = now_s() + 10.0
+        job.left_s = lambda: 10.0
+        job.log_event = lambda *_, **__: None
+        return job
+
+    def crash_midway(self, *part_ids):
+        for event in (6, 9, 12):
+            self.crash(self.a_job(*part_ids), events=event)
+
+    def test_a_blocked_part_is_no_final_refusal(self):
+        self.crash_thrice(DEADLY)
+        job = self.a_client_job(DEADLY)
+        self.assertTrue(crashes.is_blocked(job, now_s()))
+        self.assertFalse(anyio.run(crashes.confirm_block, job))
+        self.assertFalse(anyio.run(heldrequests.wait_for_turn, job))
+        refusal = heldrequests.refusal(job, False, now_s())
+        self.assertTrue(refusal.is_not_run)
+        self.assertEqual(refusal.retry_after_s, heldrequests.MAX_RETRY_AFTER_S)
+
+    def test_requests_with_a_held_part_run_one_at_a_time(self):
+        self.crash_midway(SHARED)
+        one, other = self.a_client_job(SHARED), self.a_client_job(SHARED)
+        self.assertTrue(heldrequests.may_send(one, now_s()))
+        update = heldrequests.begin(one, ENGINES[-1], now_s())
+        self.assertTrue(update.records)
+        self.assertFalse(heldrequests.may_send(other, now_s()))
+        self.assertTrue(heldrequests.may_send(self.a_client_job(NEW), now_s()))
+        self.get_through(SHARED)
+        self.assertTrue(heldrequests.may_send(other, now_s()))
+
+    def test_the_rest_of_an_answer_takes_no_turn_of_a_part(self):
+        self.crash_midway(SHARED)
+        job = self.a_client_job(SHARED)
+        self.assertFalse(heldrequests.may_send(job, now_s(), is_resumed=True))
+        self.assertTrue(heldrequests.may_send(job, now_s()))
+
+    def test_a_trial_that_its_engine_refused_is_over_for_all(self):
+        self.crash_midway(SHARED)
+        one, other = self.a_client_job(SHARED), self.a_client_job(SHARED)
+        heldrequests.begin(one, ENGINES[-1], now_s())
+        update = heldrequests.end(one, now_s())
+        self.assertTrue(all(record.trial.is_over for record in update.records))
+        self.assertTrue(heldrequests.may_send(other, now_s()))
+
+
 class OperatorTest(PartCase):
     """Guards against blocks that an operator's lift only moves to a like part."""
 
--- a/libs/routing/test/test_trials.py
+++ b/libs/routing/test/test_trials.py
@@ -191,6 +191,18 @@
         for shorter, longer in zip(waits_s, waits_s[1:], strict=False):
             self.assertGreaterEqual(longer, 2 * shorter)
 
+    def test_a_trial_that_showed_nothing_makes_others_wait_no_longer(self):
+        """Guards against requests that wait for a trial which its engine refused."""
+        record = a_book("one", "two").records["one"]
+        begun = record._replace(trial=Trial("e9", 4.0, 1))
+        over = begun._replace(trial=Trial("e9", 4.0, 1, is_over=True))
+        for merged in (
+            crashbook.merge_records(begun, over),
+            crashbook.merge_records(over, begun),
+        ):
+            self.assertLess(trials.opens_s(merged), trials.opens_s(begun))
+            self.assertEqual(trials.next_trial(merged, "e8", 9.0).number, 2)
+
     def test_suspects_avoid_engines_on_which_others_are_on_trial(self):
         book = a_book("one", "two")
         trial = RequestRecord("acme", "llm", trial=Trial("e9", 4.0, 1))
