Restore the weights of how far runs with a part got

Cause: without the weights, a part whose runs were cut late weighs as much as the culprit that cut them.

--- a/libs/node/src/cherryrudder/node/crashes.py
+++ b/libs/node/src/cherryrudder/node/crashes.py
@@ -233,19 +233,21 @@
 
 
 def record_pass(
-    job: "Job", engine_id: str, passed_s: float, now_s: float
+    job: "Job", engine_id: str, passed_s: float, now_s: float, events: int = FINISHED
 ) -> CrashUpdate | None:
-    """Record that a whole run ended at `passed_s`; return the update, if any.
+    """Record that a run got past the start of its answer; return the update, if any.
 
-    This is evidence for the request and all parts of its prompt. Others only need it
-    for those parts that are under suspicion.
+    This is evidence for all parts of its prompt, and for the request if the run was
+    whole. Others only need it for those parts that are under suspicion. `events` is how
+    many the run has sent, or FINISHED if from the start of the answer to its end.
     """
     state = job.state
     entry = state.endpoints.table.entries.get(engine_id)
     if entry is None:
         return None
-    passed = Pass(entry.announcement.version, passed_s)
-    partpasses.record_whole_run(state.passes, job.fingerprint, passed)
+    passed = Pass(entry.announcement.version, passed_s, events)
+    if events == FINISHED:
+        partpasses.record_whole_run(state.passes, job.fingerprint, passed)
     partpasses.record_pass(state.passes, job.parts, passed)
     if not has_watched_part(job):
         return None
@@ -253,12 +255,12 @@
     # A part that isn't watched may explain the same crashes, and would be blocked next.
     for fingerprint in partpasses.fingerprints(job.parts):
         known = state.crashes.book.records.get(fingerprint)
-        if known is None or not crashbook.is_newer_pass(known, passed_s):
+        if known is None or not _is_further(known, events, passed_s):
             continue
         if any(crash.version == passed.version for crash in known.crashes):
             seen = RequestRecord(known.account, known.service, part=known.part)
             records[fingerprint] = partpasses.with_pass(seen, passed)
-            _log_outlived(job, fingerprint, known, FINISHED)
+            _log_outlived(job, fingerprint, known, events)
     return state.crashes.record(records, now_s) if records else None
 
 
--- a/libs/node/src/cherryrudder/node/stream.py
+++ b/libs/node/src/cherryrudder/node/stream.py
@@ -83,6 +83,7 @@
         self.run_events = 0
         # The present attempt began at the start of the answer.
         self.is_whole_run = True
+        self.has_passed_start = False
         # Until when this request avoids an engine, by address.
         self._excluded_until_s: dict[str, float] = {}
 
--- a/libs/node/src/cherryrudder/node/streamrelay.py
+++ b/libs/node/src/cherryrudder/node/streamrelay.py
@@ -12,7 +12,7 @@
 from cherryrudder.replica.clock import now_s
 from cherryrudder.routing import hangs
 from cherryrudder.routing.authorization import Refused
-from cherryrudder.routing.crashbook import FINISHED
+from cherryrudder.routing.crashbook import FINISHED, MIN_PASSED_EVENTS
 
 from . import (
     attempts,
@@ -260,6 +260,7 @@
     stream.head_s = None
     stream.run_events = 0
     stream.is_whole_run = stream.position() == 0
+    stream.has_passed_start = False
     supervision.record_progress(stream, now_s())
     stream.supervisor.streams.add(stream)
 
@@ -341,6 +342,7 @@
         stream.record_prompt_read()
         received = events.split(stream.splitter, data)
         stream.run_events += len(received)
+        _record_start_passed(stream)
         fresh = [event for event in received if _is_new(stream, event)]
         if not fresh:
             continue
@@ -352,15 +354,29 @@
     await attempts.check_unframed_end(job, connection, stream.chain[0].engine_id)
     if stream.is_whole_run and connection.has_length:
         _record_reached(stream, FINISHED)
-        engine_id, now = stream.chain[0].engine_id, now_s()
-        update = crashes.record_pass(job, engine_id, now, now)
-        stream.stalls.uplink.publish_crashes(update)
+        _record_pass(stream, FINISHED)
     elif stream.is_whole_run:
         # An engine that crashed between two events would look finished.
         unframedruns.add(job, stream.chain[0].engine_id, now_s())
     await job.exchange.end()
 
 
+def _record_start_passed(stream):
+    """Record the run as evidence for its prompt's parts, once it has got so far."""
+    if stream.run_events < MIN_PASSED_EVENTS:
+        return
+    if stream.has_passed_start and not crashes.has_watched_part(stream.job):
+        return
+    stream.has_passed_start = True
+    _record_pass(stream, stream.run_events)
+
+
+def _record_pass(stream, run_events):
+    engine_id, now = stream.chain[0].engine_id, now_s()
+    update = crashes.record_pass(stream.job, engine_id, now, now, run_events)
+    stream.stalls.uplink.publish_crashes(update)
+
+
 def _record_reached(stream, event):
     stream.stalls.uplink.publish_crashes(
         crashes.record_progress(stream.job, event, now_s())
--- a/libs/node/test/test_partblocks.py
+++ b/libs/node/test/test_partblocks.py
@@ -14,9 +14,8 @@
 from cherryrudder.routing import blame
 from cherryrudder.routing.crashbook import CrashBook
 from cherryrudder.routing.fingerprint import part_fingerprints
+from cherryrudder.routing.partpasses import MIN_PASSED_EVENTS
 
-# Events after which a cut is chance rather than the part's.
-LATE_EVENTS = 16
 ENGINES = tuple(f"boot-{n}" for n in range(8))
 SHARED, DEADLY, NEW = "5c1e07a2", "dead0001", "0e10aded"
 
@@ -129,7 +128,7 @@
     def test_a_cut_run_that_was_past_the_start_clears_its_parts(self):
         for _ in range(4):
             sound = self.a_job(SHARED)
-            self.crash(sound, events=LATE_EVENTS)
+            self.crash(sound, events=MIN_PASSED_EVENTS)
         self.assertFalse(self.is_blocked(SHARED))
 
     def test_a_later_run_clears_a_part(self):
--- a/libs/routing/src/cherryrudder/routing/blame.py
+++ b/libs/routing/src/cherryrudder/routing/blame.py
@@ -33,6 +33,7 @@
 
 from .crashbook import (
     FINISHED,
+    MIN_PASSED_EVENTS,
     Block,
     CrashBook,
     RequestRecord,
@@ -53,6 +54,9 @@
 # Weight of a crash at an earlier position than another run has reached. Four crashes
 # of a culprit suffice, whatever their positions.
 PASSED_POSITION_WEIGHT = 0.7
+# Weight of a crash under a part whose run was past the start of its answer. Streams are
+# cut there when other parts or requests crash their engine.
+LATE_CRASH_WEIGHT = 0.5
 # Crashes in one data centre this close together may have one cause, such as a rack
 # failure.
 SIMULTANEOUS_S = 0.1
@@ -335,6 +339,8 @@
     if record.passed == FINISHED:
         is_recent = record.passed_s + RECENT_PASS_S >= crash.at_s
         return 0 if is_recent else OLD_PASS_WEIGHT
+    if record.part and crash.last_event >= MIN_PASSED_EVENTS:
+        return LATE_CRASH_WEIGHT
     # A trial decides by its end: released midway, the request would go out everywhere.
     is_passed = (
         record.trial is None
@@ -370,13 +376,17 @@
 
 
 def _rank(book, weights, fingerprint):
-    """Return the sort key for blocking: most weight first, then earliest position."""
+    """Return the sort key for blocking: most weight first, then earliest position.
+
+    A request explains its crashes before its parts do: it refuses fewer others.
+    """
     counted = [
         crash.last_event
         for crash in book.records[fingerprint].crashes
         if crash.engine_id in weights[fingerprint]
     ]
-    return sum(weights[fingerprint].values()), -max(counted)
+    is_request = not book.records[fingerprint].part
+    return sum(weights[fingerprint].values()), is_request, -max(counted)
 
 
 def _discount(weights, engine_ids):
--- a/libs/routing/src/cherryrudder/routing/crashbook.py
+++ b/libs/routing/src/cherryrudder/routing/crashbook.py
@@ -21,6 +21,8 @@
 FINISHED = 2**31 - 1
 # Event number of a crash under a request whose answer has no events.
 NO_POSITION = -1
+# Events after which a run with a part is past the start of its answer.
+MIN_PASSED_EVENTS = 16
 # Times of the same run differ between processes by the delay of their messages.
 PASS_TOLERANCE_S = 1.0
 # Times of the same lift differ between processes by the delay of their messages.
@@ -60,8 +62,8 @@
     account: str
     service: str
     crashes: tuple[Crash, ...] = ()
-    # Furthest event of a run whose engine survived, -1 for none. For a part: FINISHED
-    # or -1.
+    # Furthest event of a run whose engine survived, -1 for none. For a part: the most
+    # events that one run with it has sent, once that is past the start.
     passed: int = -1
     # When an operator last lifted the block.
     lifted_s: float = float("-inf")
--- a/libs/routing/src/cherryrudder/routing/partpasses.py
+++ b/libs/routing/src/cherryrudder/routing/partpasses.py
@@ -1,8 +1,8 @@
 """Evidence against requests and parts of prompts, and for them, from one entry's runs.
 
 Harmless requests, and those with a harmless part, also run on the engines that others
-crash. Each entry therefore remembers the whole runs of each of them, also while no
-engine crashes, and adds the newest to its records of a crash.
+crash. Each entry therefore remembers which of them its runs have got through, also
+while no engine crashes, and adds that to its records of a crash.
 """
 
 from collections import OrderedDict
@@ -11,6 +11,7 @@
 
 from .crashbook import (
     FINISHED,
+    MIN_PASSED_EVENTS,
     Crash,
     RequestRecord,
     merge_records,
@@ -41,20 +42,22 @@
 
 
 class Pass(NamedTuple):
-    """The end of a whole run, on an engine that survived."""
+    """A run that got past the start of its answer on an engine that survived."""
 
     # Version of the engine's software.
     version: str
     at_s: float
+    # How many it sent; FINISHED if from the start of the answer to its end.
+    events: int = FINISHED
 
 
 class PartPasses:
-    """The newest whole run by a part's fingerprint, those in use last."""
+    """The best such run by a part's fingerprint, those in use last."""
 
     def __init__(self):
-        self.parts: OrderedDict[str, Pass] = OrderedDict()
-        # The same by a request's fingerprint. Apart, as most requests come once and
-        # would push the parts out.
+        self.best: OrderedDict[str, Pass] = OrderedDict()
+        # The newest whole run by a request's fingerprint. Apart, as most requests come
+        # once and would push the parts out.
         self.requests: OrderedDict[str, Pass] = OrderedDict()
 
 
@@ -66,21 +69,23 @@
 
 
 def record_pass(passes: PartPasses, parts: Iterable[Part], passed: Pass) -> None:
-    """Record a whole run with these parts."""
+    """Record that a run with these parts got past the start of its answer."""
     for fingerprint in fingerprints(parts):
-        _keep(passes.parts, fingerprint, passed)
+        known = passes.best.get(fingerprint)
+        is_better = known is None or known.version != passed.version
+        if is_better or passed.events >= known.events:
+            passes.best[fingerprint] = passed
+        passes.best.move_to_end(fingerprint)
+    while len(passes.best) > MAX_PASSES:
+        passes.best.popitem(last=False)
 
 
 def record_whole_run(passes: PartPasses, fingerprint: str, passed: Pass) -> None:
-    """Record a whole run of a request."""
-    _keep(passes.requests, fingerprint, passed)
-
-
-def _keep(newest, fingerprint, passed):
-    newest[fingerprint] = passed
-    newest.move_to_end(fingerprint)
-    while len(newest) > MAX_PASSES:
-        newest.popitem(last=False)
+    """Record that a run of a request went from the start of its answer to the end."""
+    passes.requests[fingerprint] = passed
+    passes.requests.move_to_end(fingerprint)
+    while len(passes.requests) > MAX_PASSES:
+        passes.requests.popitem(last=False)
 
 
 def record_crash(
@@ -105,15 +110,15 @@
             own = record.crashes[0]._replace(is_trial=fingerprint in run.on_trial)
             _add(records, fingerprint, record._replace(crashes=(own,)))
     for fingerprint, record in records.items():
-        known = passes.parts.get(fingerprint) or passes.requests.get(fingerprint)
+        known = passes.best.get(fingerprint) or passes.requests.get(fingerprint)
         if known is not None and known.version == version:
             records[fingerprint] = with_pass(record, known)
     return records
 
 
 def with_pass(record: RequestRecord, passed: Pass) -> RequestRecord:
-    """Return a record with one more whole run."""
-    seen = record._replace(crashes=(), passed=FINISHED, passed_s=passed.at_s)
+    """Return a record with one more run that got past the start."""
+    seen = record._replace(crashes=(), passed=passed.events, passed_s=passed.at_s)
     return merge_records(record, seen)
 
 
@@ -132,7 +137,11 @@
 
 
 def _with_evidence(record, run, companions):
-    return record._replace(companions=frozenset(companions[:MAX_COMPANIONS]))
+    record = record._replace(companions=frozenset(companions[:MAX_COMPANIONS]))
+    if run.run_events < MIN_PASSED_EVENTS:
+        return record
+    passed = Pass(record.crashes[0].version, run.broke_s, run.run_events)
+    return with_pass(record, passed)
 
 
 def _add(records, fingerprint, record):
--- a/libs/routing/test/partsim.py
+++ b/libs/routing/test/partsim.py
@@ -17,6 +17,7 @@
 )
 
 from cherryrudder.routing import blame, crashbook, partpasses, trials
+from cherryrudder.routing.crashbook import FINISHED, MIN_PASSED_EVENTS
 from cherryrudder.routing.fingerprint import part_fingerprints
 from cherryrudder.routing.partpasses import CutRun, PartPasses, Pass
 
@@ -270,9 +271,12 @@
     def passed(self, entry, request, now_s):
         """Record how far a request has got, and send it to all others if needed."""
         self.reached(entry, request)
-        if request.event < EVENTS or request.run_event:
+        run_events = request.event - request.run_event
+        if request.event >= EVENTS and not request.run_event:
+            run_events = FINISHED
+        if run_events < MIN_PASSED_EVENTS:
             return
-        passed = Pass("v1", now_s)
+        passed = Pass("v1", now_s, run_events)
         partpasses.record_pass(self.passes[entry], request.features, passed)
         book = self.books[entry]
         for fingerprint in partpasses.fingerprints(request.features):
