Order equal causes by position first, then requests before parts

Requests come before parts only where the positions are the same, too. The new case of test_sharedparts fails without that for one of its two names.

--- a/libs/routing/src/cherryrudder/routing/blame.py
+++ b/libs/routing/src/cherryrudder/routing/blame.py
@@ -378,7 +378,7 @@
 def _rank(book, weights, fingerprint):
     """Return the sort key for blocking: most weight first, then earliest position.
 
-    A request explains its crashes before its parts do: it refuses fewer others.
+    Of equal ones a request comes before its parts, as that refuses fewer others.
     """
     counted = [
         crash.last_event
@@ -386,7 +386,7 @@
         if crash.engine_id in weights[fingerprint]
     ]
     is_request = not book.records[fingerprint].part
-    return sum(weights[fingerprint].values()), is_request, -max(counted)
+    return sum(weights[fingerprint].values()), -max(counted), is_request
 
 
 def _discount(weights, engine_ids):
--- a/libs/routing/test/test_sharedparts.py
+++ b/libs/routing/test/test_sharedparts.py
@@ -61,6 +61,21 @@
         self.assertEqual(blame.final_blocks(book), {"part"})
         self.assertEqual(self.held(book, "new"), set())
 
+    def test_a_culprit_comes_before_a_part_of_its_prompt(self):
+        """Guards against trials of a culprit whose part was cut on the same engines."""
+        for name in ("a part", "the part"):
+            book = CrashBook("boot-1")
+            for number in range(3):
+                crash = Crash(f"e{number}", "a", "v1", 0, 1.0 + number)
+                own = frozenset({name})
+                culprit = RequestRecord("acme", "llm", (crash,), companions=own)
+                part = RequestRecord("", "llm", (crash,), part="p")
+                part = part._replace(companions=frozenset())
+                crashbook.merge(book, "culprit", culprit)
+                crashbook.merge(book, name, part)
+            blame.update_blocks(book, 10.0)
+            self.assertIn("culprit", blame.final_blocks(book))
+
     def test_two_crashes_on_trial_block_it(self):
         self.assertEqual(blame.final_blocks(a_book((6, 9, 12, 5), 1)), set())
         self.assertEqual(blame.final_blocks(a_book((6, 9, 12, 5, 7), 2)), {"part"})
