--- a/libs/routing/test/partsim.py
+++ b/libs/routing/test/partsim.py
@@ -159,8 +159,7 @@
             return
         request.begun_s = request.next_event_s
         if request.is_culprit:
-            part = next(one for one in request.parts if one.startswith("deadly"))
-            self.arrivals.setdefault(part, []).append(now_s)
+            self.arrivals.setdefault(_cause(request), []).append(now_s)
 
     def _wait_for_turn(self, request, now_s):
         if request.waits_until_s is None:
@@ -182,8 +181,7 @@
     def _cut(self, request, boot, now_s):
         has_begun = now_s >= request.next_event_s
         if has_begun and request.is_culprit:
-            part = next(one for one in request.parts if one.startswith("deadly"))
-            ended_s = self.crash_times_s.setdefault(part, {})
+            ended_s = self.crash_times_s.setdefault(_cause(request), {})
             ended_s.setdefault(boot, now_s)
         super()._cut(request, boot, now_s)
 
@@ -206,6 +204,12 @@
         return sum(one.has_begun_at_once for one in sent) / max(1, len(sent))
 
 
+def _cause(request):
+    """Return the part by which a culprit ends engines, or else its fingerprint."""
+    deadly = (part for part in request.parts if part.startswith("deadly"))
+    return next(deadly, request.fingerprint)
+
+
 def _counted_s(ended_s):
     """Return when the fifth engine ended, or the last if there were fewer."""
     times_s = sorted(ended_s.values())[:COUNTED_CRASHES]
