--- a/libs/node/src/cherryrudder/node/streamrelay.py
+++ b/libs/node/src/cherryrudder/node/streamrelay.py
@@ -46,7 +46,6 @@
 # remaining engines. A request without an answer can be refused with Retry-After
 # instead; one whose answer has begun is resumed as long as the retry budget lasts.
 MAX_EXTRA_SENDS = 4
-
 # How long a request avoids an engine that refused it for lack of room: as long as a
 # usual answer takes.
 REFUSAL_EXCLUSION_S = 2.0
@@ -141,16 +140,14 @@
 
 async def _attempt(stream: Stream) -> FailedAttempt | None:
     """Run the stream over its chain; return None once its answer has ended."""
-    is_broken = False
+    result = None
     try:
         result = await _exchange(stream)
-        is_broken = result is not None and result.is_broken
         return result
     finally:
         streamchains.release(stream)
-        if not is_broken:
-            over = heldrequests.end(stream.job, now_s())
-            stream.stalls.uplink.publish_crashes(over)
+        if result is None or not result.is_broken:
+            stream.stalls.uplink.publish_crashes(heldrequests.end(stream.job, now_s()))
 
 
 async def _exchange(stream):
--- a/libs/routing/src/cherryrudder/routing/blame.py
+++ b/libs/routing/src/cherryrudder/routing/blame.py
@@ -26,10 +26,7 @@
 """
 
 import bisect
-import collections
-import itertools
 from collections.abc import Set
-from typing import NamedTuple
 
 from .crashbook import (
     FINISHED,
@@ -39,12 +36,10 @@
     RequestRecord,
     furthest_event,
 )
+from .explanations import SUSPECT_CRASHES, own_crashes
 
 # Weighted crashes after which a request is blocked.
 BLOCK_CRASHES = 3.0
-# Weighted crashes after which a request is a suspect: suspects that ran side by side
-# are sent at different times.
-SUSPECT_CRASHES = 2.0
 # Weight of a crash that a blocked request explains. Culprits also run beside each
 # other, so it isn't evidence of innocence, but it blocks only a request that is a
 # suspect without such crashes.
@@ -81,15 +76,6 @@
 CONFIRMATION_S = STAGGER_STEPS * STAGGER_STEP_S
 
 
-class OwnCrashes(NamedTuple):
-    """The engines of a request's crashes that other suspects don't explain."""
-
-    # No other suspect was cut there, request or part.
-    alone: set[str]
-    # Nothing else was cut there that is held, and so a suspect by its other crashes.
-    beside_one_crash: set[str]
-
-
 def update_blocks(book: CrashBook, now_s: float) -> tuple[set[str], set[str]]:
     """Recompute blocks and suspects; return the blocks that were added and removed."""
     before = final_blocks(book)
@@ -97,7 +83,7 @@
     totals = {one: sum(crashes.values()) for one, crashes in weights.items()}
     counted = {one: set(crashes) for one, crashes in weights.items()}
     causes, _ = _find_causes(book, weights, totals, set())
-    own = _own_crashes(book, counted, totals, causes)
+    own = own_crashes(book, counted, totals, causes)
     convicted = {one for one in own if _is_convicted(book.records[one], own[one])}
     causes, unexplained = _find_causes(book, weights, totals, convicted)
     book.blocks = {}
@@ -250,46 +236,6 @@
     return is_early and len(events) >= BLOCK_CRASHES
 
 
-def _own_crashes(book, counted, totals, causes):
-    """Return what no other suspect had of each request's or part's crashes.
-
-    A trial runs apart from what is held, so that only this excuses its crash.
-    """
-    suspects = {one for one in counted if totals[one] >= SUSPECT_CRASHES}
-    held = {one for one in suspects if totals[one] >= SUSPECT_CRASHES + 1}
-    held = {one for one in held if one in causes or not book.records[one].part}
-    alone = _unshared(book, counted, suspects)
-    beside_one_crash = _unshared(book, counted, held)
-    return {one: OwnCrashes(alone[one], beside_one_crash[one]) for one in alone}
-
-
-def _unshared(book, counted, suspects):
-    """Return the crashes that no other suspect had.
-
-    What comes with a request in all its crashes explains them no other way. A part is
-    only excused by whole requests, since others with it crash engines as well.
-    """
-    requests = {one for one in suspects if not book.records[one].part}
-    times = _count_engines(counted, suspects)
-    request_times = _count_engines(counted, requests)
-    found = {}
-    for one, ids in counted.items():
-        record = book.records[one]
-        others, seen = (requests, request_times) if record.part else (suspects, times)
-        own = others & {one, *(record.companions or ())}
-        found[one] = {
-            engine_id
-            for engine_id in ids
-            if seen[engine_id] <= sum(engine_id in counted[same] for same in own)
-        }
-    return found
-
-
-def _count_engines(counted, fingerprints):
-    """Return how many of some requests and parts each engine ended under."""
-    return collections.Counter(itertools.chain(*(counted[one] for one in fingerprints)))
-
-
 def _weights_by_request(book):
     """Return the weight of each crash against each request with several crashes."""
     repeated = {
