Test crowds of clients that don't behave against a process with little memory

Callers of an entry lose their answers when it ends, and other clients could end it: nothing bounded the sum of what clients made a process hold, nor the work of one turn of its loop.

They run after all other tests, alone.

--- a/tools/runtests.py
+++ b/tools/runtests.py
@@ -14,6 +14,8 @@
 # of their own get enough processor time.
 MAX_PARALLEL_FOLDERS = 5
 LIBRARY_TIMEOUT_S = 1500
+# Tests whose processes need the machine for themselves; they run after all others.
+ALONE = ("crowds",)
 SUMMARY_LINE = re.compile(r"^Ran (\d+) tests?", re.MULTILINE)
 FAILURE_LINE = re.compile(r"^(?:FAIL|ERROR|UNEXPECTED SUCCESS): (.+)$", re.MULTILINE)
 
@@ -44,12 +46,15 @@
     """Return the folders that contain test modules."""
     found = sorted(ROOT.glob("libs/*/test"))
     found += [ROOT / "platform" / "test", ROOT / "test"]
+    found += [ROOT / "platform" / name / "test" for name in ALONE]
     return [folder for folder in found if any(folder.glob("test_*.py"))]
 
 
 def make_environment():
     """Return the tests' environment, with this checkout's libraries first."""
     folders = [*sorted(ROOT.glob("libs/*/src")), ROOT / "platform" / "src"]
+    # The tests that run alone share the builders of the platform's tests.
+    folders.append(ROOT / "platform" / "test")
     sources = ":".join(str(path) for path in folders)
     extra = {"PYTHONPATH": sources, "PYTHONWARNINGS": "ignore::ResourceWarning"}
     return os.environ | extra
@@ -86,8 +91,10 @@
 
 def main(names):
     folders = [f for f in find_test_folders() if not names or f.parent.name in names]
+    beside = [folder for folder in folders if folder.parent.name not in ALONE]
     with ThreadPoolExecutor(MAX_PARALLEL_FOLDERS) as pool:
-        results = list(pool.map(run_folder, folders))
+        results = list(pool.map(run_folder, beside))
+    results += [run_folder(folder) for folder in folders if folder not in beside]
     allowed = parse_known_red((ROOT / "KNOWN-RED.txt").read_text())
     failed = 0
     for result in results:
