Merge small chunks before the parser gets them

One client whose body came in chunks of two bytes kept an entry from answering anybody, long after it had left, and its own request wasn't served.

Cause: the parser needs some tens of microseconds for a chunk of any size, and all chunks of a read were parsed before anything else ran. New connections were closed unread meanwhile, as the loop was late.

The framer, which rewrites the lines between chunks anyway, now gives the parser what has arrived as one chunk. Plain chunks are split by line ends, a few hundred at once, and each is checked against its size; others are matched one by one. The parser still refuses whatever is no chunk, and a line that only the parser accepts leaves the rest to it alone, so that both count the same chunks.

New tests compare merged chunks with the parser's own reading.

--- a/libs/relay/test/test_framing.py
+++ b/libs/relay/test/test_framing.py
@@ -5,6 +5,7 @@
 import h11
 from hypothesis import given, strategies as st
 
+from cherryrudder.relay.errors import BadRequest
 from cherryrudder.relay.framing import MAX_EMPTY_LINES, RequestFramer
 
 GET = b"GET /a HTTP/1.1\r\nhost: h\r\n\r\n"
@@ -83,6 +84,48 @@
             with self.subTest(line=line), self.assertRaises(h11.RemoteProtocolError):
                 read(CHUNKED + line + b"abc\r\n0\r\n\r\n", [])
 
+    def test_a_chunk_that_is_longer_than_its_size_is_refused(self):
+        """Guards against data that is taken for the next chunk."""
+        for chunk in (b"3\r\nabcd\r\n", b"3\r\nabc3\r\n", b"1\r\na\n\n"):
+            raw = CHUNKED + chunk + b"0\r\n\r\n"
+            for sizes in ([], [1] * len(raw)):
+                with self.subTest(chunk=chunk, sizes=len(sizes)):
+                    with self.assertRaises((BadRequest, h11.RemoteProtocolError)):
+                        read(raw, sizes)
+
+    def test_a_line_that_only_the_parser_takes_is_followed_by_it_alone(self):
+        """Guards against a parser and a framer that count different chunks."""
+        raw = CHUNKED + b"3;\x00\r\n1\r\n\r\n1\r\na\r\n0\r\n\r\n"
+        self.assertEqual(read(raw, []), read_plainly([raw]))
+
+    @given(
+        st.binary(max_size=3000),
+        st.lists(st.integers(1, 300), max_size=40),
+        st.lists(st.integers(1, 2500), max_size=40),
+    )
+    def test_merged_chunks_hold_the_same_bytes(self, body, chunk_sizes, sizes):
+        """Guards against bytes that are lost or doubled between merged chunks."""
+        raw, at = bytearray(CHUNKED), 0
+        for size in [*chunk_sizes, 1, len(body)]:
+            if piece := body[at : at + size]:
+                raw += b"%X;x\r\n" % len(piece) if size % 3 else b"%x\r\n" % len(piece)
+                raw += piece + b"\r\n"
+            at += size
+        raw += b"0\r\n\r\n"
+        self.assertEqual(read(bytes(raw) + GET, sizes), [(b"/a", body), (b"/a", b"")])
+
+    def test_a_flood_of_tiny_chunks_is_few_events_for_the_parser(self):
+        """Guards against chunks that each cost the parser as much as a large one."""
+        framer = RequestFramer()
+        framer.receive(CHUNKED)
+        framer.take()
+        framer.begin_body([(b"transfer-encoding", b"chunked")])
+        framer.receive(b"1\r\na\r\n" * 10_000)
+        takes = 0
+        while framer.take():
+            takes += 1
+        self.assertLess(takes, 10_000 / 300)
+
     def test_a_flood_of_empty_lines_is_left_to_the_parser(self):
         with self.assertRaises(h11.RemoteProtocolError):
             read(b"\r\n" * (MAX_EMPTY_LINES + 1) + GET, [])
