Share the loop's time between clients that send

Callers of an entry waited for all that other clients had sent: whatever arrived in one iteration of the loop was parsed in it, however many clients had sent how much, and each of them in the order of arrival.

Cause: reading a request awaits nothing while bytes are there, so that nothing gives way.

Whose request has taken least goes first, so that an ordinary request doesn't wait behind large ones. Bytes that are discarded after a refusal take turns as well. A request that finds nobody waiting isn't held up.

--- a/libs/node/src/cherryrudder/node/httpserver.py
+++ b/libs/node/src/cherryrudder/node/httpserver.py
@@ -6,6 +6,7 @@
 from loguru import logger
 
 from cherryrudder.relay.server import ClientConnection, Handler, Limits, OnRefused
+from cherryrudder.relay.turns import TurnQueue
 from cherryrudder.replica.clock import now_s
 from cherryrudder.wire import sockets
 
@@ -20,6 +21,7 @@
 
     def __init__(self, handler: Handler):
         self.handler = handler
+        self.turns = TurnQueue()
         # Returns the limits in force.
         self.limits: Callable[[], Limits] = lambda: CALL_LIMITS
         # If set, answers announce that the connection closes after them.
@@ -54,6 +56,7 @@
             now_s,
             lambda: server.is_closing,
             server.on_refused,
+            server.turns,
         )
         server.connections.add(connection)
         try:
--- a/libs/relay/src/cherryrudder/relay/framing.py
+++ b/libs/relay/src/cherryrudder/relay/framing.py
@@ -24,6 +24,9 @@
 MAX_MERGED_CHUNKS = 512
 HEX_DIGITS = b"0123456789abcdefABCDEF"
 MAX_SIZE_DIGITS = 20
+# Costs in microseconds of a request, a line of its head, and some bytes of its body.
+REQUEST_UNITS, LINE_UNITS = 100, 6
+BYTES_PER_UNIT, CHUNK_BYTES_PER_UNIT = 512, 8
 
 
 class _Part(Enum):
@@ -65,6 +68,19 @@
             return bool(self._buffer)
         return True
 
+    def unread_bytes(self) -> int:
+        """Return how many bytes have arrived that the parser hasn't been given."""
+        return len(self._buffer)
+
+    def cost_units(self, slice_units: int) -> int:
+        """Return about how many microseconds `take` and the parser need."""
+        size = len(self._buffer)
+        if self._part is _Part.HEAD:
+            return REQUEST_UNITS + LINE_UNITS * self._buffer.count(b"\n")
+        if self._part in (_Part.CHUNK_LINE, _Part.CHUNK_END):
+            return min(slice_units, 1 + size // CHUNK_BYTES_PER_UNIT)
+        return 1 + size // BYTES_PER_UNIT
+
     def take(self) -> bytes:
         """Return and remove bytes that the parser may have now.
 
--- a/libs/relay/src/cherryrudder/relay/server.py
+++ b/libs/relay/src/cherryrudder/relay/server.py
@@ -16,8 +16,9 @@
 from cherryrudder.wire.sockets import Stream
 
 from .errors import BadRequest, ClientGone
-from .framing import RequestFramer
+from .framing import BYTES_PER_UNIT, RequestFramer
 from .targets import to_origin_form
+from .turns import SLICE_UNITS, TurnQueue
 
 READ_BYTES = 64 * 1024
 # Bytes that a client may send while its previous request is being answered.
@@ -106,7 +107,11 @@
         now_s: Callable[[], float],
         is_closing: Callable[[], bool],
         on_refused: OnRefused = lambda error, headers: None,
+        turns: TurnQueue | None = None,
     ):
+        self._turns = turns or TurnQueue()
+        # The work that the present request has taken so far.
+        self._done_units = 0
         self._on_refused = on_refused
         # Headers of the request that is being read, empty until they are parsed.
         self._headers: Headers = []
@@ -124,6 +129,7 @@
         try:
             while await self._serve_one(handler):
                 self._framer.begin_next()
+                self._done_units = 0
         except (ClientGone, WireError):
             # The unfinished request was already logged.
             pass
@@ -225,6 +231,7 @@
         with contextlib.suppress(StreamEnded, StreamBroken):
             with anyio.move_on_after(LINGER_S):
                 while True:
+                    await self._take_turn(READ_BYTES // BYTES_PER_UNIT)
                     await self._stream.receive(READ_BYTES)
 
     async def _read_request(self):
@@ -257,7 +264,7 @@
     async def _read_head(self, limits):
         end_s = self._now_s() + limits.header_timeout_s
         while True:
-            event = self._next_event()
+            event = await self._next_event()
             if isinstance(event, h11.Request):
                 self._headers = [(bytes(name), bytes(v)) for name, v in event.headers]
                 # The parser limits the head only if it arrives in several reads.
@@ -281,13 +288,15 @@
             await self.write(h11.InformationalResponse(status_code=100, headers=[]))
         pieces, size = [], 0
         while True:
-            event = self._next_event()
+            event = await self._next_event()
             if isinstance(event, h11.Data):
                 pieces.append(bytes(event.data))
                 size += len(event.data)
                 if size > limits.max_body_bytes:
                     raise BadRequest(413, "the body is too long")
             elif isinstance(event, h11.EndOfMessage):
+                # Whoever handles the request reads all of its body at once.
+                await self._take_turn(size // BYTES_PER_UNIT)
                 return b"".join(pieces)
             elif event is not h11.NEED_DATA:
                 raise ClientGone("the client left inside a request")
@@ -310,13 +319,20 @@
         self._framer.receive(data)
         return True
 
-    def _next_event(self):
+    async def _take_turn(self, units):
+        await self._turns.take(self._done_units, units)
+        self._done_units += units
+
+    async def _next_event(self):
         while True:
             try:
                 event = self._http.next_event()
             except h11.RemoteProtocolError as error:
                 raise BadRequest(error.error_status_hint, str(error)) from error
-            data = self._framer.take() if event is h11.NEED_DATA else b""
+            if event is not h11.NEED_DATA or not self._framer.unread_bytes():
+                return event
+            await self._take_turn(self._framer.cost_units(SLICE_UNITS))
+            data = self._framer.take()
             if not data:
                 return event
             self._http.receive_data(data)
