Bound what a connection holds unread

Clients that sent more than was read of them took an entry's memory: up to half a megabyte in its stream and several in the kernel for each connection, whatever became of the request.

Cause: a stream read 256 KB at a time up to a mark of 256 KB, which suits the few links between processes, and the kernel's buffers grow with the connection's speed up to its own limit, 33 MB here.

Connections of clients, and those to engines, now read 32 KB at a time up to a mark of 32 KB, and have 128 KB in the kernel for what arrives and for what isn't sent yet. All streams of the loop read into one buffer, so that a read allocates no more than it got.

--- a/libs/node/src/cherryrudder/node/httpserver.py
+++ b/libs/node/src/cherryrudder/node/httpserver.py
@@ -70,7 +70,7 @@
 
     async with anyio.create_task_group() as group:
         listener = await sockets.listen(
-            address, handle, group, lambda: server.refuses()
+            address, handle, group, lambda: server.refuses(), sockets.HTTP_BUFFERS
         )
         try:
             await anyio.sleep_forever()
--- a/libs/relay/src/cherryrudder/relay/client.py
+++ b/libs/relay/src/cherryrudder/relay/client.py
@@ -175,7 +175,9 @@
 ) -> EngineConnection:
     """Connect to an engine, within the time left in any case; raises ConnectFailed."""
     try:
-        stream = await sockets.connect(address, timeout_s, limit_s)
+        stream = await sockets.connect(
+            address, timeout_s, limit_s, sockets.HTTP_BUFFERS
+        )
     except NotConnected as error:
         raise ConnectFailed(str(error), error.is_unclear) from error
     return EngineConnection(address, stream, now_s)
--- a/libs/wire/src/cherryrudder/wire/sockets.py
+++ b/libs/wire/src/cherryrudder/wire/sockets.py
@@ -11,6 +11,7 @@
 import math
 import socket
 from collections.abc import Awaitable, Callable
+from typing import NamedTuple
 
 from anyio.abc import TaskGroup
 
@@ -18,8 +19,8 @@
 from .errors import ConnectFailed, StreamBroken, StreamEnded
 
 BACKLOG = 1024
-# Reading pauses at this many unread bytes; a few packets more than one read takes.
-HIGH_WATER_BYTES = 256 * 1024
+# Linux's option that bounds what the kernel takes for a peer that doesn't read.
+TCP_NOTSENT_LOWAT = 25
 # A peer behind a network partition neither answers nor resets. The connection ends if
 # data is unacknowledged for this long, which allows for three lost packets in a row.
 UNACKED_TIMEOUT_S = 2.5
@@ -29,11 +30,36 @@
 KEEPALIVE_PROBES = 3
 
 
-class Stream(asyncio.Protocol):
+class Buffers(NamedTuple):
+    """How much may wait on a connection for its reader."""
+
+    # Read at a time.
+    read_bytes: int = 64 * 1024
+    # Reading pauses at this many unread bytes; a few packets more than one read takes.
+    high_water_bytes: int = 256 * 1024
+    # Buffer of the kernel for each direction; None lets it grow with the connection's
+    # speed, up to some megabytes.
+    kernel_bytes: int | None = None
+
+
+LINK_BUFFERS = Buffers()
+# For connections whose number isn't ours to choose.
+HTTP_BUFFERS = Buffers(32 * 1024, 32 * 1024, 128 * 1024)
+
+# All streams of the loop read into one buffer, and copy what they got.
+_received = memoryview(bytearray(LINK_BUFFERS.read_bytes))
+
+
+class Stream(asyncio.BufferedProtocol):
     """A TCP connection for one reading and one writing task at a time."""
 
-    def __init__(self, on_open: Callable[["Stream"], None] | None = None):
+    def __init__(
+        self,
+        on_open: Callable[["Stream"], None] | None = None,
+        buffers: Buffers = LINK_BUFFERS,
+    ):
         self._on_open = on_open
+        self._buffers = buffers
         self._transport: asyncio.Transport | None = None
         self._data = bytearray()
         self._read_waiter: asyncio.Future | None = None
@@ -59,7 +85,8 @@
                 self._read_waiter = None
         data = bytes(self._data[:max_bytes])
         del self._data[:max_bytes]
-        if self._is_read_paused and len(self._data) < HIGH_WATER_BYTES:
+        high_water_bytes = self._buffers.high_water_bytes
+        if self._is_read_paused and len(self._data) < high_water_bytes:
             self._is_read_paused = False
             self._transport.resume_reading()
         return data
@@ -110,14 +137,19 @@
     def connection_made(self, transport):
         """Store the transport and set the socket options."""
         self._transport = transport
-        _set_options(transport.get_extra_info("socket"))
+        _set_options(transport.get_extra_info("socket"), self._buffers.kernel_bytes)
         if self._on_open is not None:
             self._on_open(self)
 
-    def data_received(self, data):
-        """Buffer bytes for the reader, and pause reading at the high-water mark."""
-        self._data += data
-        if len(self._data) >= HIGH_WATER_BYTES and not self._is_read_paused:
+    def get_buffer(self, sizehint):
+        """Return the buffer that the next bytes are read into."""
+        return _received[: self._buffers.read_bytes]
+
+    def buffer_updated(self, nbytes):
+        """Keep bytes for the reader, and pause reading at the high-water mark."""
+        self._data += _received[:nbytes]
+        is_full = len(self._data) >= self._buffers.high_water_bytes
+        if is_full and not self._is_read_paused:
             self._is_read_paused = True
             self._transport.pause_reading()
         _wake(self._read_waiter)
@@ -149,6 +181,7 @@
     handle: Callable[[Stream], Awaitable[None]],
     group: TaskGroup,
     refuses: Callable[[], bool] = lambda: False,
+    buffers: Buffers = LINK_BUFFERS,
 ) -> asyncio.Server:
     """Accept connections at IP:PORT and handle each in a task of the group.
 
@@ -167,7 +200,7 @@
         # lost without an error until garbage collection.
         if listener is not None and not listener.is_serving():
             raise StreamBroken("the listener is closed")
-        return Stream(accept)
+        return Stream(accept, buffers)
 
     def accept(stream):
         if refuses():
@@ -180,7 +213,12 @@
     return listener
 
 
-async def connect(address: str, timeout_s: float, limit_s: float = math.inf) -> Stream:
+async def connect(
+    address: str,
+    timeout_s: float,
+    limit_s: float = math.inf,
+    buffers: Buffers = LINK_BUFFERS,
+) -> Stream:
     """Connect to IP:PORT; raises ConnectFailed.
 
     `limit_s` is what is left of a caller's deadline.
@@ -189,7 +227,9 @@
     loop = asyncio.get_running_loop()
     try:
         with timeouts.fail_after(timeout_s, limit_s) as timeout:
-            _, stream = await loop.create_connection(Stream, host, int(port))
+            _, stream = await loop.create_connection(
+                lambda: Stream(buffers=buffers), host, int(port)
+            )
     except (OSError, TimeoutError) as error:
         message = f"{address}: {error or 'timeout'}"
         raise ConnectFailed(message, timeout.is_unclear) from error
@@ -201,8 +241,8 @@
         future.set_result(None)
 
 
-def _set_options(raw):
-    """Set timeouts that detect a silent peer within seconds."""
+def _set_options(raw, kernel_bytes):
+    """Set timeouts that detect a silent peer within seconds, and bound its buffers."""
     timeout_ms = int(UNACKED_TIMEOUT_S * 1000)
     # The peer may have closed already; then the next read or write fails.
     with contextlib.suppress(OSError):
@@ -211,3 +251,6 @@
         raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
         raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_PROBE_S)
         raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
+        if kernel_bytes is not None:
+            raw.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, kernel_bytes)
+            raw.setsockopt(socket.IPPROTO_TCP, TCP_NOTSENT_LOWAT, kernel_bytes)
