Bound the sum of what a process holds for its clients

A process over memory_mb is killed, and all callers of an entry lose their answers. Sixty clients with a body each, inside the limits, were enough: chunks or a length, at the clients' port, at control's, at those for readiness and metrics.

Cause: limits were those of one client, and nobody added them up.

Each listener now counts what it holds for each connection: its own objects, header lines with what they cost as objects, the body, what a client sends ahead, and the buffers of whoever sends faster than it is read.

Who gives way is decided in one place, wire.clientshares: the connection with the highest cost, the bytes held for it times the time for which they are. A request that is being served is never dropped, as it may have run. A quarter of the bound is for small requests, so that ordinary callers are served beside large ones. Who gives way, or finds no room, gets 503 with Retry-After, which is true: none of it has run.

This works as clients that stop have the highest cost soon, so that their room is taken by whoever comes.

--- a/libs/node/src/cherryrudder/node/adminapi.py
+++ b/libs/node/src/cherryrudder/node/adminapi.py
@@ -8,6 +8,7 @@
 
 from cherryrudder.relay.server import Exchange
 from cherryrudder.replica.clock import now_s
+from cherryrudder.wire.clientshares import ClientShares
 
 from . import httpserver
 from .crashtracker import CrashTracker
@@ -38,7 +39,7 @@
     limits: Callable[[float], list]
 
 
-async def serve(address: str, context: AdminContext) -> None:
+async def serve(address: str, shares: ClientShares, context: AdminContext) -> None:
     """Serve at an address until cancelled."""
 
     async def answer(exchange: Exchange):
@@ -46,7 +47,8 @@
         path = exchange.request.target.decode("latin-1")
         await exchange.answer(*respond(context, method, path, now_s()))
 
-    await httpserver.serve(HttpServer(answer), address)
+    server = HttpServer(answer, shares, httpserver.PROBE_LIMITS)
+    await httpserver.serve(server, address)
 
 
 def respond(context: AdminContext, method: str, path: str, now_s: float):
--- a/libs/node/src/cherryrudder/node/control.py
+++ b/libs/node/src/cherryrudder/node/control.py
@@ -4,7 +4,7 @@
 
 from cherryrudder.platform.settings import NodeSettings
 
-from . import adminapi, httpserver, voterrunner
+from . import adminapi, clientlimits, httpserver, voterrunner
 from .adminapi import AdminContext
 from .controlapi import ControlApi
 from .controlgossip import ControlGossip
@@ -31,6 +31,7 @@
         group.start_soon(
             adminapi.serve,
             f"{settings.ip}:{adminapi.PORTS['control']}",
+            clientlimits.for_probes(settings),
             AdminContext(
                 metrics,
                 state.crashes,
@@ -40,7 +41,9 @@
         )
         group.start_soon(voterrunner.run, state, control_gossip.on_applied)
         group.start_soon(LayerController(state, control_gossip, group).run)
-        server = HttpServer(ControlApi(state, control_gossip).handle)
+        server = HttpServer(
+            ControlApi(state, control_gossip).handle, clientlimits.for_calls(settings)
+        )
         group.start_soon(httpserver.serve, server, settings.control_address)
         await leaving.wait()
         await _stop(state, server)
--- a/libs/node/src/cherryrudder/node/entry.py
+++ b/libs/node/src/cherryrudder/node/entry.py
@@ -12,7 +12,7 @@
 from cherryrudder.routing import authorization, endpoints
 from cherryrudder.routing.configuration import DEFAULT_LIMITS
 
-from . import adminapi, httpserver, overload, ratelimiter
+from . import adminapi, clientlimits, httpserver, overload, ratelimiter
 from .adminapi import AdminContext
 from .entrystate import EntryState
 from .httpserver import HttpServer
@@ -41,7 +41,7 @@
         uplink.start()
         handler = RequestHandler(state, uplink)
         group.start_soon(handler.supervisor.run)
-        server = HttpServer(handler.handle)
+        server = HttpServer(handler.handle, clientlimits.for_clients(settings))
         server.limits = partial(_limits, state)
         server.on_refused = partial(_log_refused, state)
         server.refuses = _make_overload_check(state, server, group)
@@ -50,6 +50,7 @@
         group.start_soon(
             adminapi.serve,
             f"{settings.ip}:{adminapi.PORTS['entry']}",
+            clientlimits.for_probes(settings),
             AdminContext(
                 metrics,
                 state.crashes,
@@ -121,7 +122,8 @@
         is_ready = _is_ready(state) and not leaving.is_set()
         await exchange.answer(200 if is_ready else 503, [])
 
-    server = HttpServer(answer)
+    shares = clientlimits.for_probes(state.settings)
+    server = HttpServer(answer, shares, httpserver.PROBE_LIMITS)
     await httpserver.serve(server, state.settings.readiness_address)
 
 
--- a/libs/node/src/cherryrudder/node/httpserver.py
+++ b/libs/node/src/cherryrudder/node/httpserver.py
@@ -9,9 +9,12 @@
 from cherryrudder.relay.turns import TurnQueue
 from cherryrudder.replica.clock import now_s
 from cherryrudder.wire import sockets
+from cherryrudder.wire.clientshares import ClientShares
 
-# Limits of the process's own control and readiness ports, which the platform calls.
+# Limits of a control VM's port, at which configurations arrive.
 CALL_LIMITS = Limits(16_384, 16 * 1024 * 1024, 3.0, 60.0)
+# Limits of the ports at which a process's state is read.
+PROBE_LIMITS = Limits(16_384, 65_536, 3.0, 60.0)
 
 log = logger.bind(part="clients")
 
@@ -19,11 +22,18 @@
 class HttpServer:
     """The connections of one listening address."""
 
-    def __init__(self, handler: Handler):
+    def __init__(
+        self,
+        handler: Handler,
+        shares: ClientShares | None = None,
+        limits: Limits = CALL_LIMITS,
+    ):
         self.handler = handler
+        # What is held for the clients, and the work done for them.
+        self.shares = shares or ClientShares()
         self.turns = TurnQueue()
         # Returns the limits in force.
-        self.limits: Callable[[], Limits] = lambda: CALL_LIMITS
+        self.limits: Callable[[], Limits] = lambda: limits
         # If set, answers announce that the connection closes after them.
         self.is_closing = False
         self.connections: set[ClientConnection] = set()
@@ -56,6 +66,7 @@
             now_s,
             lambda: server.is_closing,
             server.on_refused,
+            server.shares,
             server.turns,
         )
         server.connections.add(connection)
--- a/libs/relay/src/cherryrudder/relay/errors.py
+++ b/libs/relay/src/cherryrudder/relay/errors.py
@@ -1,6 +1,13 @@
 """Errors on connections to clients and engines."""
 
+import random
+
 from cherryrudder.model.errors import CherryrudderError
+from cherryrudder.wire.clientshares import Bound
+
+# Connections that stopped are dropped at once when others need their room; what is
+# being served ends within some seconds.
+NO_ROOM_RETRY_S = 1.0
 
 
 class RelayError(CherryrudderError):
@@ -14,11 +21,24 @@
 class BadRequest(RelayError):
     """The client's request violates HTTP or the configured limits."""
 
+    # When the client may repeat the request; None if it would be refused again.
+    retry_after_s: float | None = None
+
     def __init__(self, status: int, reason: str):
         super().__init__(reason)
         self.status = status
 
 
+class NoRoom(BadRequest):
+    """This process holds too much for its clients to take the request."""
+
+    def __init__(self, bound: Bound):
+        super().__init__(503, f"no room: {bound}")
+        self.bound = bound
+        # With jitter, so that clients that were refused together don't return so.
+        self.retry_after_s = NO_ROOM_RETRY_S * random.uniform(1.0, 2.0)
+
+
 class ConnectFailed(RelayError):
     """Connecting to an engine failed, so that nothing of the request was sent.
 
--- a/libs/relay/test/builders.py
+++ b/libs/relay/test/builders.py
@@ -40,13 +40,16 @@
 
 
 @contextlib.asynccontextmanager
-async def serving(handler, limits=LIMITS, is_closing=lambda: False):
+async def serving(handler, limits=LIMITS, is_closing=lambda: False, shares=None):
     """Serve a handler and yield its address."""
     address = free_address()
     clock = asyncio.get_running_loop().time
 
     async def handle(stream):
-        await ClientConnection(stream, lambda: limits, clock, is_closing).run(handler)
+        connection = ClientConnection(
+            stream, lambda: limits, clock, is_closing, shares=shares
+        )
+        await connection.run(handler)
 
     async with anyio.create_task_group() as group:
         server = await sockets.listen(address, handle, group)
