Make room among connections for those that come

Callers' new connections were closed unread while some hundred clients kept theirs open and sent nothing; and an entry could run out of descriptors, as it went by the limit of the system, not by max_fds.

Cause: at four tenths of the descriptors each new connection was refused, whatever the open ones were doing. The loop also accepted up to 1,024 connections at once before the first of them was counted. The other ports had no limit at all.

When they are all taken, the connection with the highest cost is closed for the new one, by the same decision as for memory; requests that are being served aren't. 32 are accepted in an iteration. While the loop is late none is dropped for another, since there is no time to serve it.

--- a/libs/node/src/cherryrudder/node/entry.py
+++ b/libs/node/src/cherryrudder/node/entry.py
@@ -92,14 +92,15 @@
 
 def _make_overload_check(state, server, group):
     """Return the check whether to close a new connection; it watches the event loop."""
-    lateness, most = overload.LoopLateness(), overload.max_connections()
+    lateness, most = overload.LoopLateness(), server.shares.max_connections
     logged_s = float("-inf")
     group.start_soon(overload.watch, lateness)
 
     def refuses():
         nonlocal logged_s
-        count = len(server.connections)
-        if not overload.is_overloaded(lateness, count, most):
+        count = len(server.shares.holdings)
+        # Others are dropped for a new connection only if there is time to serve it.
+        if not overload.is_overloaded(lateness, 0, most) and server.has_place():
             return False
         state.metrics.unread.inc()
         if now_s() - logged_s > OVERLOAD_LOG_INTERVAL_S:
--- a/libs/node/src/cherryrudder/node/httpserver.py
+++ b/libs/node/src/cherryrudder/node/httpserver.py
@@ -8,7 +8,7 @@
 from cherryrudder.relay.server import ClientConnection, Handler, Limits, OnRefused
 from cherryrudder.relay.turns import TurnQueue
 from cherryrudder.replica.clock import now_s
-from cherryrudder.wire import sockets
+from cherryrudder.wire import clientshares, sockets
 from cherryrudder.wire.clientshares import ClientShares
 
 # Limits of a control VM's port, at which configurations arrive.
@@ -40,7 +40,11 @@
         # Called with each request that is refused without its handler.
         self.on_refused: OnRefused = lambda error, headers: None
         # Returns whether new connections are closed without being read.
-        self.refuses: Callable[[], bool] = lambda: False
+        self.refuses: Callable[[], bool] = lambda: not self.has_place()
+
+    def has_place(self) -> bool:
+        """Return whether one more connection may be opened; others may be dropped."""
+        return clientshares.make_place(self.shares, now_s())
 
     def close_idle(self) -> None:
         """Close the connections without a request in flight.
--- a/libs/node/src/cherryrudder/node/overload.py
+++ b/libs/node/src/cherryrudder/node/overload.py
@@ -6,8 +6,6 @@
 was not read retries at another entry at once.
 """
 
-import math
-import resource
 from collections.abc import Callable
 
 import anyio
@@ -20,9 +18,6 @@
 MAX_LATE_S = 0.1
 # Checks in a row that are late: a single one is a pause of the process.
 MIN_LATE_CHECKS = 2
-# Part of the process's file descriptors for clients; each request needs one more
-# towards an engine.
-CLIENT_DESCRIPTORS_SHARE = 0.4
 
 
 class LoopLateness:
@@ -42,14 +37,6 @@
     return lateness.late_checks >= MIN_LATE_CHECKS or connections >= most
 
 
-def max_connections() -> float:
-    """Return how many connections of clients the process's descriptors allow."""
-    soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
-    if soft == resource.RLIM_INFINITY:
-        return math.inf
-    return soft * CLIENT_DESCRIPTORS_SHARE
-
-
 async def watch(lateness: LoopLateness, now: Callable[[], float] = now_s) -> None:
     """Check the event loop until cancelled."""
     while True:
--- a/libs/node/test/builders.py
+++ b/libs/node/test/builders.py
@@ -82,6 +82,7 @@
         data_folder="",
         heartbeat_s=1.2,
         memory_mb=200.0,
+        max_descriptors=4096,
         tolerated_losses=1,
         bounds=Bounds(2.0, 8.0, 2.0, 5.0, True, 3.0, 0.2, 200.0, 10.0, 2.5),
     )
--- a/libs/wire/src/cherryrudder/wire/clientshares.py
+++ b/libs/wire/src/cherryrudder/wire/clientshares.py
@@ -9,6 +9,7 @@
 served while any that is large and has stopped remains.
 """
 
+import heapq
 import math
 from collections.abc import Callable
 from enum import StrEnum
@@ -27,6 +28,7 @@
     """The bound for which a client is refused or its connection closed."""
 
     MEMORY = "memory"
+    CONNECTIONS = "connections"
 
 
 class Holding:
@@ -46,8 +48,11 @@
 class ClientShares:
     """What is held for the clients of one listener."""
 
-    def __init__(self, limit_bytes: float = math.inf):
+    def __init__(
+        self, limit_bytes: float = math.inf, max_connections: float = math.inf
+    ):
         self.limit_bytes = limit_bytes
+        self.max_connections = max_connections
         self.held_bytes = 0
         self.holdings: set[Holding] = set()
 
@@ -95,6 +100,16 @@
         shares.held_bytes -= size
 
 
+def make_place(shares: ClientShares, now_s: float) -> bool:
+    """Return whether one more connection may be opened; others may be dropped."""
+    if len(shares.holdings) < shares.max_connections:
+        return True
+    count = 1 + int((1 - LOW_MARK) * len(shares.holdings))
+    for holding in heapq.nlargest(count, _droppable(shares), _cost_at(now_s)):
+        _drop(shares, holding, Bound.CONNECTIONS)
+    return len(shares.holdings) < shares.max_connections
+
+
 def _make_room(shares, asking, limit_bytes, now_s):
     """Drop the connections that cost more than the asking one, until there is room."""
     cost = _cost_at(now_s)
--- a/libs/wire/src/cherryrudder/wire/sockets.py
+++ b/libs/wire/src/cherryrudder/wire/sockets.py
@@ -19,6 +19,8 @@
 from .errors import ConnectFailed, StreamBroken, StreamEnded
 
 BACKLOG = 1024
+# Connections accepted in one iteration of the loop.
+ACCEPTED_AT_ONCE = 32
 # Linux's option that bounds what the kernel takes for a peer that doesn't read.
 TCP_NOTSENT_LOWAT = 25
 # A peer behind a network partition neither answers nor resets. The connection ends if
@@ -209,7 +211,9 @@
             group.start_soon(handle, stream)
 
     loop = asyncio.get_running_loop()
-    listener = await loop.create_server(make, sock=server, backlog=BACKLOG)
+    # The loop also accepts as many connections at once as this backlog.
+    listener = await loop.create_server(make, sock=server, backlog=ACCEPTED_AT_ONCE)
+    server.listen(BACKLOG)
     return listener
 
 
--- a/libs/wire/test/test_clientshares.py
+++ b/libs/wire/test/test_clientshares.py
@@ -18,7 +18,7 @@
 
 class ClientSharesCase(unittest.TestCase):
     def setUp(self):
-        self.shares = ClientShares(LIMIT_BYTES)
+        self.shares = ClientShares(LIMIT_BYTES, 10)
         self.dropped = []
 
     def open(self, name, now_s=0.0):
@@ -92,6 +92,8 @@
         held = {}
         for now_s, (number, size, is_droppable) in enumerate(steps):
             if number not in held:
+                if not clientshares.make_place(self.shares, now_s):
+                    continue
                 held[number] = self.open(number, now_s)
             holding = held[number]
             if size >= 0:
@@ -105,5 +107,22 @@
             self.assertEqual(self.shares.held_bytes, total)
 
 
+class ConnectionsTest(ClientSharesCase):
+    """Guards against clients that take all connections and send nothing."""
+
+    def test_the_oldest_gives_way_to_a_new_connection(self):
+        for number in range(10):
+            self.assertTrue(clientshares.make_place(self.shares, number))
+            self.open(number, number)
+        self.assertTrue(clientshares.make_place(self.shares, 20.0))
+        self.assertEqual(self.dropped, [(0, Bound.CONNECTIONS)])
+
+    def test_a_new_connection_has_no_place_among_served_ones(self):
+        for number in range(10):
+            self.open(number).is_droppable = False
+        self.assertFalse(clientshares.make_place(self.shares, 20.0))
+        self.assertEqual(self.dropped, [])
+
+
 if __name__ == "__main__":
     unittest.main()
