Send long answers at the speed of their readers

Clients that asked for long answers and read them slowly, or not at all, took an entry's memory, 247 MB for 60 of them, and stayed as long as they liked.

Cause: a plain service's answer was held whole so that the request could be tried again, and then written in one piece: as the parser's output, and again as what the kernel hadn't taken. The write didn't wait, the request counted as done, and nothing ended the connection, nor counted it as open.

An answer of up to 1 MB is held whole, as before. A longer one, or one for which there is no room, is passed on as it comes: from then on it can't be tried again, and if it breaks the client's connection visibly does. Answers are written in pieces of 64 KB, each once the client has taken the one before, which limits how fast the engine is read. What waits is counted for the client, who gives way to others by the same decision as for bodies while it doesn't read. A client that reads on is waited for; one that reads nothing for idle_timeout_ms (5 s for a stream, as before) has gone. A connection is closed, and counted until then, once its client has taken everything. Failures that are too long to be held count as broken answers; what is skipped is discarded as it comes.

--- a/libs/node/src/cherryrudder/node/attempts.py
+++ b/libs/node/src/cherryrudder/node/attempts.py
@@ -1,6 +1,8 @@
 """One attempt of a request at one engine, over one connection, and its retry."""
 
 import math
+from collections.abc import Callable
+from typing import NamedTuple
 
 import anyio
 
@@ -31,6 +33,8 @@
 WRONG_INCARNATION_STATUS = 421
 # Statuses that promise to clients that the request has not run and never will.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+# A longer answer is passed on as it comes, and can't be retried from then on.
+MAX_HELD_ANSWER_BYTES = 1024 * 1024
 
 
 async def open_connection(job: Job, address: str) -> EngineConnection:
@@ -66,20 +70,40 @@
     )
 
 
-async def read_body(
-    connection: EngineConnection, end_s: float, silence_s: float = math.inf
-) -> bytes:
-    """Return the rest of an answer's body.
+class Body(NamedTuple):
+    """What has been read of an answer's body."""
+
+    data: bytes
+    # False if there was no room for the rest.
+    is_whole: bool
+
 
-    Raises AnswerBroken, or AnswerLate if the answer isn't complete at `end_s`, or if
-    nothing of it has come for `silence_s`.
+async def read_body(
+    connection: EngineConnection,
+    end_s: float,
+    silence_s: float = math.inf,
+    hold: Callable[[int], bool] = lambda size: True,
+) -> Body:
+    """Read an answer's body, as far as it may be held.
+
+    `hold` returns whether there is room for more bytes. Raises AnswerBroken, or
+    AnswerLate if the answer isn't complete at `end_s`, or if nothing of it has come for
+    `silence_s`.
     """
-    pieces = []
+    body = bytearray()
     while True:
         data = await connection.read_in_time(min(silence_s, end_s - now_s()))
         if data is None:
-            return b"".join(pieces)
-        pieces.append(data)
+            return Body(bytes(body), True)
+        body += data
+        if len(body) > MAX_HELD_ANSWER_BYTES or not hold(len(data)):
+            return Body(bytes(body), False)
+
+
+async def skip_body(connection: EngineConnection, end_s: float) -> None:
+    """Read the rest of an answer and discard it; raises AnswerBroken, AnswerLate."""
+    while await connection.read_in_time(end_s - now_s()) is not None:
+        pass
 
 
 async def check_unframed_end(
@@ -149,7 +173,7 @@
                 backpressure.record_answer(job, engine_id, head.status, facts, now_s())
             return head, facts
         job.log_event("foreign-answer", address=connection.address)
-        await read_body(connection, end_s)
+        await skip_body(connection, end_s)
         connection.skip_answer()
 
 
--- a/libs/node/src/cherryrudder/node/plainrelay.py
+++ b/libs/node/src/cherryrudder/node/plainrelay.py
@@ -1,15 +1,22 @@
 """Relay requests to plain services, with complete answers and safe retries.
 
 An answer is relayed once it is complete, so that an idempotent request can still be
-retried if its answer breaks off.
+retried if its answer breaks off. One that is too long to be held is relayed as it
+comes, at the speed of its client.
 """
 
 from collections.abc import Callable
+from typing import NamedTuple
 
 import anyio
 
+from cherryrudder.platform import messages
 from cherryrudder.relay import pool
-from cherryrudder.relay.errors import AnswerBroken, AnswerLate, ConnectFailed
+from cherryrudder.relay.errors import (
+    AnswerBroken,
+    AnswerLate,
+    ConnectFailed,
+)
 from cherryrudder.replica.clock import now_s
 from cherryrudder.routing import backoffs, crashbook, picking, suspicion
 from cherryrudder.routing.crashbook import FINISHED
@@ -42,6 +49,12 @@
 )
 
 
+class PassedOn(NamedTuple):
+    """A complete answer that has been relayed to the client."""
+
+    status: int
+
+
 async def serve(
     job: Job, publish_crashes: Callable[[CrashUpdate | None], None]
 ) -> None:
@@ -75,12 +88,13 @@
         finally:
             if not (isinstance(result, FailedAttempt) and result.is_broken):
                 publish_crashes(heldrequests.end(job, now_s()))
-        if isinstance(result, WholeAnswer):
+        if isinstance(result, WholeAnswer | PassedOn):
             brokenruns.record_answer(job.state.broken, endpoint.engine_id, now_s())
             now = now_s()
             publish_crashes(crashes.record_progress(job, FINISHED, now))
             publish_crashes(crashes.record_pass(job, endpoint.engine_id, now, now))
-            await job.pass_on(result)
+            if isinstance(result, WholeAnswer):
+                await job.pass_on(result)
             return
         if result.is_broken:
             publish_crashes(
@@ -89,6 +103,10 @@
                 )
             )
             await crashes.wait_for_engine_verdict(job, endpoint.engine_id)
+        if job.exchange.has_begun:
+            # The connection closes without an end, as for streams.
+            job.outcome = f"broken off: {result.reason}"
+            return
         has_run = has_run or not result.is_not_run
         failed = result._replace(
             is_not_run=not has_run, answer=result.answer or failed.answer
@@ -167,7 +185,9 @@
     )
 
 
-async def _attempt(job: Job, endpoint: EndpointLoad) -> WholeAnswer | FailedAttempt:
+async def _attempt(
+    job: Job, endpoint: EndpointLoad
+) -> WholeAnswer | PassedOn | FailedAttempt:
     state = job.state
     state.running[endpoint.address] = state.running.get(endpoint.address, 0) + 1
     state.tokens.setdefault(endpoint.address, 0)
@@ -214,21 +234,45 @@
     )
     # An endpoint may send the head before its work is done.
     end_s = now_s() + job.left_s()
-    body = await attempts.read_body(connection, end_s, timeout_s)
     if facts.load is not None:
         running, waiting, _ = facts.load
         job.state.reported_loads[endpoint.engine_id] = ReportedLoad(
             running + waiting, now_s()
         )
     if facts.is_not_run:
+        await attempts.skip_body(connection, min(end_s, now_s() + timeout_s))
         return FailedAttempt(
             f"status {head.status} from the endpoint",
             is_not_run=True,
             is_backoff=backpressure.asks_for_backoff(head.status, facts),
         )
+    body = await attempts.read_body(connection, end_s, timeout_s, job.exchange.hold)
+    whole = WholeAnswer(head.status, head.headers, body.data)
+    failed = attempts.failure_of(whole, job.is_idempotent)
+    if body.is_whole:
+        await attempts.check_unframed_end(job, connection, endpoint.engine_id)
+        return failed or whole
+    if failed is not None:
+        raise AnswerBroken("the endpoint's failure is too long")
+    return await _pass_on(job, connection, endpoint, whole)
+
+
+async def _pass_on(job, connection, endpoint, begun):
+    """Relay an answer of which a part has been read; raises AnswerBroken, AnswerLate.
+
+    The client's reading limits how fast the rest is read from the endpoint.
+    """
+    status, data = begun.status, begun.body
+    job.outcome = f"status {status}"
+    job.first_byte_s = now_s()
+    await job.exchange.begin(status, messages.answer_headers(begun.headers))
+    job.exchange.connection.is_patient = True
+    while data is not None:
+        await job.exchange.send(data)
+        data = await connection.read_in_time(job.left_s())
     await attempts.check_unframed_end(job, connection, endpoint.engine_id)
-    whole = WholeAnswer(head.status, head.headers, body)
-    return attempts.failure_of(whole, job.is_idempotent) or whole
+    await job.exchange.end()
+    return PassedOn(status)
 
 
 def attempt_timeout_s(job: Job, now: float) -> float:
@@ -252,5 +296,5 @@
     if isinstance(result, FailedAttempt) and not result.is_sent:
         suspicion.record_failure(suspicions, engine_id, now)
     else:
-        is_good = isinstance(result, WholeAnswer) or result.is_not_run
+        is_good = isinstance(result, WholeAnswer | PassedOn) or result.is_not_run
         suspicion.record_answer(suspicions, engine_id, is_good, now)
--- a/libs/relay/src/cherryrudder/relay/exchange.py
+++ b/libs/relay/src/cherryrudder/relay/exchange.py
@@ -7,6 +7,10 @@
 if TYPE_CHECKING:
     from .server import ClientConnection
 
+# A longer part of a body is written in several pieces, each once the client has taken
+# what was written before.
+PIECE_BYTES = 64 * 1024
+
 Headers = list[tuple[bytes, bytes]]
 
 
@@ -52,6 +56,7 @@
         """Send a complete answer; raises ClientGone."""
         headers = [*headers, (b"content-length", b"%d" % len(body))]
         await self.begin(status, headers)
+        self.connection.is_patient = True
         await self.send(body)
         await self.end()
 
@@ -65,8 +70,8 @@
 
     async def send(self, data: bytes) -> None:
         """Send a part of the body; raises ClientGone."""
-        if data:
-            await self.connection.write(h11.Data(data=data))
+        for at in range(0, len(data), PIECE_BYTES):
+            await self.connection.write(h11.Data(data=data[at : at + PIECE_BYTES]))
 
     async def end(self) -> None:
         """Mark the answer as complete; raises ClientGone."""
--- a/libs/relay/src/cherryrudder/relay/server.py
+++ b/libs/relay/src/cherryrudder/relay/server.py
@@ -14,21 +14,24 @@
 from cherryrudder.wire import clientshares
 from cherryrudder.wire.clientshares import Bound, ClientShares
 from cherryrudder.wire.errors import StreamBroken, StreamEnded, WireError
-from cherryrudder.wire.sockets import Stream
+from cherryrudder.wire.sockets import HTTP_BUFFERS, Stream
 
 from .errors import BadRequest, ClientGone, NoRoom
-from .exchange import Exchange, Headers, Limits, Request
-from .reading import RequestReader
+from .exchange import PIECE_BYTES, Exchange, Headers, Limits, Request
+from .reading import READ_AHEAD_BYTES, RequestReader
 from .turns import TurnQueue
 
 __all__ = ["ClientConnection", "Exchange", "Handler", "Limits", "OnRefused", "Request"]
 
-# A client that reads nothing for this long counts as disconnected. The
+# A client that reads nothing of a stream for this long counts as disconnected. The
 # platform's clients give up on a stream after two seconds without data.
 WRITE_TIMEOUT_S = 5.0
 # How long a refused request is read on. Closed at once, the connection is reset, and
 # the client loses the refusal while it still sends (RFC 9112, 9.6).
 LINGER_S = 2.0
+# What waits for a client that reads slowly: in its stream and in the kernel, and what
+# is read ahead from an engine.
+SEND_AHEAD_BYTES = 2 * PIECE_BYTES + HTTP_BUFFERS.kernel_bytes + READ_AHEAD_BYTES
 # Statuses of requests beyond the limits on sizes.
 TOO_LARGE = frozenset({413, 431})
 
@@ -57,6 +60,8 @@
         self.is_closing = is_closing
         # Set while a request is being answered.
         self._is_handling = False
+        # Set once an answer is written that the client may read as slowly as it sends.
+        self.is_patient = False
         self._shares = shares or ClientShares()
         self._holding = clientshares.open_holding(self._shares, self._drop, now_s())
         # Held for the present request.
@@ -78,6 +83,7 @@
         try:
             while await self._serve_one(handler):
                 self._reader.begin_next()
+            await self._close()
         except (ClientGone, WireError):
             # The unfinished request was already logged.
             pass
@@ -101,25 +107,17 @@
         data = self._reader.http.send(event)
         if not data:
             return
-        if not self._stream.is_write_paused:
-            # The usual case: avoid the cost of a timer for each event.
-            self._write_now(data)
-            return
-        try:
-            with anyio.fail_after(WRITE_TIMEOUT_S):
-                await self._stream.send(data)
-        except (TimeoutError, StreamBroken) as error:
-            raise ClientGone("the client stopped reading") from error
-
-    def _write_now(self, data):
         try:
             self._stream.write(data)
+            if self._stream.is_write_paused:
+                # Not the usual case: a timer for each event would cost more than it.
+                await self._wait_for_reader()
         except StreamBroken as error:
             raise ClientGone("the client has gone") from error
 
     def _end(self):
         """Close; reset if the answer is incomplete, so that it can't look complete."""
-        if self._reader.http.our_state is h11.SEND_BODY:
+        if self._reader.http.our_state is h11.SEND_BODY or self._stream.unsent_bytes():
             self._stream.abort()
         else:
             self._stream.close()
@@ -142,6 +140,32 @@
         finally:
             holding.is_droppable, self._scope = before
 
+    async def _wait_for_reader(self):
+        """Wait until the client has read enough; raises ClientGone, StreamBroken."""
+        if not self.hold(SEND_AHEAD_BYTES):
+            raise ClientGone("no room for an answer that is read slowly")
+        timeout_s = None if self.is_patient else WRITE_TIMEOUT_S
+        try:
+            with anyio.CancelScope() as scope, self._droppable(scope):
+                await self._read_all(self._stream.drain, timeout_s)
+            if self.dropped_for is not None:
+                raise ClientGone(f"no room: {self.dropped_for}")
+        finally:
+            self._release(SEND_AHEAD_BYTES)
+
+    async def _read_all(self, wait, timeout_s=None):
+        """Wait as long as the client reads; raises ClientGone if it stops."""
+        timeout_s = timeout_s or self._limits().idle_timeout_s
+        unsent_bytes = self._stream.unsent_bytes()
+        while True:
+            with anyio.move_on_after(timeout_s) as scope:
+                await wait()
+            if not scope.cancelled_caught:
+                return
+            if self._stream.unsent_bytes() >= unsent_bytes:
+                raise ClientGone("the client stopped reading")
+            unsent_bytes = self._stream.unsent_bytes()
+
     def _release(self, size):
         clientshares.release(self._shares, self._holding, size)
         self._held_bytes -= size
@@ -175,6 +199,7 @@
     def _begin_waiting(self):
         self._release(self._held_bytes)
         self._holding.since_s = self._now_s()
+        self.is_patient = False
 
     async def _read_request(self):
         """Return the next request, or None when the client closes or idles too long."""
@@ -236,3 +261,11 @@
         with contextlib.suppress(StreamEnded, StreamBroken):
             with anyio.move_on_after(LINGER_S) as scope, self._droppable(scope):
                 await self._reader.skip()
+
+    async def _close(self):
+        """Close once the client has taken what was written, or stops reading."""
+        if self._reader.http.our_state is h11.SEND_BODY:
+            return
+        with anyio.CancelScope() as scope, self._droppable(scope):
+            self._stream.close()
+            await self._read_all(self._stream.wait_closed)
--- a/libs/relay/test/test_room.py
+++ b/libs/relay/test/test_room.py
@@ -71,6 +71,34 @@
                 await asyncio.sleep(0.01)
         self.assertEqual(shares.held_bytes, 0)
 
+    @in_loop
+    async def test_a_long_answer_is_sent_as_fast_as_it_is_read(self):
+        """Guards against answers that wait in memory as a whole."""
+        sent_bytes = 0
+
+        async def long_answer(exchange):
+            nonlocal sent_bytes
+            await exchange.begin(200, [])
+            exchange.connection.is_patient = True
+            for _ in range(400):
+                await exchange.send(bytes(65_536))
+                sent_bytes += 65_536
+            await exchange.end()
+
+        shares = ClientShares(LIMIT_BYTES)
+        async with serving(long_answer, ROOMY, shares=shares) as address:
+            client = await connected(address)
+            client.writer.write(HEAD + b"content-length: 0\r\n\r\n")
+            await client.head()
+            await asyncio.sleep(0.3)
+            self.assertLess(sent_bytes, 400 * 65_536)
+            held_bytes = shares.held_bytes
+            self.assertGreater(held_bytes, CONNECTION_BYTES)
+            received = 0
+            while received < 400 * 65_536:
+                received += len(await client.reader.read(65_536))
+            client.close()
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/libs/wire/src/cherryrudder/wire/sockets.py
+++ b/libs/wire/src/cherryrudder/wire/sockets.py
@@ -116,6 +116,19 @@
         if self._is_lost:
             raise StreamBroken("the connection is lost")
 
+    def unsent_bytes(self) -> int:
+        """Return how many written bytes the kernel has not taken yet."""
+        return self._transport.get_write_buffer_size()
+
+    async def wait_closed(self) -> None:
+        """Wait until the connection is closed, after `close` or by the peer."""
+        while not self._is_lost:
+            self._write_waiter = asyncio.get_running_loop().create_future()
+            try:
+                await self._write_waiter
+            finally:
+                self._write_waiter = None
+
     def is_readable(self) -> bool:
         """Return whether bytes are unread or the connection has ended."""
         return bool(self._data) or self._has_ended or self._is_lost
