Send long bodies to engines in pieces, and read small parts in turns

A body of 4 MB was copied three times on its way to an engine: joined with its head, into the stream's buffer, and into the kernel's. And an engine that answers in tiny chunks kept the loop as long as it sent.

A body longer than 64 KB is written in pieces, each once the engine has taken the one before; shorter ones are sent as they were, in one write. After 64 parts of an answer that came without a wait others have their turn.

Evidence: the relay's and the node's tests pass. No test shows the fault itself.

--- a/libs/relay/src/cherryrudder/relay/client.py
+++ b/libs/relay/src/cherryrudder/relay/client.py
@@ -10,6 +10,7 @@
 from typing import NamedTuple
 
 import anyio
+import anyio.lowlevel
 import h11
 
 from cherryrudder.wire import sockets
@@ -22,6 +23,10 @@
 from .errors import AnswerBroken, AnswerLate, ConnectFailed
 
 READ_BYTES = 64 * 1024
+# A longer body is written in pieces, each once the engine has taken the one before.
+PIECE_BYTES = 64 * 1024
+# Parts of an answer that are read before others have their turn.
+MAX_PARTS_AT_ONCE = 64
 # Engines send some hundred bytes of headers; the limit only stops invalid peers.
 MAX_HEAD_BYTES = 64 * 1024
 
@@ -46,6 +51,8 @@
         self._stream = stream
         self._http = _new_http()
         self._sent: list = []
+        # Parts of answers read since others last had their turn.
+        self._parts = 0
         # False if the answer ends with its connection.
         self.has_length = True
 
@@ -67,15 +74,27 @@
         if body:
             self._sent.append(h11.Data(data=body))
         self._sent.append(h11.EndOfMessage())
-        data = b"".join(self._http.send(event) for event in self._sent)
         try:
-            self._stream.write(data)
-            if self._stream.is_write_paused:
+            if len(body) <= PIECE_BYTES:
+                data = b"".join(self._http.send(event) for event in self._sent)
+                self._stream.write(data)
+            if len(body) > PIECE_BYTES or self._stream.is_write_paused:
                 with _limited(timeout_s, "the engine did not take the request in time"):
-                    await self._stream.drain()
+                    await self._send_long(body)
         except StreamBroken as error:
             raise AnswerBroken("the engine closed the connection") from error
 
+    async def _send_long(self, body):
+        """Write what is longer than a piece, and wait until the engine has taken it."""
+        if len(body) > PIECE_BYTES:
+            self._stream.write(self._http.send(self._sent[0]))
+            for at in range(0, len(body), PIECE_BYTES):
+                await self._stream.drain()
+                part = h11.Data(data=body[at : at + PIECE_BYTES])
+                self._stream.write(self._http.send(part))
+            self._stream.write(self._http.send(self._sent[-1]))
+        await self._stream.drain()
+
     async def read_head(self, timeout_s: float) -> Head:
         """Return the answer's status and headers; raises AnswerLate, AnswerBroken."""
         with _limited(timeout_s, "the engine did not answer in time"):
@@ -153,7 +172,9 @@
             try:
                 event = self._http.next_event()
                 if event is not h11.NEED_DATA:
+                    await self._let_others()
                     return event
+                self._parts = 0
                 data = await self._stream.receive(READ_BYTES)
             except StreamEnded:
                 data = b""
@@ -163,6 +184,13 @@
                 raise AnswerBroken("the connection was reset") from error
             self._feed(data)
 
+    async def _let_others(self):
+        """Yield after some parts, since small ones take far more time than bytes."""
+        self._parts += 1
+        if self._parts > MAX_PARTS_AT_ONCE:
+            self._parts = 0
+            await anyio.lowlevel.checkpoint()
+
     def _feed(self, data):
         try:
             self._http.receive_data(data)
