Bound what is held for peers that haven't said who they are

Cause: frames were gathered up to their announced length before their sender was asked for the key, which comes in the first frame.

A listener of links holds 4 MB for all peers that it doesn't know yet, and 128 of their connections; whoever has cost most gives way, as for clients. A process now sends its Hello as a frame by itself, so that the first frame is short; first frames with more in them, as older releases send them, are read as before. Peers that are known aren't bound.

--- a/libs/wire/src/cherryrudder/wire/links.py
+++ b/libs/wire/src/cherryrudder/wire/links.py
@@ -8,13 +8,14 @@
 
 import hmac
 from collections.abc import Callable, Iterable, Sequence
-from typing import Any
+from typing import Any, NamedTuple
 
 import anyio
 from anyio.abc import TaskGroup
 from loguru import logger
 
-from . import sockets
+from . import clientshares, sockets
+from .clientshares import ClientShares
 from .errors import FrameError, StreamBroken, StreamEnded, WireError
 from .frames import FrameBuffer, FrameCodec, Hello
 
@@ -29,6 +30,10 @@
 # reading would otherwise fill this process's memory.
 MAX_QUEUED_MESSAGES = 20_000
 READ_BYTES = 256 * 1024
+# What is held for all peers together that haven't said who they are, and how many may
+# be connected. The one that has cost most gives way to others.
+MAX_STRANGERS_BYTES = 4 * 1024 * 1024
+MAX_STRANGERS = 128
 
 log = logger.bind(part="links")
 
@@ -123,16 +128,17 @@
         scope.cancel()
 
     async def _write(self, address, link, stream):
-        messages = [self._hello]
+        # A frame by itself: the peer holds no more until it knows who sends.
+        data = self._codec.encode([self._hello])
         while self._links.get(address) is link:
-            messages += link.queued
-            link.queued = []
-            data = self._codec.encode(messages)
+            messages, link.queued = link.queued, []
+            if messages:
+                data += self._codec.encode(messages)
             with anyio.move_on_after(WRITE_TIMEOUT_S) as scope:
                 await stream.send(data)
             if scope.cancelled_caught:
                 raise StreamBroken("the peer stopped reading")
-            messages = []
+            data = b""
             if not link.queued:
                 link.wake = anyio.Event()
                 await link.wake.wait()
@@ -161,9 +167,16 @@
 ) -> None:
     """Accept links and pass their messages to `on_messages` until `stopping` is set."""
 
+    strangers = ClientShares(MAX_STRANGERS_BYTES, MAX_STRANGERS)
+
     async def handle(stream):
+        holding = clientshares.open_holding(
+            strangers, lambda bound: stream.abort(), anyio.current_time()
+        )
         try:
-            await _read(stream, codec, key, on_messages)
+            hello = await _read_hello(stream, codec, key, strangers, holding)
+            clientshares.close_holding(strangers, holding)
+            await _read(stream, codec, hello, on_messages)
         except FrameError as error:
             log.warning("Rejected a link: {}.", error)
         except (StreamEnded, StreamBroken):
@@ -172,10 +185,14 @@
         except Exception as error:
             log.opt(exception=error).error("A link was closed: {!r}.", error)
         finally:
+            clientshares.close_holding(strangers, holding)
             stream.abort()
 
+    def refuses():
+        return not clientshares.make_place(strangers, anyio.current_time())
+
     async with anyio.create_task_group() as group:
-        server = await sockets.listen(address, handle, group)
+        server = await sockets.listen(address, handle, group, refuses)
         try:
             await stopping.wait()
         finally:
@@ -183,21 +200,44 @@
         group.cancel_scope.cancel()
 
 
-async def _read(stream, codec, key, on_messages):
+class _Opening(NamedTuple):
+    """What a peer sent up to the frame in which it says who it is."""
+
+    peer: str
+    # Messages beside the Hello, and bytes of further frames.
+    messages: Sequence
+    frames: FrameBuffer
+    bodies: Sequence[bytes]
+
+
+async def _read_hello(stream, codec, key, strangers, holding):
+    """Read a link's first frame; raises FrameError."""
     frames = FrameBuffer()
-    peer = None
     while True:
-        for body in frames.feed(await stream.receive(READ_BYTES)):
-            messages = codec.decode(body)
-            if peer is None:
-                peer = _check_hello(messages, key)
-                messages = messages[1:]
-            if messages:
-                on_messages(peer, messages)
+        data = await stream.receive(READ_BYTES)
+        now_s = anyio.current_time()
+        if not clientshares.hold(strangers, holding, len(data), now_s):
+            raise FrameError("no room for frames of an unknown peer")
+        if bodies := frames.feed(data):
+            messages = codec.decode(bodies[0])
+            hello = _check_hello(messages, key)
+            return _Opening(hello.address, messages[1:], frames, bodies[1:])
+
+
+async def _read(stream, codec, opening, on_messages):
+    peer, messages, frames, bodies = opening
+    while True:
+        if messages:
+            on_messages(peer, messages)
+        messages = []
+        for body in bodies:
+            if more := codec.decode(body):
+                on_messages(peer, more)
+        bodies = frames.feed(await stream.receive(READ_BYTES))
 
 
 def _check_hello(messages, key):
     hello = messages[0] if messages else None
     if not isinstance(hello, Hello) or not hmac.compare_digest(hello.key, key):
         raise FrameError("the first message is not a Hello with the right key")
-    return hello.address
+    return hello
