Bound the sum of bodies at the daemon's HTTP listeners

Each listener holds 128 MB of bodies at the most, or max_held_bytes at the callers' surface; the request that has cost most gives way, as on the users' platform, with 503, not-run and Retry-After. Bodies are gathered as they come. What the HTTP library itself buffers for a connection isn't counted.

--- a/libs/daemon/src/cherryrudder/daemon/entryrole.py
+++ b/libs/daemon/src/cherryrudder/daemon/entryrole.py
@@ -136,11 +136,12 @@
         ("POST", "/v1/completions"): count(with_outcome(entry.completions.handle)),
         ("*", "/services/"): count(with_outcome(entry.services.handle)),
     }
-    max_body_bytes = process.settings.entry.max_body_bytes
+    entry_settings = process.settings.entry
     process.listen(
         listen.caller,
         routes | probe_routes(entry.is_ready),
-        max_body_bytes=max_body_bytes,
+        max_body_bytes=entry_settings.max_body_bytes,
+        max_held_bytes=entry_settings.max_held_bytes,
     )
     internal = entry.sharing.routes()
     internal |= dump_routes(process, lambda: dump(entry)) | probe_routes(entry.is_ready)
--- a/libs/model/src/cherryrudder/model/settings.py
+++ b/libs/model/src/cherryrudder/model/settings.py
@@ -63,6 +63,7 @@
 
 class EntrySettings(NamedTuple):
     max_body_bytes: int
+    max_held_bytes: int
     max_queued: int
     drain_s: float
     stall_s: float
--- a/libs/wire/src/cherryrudder/wire/asgi.py
+++ b/libs/wire/src/cherryrudder/wire/asgi.py
@@ -13,8 +13,16 @@
 from cherryrudder.model import jsoncodec
 from cherryrudder.model.errors import RequestError
 
+from . import clientshares
+from .clientshares import ClientShares
+
 BODY_TOO_LARGE = 413
+NO_ROOM = 503
 DEFAULT_MAX_BODY_BYTES = 16 * 1024 * 1024
+# Bodies of all requests together that one listener holds.
+DEFAULT_MAX_HELD_BYTES = 128 * 1024 * 1024
+# When a client may repeat a request for whose body there was no room.
+NO_ROOM_RETRY_S = 1
 # A client that has its answer may still be sending the body for this long.
 DRAIN_TIMEOUT_S = 5.0
 
@@ -39,7 +47,7 @@
 class Request:
     """An HTTP request whose body is read on demand, up to a size limit."""
 
-    def __init__(self, scope, receive, max_body_bytes):
+    def __init__(self, scope, receive, max_body_bytes, shares=None):
         self.method = scope["method"]
         self.path = scope["path"]
         self.query_string = scope["query_string"].decode("latin-1")
@@ -49,6 +57,8 @@
         }
         self._receive = receive
         self._max_body_bytes = max_body_bytes
+        self._shares = shares or ClientShares()
+        self._holding = None
         length = self.headers.get("content-length", "0")
         self._is_chunked = "transfer-encoding" in self.headers
         self._length_bytes = int(length) if length.isdecimal() else 0
@@ -72,21 +82,41 @@
         return token.strip() if scheme.lower() == "bearer" else ""
 
     async def body(self) -> bytes:
-        """Return the whole body; raises RequestError 413 if it is too large."""
-        parts = []
-        size_bytes = 0
+        """Return the whole body.
+
+        Raises RequestError 413 if it is too large, and 503 if there is no room for it.
+        """
+        with anyio.CancelScope() as scope:
+            self._holding = clientshares.open_holding(
+                self._shares, lambda bound: scope.cancel(), anyio.current_time()
+            )
+            data = await self._read_body()
+            self._holding.is_droppable = False
+            return data
+        raise _no_room()
+
+    async def _read_body(self):
+        data = bytearray()
         while True:
             message = await self._receive()
             if message["type"] == "http.disconnect":
                 raise RequestError(400, "disconnected", "the client disconnected")
-            parts.append(message.get("body", b""))
-            size_bytes += len(parts[-1])
-            if size_bytes > self._max_body_bytes:
+            part = message.get("body", b"")
+            if len(data) + len(part) > self._max_body_bytes:
                 text = f"the body is over {self._max_body_bytes} bytes"
                 raise RequestError(BODY_TOO_LARGE, "body-too-large", text)
+            now_s = anyio.current_time()
+            if not clientshares.hold(self._shares, self._holding, len(part), now_s):
+                raise _no_room()
+            data += part
             if not message.get("more_body", False):
                 self.has_unread_body = False
-                return b"".join(parts)
+                return bytes(data)
+
+    def release(self) -> None:
+        """Count the body as held no more."""
+        if self._holding is not None:
+            clientshares.close_holding(self._shares, self._holding)
 
     def is_drainable(self) -> bool:
         """Return whether the rest of the body is known to be within the size limit."""
@@ -135,6 +165,8 @@
     body = {"code": error.code, "message": str(error)}
     if error.field:
         body["field"] = error.field
+    if error.status == NO_ROOM:
+        headers = (*headers, ("retry-after", str(NO_ROOM_RETRY_S)))
     return json_reply({"error": body}, error.status, headers)
 
 
@@ -142,6 +174,7 @@
     routes: Routes,
     key: str = "",
     max_body_bytes: int = DEFAULT_MAX_BODY_BYTES,
+    max_held_bytes: int = DEFAULT_MAX_HELD_BYTES,
     is_closing: Callable[[], bool] = lambda: False,
 ):
     """Return an ASGI application; a route whose path ends in / matches all paths below.
@@ -150,13 +183,20 @@
     balancer's health checks. While it is closing, its answers announce that their
     connections close.
     """
+    shares = ClientShares(max_held_bytes)
 
     async def app(scope, receive, send):
         if scope["type"] == "lifespan":
             return await _lifespan(receive, send)
         if scope["type"] != "http":
             return None
-        request = Request(scope, receive, max_body_bytes)
+        request = Request(scope, receive, max_body_bytes, shares)
+        try:
+            await _serve(request, send)
+        finally:
+            request.release()
+
+    async def _serve(request, send):
         reply = await _answer(routes, key, request)
         # The server closes the connection after an answer to an incomplete request, and
         # when it stops. A client that isn't told so loses its next request on it.
@@ -248,6 +288,10 @@
         group.cancel_scope.cancel()
 
 
+def _no_room():
+    return RequestError(NO_ROOM, "no-room", "too much is held for other requests")
+
+
 def _parse_field(message):
     _, _, path = message.partition("`$.")
     return path.rstrip("`") or None
