Show what is held for clients, and name the bound in each refusal

On call could not tell a request that was refused for a crowd from any other: nothing told how much an entry holds, whom it dropped, or by which bound it refused. Each refusal before a request was read had a line, so that a crowd would have displaced all others.

New metrics: client_held_bytes, client_connections, client_refusals by bound (limits, memory, connections) and dropped_connections by bound. The line refused of part clients has the bound, ended has dropped_for where a slow reader gave way, and such refusals carry the request's id.

--- a/libs/node/src/cherryrudder/node/adminapi.py
+++ b/libs/node/src/cherryrudder/node/adminapi.py
@@ -37,6 +37,8 @@
     publish_crashes: Callable[[CrashUpdate], None]
     # Returns the request rates that engines ask for.
     limits: Callable[[float], list]
+    # Updates the metrics that hold a present value.
+    update: Callable[[], None] = lambda: None
 
 
 async def serve(address: str, shares: ClientShares, context: AdminContext) -> None:
@@ -54,6 +56,7 @@
 def respond(context: AdminContext, method: str, path: str, now_s: float):
     """Return the status, headers and body for one call."""
     if (method, path) == ("GET", METRICS_PATH):
+        context.update()
         return 200, TEXT, context.metrics.render()
     if (method, path) == ("GET", BLOCKS_PATH):
         return 200, JSON, msgspec.json.encode(context.crashes.dump(now_s))
--- a/libs/node/src/cherryrudder/node/entry.py
+++ b/libs/node/src/cherryrudder/node/entry.py
@@ -4,7 +4,7 @@
 
 import anyio
 
-from cherryrudder.platform import calls, messages
+from cherryrudder.platform import calls
 from cherryrudder.platform.settings import NodeSettings
 from cherryrudder.relay import pool
 from cherryrudder.relay.server import Exchange, Limits
@@ -12,8 +12,16 @@
 from cherryrudder.routing import authorization, endpoints
 from cherryrudder.routing.configuration import DEFAULT_LIMITS
 
-from . import adminapi, clientlimits, httpserver, overload, ratelimiter
+from . import (
+    adminapi,
+    clientlimits,
+    clientlog,
+    httpserver,
+    overload,
+    ratelimiter,
+)
 from .adminapi import AdminContext
+from .clientlog import ClientLog
 from .entrystate import EntryState
 from .httpserver import HttpServer
 from .linesink import LineSink
@@ -28,7 +36,6 @@
 CLOSE_MARGIN_S = 0.4
 SWEEP_INTERVAL_S = 1.0
 OVERLOAD_LOG_INTERVAL_S = 1.0
-MAX_LOGGED_REASON = 200
 
 
 async def run(
@@ -36,6 +43,7 @@
 ) -> None:
     """Serve clients until `leaving` is set and their requests have ended."""
     state = EntryState(settings, sink, metrics)
+    clients = ClientLog(state)
     async with anyio.create_task_group() as group:
         uplink = Uplink(state, group)
         uplink.start()
@@ -43,7 +51,7 @@
         group.start_soon(handler.supervisor.run)
         server = HttpServer(handler.handle, clientlimits.for_clients(settings))
         server.limits = partial(_limits, state)
-        server.on_refused = partial(_log_refused, state)
+        server.on_refused = clients.record_refused
         server.refuses = _make_overload_check(state, server, group)
         group.start_soon(httpserver.serve, server, settings.client_address)
         group.start_soon(_answer_readiness, state, leaving)
@@ -56,6 +64,7 @@
                 state.crashes,
                 uplink.publish_crashes,
                 partial(ratelimiter.dump, state.rates),
+                clientlog.watch(clients, server.shares),
             ),
         )
         group.start_soon(_sweep, state, handler)
@@ -74,22 +83,6 @@
     return Limits(*state.table.configuration.limits, retry_after_s)
 
 
-def _log_refused(state, error, headers):
-    """Log a request that was refused before it was read; its head may be unknown."""
-    facts = messages.read_request(headers)
-    state.sink.write(
-        "clients",
-        "refused",
-        True,
-        request_id=facts.request_id,
-        host=facts.host,
-        status=error.status,
-        reason=str(error)[:MAX_LOGGED_REASON],
-        version=state.version,
-        confirmed_age_s=round(now_s() - state.confirmed_s, 3),
-    )
-
-
 def _make_overload_check(state, server, group):
     """Return the check whether to close a new connection; it watches the event loop."""
     lateness, most = overload.LoopLateness(), server.shares.max_connections
--- a/libs/node/src/cherryrudder/node/httpserver.py
+++ b/libs/node/src/cherryrudder/node/httpserver.py
@@ -38,7 +38,7 @@
         self.is_closing = False
         self.connections: set[ClientConnection] = set()
         # Called with each request that is refused without its handler.
-        self.on_refused: OnRefused = lambda error, headers: None
+        self.on_refused: OnRefused = lambda error, headers: []
         # Returns whether new connections are closed without being read.
         self.refuses: Callable[[], bool] = lambda: not self.has_place()
 
--- a/libs/node/src/cherryrudder/node/linesink.py
+++ b/libs/node/src/cherryrudder/node/linesink.py
@@ -17,6 +17,9 @@
 # Bytes that may wait for the reader. Further lines are dropped and counted.
 MAX_WAITING_BYTES = 256 * 1024
 
+# Clients choose some of what lines hold, such as ids.
+MAX_TEXT_CHARACTERS = 4096
+
 encode = msgspec.json.Encoder().encode
 
 
@@ -40,6 +43,7 @@
             self.dropped += 1
             return
         line = {"time": round(wall_s, 3), **self._head, "part": part, "event": event}
+        fields = {name: _shorten(value) for name, value in fields.items()}
         # The common fields win over fields of the same name.
         try:
             text = encode(line | fields | line)
@@ -81,6 +85,10 @@
             self.dropped = 0
 
 
+def _shorten(value):
+    return value[:MAX_TEXT_CHARACTERS] if isinstance(value, str) else value
+
+
 def take_over_logs(sink: LineSink) -> None:
     """Redirect loguru's messages to the sink."""
 
--- a/libs/node/src/cherryrudder/node/metrics.py
+++ b/libs/node/src/cherryrudder/node/metrics.py
@@ -1,6 +1,12 @@
 """Prometheus counters and latency histograms, served at the metrics address."""
 
-from prometheus_client import CollectorRegistry, Counter, Histogram, generate_latest
+from prometheus_client import (
+    CollectorRegistry,
+    Counter,
+    Gauge,
+    Histogram,
+    generate_latest,
+)
 
 # Upper bounds in seconds. They divide the users' objectives (0.1 to 0.6 s) and limits
 # (0.6 to 20 s) finely enough to show which one was missed.
@@ -21,6 +27,14 @@
         self.crashes = self._counter("crashes", "Requests that end engines", "event")
         self.permits = self._counter("permits", "Permits for engines", "outcome")
         self.unread = self._counter("unread_connections", "Closed by an overload")
+        self.client_refusals = self._counter(
+            "client_refusals", "Requests refused unread", "bound"
+        )
+        self.dropped_connections = self._counter(
+            "dropped_connections", "Closed to make room", "bound"
+        )
+        self.client_held_bytes = self._gauge("client_held_bytes", "Held for clients")
+        self.client_connections = self._gauge("client_connections", "Of clients")
         self.left_out = self._counter("messages_left_out", "Unreadable", "kind")
         self.first_byte_s = self._histogram("first_byte_seconds", "To the first byte")
         self.total_s = self._histogram("total_seconds", "To the end of the answer")
@@ -36,6 +50,9 @@
     def _counter(self, name, text, *labels):
         return Counter(f"cherryrudder_{name}", text, labels, registry=self.registry)
 
+    def _gauge(self, name, text):
+        return Gauge(f"cherryrudder_{name}", text, registry=self.registry)
+
     def _histogram(self, name, text):
         return Histogram(
             f"cherryrudder_{name}",
--- a/libs/node/src/cherryrudder/node/request_handler.py
+++ b/libs/node/src/cherryrudder/node/request_handler.py
@@ -173,6 +173,7 @@
         paused_at_s=round(max(0.0, job.longest_pause_end_s - job.arrived_s), 3),
         waited_s=round(job.waited_s, 3),
         waited_for=job.waited_for,
+        dropped_for=job.exchange.connection.dropped_for,
         objective_s=job.route.objective_s,
         gap_s=job.route.gap_s,
     )
--- a/libs/node/test/test_linesink.py
+++ b/libs/node/test/test_linesink.py
@@ -18,6 +18,12 @@
         self.assertEqual((line["vm"], line["part"]), ("vm-1", "request"))
         self.assertEqual((line["event"], line["request_id"]), ("sent", "q"))
 
+    def test_a_long_field_is_cut(self):
+        """Guards against lines as long as clients choose."""
+        self.pipe.sink.write("request", "sent", request_id="q" * 20_000)
+        line = json.loads(self.pipe.text())
+        self.assertEqual(len(line["request_id"]), linesink.MAX_TEXT_CHARACTERS)
+
     def test_a_field_that_json_cannot_hold_costs_the_line_alone(self):
         """Guards against a line that ends the process which writes it."""
         for value in ("\ud800", object(), 10**5000):
--- a/libs/relay/src/cherryrudder/relay/server.py
+++ b/libs/relay/src/cherryrudder/relay/server.py
@@ -36,8 +36,9 @@
 TOO_LARGE = frozenset({413, 431})
 
 Handler = Callable[[Exchange], Awaitable[None]]
-# Called with the headers of a request that is refused without its handler.
-OnRefused = Callable[[BadRequest, Headers], None]
+# Called with the headers of a request that is refused without its handler; returns
+# headers for the refusal.
+OnRefused = Callable[[BadRequest, Headers], Headers]
 
 
 class ClientConnection:
@@ -49,7 +50,7 @@
         limits: Callable[[], Limits],
         now_s: Callable[[], float],
         is_closing: Callable[[], bool],
-        on_refused: OnRefused = lambda error, headers: None,
+        on_refused: OnRefused = lambda error, headers: [],
         shares: ClientShares | None = None,
         turns: TurnQueue | None = None,
     ):
@@ -242,8 +243,8 @@
         http = self._reader.http
         if http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
-        self._on_refused(error, self._reader.headers)
-        headers = [(b"content-length", b"0"), (b"connection", b"close")]
+        headers = self._on_refused(error, self._reader.headers)
+        headers += [(b"content-length", b"0"), (b"connection", b"close")]
         status, retry_after_s = error.status, error.retry_after_s
         if status in TOO_LARGE and self._limits().retry_after_s is not None:
             status, retry_after_s = 503, self._limits().retry_after_s
--- a/libs/wire/src/cherryrudder/wire/clientshares.py
+++ b/libs/wire/src/cherryrudder/wire/clientshares.py
@@ -55,6 +55,8 @@
         self.max_connections = max_connections
         self.held_bytes = 0
         self.holdings: set[Holding] = set()
+        # Called with the bound for which a connection is dropped.
+        self.on_drop: Callable[[Bound], None] = lambda bound: None
 
 
 def open_holding(
@@ -132,4 +134,5 @@
 
 def _drop(shares, holding, bound):
     close_holding(shares, holding)
+    shares.on_drop(bound)
     holding.drop(bound)
