Let crowds of clients come in the soak

The soak injected faults of processes, engines and links, and its clients behaved, so that it could not find what a crowd does beside a restart or a change of the configuration.

Faults of earlier kinds are drawn as before.

--- a/libs/soak/src/cherryrudder/soak/faults.py
+++ b/libs/soak/src/cherryrudder/soak/faults.py
@@ -50,6 +50,8 @@
     ENGINES_REJECT = "engines-reject"
     KILL_EACH_ENTRY = "kill-each-entry"
     ENGINE_TELLS_CALLERS = "engine-tells-callers"
+    # Clients that send or read what an entry can't hold.
+    CLIENT_CROWD = "client-crowd"
 
 
 CONTROL_KINDS = (
@@ -86,6 +88,7 @@
         FaultKind.ENGINES_SEVERED,
         FaultKind.ENGINES_REJECT,
         FaultKind.KILL_EACH_ENTRY,
+        FaultKind.CLIENT_CROWD,
     )
 )
 LINK_MODES = (Mode.DELAY, Mode.SILENT, Mode.HOLD_REQUESTS, Mode.HOLD_ANSWERS)
@@ -103,6 +106,9 @@
 # Long enough for two restarts of each entry.
 REJECTING_S = (5.0, 8.0)
 REJECTING_SHARE = 0.5
+# Crowds of a run, which may overlap.
+MAX_CROWDS = 2
+CROWD_S = (1.0, 8.0)
 
 
 class Fault(NamedTuple):
@@ -137,9 +143,18 @@
         faults.append(_fault(severed, FaultKind.ENGINES_SEVERED, at_s))
     faults += _backpressure_faults(random.Random(f"backpressure-{seed}"), length_s)
     faults += _rejecting_faults(random.Random(f"rejecting-{seed}"), length_s)
+    faults += _crowd_faults(random.Random(f"crowds-{seed}"), length_s)
     return sorted(faults)
 
 
+def _crowd_faults(rng, length_s):
+    faults = []
+    for _ in range(rng.randrange(MAX_CROWDS + 1)):
+        fault = _fault(rng, FaultKind.CLIENT_CROWD, rng.uniform(0, length_s))
+        faults.append(fault._replace(duration_s=rng.uniform(*CROWD_S)))
+    return faults
+
+
 def _rejecting_faults(rng, length_s):
     """Return engines that reject for some seconds, while entries restart."""
     if rng.random() >= REJECTING_SHARE:
--- a/libs/soak/src/cherryrudder/soak/guarantees.py
+++ b/libs/soak/src/cherryrudder/soak/guarantees.py
@@ -120,6 +120,10 @@
     disturbances: tuple[Disturbance, ...] = ()
     # Processes that ended, or did not restart, without a fault that caused it.
     unexpected_exits: tuple[str, ...] = ()
+    # Processes that took more memory than their limit.
+    over_memory: tuple[str, ...] = ()
+    # Ids of requests whose clients don't wait for their answers.
+    crowd_ids: frozenset[str] = frozenset()
     # Ids of each request that crashes engines, and the crashes.
     crashing: tuple[frozenset[str], ...] = ()
     # Ids of the requests with each part that crashes engines.
@@ -149,6 +153,7 @@
         _find_excess_retries,
         _find_denied_requests,
         lambda history: [f"END: {what}" for what in history.unexpected_exits],
+        lambda history: [f"MEMORY: {what}" for what in history.over_memory],
     )
     return [fault for check in checks for fault in check(history)]
 
@@ -167,6 +172,8 @@
 def _find_unasked_and_repeated_runs(history):
     kinds = {answer.request_id: answer.kind for answer in history.answers}
     for request_id, count in Counter(history.runs).items():
+        if request_id in history.crowd_ids:
+            continue
         if request_id not in kinds:
             yield f"UNASKED: {request_id} ran, and nobody sent it"
         elif count > 1 and kinds[request_id] == "filing":
--- a/libs/soak/src/cherryrudder/soak/injector.py
+++ b/libs/soak/src/cherryrudder/soak/injector.py
@@ -6,6 +6,7 @@
 
 import anyio
 
+from . import crowding
 from .faults import Fault, FaultKind
 from .guarantees import Disturbance, EngineLimit
 from .operator import Operator
@@ -295,6 +296,14 @@
         await self.testbed.remove_engine(engine)
         return f"{engine.engine_id} for {replacement.engine_id}"
 
+    async def _client_crowd(self, fault):
+        """Let clients that don't behave come to an entry for some time."""
+        node = self._pick(self.testbed.deployment.nodes, fault)
+        key = self.operator.keys[-1]
+        crowd = await crowding.come(node, key, fault.pick, fault.duration_s)
+        self.testbed.crowd_ids.update(crowd.request_ids)
+        return node.name
+
     def _engines_without_backpressure(self):
         """Return the spare engines with neither a rate limit nor a backoff."""
         return [
@@ -376,5 +385,6 @@
     FaultKind.ENGINE_TELLS_CALLERS: FaultInjector._engine_tells_callers,
     FaultKind.ENGINES_REJECT: FaultInjector._engines_reject,
     FaultKind.KILL_EACH_ENTRY: FaultInjector._kill_each_entry,
+    FaultKind.CLIENT_CROWD: FaultInjector._client_crowd,
     FaultKind.REVOKE: lambda s, f: _call_operator(s.operator.revoke),
 }
--- a/libs/soak/src/cherryrudder/soak/run.py
+++ b/libs/soak/src/cherryrudder/soak/run.py
@@ -10,7 +10,7 @@
 
 import anyio
 
-from . import faults, guarantees, report
+from . import crowding, faults, guarantees, report
 from .callers import Caller
 from .faults import Fault
 from .guarantees import History
@@ -148,6 +148,8 @@
         left_s=injector.left_s,
         disturbances=tuple(injector.disturbances),
         unexpected_exits=tuple(testbed.unexpected_exits()),
+        over_memory=tuple(crowding.over_memory(testbed.deployment.nodes)),
+        crowd_ids=frozenset(testbed.crowd_ids),
         crashing=tuple(
             frozenset(answer.request_id for answer in answers)
             for answers in testbed.crashing.values()
--- a/libs/soak/src/cherryrudder/soak/testbed.py
+++ b/libs/soak/src/cherryrudder/soak/testbed.py
@@ -12,6 +12,7 @@
 from cherryrudder.standin.deployment import CLIENT_PORT, Deployment, Node
 from cherryrudder.standin.engine import Engine
 
+from . import crowding
 from .callers import Caller
 from .guarantees import Answer
 from .proxy import Proxy
@@ -41,7 +42,9 @@
             "retry_budget_slack": RETRY_BOUND.slack,
             "budget_window_s": RETRY_BOUND.window_s,
         }
-        self.deployment = Deployment(folder, requests.LAYERS, bounds=bounds)
+        self.deployment = Deployment(
+            folder, requests.LAYERS, bounds=bounds, limits=crowding.LIMITS
+        )
         self.deployment.group = group
         places = random.Random(f"places-{seed}")
         if places.random() < DRAWN_PLACES_SHARE:
@@ -56,6 +59,8 @@
         self.crashing: dict[bytes, list[Answer]] = {}
         # Answers to the requests with each part that crashes engines.
         self.crashing_parts: dict[str, list[Answer]] = {}
+        # Requests of clients that don't behave.
+        self.crowd_ids: set[str] = set()
         self._engine_count = 0
 
     async def start(self) -> None:
--- a/libs/soak/test/test_guarantees.py
+++ b/libs/soak/test/test_guarantees.py
@@ -166,3 +166,9 @@
 
     def test_unexpected_exit_is_found(self):
         self.assert_broken(a_history(unexpected_exits=("front-0 entry",)), "END")
+
+    def test_process_over_its_memory_is_found(self):
+        self.assert_broken(a_history(over_memory=("front-0 entry",)), "MEMORY")
+
+    def test_run_of_a_crowd_is_asked_for(self):
+        self.assert_kept(a_history(runs=("9",), crowd_ids=frozenset({"9"})))
