Refuse a further request on a kept connection with an answer

A request for which there was no room as it began was closed without an answer if it wasn't the first on its connection: the parser of the request before, which has sent its answer, can't send another. It is counted once its own parser is there.

--- a/libs/relay/src/cherryrudder/relay/reading.py
+++ b/libs/relay/src/cherryrudder/relay/reading.py
@@ -63,10 +63,6 @@
         self.headers, self.has_head = [], False
         self._head_bytes = self._done_units = 0
 
-    def unread_bytes(self) -> int:
-        """Return how many bytes of further requests have been read."""
-        return self._framer.unread_bytes()
-
     async def wait_for_request(self) -> bool:
         """Wait for the first bytes of a request; return false if none come."""
         while not self._framer.has_request():
@@ -85,6 +81,7 @@
         # Of this moment, as they may have changed since the connection was opened.
         limits = self._limits()
         self.http = _new_parser(limits)
+        self._take_room(self._framer.unread_bytes())
         head = await self._read_head(limits)
         if head is None:
             return None
--- a/libs/relay/src/cherryrudder/relay/server.py
+++ b/libs/relay/src/cherryrudder/relay/server.py
@@ -208,8 +208,6 @@
             if not await self._reader.wait_for_request():
                 return None
             self._holding.since_s = self._now_s()
-            if not self.hold(self._reader.unread_bytes()):
-                raise NoRoom(Bound.MEMORY)
             request = await self._reader.read()
             if self.dropped_for is None:
                 return request
