Break an event off that is too long to be one

An engine that sends a stream without a separator made an entry keep all of it, and copy it anew with each read: a bound was named and nothing asked for it.

More than 1 MB without an end breaks the answer off, which is then resumed elsewhere as others are; only what is new is searched for an end.

Evidence: test_events, LongEventTest, failed before.

--- a/libs/relay/src/cherryrudder/relay/events.py
+++ b/libs/relay/src/cherryrudder/relay/events.py
@@ -6,6 +6,8 @@
 
 from typing import NamedTuple
 
+from .errors import AnswerBroken
+
 SEPARATOR = b"\n\n"
 # An event holds a few tokens in some hundred bytes; more data without a separator means
 # that the body is not an event stream.
@@ -26,13 +28,23 @@
     """Buffer for the bytes of an incomplete event."""
 
     def __init__(self):
-        self.rest = b""
+        self.rest = bytearray()
 
 
 def split(splitter: EventSplitter, data: bytes) -> list[Event]:
-    """Add bytes to the buffer and return the events that are now complete."""
-    pieces = (splitter.rest + data).split(SEPARATOR)
-    splitter.rest = pieces.pop()
+    """Add bytes to the buffer and return the events that are now complete.
+
+    Raises AnswerBroken if an event is too long to be one.
+    """
+    # A separator may have begun with the last byte before.
+    searched_bytes = max(0, len(splitter.rest) - 1)
+    splitter.rest += data
+    if splitter.rest.find(SEPARATOR, searched_bytes) < 0:
+        if len(splitter.rest) > MAX_EVENT_BYTES:
+            raise AnswerBroken("an event is too long")
+        return []
+    pieces = bytes(splitter.rest).split(SEPARATOR)
+    splitter.rest = bytearray(pieces.pop())
     return [Event(_number(piece), piece + SEPARATOR) for piece in pieces]
 
 
--- a/libs/relay/test/test_events.py
+++ b/libs/relay/test/test_events.py
@@ -3,6 +3,7 @@
 from hypothesis import given, settings, strategies as st
 
 from cherryrudder.relay import events
+from cherryrudder.relay.errors import AnswerBroken
 from cherryrudder.relay.events import EventSplitter
 
 STREAM = b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n: a comment\n\nid: x\n\n"
@@ -44,3 +45,15 @@
         found = events.split(splitter, STREAM[:20])
         self.assertEqual([event.number for event in found], [1])
         self.assertEqual(splitter.rest, STREAM[15:20])
+
+
+class LongEventTest(unittest.TestCase):
+    """Guards against an event without an end that fills an entry's memory."""
+
+    def test_an_event_without_an_end_is_broken_off(self):
+        splitter, sent = EventSplitter(), 0
+        with self.assertRaises(AnswerBroken):
+            while sent < 4 * events.MAX_EVENT_BYTES:
+                events.split(splitter, b"x" * 65_536)
+                sent += 65_536
+        self.assertLessEqual(sent, events.MAX_EVENT_BYTES)
