--- a/libs/node/src/cherryrudder/node/attempts.py
+++ b/libs/node/src/cherryrudder/node/attempts.py
@@ -100,6 +100,18 @@
             return Body(bytes(body), False)
 
 
+async def read_failure(job: Job, connection: EngineConnection) -> bytes:
+    """Return the body of an engine's failure.
+
+    Raises AnswerLate, and AnswerBroken also if it is too long to be held.
+    """
+    end_s = now_s() + job.left_s()
+    body = await read_body(connection, end_s, hold=job.exchange.hold)
+    if not body.is_whole:
+        raise AnswerBroken("the engine's failure is too long")
+    return body.data
+
+
 async def skip_body(connection: EngineConnection, end_s: float) -> None:
     """Read the rest of an answer and discard it; raises AnswerBroken, AnswerLate."""
     while await connection.read_in_time(end_s - now_s()) is not None:
--- a/libs/node/src/cherryrudder/node/streamrelay.py
+++ b/libs/node/src/cherryrudder/node/streamrelay.py
@@ -281,13 +281,9 @@
         _log_refusal(stream, head, facts)
         return FailedAttempt(f"status {head.status} from the engine", is_not_run=True)
     if head.status != 200:
-        end_s = now_s() + job.left_s()
-        body = await attempts.read_body(connection, end_s, hold=job.exchange.hold)
-        if not body.is_whole:
-            raise AnswerBroken("the engine's failure is too long")
+        body = await attempts.read_failure(job, connection)
         await attempts.check_unframed_end(job, connection, stream.chain[0].engine_id)
-        whole = WholeAnswer(head.status, head.headers, body.data)
-        return await _pass_failure(stream, whole)
+        return await _pass_failure(stream, WholeAnswer(head.status, head.headers, body))
     if not stream.has_begun:
         await _begin(stream, head)
     await _pass_events(stream, connection)
--- a/libs/relay/src/cherryrudder/relay/reading.py
+++ b/libs/relay/src/cherryrudder/relay/reading.py
@@ -109,7 +109,7 @@
         if not self._hold(READ_AHEAD_BYTES):
             raise ClientGone("no room for requests in a row")
 
-    async def skip(self) -> None:
+    async def discard(self) -> None:
         """Discard what the client still sends, until it leaves."""
         units = READ_BYTES // BYTES_PER_UNIT
         while True:
--- a/libs/relay/src/cherryrudder/relay/server.py
+++ b/libs/relay/src/cherryrudder/relay/server.py
@@ -259,7 +259,7 @@
         self._stream.end_writing()
         with contextlib.suppress(StreamEnded, StreamBroken):
             with anyio.move_on_after(LINGER_S) as scope, self._droppable(scope):
-                await self._reader.skip()
+                await self._reader.discard()
 
     async def _close(self):
         """Close once the client has taken what was written, or stops reading."""
