Show that an accepted configuration keeps streams from being served

Code path: layers/profile.py (room_tokens), node/layercontroller.py (run, _review), layers/chains.py (choose_chain).

--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,8 +1,7 @@
-"""An engine crashes inside an answer without a length, while its entry is frozen."""
+"""A configuration whose model keeps no memory for a token, and a final fault."""
 
-import collections
-import signal
 import sys
+import time
 import uuid
 from pathlib import Path
 
@@ -10,103 +9,115 @@
 from common2 import ask, configuration, configure, has_trouble, main, route
 
 from cherryrudder.standin.deployment import CLIENT_PORT
-from cherryrudder.standin.engine import Engine
+from cherryrudder.standin.requests import SMALL_MODEL
 
-FILINGS = 9
-# How long the entry's machine is frozen, and when the engine crashes and is back.
-FROZEN_S, CRASH_AFTER_S, BACK_AFTER_S = 3.0, 0.5, 1.5
+EVENTS = 10
+# The final fault: all processes are killed, and are back this much later.
+DOWN_S = 0.7
+# A process that ends by itself starts again after this.
+RESTART_S = 0.5
+RECOVERY_S = 12.0
+BEFORE_S, AFTER_S = 5.0, 16.0
+# Of a hundred requests so many are streams, as on the site's sheet.
+STREAMS, HUNDRED = 88, 100
+LEAST_SERVED = 0.25
+CLIENTS, PAUSE_S = 6, 0.25
 
 
 async def play(deployment, record):
-    """Return whether no answer that ended early looked complete."""
-    fleet = deployment.fleet
-    # Their answers have neither a length nor chunks.
-    fleet.ends_by_connection, fleet.answer_bytes = True, 800
-    engines = [deployment.add_engine(f"desk-{n}", "desk") for n in range(3)]
-    for engine in engines:
-        await deployment.run_engine(engine)
-    routes = [route("filing", "/filing/", "unsafe", service="desk")]
-    services = [{"name": "desk", "health_path": "/health", "max_connections": 54}]
+    """Return whether a quarter of the requests are served after the final fault."""
+    for number in range(6):
+        await deployment.run_engine(deployment.add_engine(f"llm-{number}", "llm", "l4"))
+    await deployment.run_engine(deployment.add_engine("desk-0", "desk"))
+    stream = route("stream", "/stream/", "stream", service="llm", sticky=True)
+    stream |= {"resumable": True, "gap_target_ms": 200, "timeout_ms": 20_000}
+    routes = [stream, route("filing", "/filing/", "unsafe", service="desk")]
+    model = {"name": "llm", "health_path": "/health", "engine": SMALL_MODEL}
+    services = [
+        model,
+        {"name": "desk", "health_path": "/health", "max_connections": 54},
+    ]
     await configure(deployment, configuration(1, routes, services))
     for node in deployment.nodes:
         await deployment.wait_ready(node)
-        while (await request(node, record)).status != 200:
+        while not await is_served(node, record, True):
             await anyio.sleep(0.2)
-    for engine in engines:
-        engine.is_hanging_in_answers = True
-    node, answers = deployment.nodes[0], []
-
-    async def file():
-        answers.append(await request(node, record))
+    before = await count_served(deployment, record, "before", BEFORE_S)
+    if has_trouble():
+        model["engine"] = SMALL_MODEL | {"token_kv_bytes": 0}
+    await configure(deployment, configuration(2, routes, services))
+    record.write("acknowledged", version=2)
+    for node in deployment.nodes:
+        for role in tuple(node.processes):
+            deployment.kill(node, role)
+    record.write("killed", processes="all")
+    await anyio.sleep(DOWN_S)
+    ends = []
+    async with anyio.create_task_group() as group:
+        for node in deployment.nodes:
+            for role in ("control", "entry"):
+                group.start_soon(keep_up, deployment, record, node, role, ends)
+        await anyio.sleep(RECOVERY_S)
+        after = await count_served(deployment, record, "after", AFTER_S)
+        group.cancel_scope.cancel()
+    record.write("count", served_before=before, served_after=after, ends=len(ends))
+    return before < LEAST_SERVED or after >= LEAST_SERVED
+
+
+async def keep_up(deployment, record, node, role, ends):
+    """Run a process, and start it again when it has ended, as the platform does."""
+    while True:
+        deployment.start(node, role, False)
+        process = node.processes[role]
+        while process.poll() is None:
+            await anyio.sleep(0.05)
+        ends.append(role)
+        record.write("ended by itself", process=f"{node.name} {role}")
+        await anyio.sleep(RESTART_S)
+
+
+async def count_served(deployment, record, when, for_s):
+    """Send requests to all entries in turn; return the share that is served."""
+    served = []
+    end_s = time.monotonic() + for_s
+
+    async def send(client):
+        number = client
+        while time.monotonic() < end_s:
+            node = deployment.nodes[number % len(deployment.nodes)]
+            # Spread evenly: 37 has no divisor in common with a hundred.
+            is_stream = 37 * number % HUNDRED < STREAMS
+            served.append(await is_served(node, record, is_stream))
+            number += CLIENTS
+            await anyio.sleep(PAUSE_S)
 
-    before = len(fleet.runs)
     async with anyio.create_task_group() as group:
-        for _ in range(FILINGS):
-            group.start_soon(file)
-        while len(fleet.runs) < before + FILINGS:
-            await anyio.sleep(0.01)
-        # By now each has answered with the first half.
-        await anyio.sleep(0.3)
-        for run in fleet.runs[before:]:
-            record.write("run", request=run.request_id, server=run.engine_id)
-        if has_trouble():
-            await freeze_and_crash(deployment, record, node, fleet.runs[before:])
-        for engine in engines:
-            engine.is_hanging_in_answers = False
-    ended_early = [
-        one for one in answers if one.status == 200 and is_cut(one, fleet.answer_bytes)
-    ]
-    record.write(
-        "count",
-        filings=len(answers),
-        whole=sum(one.status == 200 for one in answers) - len(ended_early),
-        half_but_complete=len(ended_early),
-    )
-    return not ended_early
-
-
-def is_cut(answer, size):
-    """Return whether an answer looks complete and isn't."""
-    return answer.is_complete and len(answer.body) < size
-
-
-async def freeze_and_crash(deployment, record, node, runs):
-    """Freeze an entry; meanwhile an engine crashes, and starts with a new id."""
-    counts = collections.Counter(run.engine_id for run in runs)
-    name, _ = counts.most_common(1)[0]
-    fleet = deployment.fleet
-    engine = next(e for e in fleet.engines.values() if e.engine_id == name)
-    process = node.processes["entry"]
-    process.send_signal(signal.SIGSTOP)
-    record.write("frozen", process=f"{node.name} entry")
-    try:
-        await anyio.sleep(CRASH_AFTER_S)
-        engine.die()
-        record.write("crashed", server=name)
-        await anyio.sleep(BACK_AFTER_S - CRASH_AFTER_S)
-        again = Engine(fleet, f"{name}-again", engine.address, engine.service)
-        await deployment.run_engine(again)
-        record.write("started", server=again.engine_id)
-        await anyio.sleep(FROZEN_S - BACK_AFTER_S)
-    finally:
-        process.send_signal(signal.SIGCONT)
-    record.write("thawed", process=f"{node.name} entry")
-
-
-async def request(node, record):
-    """File something on a new channel."""
+        for client in range(CLIENTS):
+            group.start_soon(send, client)
+    share = round(sum(served) / len(served), 3)
+    record.write("served", when=when, requests=len(served), share=share)
+    return share
+
+
+async def is_served(node, record, is_stream):
+    """Return whether a request is answered with a whole success."""
     request_id = uuid.uuid4().hex[:16]
-    record.write("sent", request=request_id, entry=node.name)
+    path = "/stream/x" if is_stream else "/filing/x"
+    headers = {}
+    if is_stream:
+        headers = {"Token_Count": f"100,{2 * EVENTS}", "Model": "m"}
+        headers |= {"Deadline_Ms": "20000", "Prompt_Prefix": f"{request_id}:100"}
     address = node.at(CLIENT_PORT)
-    answer = await ask(address, "POST", "/filing/x", request_id, b"a filing")
+    answer = await ask(address, "POST", path, request_id, b"prompt", 5.0, **headers)
     record.write(
         "answer",
         request=request_id,
+        entry=node.name,
+        path=path,
         status=answer.status,
         complete=answer.is_complete,
-        bytes=len(answer.body),
     )
-    return answer
+    return answer.status == 200 and answer.is_complete
 
 
 if __name__ == "__main__":
