Plan every accepted model in bounded time, and survive a step that fails

Callers saw: after an acknowledged configuration with `token_kv_bytes` 0 all streams ended unanswered; after a final fault 12 in a hundred requests were served, as each leading control process ended by itself.

Cause: numbers of a service's `engine` went into the planner and the choice of chains as they came: divisors of 0, rooms that are infinite, work that grows with the square of the layers. Nothing between a plan and its process's task group caught an error; a request's handler let it out, and the connection closed unanswered.

A plan's work is counted and ends. A failing plan, search or review costs itself; a request whose handler fails gets 503 if it was sent to nobody, else 502. The order's time limit and what was used of a pipe end with the model that they followed from.

--- a/libs/layers/src/cherryrudder/layers/layout.py
+++ b/libs/layers/src/cherryrudder/layers/layout.py
@@ -22,6 +22,7 @@
     KindProfile,
     LayerRange,
     ModelProfile,
+    fitting_tokens,
     max_layers,
     room_tokens,
     token_layer_mb,
@@ -135,7 +136,7 @@
 def _max_room(profile, kinds, copies):
     """Return the most room per layer, in tokens, for which the copies fit."""
     layer_mb = sum(kind.size_mb for kind in kinds) / (copies * profile.layers)
-    room = (layer_mb - profile.layer_mb) / token_layer_mb(profile)
+    room = fitting_tokens(layer_mb - profile.layer_mb, token_layer_mb(profile))
     while room > MIN_TRIED_ROOM_TOKENS:
         if _tile(profile, kinds, Target(copies, room)) is not None:
             return room
--- a/libs/layers/src/cherryrudder/layers/planner.py
+++ b/libs/layers/src/cherryrudder/layers/planner.py
@@ -11,6 +11,9 @@
 laid out at once (`layout`); engines that join later go where the room is least. While
 there is a hole, requests use another data centre's copy, until the neighbours of the
 lost range have taken it over.
+
+A plan is made between two messages of its process, so its work is bounded. What is
+missing from a plan that was cut short follows with the next one.
 """
 
 import collections
@@ -50,11 +53,27 @@
 # Cost of loading one layer, deducted from the gain of a move: of moves with equal gain
 # the fastest is preferred.
 LAYER_LOAD_COST = 2.0
+# Layers that one plan may look at. Plans for some hundred engines with holes look at a
+# few hundred thousand, in about a tenth of a second.
+MAX_VISITS = 600_000
+# Adding up the values of a range takes far less than finding them.
+SUMMED_PER_VISIT = 16
 # Value of covering a layer that no engine holds, against 1 for a layer with the planned
 # room. A hole stops the data centre.
 HOLE_VALUE = 1000.0
 
 
+class _Effort:
+    """The work that is left for a group's plan."""
+
+    def __init__(self, visits):
+        self.visits = visits
+
+    @property
+    def is_spent(self):
+        return self.visits <= 0
+
+
 def plan(profile: ModelProfile, states: Iterable[EngineState]) -> list[Placement]:
     """Return the placements to order now, none if no change is needed."""
     states = list(states)
@@ -67,8 +86,10 @@
     ]
     placements = []
     leaving = [state for state in states if state.is_leaving]
-    for group in _groups(profile, engines):
-        placements += _plan_group(profile, group, leaving)
+    groups = _groups(profile, engines)
+    for group in groups:
+        effort = _Effort(MAX_VISITS // len(groups))
+        placements += _plan_group(profile, group, leaving, effort)
     return placements
 
 
@@ -95,7 +116,7 @@
     return [*groups, pooled] if pooled else groups
 
 
-def _plan_group(profile, group, leaving):
+def _plan_group(profile, group, leaving, effort):
     """Return the placements for one group of engines.
 
     An engine that has just joined is not placed while nothing is missing. When engines
@@ -121,18 +142,20 @@
         and (is_short or not e.state.is_fresh or _claim_awaited(e, awaited))
     ]
     for engine in by_size(empty):
-        holding = _best_range(profile, engine, sums, room)
+        if effort.is_spent:
+            break
+        holding = _best_range(profile, engine, sums, room, effort)
         if holding != NO_LAYERS:
             placements.append(Placement(engine.state, holding))
             _add(profile, sums, engine, holding, 1)
     if 0.0 not in sums:
         return placements
     movable = [e for e in group if e.state.holding != NO_LAYERS and not e.state.is_busy]
-    extended = _extend(profile, movable, sums, EARLY_EXTENSION_ROOM_TOKENS)
+    extended = _extend(profile, movable, sums, EARLY_EXTENSION_ROOM_TOKENS, effort)
     movable = _without(movable, extended)
-    moved = _move(profile, movable, sums, room)
+    moved = _move(profile, movable, sums, room, effort)
     movable = _without(movable, moved)
-    stretched = _extend(profile, movable, sums, MIN_ROOM_TOKENS)
+    stretched = _extend(profile, movable, sums, MIN_ROOM_TOKENS, effort)
     return placements + extended + moved + stretched
 
 
@@ -169,9 +192,11 @@
 
 
 def _add(profile, sums, engine, holding, sign):
+    first_room = layer_room(profile, engine.kind, holding, 0)
+    usual_room = room_tokens(profile, engine.kind, holding.end - holding.first)
     for layer in range(holding.first, holding.end):
         # A held layer never counts as a hole, however little room there is.
-        room = max(1.0, layer_room(profile, engine.kind, holding, layer))
+        room = max(1.0, usual_room if layer else first_room)
         # Rounded, so that removing a range again leaves exactly zero.
         sums[layer] = max(0.0, round(sums[layer] + sign * room))
 
@@ -187,31 +212,35 @@
     return sum(_layer_value(sums[layer], planned) for layer in layers)
 
 
-def _best_range(profile, engine, sums, room):
+def _best_range(profile, engine, sums, room, effort):
     """Return the range of most value, of the length that leaves the planned room."""
     length = max_layers(profile, engine.kind, room)
     if length < 1:
         length = min(1, max_layers(profile, engine.kind, MIN_ROOM_TOKENS))
     best, best_value = NO_LAYERS, -1.0
-    for first in range(0, profile.layers - length + 1) if length else ():
-        holding = LayerRange(first, first + length)
-        value = _range_value(sums, holding, room)
+    if length < 1:
+        return best
+    effort.visits -= profile.layers * (1 + length // SUMMED_PER_VISIT)
+    values = [_layer_value(free, room) for free in sums]
+    for first in range(0, profile.layers - length + 1):
+        value = sum(values[first : first + length])
         if value > best_value + 1e-9:
-            best, best_value = holding, value
+            best, best_value = LayerRange(first, first + length), value
     return best
 
 
-def _extend(profile, movable, sums, min_room):
+def _extend(profile, movable, sums, min_room, effort):
     """Extend the ranges of the neighbours of each hole until they cover it.
 
     The neighbours go on serving their own range while the new layers load.
     """
     held = {e.state.engine_id: e.state.holding for e in movable}
-    while (hole := _first_hole(sums)) is not None:
+    while (hole := _first_hole(sums)) is not None and not effort.is_spent:
         step = _best_extension(profile, movable, held, hole, min_room)
         if step is None:
             break
         engine, holding = step
+        effort.visits -= len(movable) + 2 * (holding.end - holding.first)
         _add(profile, sums, engine, held[engine.state.engine_id], -1)
         _add(profile, sums, engine, holding, 1)
         held[engine.state.engine_id] = holding
@@ -259,15 +288,17 @@
     return new.end - new.first - max(0, common)
 
 
-def _move(profile, movable, sums, room):
+def _move(profile, movable, sums, room, effort):
     """Move engines whose layers others hold as well to layers that no engine holds."""
     placements = []
     while 0.0 in sums:
         best = None
         for engine in movable:
+            if effort.is_spent:
+                break
             old = engine.state.holding
             _add(profile, sums, engine, old, -1)
-            holding = _best_range(profile, engine, sums, room)
+            holding = _best_range(profile, engine, sums, room, effort)
             gain = _range_value(sums, holding, room) - _range_value(sums, old, room)
             gain -= LAYER_LOAD_COST * _count_new_layers(old, holding)
             _add(profile, sums, engine, old, 1)
--- a/libs/node/src/cherryrudder/node/chainscheduler.py
+++ b/libs/node/src/cherryrudder/node/chainscheduler.py
@@ -29,6 +29,8 @@
         self.find_chain = find_chain
         self.is_restricted = is_restricted
         self.chain: Chain | None = None
+        # Raised by the last search.
+        self.error: Exception | None = None
         self.is_over = anyio.Event()
 
 
@@ -69,6 +71,8 @@
             raise
         finally:
             del self._waiters[request.request_id]
+        if waiter.error is not None:
+            raise waiter.error
         return waiter.chain
 
     async def run(self) -> None:
@@ -89,7 +93,14 @@
             request := capacityqueue.next_waiting(self.queue, now, skipped)
         ) is not None:
             waiter = self._waiters[request.request_id]
-            waiter.chain = waiter.find_chain()
+            try:
+                waiter.chain = waiter.find_chain()
+            except Exception as error:
+                # The search for one stream must not end those of all others.
+                waiter.error = error
+                capacityqueue.remove(self.queue, request.request_id)
+                waiter.is_over.set()
+                continue
             if waiter.chain is not None:
                 capacityqueue.record_start(self.queue, request.request_id, now)
                 waiter.is_over.set()
--- a/libs/node/src/cherryrudder/node/entrystate.py
+++ b/libs/node/src/cherryrudder/node/entrystate.py
@@ -142,6 +142,19 @@
         return self.table.version if self.table else 0
 
 
+def set_table(state: EntryState, table: RouteTable) -> None:
+    """Put another version of the configuration in force."""
+    if state.table is not None and _pipe_rates(state.table) != _pipe_rates(table):
+        # What was used of pipes with other rates doesn't count.
+        state.pipes = PipeBudget()
+    state.table = table
+
+
+def _pipe_rates(table):
+    services = table.configuration.services
+    return {s.name: s.model.pipe_mbps for s in services if s.model is not None}
+
+
 def record_version(state: EntryState, version: int, now_s: float) -> None:
     """Record a version that a majority of the control VMs has confirmed."""
     newer = state.newer_versions
--- a/libs/node/src/cherryrudder/node/httpserver.py
+++ b/libs/node/src/cherryrudder/node/httpserver.py
@@ -5,11 +5,19 @@
 import anyio
 from loguru import logger
 
-from cherryrudder.relay.server import ClientConnection, Handler, Limits, OnRefused
+from cherryrudder.relay.errors import ClientGone
+from cherryrudder.relay.server import (
+    ClientConnection,
+    Exchange,
+    Handler,
+    Limits,
+    OnRefused,
+)
 from cherryrudder.relay.turns import TurnQueue
 from cherryrudder.replica.clock import now_s
 from cherryrudder.wire import clientshares, sockets
 from cherryrudder.wire.clientshares import ClientShares
+from cherryrudder.wire.errors import WireError
 
 # Limits of a control VM's port, at which configurations arrive.
 CALL_LIMITS = Limits(16_384, 16 * 1024 * 1024, 3.0, 60.0)
@@ -63,6 +71,17 @@
 async def serve(server: HttpServer, address: str) -> None:
     """Answer requests at an address until cancelled."""
 
+    async def handle_request(exchange: Exchange):
+        try:
+            await server.handler(exchange)
+        except (ClientGone, WireError):
+            raise
+        except Exception as error:
+            log.opt(exception=error).error("A request's handler failed: {!r}.", error)
+            # An answer that has begun ends with its connection, visibly incomplete.
+            if not exchange.has_begun:
+                await exchange.answer(500, [])
+
     async def handle(stream):
         connection = ClientConnection(
             stream,
@@ -75,11 +94,10 @@
         )
         server.connections.add(connection)
         try:
-            await connection.run(server.handler)
+            await connection.run(handle_request)
         except Exception as error:
-            # An error in one answer must not end all others. The connection closes
-            # without an answer that looks complete.
-            log.opt(exception=error).error("A request's handler failed: {!r}.", error)
+            # An error in one connection must not end all others.
+            log.opt(exception=error).error("A connection failed: {!r}.", error)
         finally:
             server.connections.discard(connection)
 
--- a/libs/node/src/cherryrudder/node/layercontroller.py
+++ b/libs/node/src/cherryrudder/node/layercontroller.py
@@ -8,9 +8,10 @@
 from typing import NamedTuple
 
 import anyio
+import anyio.lowlevel
 from loguru import logger
 
-from cherryrudder.layers import planner
+from cherryrudder.layers import planner, profile
 from cherryrudder.layers.layout import EngineState, Placement
 from cherryrudder.layers.profile import NO_LAYERS, LayerRange, ModelProfile
 from cherryrudder.platform import engines
@@ -64,10 +65,13 @@
         self.gossip = gossip
         self.group = group
         self._pending: dict[str, PendingOrder] = {}
+        self._models: dict[str, ModelProfile] = {}
         self._not_before_s: dict[str, float] = {}
         self._known: frozenset[str] = frozenset()
         self._first_seen_s: dict[str, float] = {}
         self._changed_s = 0.0
+        # The error of the last step, by service or engine; logged when it changes.
+        self._errors: dict[str, str] = {}
         self._started_s = now_s()
 
     async def run(self) -> None:
@@ -79,8 +83,22 @@
                 self._pending.clear()
                 continue
             for service in self.state.services():
-                if service.model is not None and service.model.layers:
-                    await self._review(service)
+                if service.model is not None and profile.is_servable(service.model):
+                    await self._try(service.name, self._review, service)
+                    # A configuration may hold any number of services.
+                    await anyio.lowlevel.checkpoint()
+
+    async def _try(self, name, step, *arguments):
+        """Run one step for a service or an engine; an error costs this step alone."""
+        try:
+            await step(*arguments)
+        except Exception as error:
+            self.state.metrics.failed_steps.labels("plan").inc()
+            if self._errors.get(name) != repr(error):
+                log.opt(exception=error).error("Planning {!r} failed.", name)
+            self._errors[name] = repr(error)
+        else:
+            self._errors.pop(name, None)
 
     async def _review(self, service):
         now = now_s()
@@ -89,6 +107,7 @@
             for a in endpoints.live(self.state.endpoints.table, now)
             if a.service == service.name and not self._is_dead(a.engine_id, now)
         ]
+        self._drop_outdated(service, live)
         self._update_known(live, now)
         if not self._is_settled(live, now):
             return
@@ -110,6 +129,13 @@
             return False
         return now - suspected_s > DEATH_BATCH_S
 
+    def _drop_outdated(self, service, live):
+        """Drop orders whose time limit follows from a model that isn't in force."""
+        if self._models.get(service.name, service.model) != service.model:
+            for announcement in live:
+                self._pending.pop(announcement.engine_id, None)
+        self._models[service.name] = service.model
+
     def _update_known(self, live, now):
         """Record new engines, and drop orders that heartbeats show as finished."""
         known = frozenset(a.engine_id for a in live)
@@ -174,7 +200,9 @@
             )
             ordered = PendingOrder(holding, now_s() + timeout_s)
             self._pending[engine.engine_id] = ordered
-            self.group.start_soon(self._watch_load, engine, ordered)
+            self.group.start_soon(
+                self._try, engine.engine_id, self._watch_load, engine, ordered
+            )
 
     async def _watch_load(self, engine: EngineState, ordered: PendingOrder):
         """Publish an engine's layers as soon as a load has changed them.
--- a/libs/node/src/cherryrudder/node/metrics.py
+++ b/libs/node/src/cherryrudder/node/metrics.py
@@ -36,6 +36,7 @@
         self.client_held_bytes = self._gauge("client_held_bytes", "Held for clients")
         self.client_connections = self._gauge("client_connections", "Of clients")
         self.left_out = self._counter("messages_left_out", "Unreadable", "kind")
+        self.failed_steps = self._counter("failed_steps", "Ended by an error", "step")
         self.first_byte_s = self._histogram("first_byte_seconds", "To the first byte")
         self.total_s = self._histogram("total_seconds", "To the end of the answer")
 
--- a/libs/node/src/cherryrudder/node/request_handler.py
+++ b/libs/node/src/cherryrudder/node/request_handler.py
@@ -1,9 +1,12 @@
 """Handle clients' requests: check route and key, pick the service, then relay."""
 
 import anyio
+from loguru import logger
 
+from cherryrudder.layers import profile
 from cherryrudder.platform import messages
 from cherryrudder.policy import sharedbudget
+from cherryrudder.relay.errors import ClientGone
 from cherryrudder.relay.server import Exchange
 from cherryrudder.replica.clock import now_s
 from cherryrudder.routing import authorization
@@ -11,10 +14,10 @@
     NO_CONFIGURATION,
     UNCONFIRMED,
     AccessRequest,
-    Admitted,
     Refused,
 )
 from cherryrudder.routing.routetable import pick_service
+from cherryrudder.wire.errors import WireError
 
 from . import crashes, entrystate, plainrelay, roster, streamrelay
 from .chainscheduler import ChainSchedulers
@@ -28,6 +31,11 @@
 # 5 of the 8 s that a process has to stop. Refused at once as not run, they are retried
 # elsewhere by their clients.
 LEAVING = Refused(503, "leaving", 0.05)
+# Refusal for a model that no plan can spread; only another configuration helps.
+UNSERVABLE = Refused(503, "the service's layers can't be planned", 5.0)
+# Answers after an error of this process, without and with a request sent to an engine.
+FAILED_UNSENT = Refused(503, "internal error", 1.0)
+FAILED_SENT = Refused(502, "internal error")
 # How long a request waits for this entry's configuration or its confirmation. After a
 # power loss it takes 1.2 s until a new leader is elected and answers. Clients
 # disconnect from a stream without output after 2 s.
@@ -41,6 +49,8 @@
 # error of spread 0.5, one answer in thirty is longer than this many times its guess.
 GUESS_FACTOR = 2.5
 
+log = logger.bind(part="clients")
+
 
 class RequestHandler:
     """Handles each request until its one final answer."""
@@ -68,7 +78,21 @@
         if isinstance(decision, Refused):
             await refuse(state, exchange, facts, decision)
             return
-        await self._serve(exchange, facts, decision)
+        name = pick_service(decision.route, state.rng.random())
+        job = Job(state, exchange, facts, decision, state.table.service(name))
+        refused = self._find_refusal(job)
+        if refused is not None:
+            await job.refuse(refused)
+            return
+        try:
+            await self._serve(job)
+        except (ClientGone, WireError):
+            raise
+        except Exception as error:
+            log.opt(exception=error).error("Serving a request failed: {!r}.", error)
+            await self._fail(job)
+        finally:
+            _record(job)
 
     async def _decide(self, exchange, facts):
         """Return the decision about a request; wait for a configuration if needed.
@@ -99,35 +123,41 @@
             superseded_age_s=entrystate.superseded_age_s(state, now),
         )
 
-    async def _serve(self, exchange, facts, admitted: Admitted):
-        state = self.state
-        name = pick_service(admitted.route, state.rng.random())
-        service = state.table.service(name)
-        job = Job(state, exchange, facts, admitted, service)
-        if self._may_outlast(job):
-            await job.refuse(LEAVING)
+    async def _fail(self, job):
+        """End a request after an error in this process."""
+        self.state.metrics.failed_steps.labels("request").inc()
+        if job.exchange.has_begun:
+            job.outcome = "broken off: internal error"
             return
-        sharedbudget.record_request(state.retry_budget, name, now_s())
+        await job.refuse(FAILED_SENT if job.attempts else FAILED_UNSENT)
+
+    async def _serve(self, job):
+        state, admitted, service = self.state, job.admitted, job.service
+        sharedbudget.record_request(state.retry_budget, service.name, now_s())
         job.log_event(
             "admitted",
             route=admitted.route.name,
             version=state.version,
             account=admitted.account,
-            service=name,
+            service=service.name,
             fingerprint=job.fingerprint,
             prompt_parts=[part.label for part in job.parts],
-            body_bytes=len(exchange.request.body),
+            body_bytes=len(job.exchange.request.body),
         )
-        try:
-            if await crashes.confirm_block(job):
-                await job.refuse_permanently()
-                return
-            if service.model is not None and service.model.layers:
-                await streamrelay.serve(job, self.supervisor)
-            else:
-                await plainrelay.serve(job, self._publish_crashes)
-        finally:
-            _record(job)
+        if await crashes.confirm_block(job):
+            await job.refuse_permanently()
+            return
+        if service.model is not None and service.model.layers:
+            await streamrelay.serve(job, self.supervisor)
+        else:
+            await plainrelay.serve(job, self._publish_crashes)
+
+    def _find_refusal(self, job):
+        """Return why an admitted request isn't served at all, or None."""
+        model = job.service.model
+        if model is not None and model.layers and not profile.is_servable(model):
+            return UNSERVABLE
+        return LEAVING if self._may_outlast(job) else None
 
     def _may_outlast(self, job):
         """Return whether a stream may last longer than this process.
--- a/libs/node/src/cherryrudder/node/supervision.py
+++ b/libs/node/src/cherryrudder/node/supervision.py
@@ -92,22 +92,34 @@
                 for stream in tuple(self.streams):
                     if is_late:
                         record_progress(stream, now)
-                    elif _is_hung(stream, hung) and _can_leave(stream, leaving, now):
-                        leaving[stream.job.service.name] += 1
-                        stream.exclude(
-                            stream.chain[0].address, now + FIRST_ENGINE_EXCLUSION_S
-                        )
-                        stream.abort_attempt("the first engine hangs")
-                    elif _must_stop(stream, now):
-                        stream.abort_attempt(crashes.REFUSED_AS_CRASHING.reason)
-                    elif self._is_due(stream, now):
-                        stream.is_under_review = True
-                        group.start_soon(self._run_review, stream, self._check_chain)
-                    elif self._must_move(stream, now):
-                        stream.is_under_review = True
-                        group.start_soon(self._run_review, stream, self._move)
-                    elif _is_slow(stream, now):
-                        self._report_slowness(stream, now)
+                        continue
+                    try:
+                        self._review(stream, hung, leaving, now)
+                    except Exception as error:
+                        self._log_failure(error)
+
+    def _review(self, stream, hung, leaving, now):
+        """Do what a stream needs now; `leaving` counts those that leave engines."""
+        if _is_hung(stream, hung) and _can_leave(stream, leaving, now):
+            leaving[stream.job.service.name] += 1
+            stream.exclude(stream.chain[0].address, now + FIRST_ENGINE_EXCLUSION_S)
+            stream.abort_attempt("the first engine hangs")
+        elif _must_stop(stream, now):
+            stream.abort_attempt(crashes.REFUSED_AS_CRASHING.reason)
+        elif self._is_due(stream, now):
+            stream.is_under_review = True
+            self.hung.group.start_soon(self._run_review, stream, self._check_chain)
+        elif self._must_move(stream, now):
+            stream.is_under_review = True
+            self.hung.group.start_soon(self._run_review, stream, self._move)
+        elif _is_slow(stream, now):
+            self._report_slowness(stream, now)
+
+    def _log_failure(self, error):
+        # An error with one stream must not end the process and with it all other
+        # streams. The stream itself still ends by its time limit.
+        self.state.metrics.failed_steps.labels("stream-review").inc()
+        log.opt(exception=error).error("Checking or moving a stream failed.")
 
     async def _wait_for_review(self):
         """Wait for the next review; it starts early when an engine is found dead."""
@@ -197,9 +209,7 @@
         try:
             await work(stream)
         except Exception as error:
-            # An error with one stream must not end the process and with it all other
-            # streams. The stream itself still ends by its time limit.
-            log.opt(exception=error).error("Checking or moving a stream failed.")
+            self._log_failure(error)
         finally:
             stream.is_under_review = False
 
--- a/libs/node/src/cherryrudder/node/uplink.py
+++ b/libs/node/src/cherryrudder/node/uplink.py
@@ -315,7 +315,7 @@
             log.error("An accepted configuration is unreadable: {}.", result.error)
             return
         old = state.version
-        state.table = RouteTable(result.ok)
+        entrystate.set_table(state, RouteTable(result.ok))
         state.sink.write(
             "uplink", "configuration", True, old_version=old, version=update.version
         )
--- a/libs/routing/src/cherryrudder/routing/configuration.py
+++ b/libs/routing/src/cherryrudder/routing/configuration.py
@@ -56,7 +56,10 @@
     name: str
     health_path: str
     max_connections: int
+    # Within the bounds that planning needs; see `layers.profile`.
     model: ModelProfile | None
+    # Why no engine can run the model as it was sent, empty if one can.
+    model_fault: str = ""
 
 
 class Account(NamedTuple):
@@ -110,6 +113,9 @@
     for route in configuration.routes:
         if route.unused_service and route.unused_service not in names:
             return f"route {route.name}: no service {route.unused_service}"
+    for service in configuration.services:
+        if service.model_fault:
+            return f"service {service.name}: {service.model_fault}"
     owners: dict[str, int] = {}
     for number, account in enumerate(configuration.accounts):
         if not _fits_header(account.name):
