Forward `Last-Event-Id` to every engine as its client sent it

Cause: the field was taken out of every request, and only the path of layered services put it back, as text that was decoded and stripped; an empty one was lost there, too.

Change: it is forwarded like the client's other headers, whatever it holds, and replaced only where the router resumes an answer that has begun. "Other headers are also forwarded, except those that concern only one channel" (PROTOCOL.md, "Requests"). The other fields that are taken out are set on both paths, or mean nothing without layers.

--- a/libs/node/src/cherryrudder/node/streamrelay.py
+++ b/libs/node/src/cherryrudder/node/streamrelay.py
@@ -165,7 +165,7 @@
     _start_watching(stream, connection)
     try:
         sending = job.sending(
-            first.engine_id, last_event=_last_event(stream), chain=stream.chain
+            first.engine_id, last_event=_resumed_after(stream), chain=stream.chain
         )
         job.log_event(
             "sent",
@@ -262,10 +262,9 @@
     stream.supervisor.streams.add(stream)
 
 
-def _last_event(stream):
-    if stream.last_event is None:
-        return stream.job.facts.last_event
-    return str(stream.last_event)
+def _resumed_after(stream):
+    """Return the id after which an engine is to go on, empty for the client's own."""
+    return "" if stream.last_event is None else str(stream.last_event)
 
 
 async def _relay(stream, connection):
