Pass on streams of plain services event by event, and resume them

Callers saw: the first event of a plain stream came with its last (1.2 s for 30 events, 40 ms apart); one that its engine broke off failed or ran again from its start, also where its route is `resumable`.

Cause: the path of plain services knew whole answers only, and read each to its end.

Change: `plainstream` passes events on as they come, from the first one. After a break a resumable stream goes on elsewhere after the last event, with its first engine's head, as far as attempts and the retry budget go; others end visibly. Lines may end in CR LF, which passed before, as whole answers were not split.

--- a/libs/node/src/cherryrudder/node/plainrelay.py
+++ b/libs/node/src/cherryrudder/node/plainrelay.py
@@ -2,7 +2,7 @@
 
 An answer is relayed once it is complete, so that an idempotent request can still be
 retried if its answer breaks off. One that is too long to be held is relayed as it
-comes, at the speed of its client.
+comes, at the speed of its client, and so is a stream of events (`plainstream`).
 """
 
 from collections.abc import Callable
@@ -19,6 +19,7 @@
 )
 from cherryrudder.replica.clock import now_s
 from cherryrudder.routing import backoffs, crashbook, picking, suspicion
+from cherryrudder.routing.configuration import RouteKind
 from cherryrudder.routing.crashbook import FINISHED
 from cherryrudder.routing.picking import EndpointLoad
 
@@ -28,11 +29,13 @@
     brokenruns,
     crashes,
     heldrequests,
+    plainstream,
     ratelimiter,
 )
 from .entrystate import ReportedLoad, is_suspect, serving_endpoints
 from .gossip import CrashUpdate
 from .job import ANSWER_MARGIN_S, FailedAttempt, Job, WholeAnswer
+from .plainstream import EventRelay
 
 # Part of the time left that an idempotent request waits for one endpoint, so that
 # another could still answer in time. It applies to the objective, and once that has
@@ -65,13 +68,15 @@
     excluded: set[str] = set()
     failed = NO_ENDPOINT
     has_run = False
+    stream = EventRelay(job)
     while True:
-        if not await heldrequests.wait_for_turn(job):
+        has_begun = job.exchange.has_begun
+        if not await heldrequests.wait_for_turn(job, has_begun, has_begun):
             held = heldrequests.refusal(job, has_run, now_s())
             failed = held._replace(answer=failed.answer)
             break
         if await crashes.confirm_block(job):
-            await job.refuse_permanently()
+            await _refuse_permanently(job)
             return
         busy = heldrequests.busy_engines(job, now_s())
         endpoint = await _choose(job, excluded | busy)
@@ -79,12 +84,13 @@
             if failed is NO_ENDPOINT:
                 failed = endpoint
             break
-        if crashes.is_blocked(job, now_s()) or not heldrequests.may_send(job, now_s()):
+        may_send = heldrequests.may_send(job, now_s(), has_begun)
+        if crashes.is_blocked(job, now_s()) or not may_send:
             continue
         publish_crashes(heldrequests.begin(job, endpoint.engine_id, now_s()))
         result = None
         try:
-            result = await _attempt(job, endpoint)
+            result = await _attempt(job, endpoint, stream)
         finally:
             if not (isinstance(result, FailedAttempt) and result.is_broken):
                 publish_crashes(heldrequests.end(job, now_s()))
@@ -103,9 +109,8 @@
                 )
             )
             await crashes.wait_for_engine_verdict(job, endpoint.engine_id)
-        if job.exchange.has_begun:
-            # The connection closes without an end, as for streams.
-            job.outcome = f"broken off: {result.reason}"
+        if job.exchange.has_begun and not stream.may_resume:
+            _break_off(job, result)
             return
         has_run = has_run or not result.is_not_run
         failed = result._replace(
@@ -113,13 +118,35 @@
         )
         excluded.add(endpoint.engine_id)
         if not await attempts.may_retry(
-            job, result, job.attempts, job.route.max_attempts, EXPECTED_S
+            job,
+            result,
+            job.attempts,
+            job.route.max_attempts,
+            EXPECTED_S,
+            # Only streams are passed on in parts that another attempt may follow.
+            job.exchange.has_begun if job.route.kind is RouteKind.STREAM else None,
         ):
             break
         await crashes.delay_suspect(job)
+    if job.exchange.has_begun:
+        _break_off(job, failed)
+        return
     await job.fail(failed)
 
 
+def _break_off(job, failed):
+    """End an answer that has begun: its connection closes without an end."""
+    job.outcome = f"broken off: {failed.reason}"
+
+
+async def _refuse_permanently(job):
+    if job.exchange.has_begun:
+        crashes.log_refused(job, now_s())
+        job.outcome = f"broken off: {crashes.REFUSED_AS_CRASHING.reason}"
+        return
+    await job.refuse_permanently()
+
+
 async def _choose(job, excluded):
     """Return the endpoint for the next attempt, or the reason why there is none."""
     state = job.state
@@ -186,13 +213,13 @@
 
 
 async def _attempt(
-    job: Job, endpoint: EndpointLoad
+    job: Job, endpoint: EndpointLoad, stream: EventRelay
 ) -> WholeAnswer | PassedOn | FailedAttempt:
     state = job.state
     state.running[endpoint.address] = state.running.get(endpoint.address, 0) + 1
     state.tokens.setdefault(endpoint.address, 0)
     try:
-        result = await _exchange(job, endpoint)
+        result = await _exchange(job, endpoint, stream)
     finally:
         state.running[endpoint.address] -= 1
         if not state.running[endpoint.address]:
@@ -201,7 +228,7 @@
     return result
 
 
-async def _exchange(job, endpoint):
+async def _exchange(job, endpoint, stream):
     try:
         connection = await attempts.open_connection(job, endpoint.address)
     except ConnectFailed as error:
@@ -211,9 +238,16 @@
     job.attempts += 1
     is_kept = False
     try:
-        job.log_event("sent", address=endpoint.address, engine_id=endpoint.engine_id)
-        await attempts.send(job, connection, job.sending(endpoint.engine_id))
-        result = await _read(job, connection, endpoint)
+        after = stream.resumed_after
+        job.log_event(
+            "sent",
+            address=endpoint.address,
+            engine_id=endpoint.engine_id,
+            last_event=after,
+        )
+        sending = job.sending(endpoint.engine_id, last_event=after)
+        await attempts.send(job, connection, sending)
+        result = await _read(job, connection, endpoint, stream)
         is_kept = True
         return result
     except AnswerLate as error:
@@ -227,7 +261,7 @@
             connection.close()
 
 
-async def _read(job, connection, endpoint):
+async def _read(job, connection, endpoint, stream):
     timeout_s = attempt_timeout_s(job, now_s())
     head, facts = await attempts.read_matching_head(
         job, connection, endpoint.engine_id, timeout_s
@@ -246,6 +280,16 @@
             is_not_run=True,
             is_backoff=backpressure.asks_for_backoff(head.status, facts),
         )
+    if plainstream.is_event_stream(job, head):
+        await plainstream.relay(stream, connection, head, timeout_s)
+        await attempts.check_unframed_end(job, connection, endpoint.engine_id)
+        await plainstream.end(job, head)
+        return PassedOn(head.status)
+    if job.exchange.has_begun:
+        await attempts.read_failure(job, connection)
+        return FailedAttempt(
+            f"status {head.status} in a resumed stream", is_not_run=False
+        )
     body = await attempts.read_body(connection, end_s, timeout_s, job.exchange.hold)
     whole = WholeAnswer(head.status, head.headers, body.data)
     failed = attempts.failure_of(whole, job.is_idempotent)
--- a/libs/relay/src/cherryrudder/relay/events.py
+++ b/libs/relay/src/cherryrudder/relay/events.py
@@ -4,11 +4,13 @@
 client, so that another engine can continue after the last one.
 """
 
+import re
 from typing import NamedTuple
 
 from .errors import AnswerBroken
 
-SEPARATOR = b"\n\n"
+# Lines may end in LF or CR LF.
+SEPARATOR = re.compile(rb"\n\r?\n")
 # An event holds a few tokens in some hundred bytes; more data without a separator means
 # that the body is not an event stream.
 MAX_EVENT_BYTES = 1024 * 1024
@@ -36,16 +38,21 @@
 
     Raises AnswerBroken if an event is too long to be one.
     """
-    # A separator may have begun with the last byte before.
-    searched_bytes = max(0, len(splitter.rest) - 1)
+    # A separator may have begun with the last two bytes before.
+    searched_bytes = max(0, len(splitter.rest) - 2)
     splitter.rest += data
-    if splitter.rest.find(SEPARATOR, searched_bytes) < 0:
+    if SEPARATOR.search(splitter.rest, searched_bytes) is None:
         if len(splitter.rest) > MAX_EVENT_BYTES:
             raise AnswerBroken("an event is too long")
         return []
-    pieces = bytes(splitter.rest).split(SEPARATOR)
-    splitter.rest = bytearray(pieces.pop())
-    return [Event(_number(piece), piece + SEPARATOR) for piece in pieces]
+    received, begin = [], 0
+    text = bytes(splitter.rest)
+    for separator in SEPARATOR.finditer(text):
+        piece = text[begin : separator.end()]
+        received.append(Event(_number(piece), piece))
+        begin = separator.end()
+    splitter.rest = bytearray(text[begin:])
+    return received
 
 
 def _number(piece):
