Take a status past 599 as a broken answer

Callers saw: an engine's answer with status 600, 700 or 999 was passed on to them (MIXED).

Cause: the parser takes any three digits from 100, and nothing asked for the five classes that HTTP has (RFC 9110, 15).

Change: `EngineConnection.read_head` raises for it, which is the one place where heads of engines are read, for answers, reports and orders. The request is repeated where it may be, else 502.

--- a/libs/relay/src/cherryrudder/relay/client.py
+++ b/libs/relay/src/cherryrudder/relay/client.py
@@ -29,6 +29,8 @@
 MAX_PARTS_AT_ONCE = 64
 # Engines send some hundred bytes of headers; the limit only stops invalid peers.
 MAX_HEAD_BYTES = 64 * 1024
+# Statuses have five classes (RFC 9110, 15); the parser takes any three digits from 100.
+LAST_STATUS = 599
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -101,6 +103,8 @@
             while True:
                 event = await self._next_event()
                 if isinstance(event, h11.Response):
+                    if event.status_code > LAST_STATUS:
+                        raise AnswerBroken(f"no status: {event.status_code}")
                     return self._record_head(event)
 
     async def read(self) -> bytes | None:
--- a/libs/relay/test/test_client.py
+++ b/libs/relay/test/test_client.py
@@ -8,7 +8,12 @@
 
 from cherryrudder.relay import pool
 from cherryrudder.relay.client import open_connection
-from cherryrudder.relay.errors import AnswerBroken, AnswerLate, ConnectFailed
+from cherryrudder.relay.errors import (
+    AnswerBroken,
+    AnswerLate,
+    ConnectFailed,
+    RelayError,
+)
 from cherryrudder.relay.pool import Pool
 
 OK = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"
@@ -121,6 +126,26 @@
             with self.subTest(answer=answer), self.assertRaises(AnswerBroken):
                 await self.ask(answer)
 
+    @in_loop
+    async def test_a_status_of_no_class_is_no_answer(self):
+        """Guards against passing on a status that HTTP doesn't have."""
+        words = (
+            *(b"000", b"001", b"099", b"600", b"700", b"999"),
+            *(b"0", b"20", b"2000", b"-200", b"+20", b"2e2", b"OK", b""),
+        )
+        for word in words:
+            answer = OK.replace(b"200", word)
+            for answers in ([answer], [b"HTTP/1.1 103 Hints\r\n\r\n" + answer]):
+                with self.subTest(answers=answers), self.assertRaises(AnswerBroken):
+                    await self.ask(*answers)
+        for status in (100, 199):
+            answer = OK.replace(b"200", b"%d" % status)
+            with self.subTest(status=status), self.assertRaises(RelayError):
+                await self.ask(answer)
+        for status in (200, 299, 404, 500, 599):
+            answer = OK.replace(b"200", b"%d" % status)
+            self.assertEqual(await self.ask(answer), (status, b"ok"))
+
     @in_loop
     async def test_a_missing_answer_times_out(self):
         async with scripted_engine(b"") as (address, _):
