Keep what is known of engines by service

Callers saw: nothing so far. With two layered services whose engines are empty no plan would ever be made, and each stream gets 503.

Cause: one note of known engines for all services, replaced with each review, so that the others' engines seemed new each time; the first plan waits until no new one comes.

Evidence: SeveralServicesTest.test_each_service_gets_its_first_plan failed before: neither service was planned in three reviews a second apart.

--- a/libs/node/src/cherryrudder/node/layercontroller.py
+++ b/libs/node/src/cherryrudder/node/layercontroller.py
@@ -67,9 +67,10 @@
         self._pending: dict[str, PendingOrder] = {}
         self._models: dict[str, ModelProfile] = {}
         self._not_before_s: dict[str, float] = {}
-        self._known: frozenset[str] = frozenset()
-        self._first_seen_s: dict[str, float] = {}
-        self._changed_s = 0.0
+        # Since when each engine is known, by service.
+        self._first_seen_s: dict[str, dict[str, float]] = {}
+        # When a service's newest engine was first seen.
+        self._changed_s: dict[str, float] = {}
         # The error of the last step, by service or engine; logged when it changes.
         self._errors: dict[str, str] = {}
         self._started_s = now_s()
@@ -108,8 +109,8 @@
             if a.service == service.name and not self._is_dead(a.engine_id, now)
         ]
         self._drop_outdated(service, live)
-        self._update_known(live, now)
-        if not self._is_settled(live, now):
+        self._update_known(service.name, live, now)
+        if not self._is_settled(service.name, live, now):
             return
         states = [self._engine_state(a, now) for a in live]
         placements = planner.plan(service.model, states)
@@ -136,13 +137,13 @@
                 self._pending.pop(announcement.engine_id, None)
         self._models[service.name] = service.model
 
-    def _update_known(self, live, now):
+    def _update_known(self, name, live, now):
         """Record new engines, and drop orders that heartbeats show as finished."""
-        known = frozenset(a.engine_id for a in live)
-        if known - self._known:
-            self._changed_s = now
-        self._known = known
-        self._first_seen_s = {name: self._first_seen_s.get(name, now) for name in known}
+        before = self._first_seen_s.get(name, {})
+        seen_s = {a.engine_id: before.get(a.engine_id, now) for a in live}
+        if seen_s.keys() - before.keys():
+            self._changed_s[name] = now
+        self._first_seen_s[name] = seen_s
         for announcement in live:
             ordered = self._pending.get(announcement.engine_id)
             if ordered is None:
@@ -150,15 +151,16 @@
             if announcement.holding == ordered.holding or now > ordered.until_s:
                 del self._pending[announcement.engine_id]
 
-    def _is_settled(self, live, now):
+    def _is_settled(self, name, live, now):
         is_first = all(a.holding == NO_LAYERS for a in live) and not self._pending
         if is_first:
-            return bool(live) and now - self._changed_s > FIRST_PLAN_QUIET_S
+            return bool(live) and now - self._changed_s[name] > FIRST_PLAN_QUIET_S
         return now - self._started_s > STARTUP_WAIT_S
 
     def _engine_state(self, announcement: Announcement, now):
         ordered = self._pending.get(announcement.engine_id)
         holding = ordered.holding if ordered else announcement.holding
+        first_seen_s = self._first_seen_s[announcement.service][announcement.engine_id]
         return EngineState(
             address=announcement.address,
             engine_id=announcement.engine_id,
@@ -167,7 +169,7 @@
             holding=holding,
             is_busy=ordered is not None,
             is_leaving=endpoints.has_leaving_notice(announcement),
-            is_fresh=now - self._first_seen_s[announcement.engine_id] < NEW_ENGINE_S,
+            is_fresh=now - first_seen_s < NEW_ENGINE_S,
         )
 
     async def _order(self, profile: ModelProfile, placement: Placement):
--- a/libs/node/test/test_failedsteps.py
+++ b/libs/node/test/test_failedsteps.py
@@ -115,6 +115,58 @@
         self.assertEqual(set(calls), {16})
 
 
+class SeveralServicesTest(unittest.TestCase):
+    def a_controller(self, *names):
+        """Return a controller of services with one empty engine each, and these."""
+        piped = PipedSink()
+        self.addCleanup(piped.close)
+        state = a_control(piped.sink, "10.0.0.1")
+        controller = LayerController(state, None, None)
+        services = [Service(name, "/health", 0, a_model(8)) for name in names]
+        for service in services:
+            announcement = an_announcement(f"e-{service.name}", service=service.name)
+            tablesync.record_heartbeat(state.endpoints, announcement, now_s())
+        return controller, services
+
+    def test_each_service_gets_its_first_plan(self):
+        """Guards against services that count as changing because there are others."""
+        controller, services = self.a_controller("one", "two")
+        planned = []
+
+        async def review(at_s):
+            with (
+                mock.patch.object(layercontroller, "now_s", lambda: at_s),
+                mock.patch.object(
+                    planner, "plan", lambda model, states: planned.append(states) or []
+                ),
+            ):
+                for service in services:
+                    await controller._review(service)
+
+        start_s = now_s()
+        for step in range(3):
+            anyio.run(review, start_s + step)
+        self.assertEqual(
+            {state.engine_id for states in planned for state in states},
+            {"e-one", "e-two"},
+        )
+        self.assertFalse(any(state.is_fresh for state in planned[-1]))
+
+    def test_an_order_ends_with_the_model_that_its_time_limit_is_from(self):
+        """Guards against an engine that counts as loading for years."""
+        controller, (service,) = self.a_controller("one")
+        live = [an_announcement("e-one", service="one")]
+        controller._drop_outdated(service, live)
+        controller._pending["e-one"] = layercontroller.PendingOrder(
+            layercontroller.NO_LAYERS, float("inf")
+        )
+        controller._drop_outdated(service, live)
+        self.assertIn("e-one", controller._pending)
+        mended = service._replace(model=service.model._replace(load_s=1.0))
+        controller._drop_outdated(mended, live)
+        self.assertNotIn("e-one", controller._pending)
+
+
 class SchedulerTest(unittest.TestCase):
     def test_a_search_that_fails_ends_its_own_stream_alone(self):
         """Guards against an error in one search that ends its process."""
