--- a/libs/node/test/test_entrystate.py
+++ b/libs/node/test/test_entrystate.py
@@ -1,13 +1,20 @@
 import math
 import unittest
 
-from builders import PipedSink, a_state, an_announcement
+from builders import PipedSink, a_model, a_state, an_announcement
 
+from cherryrudder.layers import pipes
 from cherryrudder.layers.chains import Part
 from cherryrudder.node import entrystate, tablesync
 from cherryrudder.policy import peerload
 from cherryrudder.policy.peerload import Load
 from cherryrudder.replica.clock import now_s
+from cherryrudder.routing.configuration import (
+    DEFAULT_LIMITS,
+    Configuration,
+    Service,
+)
+from cherryrudder.routing.routetable import RouteTable
 
 
 class StartTest(unittest.TestCase):
@@ -90,5 +97,26 @@
         self.assertEqual(candidate.unread, 5 * 700)
 
 
+class PipeTest(unittest.TestCase):
+    """Guards against streams that wait for a pipe whose rate has been corrected."""
+
+    def a_table(self, version, pipe_mbps):
+        model = a_model(8)._replace(pipe_mbps=pipe_mbps)
+        services = (Service("llm", "/health", 0, model),)
+        return RouteTable(Configuration(version, (), services, (), DEFAULT_LIMITS))
+
+    def test_what_was_used_of_another_pipe_does_not_count(self):
+        piped = PipedSink()
+        self.addCleanup(piped.close)
+        state = a_state(piped.sink)
+        entrystate.set_table(state, self.a_table(1, 1e-6))
+        cost_s = pipes.crossing_s(state.table.service("llm").model, 772, 1)
+        self.assertTrue(pipes.try_cross(state.pipes, cost_s, 1, now_s()))
+        entrystate.set_table(state, self.a_table(2, 1e-6))
+        self.assertFalse(pipes.has_budget(state.pipes, 0.1, 1, now_s()))
+        entrystate.set_table(state, self.a_table(3, 11_000.0))
+        self.assertTrue(pipes.has_budget(state.pipes, 0.1, 1, now_s()))
+
+
 if __name__ == "__main__":
     unittest.main()
