--- a/libs/node/test/test_connecting.py
+++ b/libs/node/test/test_connecting.py
@@ -10,6 +10,7 @@
 
 from cherryrudder.layers.chains import Part
 from cherryrudder.node import attempts, plainrelay, streamrelay, supervision
+from cherryrudder.node.plainstream import EventRelay
 from cherryrudder.relay.errors import ConnectFailed
 from cherryrudder.relay.pool import Pool
 from cherryrudder.replica.clock import now_s
@@ -95,7 +96,7 @@
         with mock.patch.object(supervision, "mark_first_dead") as mark_first_dead:
             for attempt in (
                 lambda: streamrelay._exchange(stream),
-                lambda: plainrelay._attempt(job, endpoint),
+                lambda: plainrelay._attempt(job, endpoint, EventRelay(job)),
             ):
                 async with anyio.create_task_group() as group:
                     group.start_soon(stop)
